--- /dev/null
+++ b/crates/cranereach-bench/src/deployment.rs
@@ -0,0 +1,392 @@
+//! Platform, upstreams and entry instances on loopback, in one process.
+
+use std::io;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use cranereach_core::names::FailureDomain;
+use cranereach_core::names::InstanceId;
+use cranereach_core::names::PoolName;
+use cranereach_entry::apply::ApplyError;
+use cranereach_entry::apply::Stores;
+use cranereach_entry::entry::Entry;
+use cranereach_entry::entry::StartError;
+use cranereach_entry::settings::InstanceSettings;
+use cranereach_entry::settings::ListenSettings;
+use cranereach_entry::settings::LogLevel;
+use cranereach_entry::settings::LogSettings;
+use cranereach_entry::settings::OperatorSettings;
+use cranereach_entry::settings::PeerSettings;
+use cranereach_entry::settings::PlatformSettings;
+use cranereach_entry::settings::PolicySettings;
+use cranereach_entry::settings::Settings;
+use cranereach_entry::settings::WeightStoreSettings;
+use cranereach_http::pool::Pool;
+use cranereach_standin::engine::Engine;
+use cranereach_standin::engine::state::EngineOptions;
+use cranereach_standin::load;
+use cranereach_standin::load::Call;
+use cranereach_standin::load::Outcome;
+use cranereach_standin::platform::Platform;
+use cranereach_standin::platform::state::WeightLimits;
+use cranereach_standin::relay::Relay;
+use cranereach_standin::service::PlainService;
+use cranereach_wire::folder::Folder;
+use cranereach_wire::platform::ListState;
+use cranereach_wire::platform::ListedInstance;
+use cranereach_wire::platform::Role;
+
+/// Address on which the system chooses the port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Why a deployment could not start.
+#[derive(Debug, Error)]
+pub enum DeployError {
+    /// A socket could not be opened.
+    #[error("can't open a socket: {0}")]
+    Socket(#[from] io::Error),
+    /// An entry instance could not start.
+    #[error(transparent)]
+    Start(#[from] StartError),
+    /// The declarations were not accepted.
+    #[error(transparent)]
+    Apply(#[from] ApplyError),
+    /// Something did not come about in time.
+    #[error("waited in vain for {what}")]
+    Waited {
+        /// What was waited for.
+        what: String,
+    },
+}
+
+/// An upstream worker and what it is listed as.
+#[derive(Debug)]
+pub struct Upstream<T> {
+    /// Identity on the list.
+    pub id: String,
+    /// Pool.
+    pub pool: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address on the list.
+    pub address: String,
+    /// The stand-in.
+    pub stand_in: T,
+    stopping: watch::Sender<bool>,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform.
+    pub platform: Platform,
+    /// Address of the platform.
+    pub platform_address: String,
+    /// Model engines.
+    pub engines: Vec<Upstream<Engine>>,
+    /// Plain services.
+    pub services: Vec<Upstream<PlainService>>,
+    /// Entry instances; none where one has ended.
+    pub entries: Vec<Option<Entry>>,
+    /// Policy of instances that are started.
+    pub policy: PolicySettings,
+    /// What the instances are told of the weight store.
+    pub weight_store: WeightStoreSettings,
+    callers: Vec<Pool<Full<Bytes>>>,
+    platform_stop: watch::Sender<bool>,
+}
+
+impl Deployment {
+    /// Starts a platform and nothing else.
+    pub async fn start(limits: WeightLimits) -> Result<Self, DeployError> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let platform_address = listener.local_addr()?.to_string();
+        let (platform_stop, stop) = watch::channel(false);
+        let platform = Platform::start(listener, limits, stop);
+        let weight_store = WeightStoreSettings {
+            loads_per_s: limits.loads_per_s,
+            loads_at_once_count: limits.at_once_count,
+        };
+        Ok(Self {
+            platform,
+            platform_address,
+            engines: Vec::new(),
+            services: Vec::new(),
+            entries: Vec::new(),
+            policy: PolicySettings::default(),
+            weight_store,
+            callers: Vec::new(),
+            platform_stop,
+        })
+    }
+
+    /// Starts an engine and lists it.
+    pub async fn add_engine(
+        &mut self,
+        pool: &str,
+        domain: &str,
+        options: EngineOptions,
+    ) -> Result<usize, DeployError> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let address = listener.local_addr()?.to_string();
+        let (stopping, stop) = watch::channel(false);
+        let stand_in = Engine::start(listener, options, stop);
+        let id = format!("{pool}-{}", self.engines.len());
+        let engine = Upstream {
+            id,
+            pool: pool.to_owned(),
+            domain: domain.to_owned(),
+            address,
+            stand_in,
+            stopping,
+        };
+        self.list_worker(
+            &engine.id,
+            &engine.pool,
+            &engine.domain,
+            &engine.address,
+            ListState::Live,
+        );
+        self.engines.push(engine);
+        Ok(self.engines.len() - 1)
+    }
+
+    /// Starts a plain service and lists it.
+    pub async fn add_service(&mut self, pool: &str, domain: &str) -> Result<usize, DeployError> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let address = listener.local_addr()?.to_string();
+        let (stopping, stop) = watch::channel(false);
+        let stand_in = PlainService::start(listener, stop);
+        let id = format!("{pool}-{}", self.services.len());
+        let service = Upstream {
+            id,
+            pool: pool.to_owned(),
+            domain: domain.to_owned(),
+            address,
+            stand_in,
+            stopping,
+        };
+        self.list_worker(
+            &service.id,
+            &service.pool,
+            &service.domain,
+            &service.address,
+            ListState::Live,
+        );
+        self.services.push(service);
+        Ok(self.services.len() - 1)
+    }
+
+    /// Starts an entry instance and lists it.
+    pub async fn add_entry(&mut self, domain: &str) -> Result<usize, DeployError> {
+        let table = self.platform_address.clone();
+        self.add_entry_with(domain, &table, |_settings| {}).await
+    }
+
+    /// Starts an entry instance that reaches the platform at an address.
+    ///
+    /// `change` may change its settings first.
+    pub async fn add_entry_with(
+        &mut self,
+        domain: &str,
+        platform: &str,
+        change: impl FnOnce(&mut Settings),
+    ) -> Result<usize, DeployError> {
+        let number = self.entries.len();
+        let mut settings = self.settings(&format!("entry-{number}"), domain, platform);
+        change(&mut settings);
+        let id = settings.instance.id.clone();
+        let entry = Entry::start(settings).await?;
+        let addresses = entry.addresses();
+        self.list_entry(&id, domain, &addresses.peers.to_string(), ListState::Live);
+        self.callers.push(Pool::new(&addresses.callers.to_string()));
+        self.entries.push(Some(entry));
+        Ok(number)
+    }
+
+    /// Puts a relay between an entry instance and the platform.
+    pub async fn relay_to_platform(&self) -> Result<(Relay, String), DeployError> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let address = listener.local_addr()?.to_string();
+        Ok((Relay::start(listener, &self.platform_address), address))
+    }
+
+    /// Puts a relay before an engine and lists the relay's address for it.
+    pub async fn relay_to_engine(&mut self, index: usize) -> Result<Relay, DeployError> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let address = listener.local_addr()?.to_string();
+        let engine = &self.engines[index];
+        let relay = Relay::start(listener, &engine.address);
+        self.list_worker(
+            &engine.id,
+            &engine.pool,
+            &engine.domain,
+            &address,
+            ListState::Live,
+        );
+        Ok(relay)
+    }
+
+    /// Returns the stores, as an operator's command uses them.
+    pub fn stores(&self) -> Stores {
+        Stores::new(&self.platform_address, &self.platform_address)
+    }
+
+    /// Applies declarations over whatever is in force; returns the version.
+    pub async fn apply(&self, folder: &Folder) -> Result<u64, DeployError> {
+        let stores = self.stores();
+        let current = stores.current().await?;
+        let change_id = format!("{:016x}", rand::random::<u64>());
+        let accepted = stores
+            .apply(folder, current.head.version, &change_id)
+            .await?;
+        Ok(accepted.version)
+    }
+
+    /// Sends a call to an entry instance.
+    pub async fn call(&self, entry: usize, call: &Call) -> Outcome {
+        load::send(&self.callers[entry], call).await
+    }
+
+    /// Sends a call again and again until it is served or time is up.
+    pub async fn call_until_served(&self, entry: usize, call: &Call, within_ms: u64) -> Outcome {
+        let until = Instant::now() + Duration::from_millis(within_ms);
+        loop {
+            let outcome = self.call(entry, call).await;
+            if outcome.status == 200 || Instant::now() >= until {
+                return outcome;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Waits until every entry instance has a version in force.
+    pub async fn wait_for_version(&self, version: u64, within_ms: u64) -> Result<(), DeployError> {
+        let is_there = |entry: &Entry| entry.shared().config().held().version >= version;
+        let what = format!("version {version} everywhere");
+        wait_until(&what, within_ms, || {
+            self.entries.iter().flatten().all(is_there)
+        })
+        .await
+    }
+
+    /// Waits until some engine serves a target.
+    pub async fn wait_for_resident(&self, target: &str, within_ms: u64) -> Result<(), DeployError> {
+        let what = format!("{target} on some engine");
+        wait_until(&what, within_ms, || {
+            self.engines
+                .iter()
+                .any(|engine| engine.stand_in.state().is_resident(target))
+        })
+        .await
+    }
+
+    /// Ends an entry instance at once, as a crash would.
+    pub async fn kill_entry(&mut self, index: usize) {
+        if let Some(entry) = self.entries[index].take() {
+            entry.kill().await;
+        }
+    }
+
+    /// Ends an engine at once; it stays on the list until taken off.
+    pub fn kill_engine(&mut self, index: usize) {
+        self.engines[index].stopping.send_replace(true);
+    }
+
+    /// Shows a worker on the platform's list.
+    pub fn list_worker(&self, id: &str, pool: &str, domain: &str, address: &str, state: ListState) {
+        self.platform.state().list(ListedInstance {
+            id: InstanceId::from(id),
+            role: Role::Worker,
+            state,
+            domain: FailureDomain::from(domain),
+            address: address.to_owned(),
+            pool: Some(PoolName::from(pool)),
+        });
+    }
+
+    /// Shows an entry instance on the platform's list.
+    pub fn list_entry(&self, id: &InstanceId, domain: &str, address: &str, state: ListState) {
+        self.platform.state().list(ListedInstance {
+            id: id.clone(),
+            role: Role::Entry,
+            state,
+            domain: FailureDomain::from(domain),
+            address: address.to_owned(),
+            pool: None,
+        });
+    }
+
+    /// Ends everything.
+    pub async fn stop(mut self) {
+        for entry in self.entries.drain(..).flatten() {
+            entry.kill().await;
+        }
+        for engine in &self.engines {
+            engine.stopping.send_replace(true);
+        }
+        for service in &self.services {
+            service.stopping.send_replace(true);
+        }
+        self.platform_stop.send_replace(true);
+    }
+
+    /// Returns the settings of an entry instance.
+    fn settings(&self, id: &str, domain: &str, platform: &str) -> Settings {
+        Settings {
+            instance: InstanceSettings {
+                id: InstanceId::from(id),
+                failure_domain: FailureDomain::from(domain),
+                region: "region-1".to_owned(),
+            },
+            listen: ListenSettings::default(),
+            platform: PlatformSettings {
+                table: platform.to_owned(),
+                objects: platform.to_owned(),
+                instances: platform.to_owned(),
+                head_every_ms: 1_000,
+                list_every_ms: 300,
+            },
+            peers: PeerSettings {
+                secret: Some("loopback".to_owned()),
+                secret_file: None,
+                digest_every_ms: 100,
+            },
+            operators: OperatorSettings {
+                token: Some("operator".to_owned()),
+                token_file: None,
+            },
+            limits: cranereach_entry::settings::LimitSettings::default(),
+            policy: self.policy.clone(),
+            weight_store: self.weight_store,
+            drain: cranereach_entry::settings::DrainSettings::default(),
+            log: LogSettings {
+                level: LogLevel::Off,
+            },
+        }
+    }
+}
+
+/// Waits until something holds.
+pub async fn wait_until(
+    what: &str,
+    within_ms: u64,
+    mut holds: impl FnMut() -> bool,
+) -> Result<(), DeployError> {
+    let until = Instant::now() + Duration::from_millis(within_ms);
+    while !holds() {
+        if Instant::now() >= until {
+            return Err(DeployError::Waited {
+                what: what.to_owned(),
+            });
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cranereach-bench/src/lib.rs
@@ -0,0 +1,6 @@
+//! Whole deployments within one process: for the demo, measurements and tests.
+//!
+//! Every part is the real one and talks over sockets on loopback; only the
+//! process boundary is missing. [`deployment`] starts the parts.
+
+pub mod deployment;
--- /dev/null
+++ b/crates/cranereach-core/src/cell.rs
@@ -0,0 +1,90 @@
+//! Cells: the unit of control, so that no state grows with the whole fleet.
+//!
+//! Workers are split by pool and failure domain, and further into parts of at
+//! most [`WORKERS_MAX`]. Entry instances are split into groups of at most
+//! [`INSTANCES_MAX`] that exchange digests among themselves alone.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::membership::rendezvous_weight;
+use crate::names::FailureDomain;
+use crate::names::PoolName;
+use crate::names::TargetName;
+use crate::names::WorkerId;
+
+/// Most workers in a cell.
+pub const WORKERS_MAX: usize = 48;
+
+/// Most entry instances in a group.
+pub const INSTANCES_MAX: usize = 16;
+
+/// Identity of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CellId {
+    /// Pool of its workers.
+    pub pool: PoolName,
+    /// Failure domain of its workers.
+    pub domain: FailureDomain,
+    /// Part of the pool's workers in the domain.
+    pub part: u32,
+}
+
+impl fmt::Display for CellId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.pool, self.domain, self.part)
+    }
+}
+
+/// Returns the cell of a worker, given how many workers share pool and domain.
+///
+/// ```
+/// use cranereach_core::cell::cell_of;
+///
+/// let cell = cell_of(&"text".into(), &"d1".into(), &"w1".into(), 4);
+/// assert_eq!(cell.part, 0);
+/// ```
+pub fn cell_of(
+    pool: &PoolName,
+    domain: &FailureDomain,
+    worker: &WorkerId,
+    sharing_count: usize,
+) -> CellId {
+    let parts = sharing_count
+        .div_ceil(WORKERS_MAX)
+        .max(1)
+        .next_power_of_two();
+    let part = rendezvous_weight(worker.as_str(), pool.as_str()) % parts as u64;
+    CellId {
+        pool: pool.clone(),
+        domain: domain.clone(),
+        part: part as u32,
+    }
+}
+
+/// Returns cells in the order in which they host a target's replicas.
+///
+/// The order is the same on every instance. Neighbours differ in failure
+/// domain wherever the cells allow it.
+pub fn hosts_of<'a>(target: &TargetName, cells: &'a [CellId]) -> Vec<&'a CellId> {
+    let mut left: Vec<&CellId> = cells.iter().collect();
+    left.sort_by_key(|cell| rendezvous_weight(&cell.to_string(), target.as_str()));
+    let mut hosts: Vec<&CellId> = Vec::with_capacity(left.len());
+    while let Some(next) = next_host(&left, &hosts) {
+        hosts.push(left.remove(next));
+    }
+    hosts
+}
+
+/// Returns the next cell to host, in a domain used least so far.
+fn next_host(left: &[&CellId], hosts: &[&CellId]) -> Option<usize> {
+    let used = |cell: &CellId| {
+        hosts
+            .iter()
+            .filter(|host| host.domain == cell.domain)
+            .count()
+    };
+    (0..left.len()).min_by_key(|&index| used(left[index]))
+}
--- /dev/null
+++ b/crates/cranereach-core/src/control/mod.rs
@@ -0,0 +1,417 @@
+//! Control of one cell: from lease and reports to fenced orders.
+//!
+//! A new holder first seals each worker that checks fences: a no-op order of
+//! its higher epoch, after which no older order can take effect. It plans for a
+//! worker only once a report shows the seal. For workers that don't check, the
+//! intent of each order is recorded in the table before it is sent, and a
+//! successor holds memory for every recorded order until it can't arrive.
+
+mod worker;
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::worker::WorkerControl;
+use crate::cell::CellId;
+use crate::fence::Epoch;
+use crate::fence::Fence;
+use crate::lease::Lease;
+use crate::lease::LeaseView;
+use crate::lease::LeaseWrite;
+use crate::ledger::MemoryReport;
+use crate::ledger::OrderKind;
+use crate::names::InstanceId;
+use crate::names::TargetName;
+use crate::names::WorkerId;
+use crate::residency::Move;
+use crate::residency::PlanInput;
+use crate::residency::PlanTarget;
+use crate::residency::PlanWeights;
+use crate::residency::ResidencyPolicy;
+use crate::token_bucket::TokenBucket;
+
+/// Time after which an open order is settled by a further seal, in ms.
+const SETTLE_AFTER_MS: u64 = 1_000;
+
+/// What varies between deployments.
+#[derive(Clone, Copy, Debug)]
+pub struct ControlOptions {
+    /// Residency policy.
+    pub policy: &'static ResidencyPolicy,
+    /// Weights of attainment and moves.
+    pub weights: PlanWeights,
+    /// Loads that this cell may begin per second.
+    pub loads_per_s: f64,
+    /// Loads of this cell at once.
+    pub loads_at_once_count: usize,
+}
+
+/// An order to be sent to a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Worker to order.
+    pub worker: WorkerId,
+    /// Place among all orders.
+    pub fence: Fence,
+    /// What to do.
+    pub kind: OrderKind,
+    /// Target; empty for a seal.
+    pub target: TargetName,
+    /// Memory of the target, in bytes.
+    pub memory_bytes: u64,
+}
+
+/// Orders recorded in the table before they are sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IntentRow {
+    /// Every order that isn't known to be settled.
+    pub orders: Vec<Order>,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// The worker accepted it.
+    Accepted,
+    /// The worker has seen this higher fence.
+    Refused(Fence),
+    /// It provably never left.
+    NeverSent,
+    /// It may take effect, now or later.
+    Unknown,
+}
+
+/// What the runtime is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControlAction {
+    /// Write the lease row.
+    WriteLease(LeaseWrite),
+    /// Send an order.
+    Send(Order),
+    /// Read the intents row, then call [`CellControl::intents_read`].
+    ReadIntents,
+    /// Write the intents row, then call [`CellControl::intents_recorded`].
+    RecordIntents(IntentRow),
+    /// A load took this long, in milliseconds.
+    LoadTook(u64),
+}
+
+/// What is known of the intents row of a cell without fences.
+#[derive(Clone, Debug, Default)]
+struct Intents {
+    is_read: bool,
+    is_asked: bool,
+    held_back: Vec<Order>,
+    writing: bool,
+}
+
+/// Control of one cell on one instance.
+#[derive(Debug)]
+pub struct CellControl {
+    cell: CellId,
+    checks_fences: bool,
+    options: ControlOptions,
+    lease: Lease,
+    acting: Option<Epoch>,
+    sequence: u64,
+    workers: HashMap<WorkerId, WorkerControl>,
+    intents: Intents,
+    bucket: TokenBucket,
+    moves_count: u64,
+}
+
+impl CellControl {
+    /// Starts without the lease.
+    pub fn new(
+        own: InstanceId,
+        cell: CellId,
+        checks_fences: bool,
+        options: ControlOptions,
+        now_ms: u64,
+    ) -> Self {
+        let burst = (options.loads_at_once_count as f64).max(1.0);
+        Self {
+            cell,
+            checks_fences,
+            options,
+            lease: Lease::new(own, now_ms),
+            acting: None,
+            sequence: 0,
+            workers: HashMap::new(),
+            intents: Intents::default(),
+            bucket: TokenBucket::new(options.loads_per_s, burst, now_ms),
+            moves_count: 0,
+        }
+    }
+
+    /// Returns the cell.
+    pub fn cell(&self) -> &CellId {
+        &self.cell
+    }
+
+    /// Whether the cell's workers check fences.
+    pub fn checks_fences(&self) -> bool {
+        self.checks_fences
+    }
+
+    /// Returns the lease.
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Returns the lease, for what was read or heard.
+    pub fn lease_mut(&mut self) -> &mut Lease {
+        &mut self.lease
+    }
+
+    /// Returns the epoch under which this instance orders, if it does.
+    pub fn acting(&self) -> Option<Epoch> {
+        self.acting
+    }
+
+    /// Returns how many loads and unloads were ordered from here.
+    pub fn moves_count(&self) -> u64 {
+        self.moves_count
+    }
+
+    /// Takes the cell's workers with their memory, in bytes.
+    pub fn list(&mut self, listed: &[WorkerId], capacity_bytes: u64) {
+        self.workers.retain(|id, _| listed.contains(id));
+        for id in listed {
+            self.workers
+                .entry(id.clone())
+                .or_insert_with(|| WorkerControl::new(capacity_bytes, self.checks_fences));
+        }
+    }
+
+    /// Takes a worker's report of its memory.
+    pub fn reported(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerId,
+        report: &MemoryReport,
+        slot_count: u32,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if let Some(control) = self.workers.get_mut(worker) {
+            let took = control.reported(now_ms, report, slot_count);
+            actions.extend(took.into_iter().map(ControlAction::LoadTook));
+        }
+    }
+
+    /// Takes the end of an order.
+    pub fn order_ended(&mut self, worker: &WorkerId, fence: Fence, end: OrderEnd) {
+        if let OrderEnd::Refused(highest) = end {
+            self.lease.heard_epoch(highest.epoch);
+        }
+        let Some(control) = self.workers.get_mut(worker) else {
+            return;
+        };
+        // A refused order had no effect, and its fence keeps it from having one.
+        if matches!(end, OrderEnd::NeverSent | OrderEnd::Refused(_)) {
+            control.never_sent(fence);
+        }
+    }
+
+    /// Takes the intents row, as read at the start of a term.
+    pub fn intents_read(&mut self, now_ms: u64, row: &IntentRow) {
+        self.intents.is_read = true;
+        for order in &row.orders {
+            if let Some(control) = self.workers.get_mut(&order.worker) {
+                control.ordered(now_ms, order);
+            }
+        }
+    }
+
+    /// Takes that the reading of the intents row failed.
+    pub fn intents_unread(&mut self) {
+        self.intents.is_asked = false;
+    }
+
+    /// Takes that the intents are recorded; the orders may go, if still allowed.
+    pub fn intents_recorded(&mut self, now_ms: u64, was_recorded: bool) -> Vec<Order> {
+        self.intents.writing = false;
+        let orders = std::mem::take(&mut self.intents.held_back);
+        let allowed = was_recorded && self.lease.may_order(now_ms, self.checks_fences).is_some();
+        if allowed {
+            return orders;
+        }
+        for order in &orders {
+            if let Some(control) = self.workers.get_mut(&order.worker) {
+                control.never_sent(order.fence);
+            }
+        }
+        Vec::new()
+    }
+
+    /// Takes that the intents row no longer is as last read or written.
+    pub fn intents_lost(&mut self) {
+        self.intents = Intents::default();
+    }
+
+    /// Whether an order may still be sent, checked right before it goes.
+    pub fn may_send(&self, now_ms: u64, order: &Order) -> bool {
+        self.lease.may_order(now_ms, self.checks_fences) == Some(order.fence.epoch)
+    }
+
+    /// Looks at the lease and, if this instance holds it, plans.
+    pub fn tick(
+        &mut self,
+        now_ms: u64,
+        view: &LeaseView,
+        targets: &[PlanTarget],
+        actions: &mut Vec<ControlAction>,
+    ) {
+        actions.extend(self.lease.tick(now_ms, view).map(ControlAction::WriteLease));
+        self.lease.take_over_without_table(now_ms, view);
+        self.follow_epoch(now_ms, actions);
+        if self.acting.is_none() || view.leaving {
+            return;
+        }
+        self.seal(now_ms, actions);
+        if self.checks_fences || (self.intents.is_read && !self.intents.writing) {
+            self.plan(now_ms, targets, actions);
+        }
+    }
+
+    /// Starts or ends a term of acting as the holder.
+    fn follow_epoch(&mut self, now_ms: u64, actions: &mut Vec<ControlAction>) {
+        let epoch = self.lease.may_order(now_ms, self.checks_fences);
+        if epoch != self.acting {
+            self.acting = epoch;
+            self.sequence = 0;
+            self.intents = Intents::default();
+            for control in self.workers.values_mut() {
+                control.start_over(self.checks_fences);
+            }
+        }
+        if epoch.is_some() && !self.checks_fences && !self.intents.is_asked {
+            self.intents.is_asked = true;
+            actions.push(ControlAction::ReadIntents);
+        }
+    }
+
+    /// Seals workers that need it, and settles orders that stay open.
+    fn seal(&mut self, now_ms: u64, actions: &mut Vec<ControlAction>) {
+        let due: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, control)| control.needs_seal(now_ms, SETTLE_AFTER_MS))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for worker in due {
+            let order = self.order(worker, OrderKind::Seal, TargetName::from(""), 0);
+            self.record(now_ms, &order);
+            actions.push(ControlAction::Send(order));
+        }
+    }
+
+    /// Plans and turns the moves into orders.
+    fn plan(&mut self, now_ms: u64, targets: &[PlanTarget], actions: &mut Vec<ControlAction>) {
+        let workers: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, control)| control.is_ready())
+            .map(|(id, control)| control.plan_worker(id, targets))
+            .collect();
+        let input = PlanInput {
+            now_ms,
+            weights: self.options.weights,
+            targets,
+            workers: &workers,
+        };
+        let moves = (self.options.policy.plan)(&input);
+        let orders = self.orders_of(now_ms, &moves, targets);
+        self.moves_count += orders.len() as u64;
+        if self.checks_fences {
+            actions.extend(orders.into_iter().map(ControlAction::Send));
+        } else if !orders.is_empty() {
+            self.hold_back(orders, actions);
+        }
+    }
+
+    /// Turns moves into orders, within the weight store's limits.
+    fn orders_of(&mut self, now_ms: u64, moves: &[Move], targets: &[PlanTarget]) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let mut loading_count: usize = self
+            .workers
+            .values()
+            .map(WorkerControl::loading_count)
+            .sum();
+        for planned in moves {
+            let kind = if planned.is_load {
+                OrderKind::Load
+            } else {
+                OrderKind::Unload
+            };
+            let declared = targets
+                .iter()
+                .find(|target| target.target == planned.target);
+            let memory_bytes = declared.map_or(0, |target| target.memory_bytes);
+            if planned.is_load {
+                let allowed =
+                    loading_count < self.options.loads_at_once_count && self.bucket.take(now_ms);
+                if !allowed {
+                    continue;
+                }
+                loading_count += 1;
+            }
+            let order = self.order(
+                planned.worker.clone(),
+                kind,
+                planned.target.clone(),
+                memory_bytes,
+            );
+            self.record(now_ms, &order);
+            orders.push(order);
+        }
+        orders
+    }
+
+    /// Holds orders back until their intents are recorded.
+    fn hold_back(&mut self, orders: Vec<Order>, actions: &mut Vec<ControlAction>) {
+        let open = self.workers.values().flat_map(WorkerControl::open_orders);
+        let row = IntentRow {
+            orders: open.collect(),
+        };
+        self.intents.held_back = orders;
+        self.intents.writing = true;
+        actions.push(ControlAction::RecordIntents(row));
+    }
+
+    /// Makes the next order of the term.
+    fn order(
+        &mut self,
+        worker: WorkerId,
+        kind: OrderKind,
+        target: TargetName,
+        memory_bytes: u64,
+    ) -> Order {
+        self.sequence += 1;
+        let epoch = self.acting.unwrap_or_default();
+        Order {
+            worker,
+            fence: Fence {
+                epoch,
+                sequence: self.sequence,
+            },
+            kind,
+            target,
+            memory_bytes,
+        }
+    }
+
+    /// Counts an order in its worker's ledger before it is sent.
+    fn record(&mut self, now_ms: u64, order: &Order) {
+        if let Some(control) = self.workers.get_mut(&order.worker) {
+            control.ordered(now_ms, order);
+        }
+    }
+
+    /// Returns the ledger's worst case of a worker, in bytes.
+    pub fn committed_bytes(&self, worker: &WorkerId) -> Option<u64> {
+        self.workers.get(worker).map(WorkerControl::committed_bytes)
+    }
+}
--- /dev/null
+++ b/crates/cranereach-core/src/control/worker.rs
@@ -0,0 +1,188 @@
+//! One worker under the control of its cell's holder.
+
+use std::collections::HashMap;
+
+use super::Order;
+use crate::ledger::Ledger;
+use crate::ledger::MemoryReport;
+use crate::ledger::OrderKind;
+use crate::ledger::Residence;
+use crate::names::TargetName;
+use crate::names::WorkerId;
+use crate::residency::PlanOccupant;
+use crate::residency::PlanTarget;
+use crate::residency::PlanWorker;
+
+/// Ledger of a worker, and what the holder saw of it in this term.
+#[derive(Debug)]
+pub(super) struct WorkerControl {
+    ledger: Ledger,
+    capacity_bytes: u64,
+    slot_count: u32,
+    seen_at_ms: HashMap<TargetName, u64>,
+    load_ordered_at_ms: HashMap<TargetName, u64>,
+    open: Vec<Order>,
+    sealed_at_ms: u64,
+    ordered_at_ms: u64,
+}
+
+impl WorkerControl {
+    /// Starts with nothing known.
+    pub(super) fn new(capacity_bytes: u64, checks_fences: bool) -> Self {
+        Self {
+            ledger: Ledger::new(capacity_bytes, checks_fences),
+            capacity_bytes,
+            slot_count: 0,
+            seen_at_ms: HashMap::new(),
+            load_ordered_at_ms: HashMap::new(),
+            open: Vec::new(),
+            sealed_at_ms: 0,
+            ordered_at_ms: 0,
+        }
+    }
+
+    /// Forgets what an earlier term believed.
+    pub(super) fn start_over(&mut self, checks_fences: bool) {
+        *self = Self::new(self.capacity_bytes, checks_fences);
+    }
+
+    /// Takes a report; returns how long loads that it shows done took, in ms.
+    pub(super) fn reported(
+        &mut self,
+        now_ms: u64,
+        report: &MemoryReport,
+        slot_count: u32,
+    ) -> Vec<u64> {
+        self.slot_count = slot_count;
+        self.ledger.reported(now_ms, report);
+        let occupants = self.ledger.occupants();
+        self.seen_at_ms
+            .retain(|target, _| occupants.iter().any(|occupant| &occupant.target == target));
+        let mut took = Vec::new();
+        for occupant in occupants {
+            self.seen_at_ms
+                .entry(occupant.target.clone())
+                .or_insert(now_ms);
+            if occupant.residence == Residence::Resident {
+                let ordered = self.load_ordered_at_ms.remove(&occupant.target);
+                took.extend(ordered.map(|at_ms| now_ms.saturating_sub(at_ms)));
+            }
+        }
+        self.open
+            .retain(|order| self.ledger.is_open(order.kind, &order.target));
+        took
+    }
+
+    /// Counts an order before it is sent.
+    pub(super) fn ordered(&mut self, now_ms: u64, order: &Order) {
+        self.ledger.ordered(
+            now_ms,
+            order.kind,
+            &order.target,
+            order.memory_bytes,
+            order.fence,
+        );
+        self.ordered_at_ms = now_ms;
+        match order.kind {
+            OrderKind::Seal => self.sealed_at_ms = now_ms,
+            OrderKind::Load => {
+                self.load_ordered_at_ms.insert(order.target.clone(), now_ms);
+                self.open.push(order.clone());
+            }
+            OrderKind::Unload => self.open.push(order.clone()),
+        }
+    }
+
+    /// Takes back an order that can have no effect.
+    pub(super) fn never_sent(&mut self, fence: crate::fence::Fence) {
+        self.ledger.never_sent(fence);
+        self.open.retain(|order| order.fence != fence);
+    }
+
+    /// Whether a seal is due: none in force, or orders open for too long.
+    pub(super) fn needs_seal(&self, now_ms: u64, settle_after_ms: u64) -> bool {
+        let waited =
+            now_ms.saturating_sub(self.sealed_at_ms.max(self.ordered_at_ms)) >= settle_after_ms;
+        let unsettled = !self.ledger.is_sealed() || self.ledger.has_unsettled();
+        self.ledger.needs_seal() || (self.ledger.checks_fences() && unsettled && waited)
+    }
+
+    /// Whether the worker may be planned for.
+    pub(super) fn is_ready(&self) -> bool {
+        self.ledger.is_sealed()
+    }
+
+    /// Returns how many loads are open or under way.
+    pub(super) fn loading_count(&self) -> usize {
+        let reported = self
+            .ledger
+            .occupants()
+            .iter()
+            .filter(|occupant| occupant.residence == Residence::Loading)
+            .count();
+        reported + self.unseen_loads().count()
+    }
+
+    /// Returns the orders whose effect isn't settled.
+    pub(super) fn open_orders(&self) -> impl Iterator<Item = Order> {
+        self.open.iter().cloned()
+    }
+
+    /// Returns the worst case, in bytes.
+    pub(super) fn committed_bytes(&self) -> u64 {
+        self.ledger.committed_bytes()
+    }
+
+    /// Returns the worker as a plan sees it.
+    pub(super) fn plan_worker(&self, worker: &WorkerId, targets: &[PlanTarget]) -> PlanWorker {
+        let index_of = |name: &TargetName| targets.iter().position(|target| &target.target == name);
+        let mut occupants: Vec<PlanOccupant> = self
+            .ledger
+            .occupants()
+            .iter()
+            .map(|occupant| PlanOccupant {
+                target_index: index_of(&occupant.target),
+                target: occupant.target.clone(),
+                memory_bytes: occupant.memory_bytes,
+                residence: if self.ledger.is_open(OrderKind::Unload, &occupant.target) {
+                    Residence::Unloading
+                } else {
+                    occupant.residence
+                },
+                seen_at_ms: self
+                    .seen_at_ms
+                    .get(&occupant.target)
+                    .copied()
+                    .unwrap_or_default(),
+            })
+            .collect();
+        occupants.extend(self.unseen_loads().map(|order| PlanOccupant {
+            target_index: index_of(&order.target),
+            target: order.target.clone(),
+            memory_bytes: order.memory_bytes,
+            residence: Residence::Loading,
+            seen_at_ms: 0,
+        }));
+        PlanWorker {
+            worker: worker.clone(),
+            free_bytes: self.ledger.free_bytes(),
+            freeing_bytes: self.ledger.freeing_bytes(),
+            slot_count: self.slot_count,
+            occupants,
+        }
+    }
+
+    /// Returns the open loads that no report has shown yet.
+    fn unseen_loads(&self) -> impl Iterator<Item = &Order> {
+        let is_there = |target| {
+            self.ledger
+                .occupants()
+                .iter()
+                .any(|occupant| &occupant.target == target)
+        };
+        let is_awaited = |target| self.load_ordered_at_ms.contains_key(target);
+        self.open.iter().filter(move |order| {
+            order.kind == OrderKind::Load && is_awaited(&order.target) && !is_there(&order.target)
+        })
+    }
+}
--- /dev/null
+++ b/crates/cranereach-core/src/dispatch/queues.rs
@@ -0,0 +1,319 @@
+//! Requests that wait: by target, class and account, in order of deadline.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use crate::declarations::Class;
+use crate::names::AccountName;
+use crate::names::RequestId;
+use crate::names::TargetName;
+use crate::order::Head;
+use crate::order::OrderPolicy;
+
+/// A request that waits for a worker.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The request.
+    pub request: RequestId,
+    /// Whose it is.
+    pub account: AccountName,
+    /// Share of the account.
+    pub share: f64,
+    /// Longest queue of the account, in requests.
+    pub queue_count: u32,
+    /// What it asks for.
+    pub target: TargetName,
+    /// Its class.
+    pub class: Class,
+    /// When it arrived.
+    pub arrived_at_ms: u64,
+    /// When it must have been sent.
+    pub start_by_ms: u64,
+    /// Expected cost, in tokens.
+    pub cost_tokens: f64,
+    /// Hash of the start of its prompt; zero for none.
+    pub prefix_hash: u64,
+}
+
+/// What stands before a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Ahead {
+    /// All that wait for the target in the same or a more urgent class.
+    pub total_count: u32,
+    /// Those of the same account.
+    pub own_count: u32,
+    /// Sum of shares of the accounts that wait, this one's included.
+    pub share_sum: f64,
+}
+
+/// Place of a request in its account's queue: deadline, then arrival.
+type Place = (u64, u64);
+
+/// One account's requests for one target and class.
+type AccountQueue = std::collections::BTreeMap<Place, RequestId>;
+
+/// What waits for one target.
+#[derive(Debug, Default)]
+struct TargetQueue {
+    classes: [HashMap<AccountName, AccountQueue>; Class::ALL.len()],
+    arrived: BTreeSet<(u64, RequestId)>,
+}
+
+/// What is kept per account.
+#[derive(Clone, Copy, Debug, Default)]
+struct AccountRank {
+    rank: f64,
+    share: f64,
+    waiting_count: u32,
+}
+
+/// A request with its place in the order of arrival.
+#[derive(Debug)]
+struct Entry {
+    waiting: Waiting,
+    arrival_number: u64,
+}
+
+/// All that waits on one entry instance.
+#[derive(Debug)]
+pub struct Queues {
+    policy: &'static OrderPolicy,
+    targets: HashMap<TargetName, TargetQueue>,
+    entries: HashMap<RequestId, Entry>,
+    deadlines: BTreeSet<(u64, RequestId)>,
+    accounts: HashMap<AccountName, AccountRank>,
+    arrivals_count: u64,
+}
+
+impl Queues {
+    /// Starts empty.
+    pub fn new(policy: &'static OrderPolicy) -> Self {
+        Self {
+            policy,
+            targets: HashMap::new(),
+            entries: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            accounts: HashMap::new(),
+            arrivals_count: 0,
+        }
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting_count(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns how many requests of an account wait.
+    pub fn account_count(&self, account: &AccountName) -> u32 {
+        self.accounts
+            .get(account)
+            .map_or(0, |rank| rank.waiting_count)
+    }
+
+    /// Returns the share under which an account was last charged.
+    pub fn share_of(&self, account: &AccountName) -> Option<f64> {
+        self.accounts.get(account).map(|rank| rank.share)
+    }
+
+    /// Returns how many wait for a target and when the oldest arrived.
+    pub fn waiting_of(&self, target: &TargetName) -> (u32, Option<u64>) {
+        self.targets.get(target).map_or((0, None), |queue| {
+            (
+                queue.arrived.len() as u32,
+                queue.arrived.first().map(|(at_ms, _)| *at_ms),
+            )
+        })
+    }
+
+    /// Returns the targets for which something waits.
+    pub fn waiting_targets(&self) -> Vec<TargetName> {
+        self.targets.keys().cloned().collect()
+    }
+
+    /// Adds a request; its account joins at the lowest rank that is active.
+    pub fn push(&mut self, waiting: Waiting) {
+        self.join(&waiting.account);
+        self.arrivals_count += 1;
+        let place = (waiting.start_by_ms, self.arrivals_count);
+        let queue = self.targets.entry(waiting.target.clone()).or_default();
+        queue
+            .arrived
+            .insert((waiting.arrived_at_ms, waiting.request));
+        let accounts = &mut queue.classes[waiting.class.index()];
+        accounts
+            .entry(waiting.account.clone())
+            .or_default()
+            .insert(place, waiting.request);
+        self.deadlines
+            .insert((waiting.start_by_ms, waiting.request));
+        let entry = Entry {
+            waiting,
+            arrival_number: self.arrivals_count,
+        };
+        self.entries.insert(entry.waiting.request, entry);
+    }
+
+    /// Removes a request wherever it stands.
+    pub fn remove(&mut self, request: RequestId) -> Option<Waiting> {
+        let Entry {
+            waiting,
+            arrival_number,
+        } = self.entries.remove(&request)?;
+        self.deadlines.remove(&(waiting.start_by_ms, request));
+        if let Some(rank) = self.accounts.get_mut(&waiting.account) {
+            rank.waiting_count -= 1;
+        }
+        let Some(queue) = self.targets.get_mut(&waiting.target) else {
+            return Some(waiting);
+        };
+        queue.arrived.remove(&(waiting.arrived_at_ms, request));
+        let accounts = &mut queue.classes[waiting.class.index()];
+        if let Some(own) = accounts.get_mut(&waiting.account) {
+            own.remove(&(waiting.start_by_ms, arrival_number));
+            if own.is_empty() {
+                accounts.remove(&waiting.account);
+            }
+        }
+        if queue.arrived.is_empty() {
+            self.targets.remove(&waiting.target);
+        }
+        Some(waiting)
+    }
+
+    /// Removes all whose time to start has passed.
+    pub fn take_overdue(&mut self, now_ms: u64) -> Vec<Waiting> {
+        let overdue: Vec<RequestId> = self
+            .deadlines
+            .iter()
+            .take_while(|(by_ms, _)| *by_ms <= now_ms)
+            .map(|(_, id)| *id)
+            .collect();
+        overdue
+            .into_iter()
+            .filter_map(|id| self.remove(id))
+            .collect()
+    }
+
+    /// Removes and returns the request that is next for these targets.
+    pub fn pop(&mut self, targets: &HashSet<TargetName>) -> Option<Waiting> {
+        let next = Class::ALL
+            .iter()
+            .find_map(|class| self.next_of(targets, *class))?;
+        self.remove(next)
+    }
+
+    /// Adds a cost to an account's rank.
+    pub fn charge(&mut self, account: &AccountName, cost_tokens: f64, share: f64) {
+        let charged = (self.policy.charge)(cost_tokens, share);
+        if let Some(rank) = self.accounts.get_mut(account) {
+            rank.rank += charged;
+            rank.share = share;
+        } else {
+            let rank = AccountRank {
+                rank: charged,
+                share,
+                waiting_count: 0,
+            };
+            self.accounts.insert(account.clone(), rank);
+        }
+    }
+
+    /// Returns the prefix hash of the request that is next for a target.
+    pub fn head_prefix(&self, target: &TargetName) -> Option<u64> {
+        let queue = self.targets.get(target)?;
+        let (_, request) = Class::ALL
+            .iter()
+            .find_map(|class| self.best_of(&queue.classes[class.index()]))?;
+        self.entries
+            .get(&request)
+            .map(|entry| entry.waiting.prefix_hash)
+    }
+
+    /// Returns what stands before a request.
+    pub fn ahead(&self, waiting: &Waiting) -> Ahead {
+        let mut ahead = Ahead {
+            total_count: 0,
+            own_count: 0,
+            share_sum: waiting.share,
+        };
+        let Some(queue) = self.targets.get(&waiting.target) else {
+            return ahead;
+        };
+        for accounts in &queue.classes[..=waiting.class.index()] {
+            for (account, own) in accounts {
+                let count = own.len() as u32;
+                ahead.total_count += count;
+                if account == &waiting.account {
+                    ahead.own_count += count;
+                } else {
+                    let first = own.values().next().and_then(|id| self.entries.get(id));
+                    ahead.share_sum += first.map_or(0.0, |entry| entry.waiting.share);
+                }
+            }
+        }
+        ahead
+    }
+
+    /// Counts a waiting request of an account and lifts an idle one's rank.
+    fn join(&mut self, account: &AccountName) {
+        let is_idle = self.account_count(account) == 0;
+        if is_idle {
+            let active = self.accounts.values().filter(|rank| rank.waiting_count > 0);
+            let lowest = active.map(|rank| rank.rank).min_by(f64::total_cmp);
+            let rank = self.accounts.entry(account.clone()).or_default();
+            rank.rank = lowest.map_or(rank.rank, |lowest| rank.rank.max(lowest));
+        }
+        if let Some(rank) = self.accounts.get_mut(account) {
+            rank.waiting_count += 1;
+        }
+    }
+
+    /// Returns the next request of one class over targets.
+    fn next_of(&self, targets: &HashSet<TargetName>, class: Class) -> Option<RequestId> {
+        // Walk the smaller side: often little waits, or the worker holds little.
+        let waiting: Vec<&TargetQueue> = if targets.len() < self.targets.len() {
+            targets
+                .iter()
+                .filter_map(|target| self.targets.get(target))
+                .collect()
+        } else {
+            self.targets
+                .iter()
+                .filter(|(target, _)| targets.contains(*target))
+                .map(|(_, queue)| queue)
+                .collect()
+        };
+        waiting
+            .into_iter()
+            .filter_map(|queue| self.best_of(&queue.classes[class.index()]))
+            .min_by(|a, b| compare(a.0, b.0))
+            .map(|(_, request)| request)
+    }
+
+    /// Returns the best account's first request and its key.
+    fn best_of(
+        &self,
+        accounts: &HashMap<AccountName, AccountQueue>,
+    ) -> Option<((f64, u64), RequestId)> {
+        accounts
+            .iter()
+            .filter_map(|(account, queue)| {
+                let (&(start_by_ms, arrival_number), &request) = queue.first_key_value()?;
+                let rank = self.accounts.get(account).map_or(0.0, |rank| rank.rank);
+                let head = Head {
+                    account,
+                    rank,
+                    arrival_number,
+                    start_by_ms,
+                };
+                Some(((self.policy.key)(&head), request))
+            })
+            .min_by(|a, b| compare(a.0, b.0))
+    }
+}
+
+/// Orders two keys.
+fn compare(a: (f64, u64), b: (f64, u64)) -> std::cmp::Ordering {
+    a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
+}
--- /dev/null
+++ b/crates/cranereach-core/src/dispatch/workers.rs
@@ -0,0 +1,322 @@
+//! What one entry instance knows of the workers.
+//!
+//! Load is own sends plus what peers said of theirs, which is fresher than the
+//! worker's own lagging report; the report adds what neither explains.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::membership::rendezvous_weight;
+use crate::names::FailureDomain;
+use crate::names::InstanceId;
+use crate::names::RequestId;
+use crate::names::TargetName;
+use crate::names::WorkerId;
+use crate::route::Candidate;
+
+/// Age at which a peer's word on its own sends no longer counts, in ms.
+const PEER_FRESH_MS: u64 = 3_000;
+
+/// Time for which a worker is left alone after it could not be reached, in ms.
+const AVOID_MS: u64 = 1_000;
+
+/// Requests beyond its slots that a worker may be given, to stay busy.
+const DEPTH_COUNT: f64 = 1.0;
+
+/// What a worker says of itself, as spread by whoever polled it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkerReport {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Random number of the worker's present boot.
+    pub boot_id: u64,
+    /// Grows with each report of a boot, so that an older one is dropped.
+    pub report_number: u64,
+    /// Requests that it runs or queues.
+    pub outstanding_count: u32,
+    /// Requests that it can batch.
+    pub slot_count: u32,
+    /// Whether it says that it is leaving.
+    pub is_leaving: bool,
+    /// Targets that it can serve now.
+    pub resident: Vec<TargetName>,
+}
+
+/// A worker as the platform's list has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListedWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Whether the list says that it is leaving.
+    pub is_leaving: bool,
+    /// What it always serves: its pool, for a plain service.
+    pub serves: Option<TargetName>,
+    /// Requests at once, if the worker doesn't report.
+    pub slot_count: u32,
+}
+
+/// What is known of one worker.
+#[derive(Debug)]
+struct Known {
+    listed: ListedWorker,
+    resident: HashSet<TargetName>,
+    own: HashSet<RequestId>,
+    peers: HashMap<InstanceId, PeerLoad>,
+    reported_count: u32,
+    boot_id: u64,
+    report_number: u64,
+    slot_count: u32,
+    reports_leaving: bool,
+    avoid_until_ms: u64,
+}
+
+/// A peer's word on what it has at a worker.
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    outstanding_count: u32,
+    heard_at_ms: u64,
+}
+
+/// All workers that this instance routes to.
+#[derive(Debug, Default)]
+pub struct Workers {
+    known: HashMap<WorkerId, Known>,
+    holders: HashMap<TargetName, Vec<WorkerId>>,
+}
+
+impl Workers {
+    /// Takes the platform's list; what left it gets no new work.
+    pub fn list(&mut self, listed: Vec<ListedWorker>) {
+        let ids: HashSet<WorkerId> = listed.iter().map(|worker| worker.worker.clone()).collect();
+        self.known
+            .retain(|id, known| ids.contains(id) || !known.own.is_empty());
+        for known in self
+            .known
+            .values_mut()
+            .filter(|known| !ids.contains(&known.listed.worker))
+        {
+            known.listed.is_leaving = true;
+        }
+        for worker in listed {
+            self.take_listed(worker);
+        }
+        self.index();
+    }
+
+    /// Takes a worker's report unless a later one is known.
+    pub fn reported(&mut self, _now_ms: u64, report: &WorkerReport) {
+        let Some(known) = self.known.get_mut(&report.worker) else {
+            return;
+        };
+        if report.boot_id == known.boot_id && report.report_number < known.report_number {
+            return;
+        }
+        known.boot_id = report.boot_id;
+        known.report_number = report.report_number;
+        known.reported_count = report.outstanding_count;
+        known.slot_count = report.slot_count;
+        known.reports_leaving = report.is_leaving;
+        let resident: HashSet<TargetName> = report
+            .resident
+            .iter()
+            .cloned()
+            .chain(known.listed.serves.clone())
+            .collect();
+        if resident != known.resident {
+            known.resident = resident;
+            self.index();
+        }
+    }
+
+    /// Takes a target away from a worker that refused it as not resident.
+    pub fn not_resident(&mut self, worker: &WorkerId, target: &TargetName) {
+        if let Some(known) = self.known.get_mut(worker) {
+            known.resident.remove(target);
+            self.index();
+        }
+    }
+
+    /// Leaves a worker alone for a while after it could not be reached.
+    pub fn avoid(&mut self, now_ms: u64, worker: &WorkerId) {
+        if let Some(known) = self.known.get_mut(worker) {
+            known.avoid_until_ms = now_ms + AVOID_MS;
+        }
+    }
+
+    /// Records a request sent from here.
+    pub fn sent(&mut self, worker: &WorkerId, request: RequestId) {
+        if let Some(known) = self.known.get_mut(worker) {
+            known.own.insert(request);
+        }
+    }
+
+    /// Records the end of a request sent from here.
+    pub fn ended(&mut self, worker: &WorkerId, request: RequestId) {
+        if let Some(known) = self.known.get_mut(worker) {
+            known.own.remove(&request);
+        }
+    }
+
+    /// Records how much a peer has at a worker.
+    pub fn note_peer(
+        &mut self,
+        now_ms: u64,
+        peer: &InstanceId,
+        worker: &WorkerId,
+        outstanding_count: u32,
+    ) {
+        let Some(known) = self.known.get_mut(worker) else {
+            return;
+        };
+        known
+            .peers
+            .retain(|_, load| now_ms.saturating_sub(load.heard_at_ms) < PEER_FRESH_MS);
+        known.peers.insert(
+            peer.clone(),
+            PeerLoad {
+                outstanding_count,
+                heard_at_ms: now_ms,
+            },
+        );
+    }
+
+    /// Returns how much this instance has at each worker.
+    pub fn own_outstanding(&self) -> Vec<(WorkerId, u32)> {
+        self.known
+            .iter()
+            .map(|(id, known)| (id.clone(), known.own.len() as u32))
+            .collect()
+    }
+
+    /// Returns the workers that can serve a target and aren't leaving.
+    pub fn holders(&self, target: &TargetName) -> impl Iterator<Item = &WorkerId> {
+        let ids = self.holders.get(target).map_or(&[][..], Vec::as_slice);
+        ids.iter()
+            .filter(|id| self.known.get(*id).is_some_and(Known::takes_work))
+    }
+
+    /// Returns what a worker can serve.
+    pub fn serves(&self, worker: &WorkerId) -> Option<&HashSet<TargetName>> {
+        self.known.get(worker).map(|known| &known.resident)
+    }
+
+    /// Returns how many targets some worker serves.
+    pub fn target_count(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Whether a worker may be given one more request.
+    pub fn has_room(&self, now_ms: u64, worker: &WorkerId) -> bool {
+        self.known
+            .get(worker)
+            .is_some_and(|known| known.has_room(now_ms))
+    }
+
+    /// Returns open and total slots over the workers that hold a target.
+    pub fn room(&self, now_ms: u64, target: &TargetName) -> (u32, u32) {
+        let mut open_count = 0.0;
+        let mut slot_count = 0;
+        for known in self.holders(target).filter_map(|id| self.known.get(id)) {
+            slot_count += known.slot_count;
+            open_count += (f64::from(known.slot_count) + DEPTH_COUNT
+                - known.outstanding_count(now_ms))
+            .max(0.0);
+        }
+        (open_count as u32, slot_count)
+    }
+
+    /// Returns the workers that hold a target and have room.
+    pub fn candidates(
+        &self,
+        now_ms: u64,
+        target: &TargetName,
+        prefix_hash: u64,
+        domain: &FailureDomain,
+    ) -> Vec<(&WorkerId, Candidate)> {
+        let prefix = prefix_hash.to_string();
+        self.holders(target)
+            .filter_map(|id| self.known.get_key_value(id))
+            .filter(|(_, known)| known.has_room(now_ms))
+            .map(|(id, known)| {
+                let candidate = Candidate {
+                    outstanding_count: known.outstanding_count(now_ms),
+                    reported_count: f64::from(known.reported_count),
+                    slot_count: known.slot_count,
+                    same_domain: &known.listed.domain == domain,
+                    prefix_rank: if prefix_hash == 0 {
+                        0
+                    } else {
+                        rendezvous_weight(id.as_str(), &prefix)
+                    },
+                };
+                (id, candidate)
+            })
+            .collect()
+    }
+
+    /// Adds or refreshes one listed worker.
+    fn take_listed(&mut self, listed: ListedWorker) {
+        let resident: HashSet<TargetName> = listed.serves.iter().cloned().collect();
+        let slot_count = listed.slot_count;
+        let known = self
+            .known
+            .entry(listed.worker.clone())
+            .or_insert_with(|| Known {
+                listed: listed.clone(),
+                resident,
+                own: HashSet::new(),
+                peers: HashMap::new(),
+                reported_count: 0,
+                boot_id: 0,
+                report_number: 0,
+                slot_count,
+                reports_leaving: false,
+                avoid_until_ms: 0,
+            });
+        known.listed = listed;
+    }
+
+    /// Rebuilds which workers hold a target.
+    fn index(&mut self) {
+        self.holders.clear();
+        for (id, known) in &self.known {
+            for target in &known.resident {
+                self.holders
+                    .entry(target.clone())
+                    .or_default()
+                    .push(id.clone());
+            }
+        }
+    }
+}
+
+impl Known {
+    /// Whether it may get new work at all.
+    fn takes_work(&self) -> bool {
+        !self.listed.is_leaving && !self.reports_leaving
+    }
+
+    /// Requests that it is thought to hold.
+    fn outstanding_count(&self, now_ms: u64) -> f64 {
+        let peers: u32 = self
+            .peers
+            .values()
+            .filter(|load| now_ms.saturating_sub(load.heard_at_ms) < PEER_FRESH_MS)
+            .map(|load| load.outstanding_count)
+            .sum();
+        self.own.len() as f64 + f64::from(peers)
+    }
+
+    /// Whether it may be given one more request.
+    fn has_room(&self, now_ms: u64) -> bool {
+        let reachable = now_ms >= self.avoid_until_ms;
+        self.takes_work()
+            && reachable
+            && self.outstanding_count(now_ms) < f64::from(self.slot_count) + DEPTH_COUNT
+    }
+}
--- /dev/null
+++ b/crates/cranereach-core/src/lease.rs
@@ -0,0 +1,341 @@
+//! Lease over a cell: who may order its workers.
+//!
+//! The lease is a row in the platform's table. The holder counts its term from
+//! before it sent the write, on its own clock, less a margin. A contender waits
+//! a whole term from the last change that it saw itself. No clock is compared
+//! across instances.
+//!
+//! Workers that check fences stay safe without an unexpired lease, so for them
+//! a holder goes on while the table is out of reach, and a successor may take
+//! over with a higher minor epoch. For all others only an unexpired lease may
+//! order.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fence::Epoch;
+use crate::membership::rendezvous_weight;
+use crate::names::InstanceId;
+
+/// Length of a term, in milliseconds.
+pub const TERM_MS: u64 = 8_000;
+
+/// Part of the term that the holder doesn't use, in milliseconds.
+pub const MARGIN_MS: u64 = 2_000;
+
+/// Time between two renewals, in milliseconds.
+pub const RENEW_EVERY_MS: u64 = 2_500;
+
+/// Time for which a contender that isn't the owner waits longer, in ms.
+const NOT_OWNER_EXTRA_MS: u64 = 4_000;
+
+/// Time after which a holder hands over to the rendezvous owner, in ms.
+const HAND_OVER_AFTER_MS: u64 = 10_000;
+
+/// The lease row as it stands in the table.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRow {
+    /// Present holder; none after a hand-over.
+    pub holder: Option<InstanceId>,
+    /// Grows whenever the holder changes.
+    pub epoch_major: u64,
+    /// Random number of the write, to settle one whose answer was lost.
+    pub write_nonce: u64,
+}
+
+/// A write that the kernel asks for: compare the version, then set the row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// Row version that must still stand; zero for no row.
+    pub expected_version: u64,
+    /// Row to set.
+    pub row: LeaseRow,
+}
+
+/// What the surroundings look like at a tick.
+#[derive(Clone, Copy, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts, each read once"
+)]
+pub struct LeaseView {
+    /// Whether this instance is the cell's rendezvous owner.
+    pub is_owner: bool,
+    /// Whether the row's holder was heard lately.
+    pub holder_heard: bool,
+    /// Whether the cell's workers check fences.
+    pub checks_fences: bool,
+    /// Whether this instance is stopping.
+    pub leaving: bool,
+    /// Random number for a write.
+    pub nonce: u64,
+}
+
+/// A term that this instance holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Held {
+    epoch: Epoch,
+    expires_at_ms: u64,
+    renew_at_ms: u64,
+}
+
+/// A write whose answer has not come.
+#[derive(Clone, Debug)]
+struct Pending {
+    write: LeaseWrite,
+    sent_at_ms: u64,
+}
+
+/// One instance's view of one cell's lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    own: InstanceId,
+    row: LeaseRow,
+    row_version: u64,
+    read_at_ms: Option<u64>,
+    changed_at_ms: u64,
+    started_at_ms: u64,
+    held: Option<Held>,
+    pending: Option<Pending>,
+    highest_epoch: Epoch,
+    not_owner_since_ms: Option<u64>,
+}
+
+impl Lease {
+    /// Starts without knowledge of the row.
+    pub fn new(own: InstanceId, now_ms: u64) -> Self {
+        Self {
+            own,
+            row: LeaseRow::default(),
+            row_version: 0,
+            read_at_ms: None,
+            changed_at_ms: now_ms,
+            started_at_ms: now_ms,
+            held: None,
+            pending: None,
+            highest_epoch: Epoch::default(),
+            not_owner_since_ms: None,
+        }
+    }
+
+    /// Returns the row's holder, as last read.
+    pub fn row_holder(&self) -> Option<&InstanceId> {
+        self.row.holder.as_ref()
+    }
+
+    /// Returns the epoch under which this instance may order now.
+    ///
+    /// ```
+    /// use cranereach_core::lease::Lease;
+    ///
+    /// assert!(Lease::new("a".into(), 0).may_order(0, true).is_none());
+    /// ```
+    pub fn may_order(&self, now_ms: u64, checks_fences: bool) -> Option<Epoch> {
+        let held = self.held.as_ref()?;
+        let unexpired = now_ms < held.expires_at_ms;
+        let unsurpassed = held.epoch >= self.highest_epoch;
+        (unsurpassed && (checks_fences || unexpired)).then_some(held.epoch)
+    }
+
+    /// Returns when this instance's term ends on its own clock.
+    pub fn expires_at_ms(&self) -> Option<u64> {
+        self.held.map(|held| held.expires_at_ms)
+    }
+
+    /// Takes the row as read from the table; version zero means no row.
+    pub fn read(&mut self, now_ms: u64, version: u64, row: &LeaseRow) {
+        let is_first = self.read_at_ms.is_none();
+        self.read_at_ms = Some(now_ms);
+        if is_first || version != self.row_version {
+            self.changed_at_ms = now_ms;
+        }
+        self.row_version = version;
+        self.row = row.clone();
+        self.settle_pending(version, row);
+        if row.holder.as_ref() != Some(&self.own) && row.epoch_major > 0 {
+            self.drop_if_surpassed(row.epoch_major);
+        }
+    }
+
+    /// Takes the answer that a write was applied.
+    pub fn applied(&mut self, now_ms: u64, version: u64) {
+        if let Some(pending) = self.pending.clone() {
+            self.read(now_ms, version, &pending.write.row);
+        }
+    }
+
+    /// Takes the answer that a write lost its race.
+    pub fn refused(&mut self) {
+        self.pending = None;
+    }
+
+    /// Takes an epoch that was heard from a peer or refused by a worker.
+    pub fn heard_epoch(&mut self, epoch: Epoch) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+        if self.held.is_some_and(|held| held.epoch < epoch) {
+            self.held = None;
+        }
+    }
+
+    /// Says which write is due, if any, and remembers that it is being sent.
+    pub fn tick(&mut self, now_ms: u64, view: &LeaseView) -> Option<LeaseWrite> {
+        self.note_owner(now_ms, view.is_owner);
+        let row = self.due_row(now_ms, view)?;
+        let write = LeaseWrite {
+            expected_version: self.row_version,
+            row,
+        };
+        self.pending = Some(Pending {
+            write: write.clone(),
+            sent_at_ms: now_ms,
+        });
+        Some(write)
+    }
+
+    /// Takes over without the table if nobody else can order; fenced cells only.
+    ///
+    /// Two instances may do so at once: their epochs differ, the workers obey
+    /// the higher one, and the other learns of it from its next refused order.
+    pub fn take_over_without_table(&mut self, now_ms: u64, view: &LeaseView) -> Option<Epoch> {
+        let silent_ms = now_ms.saturating_sub(self.read_at_ms.unwrap_or(self.started_at_ms));
+        let table_lost = silent_ms >= TERM_MS;
+        if !table_lost
+            || !view.checks_fences
+            || !view.is_owner
+            || view.holder_heard
+            || view.leaving
+            || self.held.is_some()
+        {
+            return None;
+        }
+        let base = self.highest_epoch.max(Epoch {
+            major: self.row.epoch_major,
+            ..Epoch::default()
+        });
+        let epoch = Epoch {
+            minor: base.minor + 1,
+            holder: self.tie_breaker(),
+            ..base
+        };
+        self.hold(epoch, now_ms);
+        Some(epoch)
+    }
+
+    /// Returns the row to write now, if one is due.
+    fn due_row(&self, now_ms: u64, view: &LeaseView) -> Option<LeaseRow> {
+        let fresh_read = self
+            .read_at_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < TERM_MS);
+        if !fresh_read || self.pending_is_young(now_ms) {
+            return None;
+        }
+        if self.row.holder.as_ref() == Some(&self.own) && self.held.is_some() {
+            return self.holder_row(now_ms, view);
+        }
+        self.contender_row(now_ms, view)
+    }
+
+    /// Returns the holder's renewal or hand-over, if due.
+    fn holder_row(&self, now_ms: u64, view: &LeaseView) -> Option<LeaseRow> {
+        let yields = self
+            .not_owner_since_ms
+            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= HAND_OVER_AFTER_MS);
+        if view.leaving || yields {
+            return Some(LeaseRow {
+                holder: None,
+                epoch_major: self.row.epoch_major,
+                write_nonce: view.nonce,
+            });
+        }
+        let due = self.held.is_some_and(|held| now_ms >= held.renew_at_ms);
+        due.then(|| LeaseRow {
+            write_nonce: view.nonce,
+            ..self.row.clone()
+        })
+    }
+
+    /// Returns the row that takes the lease, if that is allowed.
+    fn contender_row(&self, now_ms: u64, view: &LeaseView) -> Option<LeaseRow> {
+        if view.leaving {
+            return None;
+        }
+        let unchanged_ms = now_ms.saturating_sub(self.changed_at_ms);
+        let extra_ms = if view.is_owner { 0 } else { NOT_OWNER_EXTRA_MS };
+        let needed_ms = if self.row.holder.is_none() {
+            extra_ms
+        } else {
+            TERM_MS + extra_ms
+        };
+        (unchanged_ms >= needed_ms).then(|| LeaseRow {
+            holder: Some(self.own.clone()),
+            epoch_major: self.row.epoch_major + 1,
+            write_nonce: view.nonce,
+        })
+    }
+
+    /// Whether a write may still be under way.
+    fn pending_is_young(&self, now_ms: u64) -> bool {
+        self.pending
+            .as_ref()
+            .is_some_and(|pending| now_ms.saturating_sub(pending.sent_at_ms) < MARGIN_MS)
+    }
+
+    /// Learns from the row whether the pending write was applied.
+    fn settle_pending(&mut self, version: u64, row: &LeaseRow) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        if row.write_nonce != pending.write.row.write_nonce {
+            // Not applied so far; it may still be, so it stays until the row moves on.
+            if version == pending.write.expected_version {
+                self.pending = Some(pending);
+            }
+            return;
+        }
+        if row.holder.as_ref() == Some(&self.own) {
+            let epoch = Epoch {
+                major: row.epoch_major,
+                minor: 0,
+                holder: self.tie_breaker(),
+            };
+            let epoch = self.held.map_or(epoch, |held| held.epoch.max(epoch));
+            self.hold(epoch, pending.sent_at_ms);
+        } else {
+            self.held = None;
+        }
+    }
+
+    /// Holds a term that counts from before the write was sent.
+    fn hold(&mut self, epoch: Epoch, sent_at_ms: u64) {
+        self.highest_epoch = self.highest_epoch.max(epoch);
+        self.held = Some(Held {
+            epoch,
+            expires_at_ms: sent_at_ms + TERM_MS - MARGIN_MS,
+            renew_at_ms: sent_at_ms + RENEW_EVERY_MS,
+        });
+    }
+
+    /// Drops the term if the row shows another's later one.
+    fn drop_if_surpassed(&mut self, epoch_major: u64) {
+        if self
+            .held
+            .is_some_and(|held| held.epoch.major <= epoch_major)
+        {
+            self.held = None;
+        }
+    }
+
+    /// Records since when another instance is the owner.
+    fn note_owner(&mut self, now_ms: u64, is_owner: bool) {
+        if is_owner {
+            self.not_owner_since_ms = None;
+        } else {
+            self.not_owner_since_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Returns this instance's part of an epoch.
+    fn tie_breaker(&self) -> u32 {
+        rendezvous_weight(self.own.as_str(), "epoch") as u32
+    }
+}
--- /dev/null
+++ b/crates/cranereach-core/src/names.rs
@@ -0,0 +1,79 @@
+//! Typed names of the things that declarations and messages mention.
+//!
+//! Each is a cheap shared string; two kinds can't be mixed up.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Defines one shared-string name type.
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Borrows the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// Name of a client account.
+    AccountName
+}
+name_type! {
+    /// What a request asks for: a model, adapter or version, or a plain pool.
+    TargetName
+}
+name_type! {
+    /// Identity of an upstream worker.
+    WorkerId
+}
+name_type! {
+    /// Identity of one boot of an entry instance.
+    InstanceId
+}
+name_type! {
+    /// Name of a pool of upstreams of one kind.
+    PoolName
+}
+name_type! {
+    /// Name of a failure domain.
+    FailureDomain
+}
+
+/// Identity of a request within one entry instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestId(pub u64);
--- /dev/null
+++ b/crates/cranereach-core/src/snapshot.rs
@@ -0,0 +1,484 @@
+//! Declarations resolved into what the data path reads.
+//!
+//! A snapshot is built once per configuration version and then only read.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use thiserror::Error;
+
+use crate::codes::ResultCode;
+use crate::declarations::Class;
+use crate::declarations::ClientAccount;
+use crate::declarations::Declarations;
+use crate::declarations::Model;
+use crate::declarations::Pool;
+use crate::declarations::PoolKind;
+use crate::declarations::Repeatable;
+use crate::declarations::Template;
+use crate::names::AccountName;
+use crate::names::PoolName;
+use crate::names::TargetName;
+
+/// Place in the declarations that a fault is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Section, such as `accounts`.
+    pub section: &'static str,
+    /// Name of the entry in the section.
+    pub entry: String,
+    /// Key within the entry.
+    pub key: &'static str,
+}
+
+/// A fault in the declarations.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{} {}: {}: {detail}", place.section, place.entry, place.key)]
+pub struct Fault {
+    /// Numbered code of the fault.
+    pub code: ResultCode,
+    /// Where it is.
+    pub place: Place,
+    /// What is wrong and what would be valid.
+    pub detail: String,
+}
+
+/// What one client account may do, with its template filled in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Grant {
+    /// The account.
+    pub account: AccountName,
+    /// Models and plain pools it is entitled to.
+    pub targets: BTreeSet<TargetName>,
+    /// Class of its requests.
+    pub class: Class,
+    /// Share of served cost.
+    pub share: f64,
+    /// Whether model calls may be repeated.
+    pub repeat: Repeatable,
+    /// Promised time to the first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Promised time to the whole answer, in milliseconds.
+    pub whole_answer_ms: u64,
+    /// Longest queue on one instance, in requests.
+    pub queue_count: u32,
+}
+
+/// Hash of a bearer key: BLAKE3 of its bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyHash(pub [u8; 32]);
+
+impl KeyHash {
+    /// Hashes the key that a caller presents.
+    ///
+    /// ```
+    /// use cranereach_core::snapshot::KeyHash;
+    ///
+    /// assert_ne!(KeyHash::of("a"), KeyHash::of("b"));
+    /// ```
+    pub fn of(key: &str) -> Self {
+        Self(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
+/// The resolved configuration of one version.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Version in the head row; zero before any was accepted.
+    pub version: u64,
+    /// Grants by key.
+    pub grants: HashMap<KeyHash, Arc<Grant>>,
+    /// Models by name.
+    pub models: HashMap<TargetName, Model>,
+    /// Pools by name.
+    pub pools: HashMap<PoolName, Pool>,
+}
+
+impl Snapshot {
+    /// Resolves declarations, or lists every fault in them.
+    ///
+    /// ```
+    /// use cranereach_core::declarations::Declarations;
+    /// use cranereach_core::snapshot::Snapshot;
+    ///
+    /// let snapshot = Snapshot::resolve(&Declarations::default(), 7).unwrap();
+    /// assert_eq!(snapshot.version, 7);
+    /// ```
+    pub fn resolve(declared: &Declarations, version: u64) -> Result<Self, Vec<Fault>> {
+        let mut faults = Vec::new();
+        let mut snapshot = Self {
+            version,
+            ..Self::default()
+        };
+        snapshot.take_pools(declared, &mut faults);
+        snapshot.take_models(declared, &mut faults);
+        let templates = take_templates(&snapshot, declared, &mut faults);
+        snapshot.take_accounts(declared, &templates, &mut faults);
+        if faults.is_empty() {
+            Ok(snapshot)
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Returns the grant that a key opens.
+    pub fn grant(&self, key: &str) -> Option<&Arc<Grant>> {
+        self.grants.get(&KeyHash::of(key))
+    }
+
+    /// Returns the pool that serves a target.
+    pub fn pool_of(&self, target: &TargetName) -> Option<&Pool> {
+        if let Some(model) = self.models.get(target) {
+            return self.pools.get(&model.pool);
+        }
+        self.pools.get(&PoolName::from(target.as_str()))
+    }
+
+    /// Returns the plain pool whose prefix a path starts with.
+    pub fn plain_pool(&self, path: &str) -> Option<&Pool> {
+        self.pools
+            .values()
+            .filter(|pool| {
+                pool.path_prefix
+                    .as_deref()
+                    .is_some_and(|prefix| below(path, prefix))
+            })
+            .max_by_key(|pool| pool.path_prefix.as_ref().map_or(0, String::len))
+    }
+
+    /// Returns a model's memory together with its base's, in bytes.
+    pub fn memory_with_base_bytes(&self, target: &TargetName) -> u64 {
+        let Some(model) = self.models.get(target) else {
+            return 0;
+        };
+        let base = model.base.as_ref().and_then(|base| self.models.get(base));
+        model.memory_bytes + base.map_or(0, |base| base.memory_bytes)
+    }
+
+    /// Takes over the pools.
+    fn take_pools(&mut self, declared: &Declarations, faults: &mut Vec<Fault>) {
+        for pool in &declared.pools {
+            if self.pools.insert(pool.name.clone(), pool.clone()).is_some() {
+                faults.push(duplicate("pools", pool.name.as_str()));
+            }
+            let prefix = pool.path_prefix.as_deref();
+            if pool.kind == PoolKind::Plain
+                && !prefix.is_some_and(|p| p.starts_with('/') && p.len() > 1)
+            {
+                let detail = "a plain pool needs a path_prefix such as \"/ledger\"".to_owned();
+                faults.push(fault(
+                    ResultCode::UnknownKey,
+                    "pools",
+                    pool.name.as_str(),
+                    "path_prefix",
+                    detail,
+                ));
+            }
+        }
+    }
+
+    /// Takes over the models and checks that each can be resident at all.
+    fn take_models(&mut self, declared: &Declarations, faults: &mut Vec<Fault>) {
+        for model in &declared.models {
+            if self
+                .models
+                .insert(model.name.clone(), model.clone())
+                .is_some()
+            {
+                faults.push(duplicate("models", model.name.as_str()));
+            }
+        }
+        for model in &declared.models {
+            self.check_model(model, faults);
+        }
+    }
+
+    /// Checks one model's pool, base and memory.
+    fn check_model(&self, model: &Model, faults: &mut Vec<Fault>) {
+        let name = model.name.as_str();
+        if let Some(base) = model
+            .base
+            .as_ref()
+            .filter(|base| !self.models.contains_key(*base))
+        {
+            let detail = format!("no model {base}; declared: {}", list(self.models.keys()));
+            faults.push(fault(
+                ResultCode::UnknownModel,
+                "models",
+                name,
+                "base",
+                detail,
+            ));
+        }
+        let Some(pool) = self.pools.get(&model.pool) else {
+            let detail = format!(
+                "no pool {}; declared: {}",
+                model.pool,
+                list(self.pools.keys())
+            );
+            faults.push(fault(
+                ResultCode::UnknownPool,
+                "models",
+                name,
+                "pool",
+                detail,
+            ));
+            return;
+        };
+        let needed = self.memory_with_base_bytes(&model.name);
+        if needed > pool.worker_memory_bytes {
+            let detail = format!(
+                "needs {needed} bytes with its base, a worker of pool {} has {}",
+                pool.name, pool.worker_memory_bytes
+            );
+            faults.push(fault(
+                ResultCode::BeyondMemory,
+                "models",
+                name,
+                "memory_bytes",
+                detail,
+            ));
+        }
+    }
+
+    /// Takes over the accounts with their templates filled in.
+    fn take_accounts(
+        &mut self,
+        declared: &Declarations,
+        templates: &HashMap<&str, &Template>,
+        faults: &mut Vec<Fault>,
+    ) {
+        let mut seen = BTreeSet::new();
+        for account in &declared.accounts {
+            if !seen.insert(&account.name) {
+                faults.push(duplicate("accounts", account.name.as_str()));
+            }
+            let Some(template) = templates.get(account.template.as_str()) else {
+                let detail = format!(
+                    "no template {}; declared: {}",
+                    account.template,
+                    list(templates.keys())
+                );
+                faults.push(fault(
+                    ResultCode::UnknownTemplate,
+                    "accounts",
+                    account.name.as_str(),
+                    "template",
+                    detail,
+                ));
+                continue;
+            };
+            let grant = Arc::new(self.fill(account, template, faults));
+            self.take_keys(account, &grant, faults);
+        }
+    }
+
+    /// Fills a template with one account's parameters.
+    fn fill(&self, account: &ClientAccount, template: &Template, faults: &mut Vec<Fault>) -> Grant {
+        let name = account.name.as_str();
+        let mut targets = BTreeSet::new();
+        for entry in &template.models {
+            match model_name(entry, account) {
+                Some(model) if self.models.contains_key(&model) => {
+                    targets.insert(model);
+                }
+                Some(model) => {
+                    let detail =
+                        format!("no model {model}; declared: {}", list(self.models.keys()));
+                    faults.push(fault(
+                        ResultCode::UnknownModel,
+                        "accounts",
+                        name,
+                        "parameters",
+                        detail,
+                    ));
+                }
+                None => {
+                    let detail = format!(
+                        "template {} needs parameters.models[{:?}]",
+                        template.name,
+                        &entry[1..]
+                    );
+                    faults.push(fault(
+                        ResultCode::MissingParameter,
+                        "accounts",
+                        name,
+                        "parameters",
+                        detail,
+                    ));
+                }
+            }
+        }
+        targets.extend(
+            template
+                .services
+                .iter()
+                .map(|pool| TargetName::from(pool.as_str())),
+        );
+        let share = account.parameters.share.unwrap_or(template.share);
+        if !(share.is_finite() && share > 0.0) {
+            let detail = format!("share {share} must be a number above zero");
+            faults.push(fault(
+                ResultCode::NoShare,
+                "accounts",
+                name,
+                "share",
+                detail,
+            ));
+        }
+        Grant {
+            account: account.name.clone(),
+            targets,
+            class: account.parameters.class.unwrap_or(template.class),
+            share,
+            repeat: template.repeat,
+            first_token_ms: template.first_token_ms,
+            whole_answer_ms: template.whole_answer_ms,
+            queue_count: template.queue_count,
+        }
+    }
+
+    /// Binds an account's keys to its grant.
+    fn take_keys(&mut self, account: &ClientAccount, grant: &Arc<Grant>, faults: &mut Vec<Fault>) {
+        for text in &account.key_hashes {
+            let Ok(hash) = blake3::Hash::from_hex(text) else {
+                let detail =
+                    "a key hash is 64 hex digits; `cranereach check --hash-key` prints one"
+                        .to_owned();
+                faults.push(fault(
+                    ResultCode::UnknownKey,
+                    "accounts",
+                    account.name.as_str(),
+                    "key_hashes",
+                    detail,
+                ));
+                continue;
+            };
+            if let Some(other) = self
+                .grants
+                .insert(KeyHash(*hash.as_bytes()), Arc::clone(grant))
+            {
+                let detail = format!("the same key opens account {}", other.account);
+                faults.push(fault(
+                    ResultCode::DuplicateKey,
+                    "accounts",
+                    account.name.as_str(),
+                    "key_hashes",
+                    detail,
+                ));
+            }
+        }
+    }
+}
+
+/// Checks the templates and indexes them by name.
+fn take_templates<'a>(
+    snapshot: &Snapshot,
+    declared: &'a Declarations,
+    faults: &mut Vec<Fault>,
+) -> HashMap<&'a str, &'a Template> {
+    let mut templates = HashMap::new();
+    for template in &declared.templates {
+        if templates.insert(template.name.as_str(), template).is_some() {
+            faults.push(duplicate("templates", &template.name));
+        }
+        for entry in template
+            .models
+            .iter()
+            .filter(|entry| !entry.starts_with('$'))
+        {
+            if !snapshot
+                .models
+                .contains_key(&TargetName::from(entry.as_str()))
+            {
+                let detail = format!(
+                    "no model {entry}; declared: {}",
+                    list(snapshot.models.keys())
+                );
+                faults.push(fault(
+                    ResultCode::UnknownModel,
+                    "templates",
+                    &template.name,
+                    "models",
+                    detail,
+                ));
+            }
+        }
+        for pool in &template.services {
+            if !snapshot
+                .pools
+                .get(pool)
+                .is_some_and(|pool| pool.kind == PoolKind::Plain)
+            {
+                let detail = format!(
+                    "no plain pool {pool}; declared: {}",
+                    list(snapshot.pools.keys())
+                );
+                faults.push(fault(
+                    ResultCode::UnknownPool,
+                    "templates",
+                    &template.name,
+                    "services",
+                    detail,
+                ));
+            }
+        }
+    }
+    templates
+}
+
+/// Returns the model that a template's entry means for an account.
+fn model_name(entry: &str, account: &ClientAccount) -> Option<TargetName> {
+    match entry.strip_prefix('$') {
+        Some(slot) => account.parameters.models.get(slot).cloned(),
+        None => Some(TargetName::from(entry)),
+    }
+}
+
+/// Whether a path lies below a prefix, at a segment's edge.
+fn below(path: &str, prefix: &str) -> bool {
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// Makes a fault.
+fn fault(
+    code: ResultCode,
+    section: &'static str,
+    entry: &str,
+    key: &'static str,
+    detail: String,
+) -> Fault {
+    Fault {
+        code,
+        place: Place {
+            section,
+            entry: entry.to_owned(),
+            key,
+        },
+        detail,
+    }
+}
+
+/// Makes the fault of a name that stands twice.
+fn duplicate(section: &'static str, entry: &str) -> Fault {
+    fault(
+        ResultCode::DuplicateName,
+        section,
+        entry,
+        "name",
+        "the name stands twice".to_owned(),
+    )
+}
+
+/// Lists names in order, for messages.
+fn list(names: impl Iterator<Item = impl ToString>) -> String {
+    let mut names: Vec<String> = names.map(|name| name.to_string()).collect();
+    names.sort();
+    if names.is_empty() {
+        "none".to_owned()
+    } else {
+        names.join(", ")
+    }
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/apply.rs
@@ -0,0 +1,294 @@
+//! Accepting a changed configuration: body first, then the head's commit.
+//!
+//! Accepted means that the compare-and-set of the head row took effect. A lost
+//! answer is settled by looking for the change's identity in the row; the same
+//! write may be sent again, for its condition holds at most once.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use thiserror::Error;
+
+use crate::platform::StoreError;
+use crate::platform::objects::Objects;
+use crate::platform::table::Table;
+use crate::platform::table::Versioned;
+use cranereach_core::codes::ResultCode;
+use cranereach_core::config::Head;
+use cranereach_core::snapshot::Snapshot;
+use cranereach_wire::folder::Folder;
+use cranereach_wire::head_row::Accepted;
+use cranereach_wire::head_row::HEAD_KEY;
+use cranereach_wire::head_row::HeadRow;
+
+/// Tries to settle a commit whose answer was lost.
+const SETTLE_TRIES: u32 = 10;
+
+/// Pause between two such tries, in milliseconds.
+const SETTLE_PAUSE_MS: u64 = 500;
+
+/// Why a change was not accepted.
+#[derive(Debug, Error)]
+pub enum ApplyError {
+    /// Others changed the same files first.
+    #[error(
+        "version {version} was accepted first and changes the same files: {}; pull, merge, and apply again",
+        list(files)
+    )]
+    RaceLost {
+        /// Version that won.
+        version: u64,
+        /// Files that both changed.
+        files: BTreeSet<String>,
+    },
+    /// A store did not answer, and nothing was accepted.
+    #[error("nothing was accepted: {detail}")]
+    StoreUnavailable {
+        /// What was seen.
+        detail: String,
+    },
+    /// The commit was sent and its outcome can't be read yet.
+    #[error(
+        "change {change_id} may have been accepted: {detail}; run `cranereach status --change {change_id}` when the table is back"
+    )]
+    AcceptanceUnknown {
+        /// Identity of the change.
+        change_id: String,
+        /// What was seen.
+        detail: String,
+    },
+    /// The merged declarations have faults.
+    #[error("together with version {version} the declarations have faults: {faults}")]
+    MergedFaults {
+        /// Version merged with.
+        version: u64,
+        /// The faults.
+        faults: String,
+        /// Code of the first.
+        code: ResultCode,
+    },
+}
+
+impl ApplyError {
+    /// Returns the numbered code.
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::RaceLost { .. } => ResultCode::RaceLost,
+            Self::StoreUnavailable { .. } => ResultCode::StoreUnavailable,
+            Self::AcceptanceUnknown { .. } => ResultCode::AcceptanceUnknown,
+            Self::MergedFaults { code, .. } => *code,
+        }
+    }
+}
+
+/// The platform's stores, as an operator's command uses them.
+#[derive(Debug)]
+pub struct Stores {
+    /// The table.
+    pub table: Table,
+    /// The object store.
+    pub objects: Objects,
+}
+
+/// The configuration in the stores.
+#[derive(Clone, Debug, Default)]
+pub struct Current {
+    /// Head in force; version zero if none was ever accepted.
+    pub head: Head,
+    /// Its files.
+    pub folder: Folder,
+    row: HeadRow,
+    row_version: u64,
+}
+
+impl Stores {
+    /// Makes clients for a table and an object store, `ip:port` each.
+    pub fn new(table: &str, objects: &str) -> Self {
+        Self {
+            table: Table::new(table),
+            objects: Objects::new(objects),
+        }
+    }
+
+    /// Reads the configuration in force.
+    pub async fn current(&self) -> Result<Current, ApplyError> {
+        let Versioned {
+            version,
+            value: row,
+        } = self
+            .table
+            .read::<HeadRow>(HEAD_KEY)
+            .await
+            .map_err(unavailable)?;
+        let Some(head) = row.head() else {
+            return Ok(Current {
+                row_version: version,
+                row,
+                ..Current::default()
+            });
+        };
+        let folder = self.folder(&head.hash).await?;
+        Ok(Current {
+            head,
+            folder,
+            row,
+            row_version: version,
+        })
+    }
+
+    /// Reads the files of an accepted version that is still in the history.
+    pub async fn folder_of(&self, current: &Current, version: u64) -> Result<Folder, ApplyError> {
+        if version == 0 {
+            return Ok(Folder::default());
+        }
+        let accepted = current
+            .row
+            .history
+            .iter()
+            .find(|accepted| accepted.version == version);
+        let Some(accepted) = accepted else {
+            return Err(ApplyError::StoreUnavailable {
+                detail: format!("version {version} is too old to merge with; pull first"),
+            });
+        };
+        self.folder(&accepted.hash).await
+    }
+
+    /// Applies `mine`, begun from `base_version`; merges with what came since.
+    pub async fn apply(
+        &self,
+        mine: &Folder,
+        base_version: u64,
+        change_id: &str,
+    ) -> Result<Accepted, ApplyError> {
+        loop {
+            let current = self.current().await?;
+            if let Some(accepted) = current.row.find(change_id) {
+                return Ok(accepted.clone());
+            }
+            let merged = self.merge(mine, base_version, &current).await?;
+            let text =
+                serde_json::to_vec(&merged).map_err(|error| ApplyError::StoreUnavailable {
+                    detail: error.to_string(),
+                })?;
+            let hash = self
+                .objects
+                .put(&Bytes::from(text))
+                .await
+                .map_err(unavailable)?;
+            let row = current.row.with(change_id, &hash);
+            if let Some(accepted) = self.commit(&row, current.row_version, change_id).await? {
+                return Ok(accepted);
+            }
+        }
+    }
+
+    /// Merges a change with what was accepted since it was begun.
+    async fn merge(
+        &self,
+        mine: &Folder,
+        base_version: u64,
+        current: &Current,
+    ) -> Result<Folder, ApplyError> {
+        if base_version == current.head.version {
+            return Ok(mine.clone());
+        }
+        let base = self.folder_of(current, base_version).await?;
+        let version = current.head.version;
+        let merged = Folder::merge(&base, mine, &current.folder)
+            .map_err(|files| ApplyError::RaceLost { version, files })?;
+        check(&merged, version)?;
+        Ok(merged)
+    }
+
+    /// Commits a head row; none if another change was accepted first.
+    async fn commit(
+        &self,
+        row: &HeadRow,
+        expected_version: u64,
+        change_id: &str,
+    ) -> Result<Option<Accepted>, ApplyError> {
+        let mut detail = String::new();
+        let mut was_sent = false;
+        for _try in 0..SETTLE_TRIES {
+            match self.table.write(HEAD_KEY, expected_version, row).await {
+                Ok(_version) => return Ok(row.find(change_id).cloned()),
+                Err(StoreError::Conflict) => match self.table.read::<HeadRow>(HEAD_KEY).await {
+                    Ok(found) => return Ok(found.value.find(change_id).cloned()),
+                    Err(error) => detail = error.to_string(),
+                },
+                Err(StoreError::NotDone { detail: seen }) if !was_sent => {
+                    return Err(ApplyError::StoreUnavailable { detail: seen });
+                }
+                Err(error) => {
+                    was_sent = true;
+                    detail = error.to_string();
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(SETTLE_PAUSE_MS)).await;
+        }
+        Err(ApplyError::AcceptanceUnknown {
+            change_id: change_id.to_owned(),
+            detail,
+        })
+    }
+
+    /// Reads the files of a body.
+    async fn folder(&self, hash: &str) -> Result<Folder, ApplyError> {
+        let body = self.objects.get(hash).await.map_err(unavailable)?;
+        let body = body.ok_or_else(|| ApplyError::StoreUnavailable {
+            detail: format!("the object store lacks body {hash}"),
+        })?;
+        serde_json::from_slice(&body).map_err(|error| ApplyError::StoreUnavailable {
+            detail: error.to_string(),
+        })
+    }
+}
+
+/// Checks merged declarations as a whole.
+fn check(merged: &Folder, version: u64) -> Result<(), ApplyError> {
+    let fault = |code, faults| {
+        Err(ApplyError::MergedFaults {
+            version,
+            faults,
+            code,
+        })
+    };
+    match merged.declarations() {
+        Err(error) => fault(ResultCode::Syntax, error.to_string()),
+        Ok(declared) => match Snapshot::resolve(&declared, version) {
+            Ok(_snapshot) => Ok(()),
+            Err(faults) => {
+                let code = faults
+                    .first()
+                    .map_or(ResultCode::UnknownKey, |fault| fault.code);
+                fault(
+                    code,
+                    faults
+                        .iter()
+                        .map(ToString::to_string)
+                        .collect::<Vec<_>>()
+                        .join("; "),
+                )
+            }
+        },
+    }
+}
+
+/// Turns a store's error into one that says that nothing was accepted.
+#[expect(clippy::needless_pass_by_value, reason = "used with map_err")]
+fn unavailable(error: StoreError) -> ApplyError {
+    ApplyError::StoreUnavailable {
+        detail: error.to_string(),
+    }
+}
+
+/// Lists file names.
+fn list(files: &BTreeSet<String>) -> String {
+    files
+        .iter()
+        .map(String::as_str)
+        .collect::<Vec<_>>()
+        .join(", ")
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/callers/error_answer.rs
@@ -0,0 +1,109 @@
+//! Answers that say what went wrong: numbered code, request, when to come back.
+
+use bytes::Bytes;
+use hyper::Response;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use serde::Serialize;
+
+use super::AnswerBody;
+use cranereach_core::codes::Ran;
+use cranereach_core::codes::Repeat;
+use cranereach_core::codes::ResultCode;
+use cranereach_core::names::AccountName;
+use cranereach_http::body;
+
+/// Retry-After of a refusal that has no better estimate, in milliseconds.
+const RETRY_AFTER_DEFAULT_MS: u64 = 1_000;
+
+/// A request that gets an error in place of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// Why.
+    pub(crate) code: ResultCode,
+    /// When a repeat is worth it, in milliseconds from now.
+    pub(crate) retry_after_ms: u64,
+    /// What to say besides the code's meaning.
+    pub(crate) detail: Option<String>,
+    /// Whose request it was, once that is known.
+    pub(crate) account: Option<AccountName>,
+}
+
+/// Body of an error answer, and data of an error event.
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+/// What an error says.
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    code: u16,
+    name: &'a str,
+    message: String,
+    ran: &'a str,
+    request: &'a str,
+}
+
+impl Refusal {
+    /// Makes a refusal of a code alone.
+    pub(crate) fn of(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after_ms: RETRY_AFTER_DEFAULT_MS,
+            detail: None,
+            account: None,
+        }
+    }
+
+    /// Adds what to say besides the code's meaning.
+    pub(crate) fn with_detail(mut self, detail: String) -> Self {
+        self.detail = Some(detail);
+        self
+    }
+}
+
+/// Makes the answer of a refusal.
+pub(crate) fn make(refusal: &Refusal, request_name: &str) -> Response<AnswerBody> {
+    let row = refusal.code.row();
+    let body = error_body(refusal.code, refusal.detail.as_deref(), request_name);
+    let mut answer = body::json(row.http_status, &body).map(AnswerBody::whole);
+    if row.repeat == Repeat::Later {
+        let seconds = refusal.retry_after_ms.div_ceil(1_000).max(1);
+        answer
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    answer
+}
+
+/// Makes the event that ends a broken stream.
+pub(crate) fn event(code: ResultCode, request_name: &str) -> Bytes {
+    let body = error_body(code, None, request_name);
+    let text = serde_json::to_string(&body).unwrap_or_default();
+    Bytes::from(format!("event: error\ndata: {text}\n\n"))
+}
+
+/// Makes the body of an error.
+fn error_body<'a>(code: ResultCode, detail: Option<&str>, request: &'a str) -> ErrorBody<'a> {
+    let row = code.row();
+    let message = detail.map_or_else(
+        || row.meaning.to_owned(),
+        |detail| format!("{} {detail}", row.meaning),
+    );
+    let ran = match row.ran {
+        Ran::Whole => "whole",
+        Ran::No => "no",
+        Ran::Unknown => "unknown",
+        Ran::NotApplicable => "not_applicable",
+    };
+    ErrorBody {
+        error: ErrorDetail {
+            code: row.number,
+            name: row.name,
+            message,
+            ran,
+            request,
+        },
+    }
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/callers/mod.rs
@@ -0,0 +1,152 @@
+//! The callers' side: authenticate, find out what is asked for, answer.
+
+mod answer_body;
+mod claims;
+mod error_answer;
+mod exchange;
+mod job;
+mod model_call;
+mod passing;
+mod plain_call;
+mod record;
+mod ticket;
+
+use std::sync::Arc;
+
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::Version;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use serde_json::json;
+
+pub use self::answer_body::AnswerBody;
+use self::error_answer::Refusal;
+use crate::shared::Shared;
+use cranereach_core::codes::ResultCode;
+use cranereach_core::declarations::PoolKind;
+use cranereach_core::drain::Phase;
+use cranereach_core::names::TargetName;
+use cranereach_core::snapshot::Grant;
+use cranereach_core::snapshot::Snapshot;
+use cranereach_http::body;
+use cranereach_http::server::Closed;
+
+/// Header that names a request to its caller.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// What every step of one request has at hand.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    shared: Arc<Shared>,
+    snapshot: Arc<Snapshot>,
+    grant: Arc<Grant>,
+    request: cranereach_core::names::RequestId,
+    request_name: String,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Closed> {
+    let in_flight = shared.begin_request();
+    let version = request.version();
+    let number = shared.next_request();
+    let request_name = shared.request_name(number);
+    let mut answer = match admit(&shared, number, &request_name, request.headers()) {
+        Ok(caller) => route(caller, request).await,
+        Err(code) => Err(Refusal::of(code)),
+    }
+    .unwrap_or_else(|refusal| refused(&shared, &request_name, &refusal));
+    if let Ok(value) = HeaderValue::from_str(&request_name) {
+        answer.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    if shared.phase() != Phase::Serving && version < Version::HTTP_2 {
+        // The caller's next connection goes through the balancer to another.
+        answer
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer.map(|body| body.with_guard(in_flight)))
+}
+
+/// Finds out who calls, and whether this instance may serve at all.
+fn admit(
+    shared: &Arc<Shared>,
+    request: cranereach_core::names::RequestId,
+    request_name: &str,
+    headers: &HeaderMap,
+) -> Result<Caller, ResultCode> {
+    if !shared.may_serve() {
+        return Err(ResultCode::ConfigUnknown);
+    }
+    let key = bearer(headers).ok_or(ResultCode::Unauthenticated)?;
+    let snapshot = shared.snapshot();
+    let grant = snapshot
+        .grant(key)
+        .map(Arc::clone)
+        .ok_or(ResultCode::Unauthenticated)?;
+    Ok(Caller {
+        shared: Arc::clone(shared),
+        snapshot,
+        grant,
+        request,
+        request_name: request_name.to_owned(),
+    })
+}
+
+/// Returns the bearer key of a request.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    text.strip_prefix("Bearer ")
+        .or_else(|| text.strip_prefix("bearer "))
+}
+
+/// Hands a request to what its path means.
+async fn route(
+    caller: Caller,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    match (request.method(), request.uri().path()) {
+        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+            model_call::answer(caller, request).await
+        }
+        (&Method::GET, "/v1/models") => Ok(models(&caller)),
+        _ => plain_call::answer(caller, request).await,
+    }
+}
+
+/// Lists the models that the caller's account is entitled to.
+fn models(caller: &Caller) -> Response<AnswerBody> {
+    let is_model = |target: &&TargetName| caller.snapshot.models.contains_key(*target);
+    let data: Vec<_> = caller
+        .grant
+        .targets
+        .iter()
+        .filter(is_model)
+        .map(|target| json!({ "id": target, "object": "model", "owned_by": "cranereach" }))
+        .collect();
+    body::json(200, &json!({ "object": "list", "data": data })).map(AnswerBody::whole)
+}
+
+/// Answers a refusal, and counts and logs it.
+fn refused(shared: &Shared, request_name: &str, refusal: &Refusal) -> Response<AnswerBody> {
+    record::refused(shared, request_name, refusal);
+    error_answer::make(refusal, request_name)
+}
+
+impl Caller {
+    /// Whether the account is entitled to a model that its pool can serve.
+    fn may_use_model(&self, target: &TargetName) -> bool {
+        let is_model = self
+            .snapshot
+            .pool_of(target)
+            .is_some_and(|pool| pool.kind == PoolKind::Engine);
+        is_model && self.grant.targets.contains(target)
+    }
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/config_sync.rs
@@ -0,0 +1,125 @@
+//! Keeps the configuration in force: reads the head, fetches bodies, adopts.
+//!
+//! A head comes from the table, read slowly with jitter, or from a peer's
+//! digest. Its body comes from a peer that holds it, else from the object store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use slog::error;
+use slog::info;
+use slog::warn;
+
+use crate::peers::bodies;
+use crate::platform::objects::Objects;
+use crate::platform::objects::hash_of;
+use crate::shared::HeldBody;
+use crate::shared::Shared;
+use crate::shared::lock;
+use cranereach_core::config::Head;
+use cranereach_core::snapshot::Snapshot;
+use cranereach_wire::folder::Folder;
+use cranereach_wire::head_row::HEAD_KEY;
+use cranereach_wire::head_row::HeadRow;
+
+/// Part by which a pause is varied, so that instances don't read in step.
+const JITTER_RATIO: f64 = 0.3;
+
+/// Pause before a body that could not be fetched is tried again, in ms.
+const FETCH_AGAIN_MS: u64 = 300;
+
+/// Runs until the process ends.
+pub async fn run(shared: Arc<Shared>) {
+    let objects = Objects::new(&shared.settings.platform.objects);
+    loop {
+        read_head(&shared).await;
+        let until_ms = shared.now_ms() + jittered(shared.settings.platform.head_every_ms);
+        let until = shared.clock.instant(until_ms);
+        loop {
+            fetch_missing(&shared, &objects).await;
+            let again_ms = if shared.config().missing().is_some() {
+                FETCH_AGAIN_MS
+            } else {
+                u64::from(u32::MAX)
+            };
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => break,
+                () = tokio::time::sleep(Duration::from_millis(again_ms)) => {}
+                () = shared.config_wanted.notified() => {}
+            }
+        }
+    }
+}
+
+/// Reads the head row and takes its head.
+async fn read_head(shared: &Shared) {
+    match shared.table.read::<HeadRow>(HEAD_KEY).await {
+        Ok(row) => {
+            let head = row.value.head().unwrap_or_default();
+            shared.config().read_table(shared.now_ms(), &head);
+        }
+        Err(error) => {
+            warn!(shared.log, "can't read the configuration's head"; "error" => error.to_string());
+        }
+    }
+}
+
+/// Fetches the body of a head that isn't in force yet, and adopts it.
+async fn fetch_missing(shared: &Shared, objects: &Objects) {
+    let Some(head) = shared.config().missing().cloned() else {
+        return;
+    };
+    let body = match bodies::fetch(shared, &head.hash).await {
+        Some(body) => Some(body),
+        None => objects.get(&head.hash).await.ok().flatten(),
+    };
+    let Some(body) = body else {
+        warn!(shared.log, "can't fetch a configuration"; "version" => head.version);
+        return;
+    };
+    adopt(shared, &head, body);
+}
+
+/// Puts a body in force if its head is newer than the one held.
+fn adopt(shared: &Shared, head: &Head, body: Bytes) {
+    if hash_of(&body) != head.hash {
+        return;
+    }
+    let snapshot = match resolve(&body, head.version) {
+        Ok(snapshot) => snapshot,
+        Err(detail) => {
+            error!(shared.log, "an accepted configuration can't be used"; "version" => head.version, "error" => detail);
+            return;
+        }
+    };
+    // The lock is held over both steps, so that no older version can follow.
+    let mut config = shared.config();
+    if config.adopt(head) {
+        *lock(&shared.held_body) = HeldBody {
+            hash: head.hash.clone(),
+            body,
+        };
+        shared.set_snapshot(snapshot);
+        info!(shared.log, "configuration in force"; "version" => head.version);
+    }
+}
+
+/// Reads a body into what the data path uses.
+fn resolve(body: &Bytes, version: u64) -> Result<Snapshot, String> {
+    let folder: Folder = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let declared = folder.declarations().map_err(|error| error.to_string())?;
+    Snapshot::resolve(&declared, version).map_err(|faults| {
+        faults
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>()
+            .join("; ")
+    })
+}
+
+/// Varies a pause.
+pub fn jittered(pause_ms: u64) -> u64 {
+    let factor = 1.0 + JITTER_RATIO * (rand::random::<f64>() - 0.5);
+    (pause_ms as f64 * factor) as u64
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/control_actor/demand.rs
@@ -0,0 +1,147 @@
+//! Demand over all instances of the group, as the digests tell it.
+
+use std::collections::HashMap;
+
+use crate::dispatch_actor::DispatchDigest;
+use cranereach_core::cell::CellId;
+use cranereach_core::demand::TargetDemand;
+use cranereach_core::names::InstanceId;
+use cranereach_core::names::TargetName;
+use cranereach_core::residency::PlanTarget;
+use cranereach_core::residency::split::cell_demand;
+use cranereach_core::snapshot::Snapshot;
+
+/// Age at which a peer's demand no longer counts, in milliseconds.
+const FRESH_MS: u64 = 3_000;
+
+/// Demand of one target over all instances.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    concurrent_count: f64,
+    waiting_count: u32,
+    oldest_wait_ms: u64,
+}
+
+/// What a peer said of a target, and when.
+#[derive(Clone, Debug)]
+struct Said {
+    demand: TargetDemand,
+    heard_at_ms: u64,
+}
+
+/// Demand of this instance and its peers.
+#[derive(Debug, Default)]
+pub(super) struct DemandBook {
+    own: HashMap<TargetName, TargetDemand>,
+    used_at_ms: HashMap<TargetName, u64>,
+    peers: HashMap<TargetName, HashMap<InstanceId, Said>>,
+}
+
+impl DemandBook {
+    /// Takes this instance's own demand.
+    pub(super) fn own(&mut self, now_ms: u64, digest: DispatchDigest) {
+        self.own = digest
+            .demand
+            .into_iter()
+            .map(|demand| (demand.target.clone(), demand))
+            .collect();
+        for (target, at_ms) in digest.used_at_ms {
+            self.note_used(&target, at_ms);
+        }
+        for said in self.peers.values_mut() {
+            said.retain(|_, said| now_ms.saturating_sub(said.heard_at_ms) < FRESH_MS);
+        }
+        self.peers.retain(|_, said| !said.is_empty());
+    }
+
+    /// Takes a peer's demand for a target.
+    pub(super) fn peer(&mut self, now_ms: u64, sender: &InstanceId, demand: TargetDemand) {
+        if demand.waiting_count > 0 || demand.concurrent_count > 0.1 {
+            self.note_used(&demand.target, now_ms);
+        }
+        let said = self.peers.entry(demand.target.clone()).or_default();
+        said.insert(
+            sender.clone(),
+            Said {
+                demand,
+                heard_at_ms: now_ms,
+            },
+        );
+    }
+
+    /// Returns the targets of a cell's pool with the cell's part of the demand.
+    pub(super) fn targets(
+        &self,
+        now_ms: u64,
+        snapshot: &Snapshot,
+        cell: &CellId,
+        cells: &[CellId],
+        slot_count: u32,
+    ) -> Vec<PlanTarget> {
+        let mut same_pool: Vec<CellId> = cells
+            .iter()
+            .filter(|other| other.pool == cell.pool)
+            .cloned()
+            .collect();
+        same_pool.sort();
+        let models = snapshot
+            .models
+            .values()
+            .filter(|model| model.pool == cell.pool);
+        models
+            .map(|model| {
+                let total = self.total(now_ms, &model.name);
+                let part = cell_demand(
+                    &model.name,
+                    total.concurrent_count,
+                    total.oldest_wait_ms,
+                    &same_pool,
+                    cell,
+                    slot_count,
+                );
+                PlanTarget {
+                    target: model.name.clone(),
+                    memory_bytes: model.memory_bytes,
+                    base: model.base.clone(),
+                    concurrent_count: part.concurrent_count,
+                    waiting_count: if part.serves_waiting {
+                        total.waiting_count
+                    } else {
+                        0
+                    },
+                    oldest_wait_ms: total.oldest_wait_ms,
+                    used_at_ms: self
+                        .used_at_ms
+                        .get(&model.name)
+                        .copied()
+                        .unwrap_or_default(),
+                }
+            })
+            .collect()
+    }
+
+    /// Adds up the demand for a target.
+    fn total(&self, now_ms: u64, target: &TargetName) -> Total {
+        let fresh = |said: &&Said| now_ms.saturating_sub(said.heard_at_ms) < FRESH_MS;
+        let peers = self
+            .peers
+            .get(target)
+            .into_iter()
+            .flat_map(HashMap::values)
+            .filter(fresh)
+            .map(|said| &said.demand);
+        let mut total = Total::default();
+        for demand in self.own.get(target).into_iter().chain(peers) {
+            total.concurrent_count += f64::from(demand.concurrent_count);
+            total.waiting_count += demand.waiting_count;
+            total.oldest_wait_ms = total.oldest_wait_ms.max(u64::from(demand.oldest_wait_ms));
+        }
+        total
+    }
+
+    /// Records when a target was asked for.
+    fn note_used(&mut self, target: &TargetName, at_ms: u64) {
+        let used_at_ms = self.used_at_ms.entry(target.clone()).or_default();
+        *used_at_ms = at_ms.max(*used_at_ms);
+    }
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/control_actor/mod.rs
@@ -0,0 +1,526 @@
+//! The actor that controls cells: leases, polls, plans, orders.
+//!
+//! The decisions are the kernel's ([`CellControl`]); the actor reads and writes
+//! rows, polls workers and sends orders, each in a task that reports back. What
+//! it knows of demand is in [`demand`], its calls to others in [`calls`].
+
+mod calls;
+mod demand;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use xtra::Context;
+use xtra::Handler;
+use xtra::WeakAddress;
+
+pub(crate) use self::calls::tell;
+use self::demand::DemandBook;
+use crate::discovery::worker_id;
+use crate::dispatch_actor::LoadTook;
+use crate::dispatch_actor::Reports;
+use crate::dispatch_actor::TakeDigest;
+use crate::platform::StoreError;
+use crate::platform::table::Versioned;
+use crate::shared::Shared;
+use crate::upstream::engine::EngineControl;
+use cranereach_core::cell::CellId;
+use cranereach_core::cell::cell_of;
+use cranereach_core::control::CellControl;
+use cranereach_core::control::ControlAction;
+use cranereach_core::control::ControlOptions;
+use cranereach_core::control::IntentRow;
+use cranereach_core::control::OrderEnd;
+use cranereach_core::declarations::PoolKind;
+use cranereach_core::dispatch::workers::WorkerReport;
+use cranereach_core::drain::Phase;
+use cranereach_core::fence::Epoch;
+use cranereach_core::fence::Fence;
+use cranereach_core::lease::LeaseRow;
+use cranereach_core::lease::LeaseView;
+use cranereach_core::ledger::Residence;
+use cranereach_core::membership::rendezvous_weight;
+use cranereach_core::names::InstanceId;
+use cranereach_core::names::WorkerId;
+use cranereach_core::residency;
+use cranereach_wire::peer::DigestPart;
+use cranereach_wire::platform::ListState;
+use cranereach_wire::platform::ListedInstance;
+use cranereach_wire::platform::Role;
+use cranereach_wire::upstream::EngineLoad;
+
+/// Time between two looks at all cells, in milliseconds.
+pub const TICK_EVERY_MS: u64 = 200;
+
+/// Time between two reads of a lease row, in milliseconds.
+const LEASE_READ_EVERY_MS: u64 = 2_000;
+
+/// Instances that watch a cell's lease row: the owner and one successor.
+const WATCHER_COUNT: usize = 2;
+
+/// The platform's list or the configuration has changed.
+#[derive(Clone, Copy, Debug)]
+pub struct ListChanged;
+
+/// Time has passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+/// Parts of a peer's digest.
+#[derive(Clone, Debug)]
+pub struct PeerSaid {
+    /// The peer.
+    pub sender: InstanceId,
+    /// What it says.
+    pub parts: Vec<DigestPart>,
+}
+
+/// Asks for this actor's parts of the digest.
+#[derive(Clone, Copy, Debug)]
+pub struct TakeParts;
+
+/// Asks what operators see of control.
+#[derive(Clone, Copy, Debug)]
+pub struct Look;
+
+/// What operators see of one cell.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct CellView {
+    /// The cell.
+    pub cell: String,
+    /// Holder in the table, as last read.
+    pub holder: Option<String>,
+    /// Whether this instance orders the cell.
+    pub is_acting: bool,
+    /// Loads and unloads ordered from here.
+    pub moves_count: u64,
+    /// Worst case of each worker's memory, in bytes.
+    pub committed_bytes: Vec<(String, u64)>,
+}
+
+/// A read or write of a row, or a call to a worker, ended.
+#[derive(Debug)]
+enum Ended {
+    LeaseRead(CellId, Result<Versioned<LeaseRow>, StoreError>),
+    LeaseWritten(CellId, Result<u64, StoreError>),
+    IntentsRead(CellId, Result<Versioned<IntentRow>, StoreError>),
+    IntentsWritten(CellId, Result<u64, StoreError>),
+    Polled(CellId, WorkerId, EngineLoad),
+    Ordered(CellId, WorkerId, Fence, OrderEnd),
+}
+
+/// One cell with what only the runtime needs.
+#[derive(Debug)]
+struct Cell {
+    control: CellControl,
+    kind: PoolKind,
+    workers: Vec<WorkerId>,
+    lease_read_at_ms: Option<u64>,
+    intents_version: u64,
+}
+
+/// The actor.
+#[derive(Debug, xtra::Actor)]
+pub struct ControlActor {
+    shared: Arc<Shared>,
+    own: WeakAddress<Self>,
+    lease_id: InstanceId,
+    cells: HashMap<CellId, Cell>,
+    clients: HashMap<WorkerId, Arc<EngineControl>>,
+    polled: HashMap<WorkerId, WorkerReport>,
+    demand: DemandBook,
+}
+
+impl ControlActor {
+    /// Makes the actor.
+    pub fn new(shared: Arc<Shared>, own: WeakAddress<Self>) -> Self {
+        // A boot is a new holder: what an earlier one believed is not carried on.
+        let lease_id = InstanceId::from(format!("{}#{:x}", shared.own_id(), shared.boot_id));
+        Self {
+            shared,
+            own,
+            lease_id,
+            cells: HashMap::new(),
+            clients: HashMap::new(),
+            polled: HashMap::new(),
+            demand: DemandBook::default(),
+        }
+    }
+
+    /// Sorts the listed workers into cells.
+    fn arrange(&mut self) {
+        let snapshot = self.shared.snapshot();
+        let listed = self.shared.listed();
+        let workers: Vec<&ListedInstance> = listed
+            .iter()
+            .filter(|instance| instance.role == Role::Worker)
+            .collect();
+        let mut members: HashMap<CellId, Vec<WorkerId>> = HashMap::new();
+        for instance in &workers {
+            let Some(pool) = instance
+                .pool
+                .as_ref()
+                .and_then(|name| snapshot.pools.get(name))
+            else {
+                continue;
+            };
+            let sharing = workers
+                .iter()
+                .filter(|other| other.pool == instance.pool && other.domain == instance.domain)
+                .count();
+            let cell = cell_of(&pool.name, &instance.domain, &worker_id(instance), sharing);
+            let is_live = instance.state == ListState::Live;
+            members
+                .entry(cell)
+                .or_default()
+                .extend(is_live.then(|| worker_id(instance)));
+            self.keep_client(instance);
+        }
+        self.clients
+            .retain(|id, _| workers.iter().any(|instance| &worker_id(instance) == id));
+        self.polled.retain(|id, _| self.clients.contains_key(id));
+        self.cells.retain(|id, _| members.contains_key(id));
+        self.make_cells(members);
+    }
+
+    /// Keeps a client for a worker's address.
+    fn keep_client(&mut self, instance: &ListedInstance) {
+        let id = worker_id(instance);
+        let is_known = self
+            .clients
+            .get(&id)
+            .is_some_and(|client| client.address() == instance.address);
+        if !is_known {
+            self.clients
+                .insert(id, Arc::new(EngineControl::new(&instance.address)));
+        }
+    }
+
+    /// Makes missing cells and tells all which workers they have.
+    fn make_cells(&mut self, members: HashMap<CellId, Vec<WorkerId>>) {
+        let snapshot = self.shared.snapshot();
+        let engine_cells = members.keys().filter(|cell| {
+            snapshot
+                .pools
+                .get(&cell.pool)
+                .is_some_and(|pool| pool.kind == PoolKind::Engine)
+        });
+        let options = self.options(engine_cells.count());
+        let now_ms = self.shared.now_ms();
+        for (id, workers) in members {
+            let Some(pool) = snapshot.pools.get(&id.pool) else {
+                continue;
+            };
+            let is_known = self
+                .cells
+                .get(&id)
+                .is_some_and(|cell| cell.control.checks_fences() == pool.checks_fences);
+            if !is_known {
+                let control = CellControl::new(
+                    self.lease_id.clone(),
+                    id.clone(),
+                    pool.checks_fences,
+                    options,
+                    now_ms,
+                );
+                let cell = Cell {
+                    control,
+                    kind: pool.kind,
+                    workers: Vec::new(),
+                    lease_read_at_ms: None,
+                    intents_version: 0,
+                };
+                self.cells.insert(id.clone(), cell);
+            }
+            if let Some(cell) = self.cells.get_mut(&id) {
+                cell.control.list(&workers, pool.worker_memory_bytes);
+                cell.workers = workers;
+            }
+        }
+    }
+
+    /// Returns the options of a cell: its part of the weight store's limits.
+    fn options(&self, engine_cells_count: usize) -> ControlOptions {
+        let settings = &self.shared.settings;
+        let cells_count = engine_cells_count.max(1);
+        let policy = residency::find(&settings.policy.residency).unwrap_or(&residency::MARGINAL);
+        ControlOptions {
+            policy,
+            weights: settings.weights(),
+            loads_per_s: settings.weight_store.loads_per_s / cells_count as f64,
+            loads_at_once_count: (settings.weight_store.loads_at_once_count as usize / cells_count)
+                .max(1),
+        }
+    }
+
+    /// Looks at every cell.
+    fn look_at_cells(&mut self) {
+        let now_ms = self.shared.now_ms();
+        let live = self.shared.membership().live(now_ms);
+        let ids: Vec<CellId> = self.cells.keys().cloned().collect();
+        for id in &ids {
+            let name = id.to_string();
+            let mut ranked: Vec<&InstanceId> = live.iter().collect();
+            ranked.sort_by_key(|instance| {
+                std::cmp::Reverse(rendezvous_weight(instance.as_str(), &name))
+            });
+            let place = ranked
+                .iter()
+                .position(|instance| *instance == self.shared.own_id())
+                .unwrap_or(usize::MAX);
+            let is_acting = self
+                .cells
+                .get(id)
+                .is_some_and(|cell| cell.control.acting().is_some());
+            if place == 0 || is_acting {
+                self.poll(id);
+            }
+            if self
+                .cells
+                .get(id)
+                .is_some_and(|cell| cell.kind == PoolKind::Engine)
+            {
+                if place < WATCHER_COUNT || is_acting {
+                    self.read_lease(now_ms, id);
+                }
+                self.tick_cell(now_ms, id, place == 0, &live, &ids);
+            }
+        }
+        let held = self
+            .cells
+            .values()
+            .filter(|cell| cell.control.acting().is_some())
+            .count();
+        self.shared.metrics.cells_held.set(held as i64);
+    }
+
+    /// Ticks one cell and carries out what it wants.
+    fn tick_cell(
+        &mut self,
+        now_ms: u64,
+        id: &CellId,
+        is_owner: bool,
+        live: &[InstanceId],
+        ids: &[CellId],
+    ) {
+        let snapshot = self.shared.snapshot();
+        let targets = self
+            .demand
+            .targets(now_ms, &snapshot, id, ids, self.slots_of(id));
+        let Some(cell) = self.cells.get_mut(id) else {
+            return;
+        };
+        let holder = cell.control.lease().row_holder();
+        let holder_heard =
+            holder.is_some_and(|holder| live.iter().any(|instance| is_boot_of(holder, instance)));
+        let view = LeaseView {
+            is_owner,
+            holder_heard,
+            checks_fences: cell.control.checks_fences(),
+            leaving: self.shared.phase() != Phase::Serving,
+            nonce: rand::random(),
+        };
+        let mut actions = Vec::new();
+        cell.control.tick(now_ms, &view, &targets, &mut actions);
+        self.carry_out(id, actions);
+    }
+
+    /// Returns how many requests a worker of a cell's pool batches.
+    fn slots_of(&self, id: &CellId) -> u32 {
+        let in_pool = self.cells.iter().filter(|(other, _)| other.pool == id.pool);
+        let reports = in_pool
+            .flat_map(|(_, cell)| &cell.workers)
+            .filter_map(|worker| self.polled.get(worker));
+        reports.map(|report| report.slot_count).max().unwrap_or(1)
+    }
+
+    /// Carries out what a cell wants.
+    fn carry_out(&mut self, id: &CellId, actions: Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                ControlAction::WriteLease(write) => self.write_lease(id, write),
+                ControlAction::Send(order) => self.send_order(id, order),
+                ControlAction::ReadIntents => self.read_intents(id),
+                ControlAction::RecordIntents(row) => self.write_intents(id, row),
+                ControlAction::LoadTook(load_ms) => {
+                    tell(&self.shared.dispatcher, LoadTook(load_ms));
+                }
+            }
+        }
+    }
+
+    /// Takes a worker's report.
+    fn polled(&mut self, id: &CellId, worker: &WorkerId, load: &EngineLoad) {
+        let now_ms = self.shared.now_ms();
+        let resident = load
+            .memory
+            .occupants
+            .iter()
+            .filter(|occupant| occupant.residence == Residence::Resident);
+        let report = WorkerReport {
+            worker: worker.clone(),
+            boot_id: load.memory.boot_id,
+            report_number: load.memory.report_number,
+            outstanding_count: load.outstanding_count,
+            slot_count: load.slot_count,
+            is_leaving: load.is_leaving,
+            resident: resident.map(|occupant| occupant.target.clone()).collect(),
+        };
+        tell(&self.shared.dispatcher, Reports(vec![report.clone()]));
+        self.polled.insert(worker.clone(), report);
+        let Some(cell) = self.cells.get_mut(id) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        cell.control
+            .reported(now_ms, worker, &load.memory, load.slot_count, &mut actions);
+        self.carry_out(id, actions);
+    }
+
+    /// Takes the end of a call.
+    fn take_end(&mut self, ended: Ended) {
+        let now_ms = self.shared.now_ms();
+        match ended {
+            Ended::Polled(id, worker, load) => self.polled(&id, &worker, &load),
+            Ended::LeaseRead(id, Ok(row)) => self.with_cell(&id, |cell| {
+                cell.control
+                    .lease_mut()
+                    .read(now_ms, row.version, &row.value);
+            }),
+            Ended::LeaseWritten(id, Ok(version)) => self.with_cell(&id, |cell| {
+                cell.control.lease_mut().applied(now_ms, version);
+            }),
+            Ended::LeaseWritten(id, Err(StoreError::Conflict | StoreError::NotDone { .. })) => {
+                self.with_cell(&id, |cell| cell.control.lease_mut().refused());
+            }
+            Ended::IntentsRead(id, Ok(row)) => self.with_cell(&id, |cell| {
+                cell.intents_version = row.version;
+                cell.control.intents_read(now_ms, &row.value);
+            }),
+            Ended::IntentsRead(id, Err(_)) => {
+                self.with_cell(&id, |cell| cell.control.intents_unread());
+            }
+            Ended::IntentsWritten(id, written) => self.intents_written(now_ms, &id, &written),
+            Ended::Ordered(id, worker, fence, end) => {
+                self.with_cell(&id, |cell| cell.control.order_ended(&worker, fence, end));
+            }
+            Ended::LeaseRead(_, Err(_))
+            | Ended::LeaseWritten(_, Err(StoreError::Unknown { .. })) => {}
+        }
+    }
+
+    /// Sends the orders whose intents are recorded.
+    fn intents_written(&mut self, now_ms: u64, id: &CellId, written: &Result<u64, StoreError>) {
+        let Some(cell) = self.cells.get_mut(id) else {
+            return;
+        };
+        if let Ok(version) = written {
+            cell.intents_version = *version;
+        }
+        let orders = cell.control.intents_recorded(now_ms, written.is_ok());
+        if written.is_err() {
+            // Another wrote the row, or ours may stand: read it before the next.
+            cell.control.intents_lost();
+        }
+        for order in orders {
+            self.send_order(id, order);
+        }
+    }
+
+    /// Does something with a cell that still exists.
+    fn with_cell(&mut self, id: &CellId, change: impl FnOnce(&mut Cell)) {
+        if let Some(cell) = self.cells.get_mut(id) {
+            change(cell);
+        }
+    }
+
+    /// Takes what a peer says of a cell's epoch.
+    fn heard_epoch(&mut self, id: &CellId, epoch: Epoch) {
+        self.with_cell(id, |cell| cell.control.lease_mut().heard_epoch(epoch));
+    }
+}
+
+/// Whether a holder's identity is a boot of an instance.
+fn is_boot_of(holder: &InstanceId, instance: &InstanceId) -> bool {
+    holder.as_str().split('#').next() == Some(instance.as_str())
+}
+
+impl Handler<ListChanged> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: ListChanged, _ctx: &mut Context<Self>) {
+        self.arrange();
+    }
+}
+
+impl Handler<Tick> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Tick, _ctx: &mut Context<Self>) {
+        if let Ok(digest) = self.shared.dispatcher.send(TakeDigest).await {
+            self.demand.own(self.shared.now_ms(), digest);
+        }
+        self.look_at_cells();
+    }
+}
+
+impl Handler<PeerSaid> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PeerSaid, _ctx: &mut Context<Self>) {
+        let now_ms = self.shared.now_ms();
+        for part in message.parts {
+            match part {
+                DigestPart::Demand(demand) => self.demand.peer(now_ms, &message.sender, demand),
+                DigestPart::Epoch(cell, epoch) => self.heard_epoch(&cell, epoch),
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Handler<TakeParts> for ControlActor {
+    type Return = Vec<DigestPart>;
+
+    async fn handle(&mut self, _message: TakeParts, _ctx: &mut Context<Self>) -> Vec<DigestPart> {
+        let acting = self
+            .cells
+            .iter()
+            .filter_map(|(id, cell)| Some((id, cell.control.acting()?)));
+        let mut parts: Vec<_> = acting
+            .map(|(id, epoch)| DigestPart::Epoch(id.clone(), epoch))
+            .collect();
+        parts.extend(self.polled.values().cloned().map(DigestPart::Report));
+        // Each report is told once; the next poll brings the next one.
+        self.polled.clear();
+        parts
+    }
+}
+
+impl Handler<Look> for ControlActor {
+    type Return = Vec<CellView>;
+
+    async fn handle(&mut self, _message: Look, _ctx: &mut Context<Self>) -> Vec<CellView> {
+        let view = |(id, cell): (&CellId, &Cell)| {
+            let committed = |worker: &WorkerId| {
+                Some((worker.to_string(), cell.control.committed_bytes(worker)?))
+            };
+            CellView {
+                cell: id.to_string(),
+                holder: cell.control.lease().row_holder().map(ToString::to_string),
+                is_acting: cell.control.acting().is_some(),
+                moves_count: cell.control.moves_count(),
+                committed_bytes: cell.workers.iter().filter_map(committed).collect(),
+            }
+        };
+        self.cells.iter().map(view).collect()
+    }
+}
+
+impl Handler<Ended> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Ended, _ctx: &mut Context<Self>) {
+        self.take_end(message);
+    }
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/discovery.rs
@@ -0,0 +1,107 @@
+//! Reads the platform's list and tells every part what is on it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::warn;
+use xtra::Address;
+
+use crate::config_sync::jittered;
+use crate::control_actor::ControlActor;
+use crate::control_actor::ListChanged;
+use crate::dispatch_actor::Listed;
+use crate::platform::list::InstanceList;
+use crate::shared::PeerAddress;
+use crate::shared::Shared;
+use cranereach_core::declarations::PoolKind;
+use cranereach_core::dispatch::workers::ListedWorker;
+use cranereach_core::names::TargetName;
+use cranereach_core::names::WorkerId;
+use cranereach_core::snapshot::Snapshot;
+use cranereach_wire::platform::ListState;
+use cranereach_wire::platform::ListedInstance;
+use cranereach_wire::platform::Role;
+
+/// Slots of a worker until it has reported.
+const SLOTS_BEFORE_REPORT: u32 = 4;
+
+/// Runs until the process ends.
+pub async fn run(shared: Arc<Shared>, control: Address<ControlActor>) {
+    let list = InstanceList::new(&shared.settings.platform.instances);
+    loop {
+        match list.read().await {
+            Ok(listed) => take(&shared, &control, listed).await,
+            Err(error) => {
+                warn!(shared.log, "can't read the list of instances"; "error" => error.to_string());
+                // The pools of the configuration may have changed all the same.
+                let listed = shared.listed().as_ref().clone();
+                take(&shared, &control, listed).await;
+            }
+        }
+        let pause_ms = jittered(shared.settings.platform.list_every_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Tells every part what the list says.
+async fn take(shared: &Shared, control: &Address<ControlActor>, listed: Vec<ListedInstance>) {
+    let entries = listed
+        .iter()
+        .filter(|instance| instance.role == Role::Entry && instance.state == ListState::Live);
+    shared
+        .membership()
+        .list(entries.map(|instance| instance.id.clone()).collect());
+    let workers = listed
+        .iter()
+        .filter(|instance| instance.role == Role::Worker);
+    let addresses: Vec<_> = workers
+        .map(|instance| (worker_id(instance), instance.address.clone()))
+        .collect();
+    shared.upstreams.list(&addresses);
+    let snapshot = shared.snapshot();
+    let known = listed
+        .iter()
+        .filter_map(|instance| listed_worker(&snapshot, instance))
+        .collect();
+    shared.set_listed(listed);
+    // Neither actor ends before this task does.
+    let _sent = shared.dispatcher.send(Listed(known)).await;
+    let _sent = control.send(ListChanged).await;
+}
+
+/// Returns a worker as the dispatcher takes it; none of an undeclared pool.
+fn listed_worker(snapshot: &Snapshot, instance: &ListedInstance) -> Option<ListedWorker> {
+    if instance.role != Role::Worker {
+        return None;
+    }
+    let pool = snapshot.pools.get(instance.pool.as_ref()?)?;
+    let serves = (pool.kind == PoolKind::Plain).then(|| TargetName::from(pool.name.as_str()));
+    Some(ListedWorker {
+        worker: worker_id(instance),
+        domain: instance.domain.clone(),
+        is_leaving: instance.state == ListState::Leaving,
+        serves,
+        slot_count: SLOTS_BEFORE_REPORT,
+    })
+}
+
+/// Returns the identity of a listed worker.
+pub fn worker_id(instance: &ListedInstance) -> WorkerId {
+    WorkerId::from(instance.id.as_str())
+}
+
+/// Returns the peers on a list, this instance left out.
+pub fn peers(shared: &Shared) -> Vec<PeerAddress> {
+    let own = shared.own_id();
+    let listed = shared.listed();
+    let by_id: HashMap<_, _> = listed
+        .iter()
+        .filter(|instance| instance.role == Role::Entry && &instance.id != own)
+        .filter_map(|instance| Some((instance.id.clone(), instance.address.parse().ok()?)))
+        .collect();
+    by_id
+        .into_iter()
+        .map(|(id, address)| PeerAddress { id, address })
+        .collect()
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/dispatch_actor.rs
@@ -0,0 +1,352 @@
+//! The actor that owns the dispatcher and answers who waits for it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use xtra::Context;
+use xtra::Handler;
+
+use crate::shared::Shared;
+use cranereach_core::codes::ResultCode;
+use cranereach_core::demand::TargetDemand;
+use cranereach_core::dispatch::Action;
+use cranereach_core::dispatch::DispatchOptions;
+use cranereach_core::dispatch::Dispatcher;
+use cranereach_core::dispatch::queues::Waiting;
+use cranereach_core::dispatch::workers::ListedWorker;
+use cranereach_core::dispatch::workers::WorkerReport;
+use cranereach_core::names::AccountName;
+use cranereach_core::names::InstanceId;
+use cranereach_core::names::RequestId;
+use cranereach_core::names::TargetName;
+use cranereach_core::names::WorkerId;
+use cranereach_wire::peer::DigestPart;
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Routed {
+    /// To this worker.
+    Send(WorkerId),
+    /// Back to the caller with this code.
+    Refuse {
+        /// Why.
+        code: ResultCode,
+        /// When a repeat is worth it, in milliseconds from now.
+        retry_after_ms: u64,
+    },
+}
+
+/// A request arrives.
+#[derive(Debug)]
+pub struct Arrive {
+    /// The request.
+    pub waiting: Waiting,
+    /// Whether an earlier attempt did not succeed.
+    pub is_again: bool,
+    /// Who waits for the route.
+    pub reply: oneshot::Sender<Routed>,
+}
+
+/// An attempt at an upstream ended.
+#[derive(Clone, Copy, Debug)]
+pub struct End {
+    /// The request.
+    pub request: RequestId,
+    /// What it cost, in tokens.
+    pub cost_tokens: f64,
+    /// Whether the answer came whole.
+    pub whole: bool,
+}
+
+/// The caller of a waiting request left.
+#[derive(Clone, Copy, Debug)]
+pub struct Left(pub RequestId);
+
+/// A worker could not be reached.
+#[derive(Clone, Debug)]
+pub struct Avoid(pub WorkerId);
+
+/// A worker refused a target as not resident.
+#[derive(Clone, Debug)]
+pub struct NotResident {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The target.
+    pub target: TargetName,
+}
+
+/// The platform's list of workers.
+#[derive(Clone, Debug)]
+pub struct Listed(pub Vec<ListedWorker>);
+
+/// Reports of workers polled here.
+#[derive(Clone, Debug)]
+pub struct Reports(pub Vec<WorkerReport>);
+
+/// Parts of a peer's digest.
+#[derive(Clone, Debug)]
+pub struct PeerParts {
+    /// The peer.
+    pub sender: InstanceId,
+    /// What it says.
+    pub parts: Vec<DigestPart>,
+}
+
+/// A load took this long, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadTook(pub u64);
+
+/// Time has passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+/// Asks for what goes into this instance's digest.
+#[derive(Clone, Copy, Debug)]
+pub struct TakeDigest;
+
+/// What goes into this instance's digest.
+#[derive(Clone, Debug, Default)]
+pub struct DispatchDigest {
+    /// Requests at each worker.
+    pub outstanding: Vec<(WorkerId, u32)>,
+    /// Demand per target.
+    pub demand: Vec<TargetDemand>,
+    /// When each target was last asked for.
+    pub used_at_ms: Vec<(TargetName, u64)>,
+    /// Total cost served per account, in tokens.
+    pub served: Vec<(AccountName, f64)>,
+    /// Requests that wait.
+    pub waiting_count: usize,
+    /// Requests at upstreams.
+    pub running_count: usize,
+}
+
+/// The actor.
+#[derive(Debug, xtra::Actor)]
+pub struct DispatchActor {
+    shared: Arc<Shared>,
+    kernel: Dispatcher,
+    replies: HashMap<RequestId, oneshot::Sender<Routed>>,
+    peers_served: HashMap<(InstanceId, AccountName), f64>,
+    actions: Vec<Action>,
+}
+
+impl DispatchActor {
+    /// Makes the actor.
+    pub fn new(shared: Arc<Shared>, options: DispatchOptions) -> Self {
+        Self {
+            shared,
+            kernel: Dispatcher::new(options),
+            replies: HashMap::new(),
+            peers_served: HashMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Carries out what the kernel decided.
+    fn carry_out(&mut self) {
+        while let Some(action) = self.actions.pop() {
+            let (request, routed) = match action {
+                Action::Send { request, worker } => (request, Routed::Send(worker)),
+                Action::Refuse {
+                    request,
+                    code,
+                    retry_after_ms,
+                } => (
+                    request,
+                    Routed::Refuse {
+                        code,
+                        retry_after_ms,
+                    },
+                ),
+            };
+            let Some(reply) = self.replies.remove(&request) else {
+                continue;
+            };
+            if let Err(Routed::Send(_)) = reply.send(routed) {
+                // The caller left meanwhile: the slot goes to the next.
+                let now_ms = self.shared.now_ms();
+                self.kernel
+                    .ended(now_ms, request, 0.0, false, &mut self.actions);
+            }
+        }
+    }
+
+    /// Takes one part of a peer's digest.
+    fn take_part(&mut self, now_ms: u64, sender: &InstanceId, part: DigestPart) {
+        match part {
+            DigestPart::Outstanding(worker, count) => {
+                self.kernel.note_peer(now_ms, sender, &worker, count);
+            }
+            DigestPart::Report(report) => self.kernel.reported(now_ms, &report, &mut self.actions),
+            DigestPart::Served(account, total_tokens) => {
+                self.peer_served(sender, &account, total_tokens);
+            }
+            DigestPart::Head(_)
+            | DigestPart::Demand(_)
+            | DigestPart::Epoch(..)
+            | DigestPart::Leaving => {}
+        }
+    }
+
+    /// Charges an account for what a peer served since its last word.
+    fn peer_served(&mut self, sender: &InstanceId, account: &AccountName, total_tokens: f64) {
+        let known = self
+            .peers_served
+            .insert((sender.clone(), account.clone()), total_tokens);
+        let added_tokens = total_tokens - known.unwrap_or(total_tokens);
+        if added_tokens > 0.0 {
+            let share = self.kernel.queues().share_of(account).unwrap_or(1.0);
+            self.kernel.peer_served(account, added_tokens, share);
+        }
+    }
+}
+
+impl Handler<Arrive> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Arrive, _ctx: &mut Context<Self>) {
+        let now_ms = self.shared.now_ms();
+        self.replies.insert(message.waiting.request, message.reply);
+        if message.is_again {
+            self.kernel
+                .arrive_again(now_ms, message.waiting, &mut self.actions);
+        } else {
+            self.kernel
+                .arrive(now_ms, message.waiting, &mut self.actions);
+        }
+        self.carry_out();
+    }
+}
+
+impl Handler<End> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: End, _ctx: &mut Context<Self>) {
+        let now_ms = self.shared.now_ms();
+        self.kernel.ended(
+            now_ms,
+            message.request,
+            message.cost_tokens,
+            message.whole,
+            &mut self.actions,
+        );
+        self.carry_out();
+    }
+}
+
+impl Handler<Left> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Left, _ctx: &mut Context<Self>) {
+        self.replies.remove(&message.0);
+        if !self.kernel.left(message.0) {
+            // It was sent in the same moment: give the slot back.
+            let now_ms = self.shared.now_ms();
+            self.kernel
+                .ended(now_ms, message.0, 0.0, false, &mut self.actions);
+            self.carry_out();
+        }
+    }
+}
+
+impl Handler<Avoid> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Avoid, _ctx: &mut Context<Self>) {
+        let now_ms = self.shared.now_ms();
+        self.kernel.workers_mut().avoid(now_ms, &message.0);
+    }
+}
+
+impl Handler<NotResident> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: NotResident, _ctx: &mut Context<Self>) {
+        self.kernel
+            .workers_mut()
+            .not_resident(&message.worker, &message.target);
+    }
+}
+
+impl Handler<Listed> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Listed, _ctx: &mut Context<Self>) {
+        self.kernel.workers_mut().list(message.0);
+    }
+}
+
+impl Handler<Reports> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: Reports, _ctx: &mut Context<Self>) {
+        let now_ms = self.shared.now_ms();
+        for report in &message.0 {
+            self.kernel.reported(now_ms, report, &mut self.actions);
+        }
+        self.carry_out();
+    }
+}
+
+impl Handler<PeerParts> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PeerParts, _ctx: &mut Context<Self>) {
+        let now_ms = self.shared.now_ms();
+        for part in message.parts {
+            self.take_part(now_ms, &message.sender, part);
+        }
+        self.carry_out();
+    }
+}
+
+impl Handler<LoadTook> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: LoadTook, _ctx: &mut Context<Self>) {
+        self.kernel.load_took(message.0);
+    }
+}
+
+impl Handler<Tick> for DispatchActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Tick, _ctx: &mut Context<Self>) {
+        let now_ms = self.shared.now_ms();
+        self.kernel.tick(now_ms, &mut self.actions);
+        self.carry_out();
+        let metrics = &self.shared.metrics;
+        metrics
+            .queue_waiting
+            .set(self.kernel.queues().waiting_count() as i64);
+        metrics
+            .upstream_running
+            .set(self.kernel.running_count() as i64);
+        metrics
+            .resident_targets
+            .set(self.kernel.workers().target_count() as i64);
+    }
+}
+
+impl Handler<TakeDigest> for DispatchActor {
+    type Return = DispatchDigest;
+
+    async fn handle(&mut self, _message: TakeDigest, _ctx: &mut Context<Self>) -> DispatchDigest {
+        let now_ms = self.shared.now_ms();
+        DispatchDigest {
+            outstanding: self.kernel.workers().own_outstanding(),
+            demand: self.kernel.demand(now_ms),
+            used_at_ms: self.kernel.used().collect(),
+            served: self
+                .kernel
+                .served_tokens()
+                .iter()
+                .map(|(account, tokens)| (account.clone(), *tokens))
+                .collect(),
+            waiting_count: self.kernel.queues().waiting_count(),
+            running_count: self.kernel.running_count(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/entry.rs
@@ -0,0 +1,269 @@
+//! An entry instance put together: start, planned stop, end.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use slog::info;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use xtra::Address;
+use xtra::Mailbox;
+
+use crate::callers;
+use crate::config_sync;
+use crate::control_actor;
+use crate::control_actor::ControlActor;
+use crate::discovery;
+use crate::dispatch_actor;
+use crate::dispatch_actor::DispatchActor;
+use crate::log;
+use crate::operators;
+use crate::peers::bodies;
+use crate::peers::digests;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use cranereach_core::dispatch::DispatchOptions;
+use cranereach_core::drain::Phase;
+use cranereach_core::order;
+use cranereach_core::route;
+use cranereach_http::server;
+use cranereach_http::server::ServeOptions;
+
+/// Time between two looks at waiting requests, in milliseconds.
+const DISPATCH_TICK_EVERY_MS: u64 = 20;
+
+/// Time between two looks at a planned stop, in milliseconds.
+const DRAIN_LOOK_EVERY_MS: u64 = 50;
+
+/// Tries to find one port number that is free for both UDP and TCP.
+const PORT_TRIES: u32 = 32;
+
+/// Why an instance could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address could not be listened on.
+    #[error("can't listen on {address} ({key}): {source}")]
+    Listen {
+        /// Key in settings.
+        key: &'static str,
+        /// Address.
+        address: String,
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// Addresses that an instance listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Operators, health and metrics.
+    pub operators: SocketAddr,
+    /// Peers, UDP and TCP.
+    pub peers: SocketAddr,
+}
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Entry {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    stopping: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    tasks: JoinSet<()>,
+}
+
+impl Entry {
+    /// Starts an instance.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let callers = listen("listen.callers", &settings.listen.callers).await?;
+        let operators = listen("listen.operators", &settings.listen.operators).await?;
+        let (bodies, digests) = listen_to_peers(&settings.listen.peers).await?;
+        let addresses = Addresses {
+            callers: local("listen.callers", &callers)?,
+            operators: local("listen.operators", &operators)?,
+            peers: local("listen.peers", &bodies)?,
+        };
+        let log = log::make(settings.instance.id.as_str(), settings.log.level);
+        let (dispatcher, dispatch_mailbox) = Mailbox::unbounded();
+        let shared = Arc::new(Shared::new(settings, log, dispatcher));
+        let (stopping, stop) = watch::channel(false);
+        let mut tasks = JoinSet::new();
+        let actor = DispatchActor::new(Arc::clone(&shared), dispatch_options(&shared));
+        tasks.spawn(xtra::run(dispatch_mailbox, actor));
+        let control = start_control(&shared, &mut tasks);
+        start_background(&shared, &control, &mut tasks, bodies, digests);
+        let for_operators = Arc::clone(&shared);
+        tasks.spawn(server::serve(
+            operators,
+            ServeOptions::default(),
+            stop.clone(),
+            move |request| operators::answer(Arc::clone(&for_operators), control.clone(), request),
+        ));
+        let for_callers = Arc::clone(&shared);
+        let serve_options = ServeOptions {
+            header_within_ms: shared.settings.limits.header_within_ms,
+            header_max_bytes: shared.settings.limits.header_max_bytes,
+        };
+        let serving = server::serve(callers, serve_options, stop, move |request| {
+            callers::answer(Arc::clone(&for_callers), request)
+        });
+        info!(shared.log, "started"; "callers" => addresses.callers.to_string());
+        Ok(Self {
+            shared,
+            addresses,
+            stopping,
+            serving: tokio::spawn(serving),
+            tasks,
+        })
+    }
+
+    /// Returns the addresses that the instance listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns what all parts share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Stops as planned: unready first, then finishes what is in flight.
+    pub async fn drain(mut self) {
+        self.shared.ask_drain();
+        info!(self.shared.log, "stopping"; "in_flight" => self.shared.in_flight_count());
+        while self.shared.phase() == Phase::Announced {
+            pause(DRAIN_LOOK_EVERY_MS).await;
+        }
+        self.stopping.send_replace(true);
+        while !self.serving.is_finished() && !self.is_out_of_time() {
+            pause(DRAIN_LOOK_EVERY_MS).await;
+        }
+        info!(self.shared.log, "stopped"; "in_flight" => self.shared.in_flight_count());
+        self.tasks.shutdown().await;
+    }
+
+    /// Ends at once, as a crash would.
+    pub async fn kill(mut self) {
+        self.serving.abort();
+        self.tasks.shutdown().await;
+    }
+
+    /// Whether the limit of a planned stop, if one is set, has passed.
+    fn is_out_of_time(&self) -> bool {
+        self.shared.settings.drain.limit_ms.is_some() && self.shared.phase() == Phase::Done
+    }
+}
+
+/// Returns the options of the dispatcher; settings are checked before.
+fn dispatch_options(shared: &Shared) -> DispatchOptions {
+    let policy = &shared.settings.policy;
+    DispatchOptions {
+        order: order::find(&policy.order).unwrap_or(&order::VIRTUAL_TIME),
+        route: route::find(&policy.route).unwrap_or(&route::SAMPLED),
+        refuses_early: policy.refuses_early,
+        domain: shared.settings.instance.failure_domain.clone(),
+        seed: shared.boot_id,
+    }
+}
+
+/// Starts the control actor.
+fn start_control(shared: &Arc<Shared>, tasks: &mut JoinSet<()>) -> Address<ControlActor> {
+    let (control, mailbox) = Mailbox::unbounded();
+    let actor = ControlActor::new(Arc::clone(shared), control.downgrade());
+    tasks.spawn(xtra::run(mailbox, actor));
+    let ticked = control.clone();
+    tasks.spawn(async move {
+        loop {
+            pause(control_actor::TICK_EVERY_MS).await;
+            // The next look waits for this one: a slow one isn't piled upon.
+            let _done = ticked.send(control_actor::Tick).await;
+        }
+    });
+    control
+}
+
+/// Starts everything that runs beside the callers' path.
+fn start_background(
+    shared: &Arc<Shared>,
+    control: &Address<ControlActor>,
+    tasks: &mut JoinSet<()>,
+    bodies: TcpListener,
+    digests: UdpSocket,
+) {
+    let socket = Arc::new(digests);
+    tasks.spawn(config_sync::run(Arc::clone(shared)));
+    tasks.spawn(discovery::run(Arc::clone(shared), control.clone()));
+    tasks.spawn(bodies::run(Arc::clone(shared), bodies));
+    tasks.spawn(digests::send(
+        Arc::clone(shared),
+        control.clone(),
+        Arc::clone(&socket),
+    ));
+    tasks.spawn(digests::receive(
+        Arc::clone(shared),
+        control.clone(),
+        socket,
+    ));
+    let ticked = Arc::clone(shared);
+    tasks.spawn(async move {
+        loop {
+            pause(DISPATCH_TICK_EVERY_MS).await;
+            let _done = ticked.dispatcher.send(dispatch_actor::Tick).await;
+        }
+    });
+}
+
+/// Listens on an address.
+async fn listen(key: &'static str, address: &str) -> Result<TcpListener, StartError> {
+    let listened = TcpListener::bind(address).await;
+    listened.map_err(|source| StartError::Listen {
+        key,
+        address: address.to_owned(),
+        source,
+    })
+}
+
+/// Listens on one port by TCP and UDP.
+async fn listen_to_peers(address: &str) -> Result<(TcpListener, UdpSocket), StartError> {
+    let key = "listen.peers";
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let listener = listen(key, address).await?;
+        let port = local(key, &listener)?;
+        match UdpSocket::bind(port).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(source) if tries == PORT_TRIES => {
+                return Err(StartError::Listen {
+                    key,
+                    address: port.to_string(),
+                    source,
+                });
+            }
+            Err(_taken) => {}
+        }
+    }
+}
+
+/// Returns the address that a listener got.
+fn local(key: &'static str, listener: &TcpListener) -> Result<SocketAddr, StartError> {
+    listener.local_addr().map_err(|source| StartError::Listen {
+        key,
+        address: String::new(),
+        source,
+    })
+}
+
+/// Waits.
+async fn pause(pause_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/peers/bodies.rs
@@ -0,0 +1,112 @@
+//! Bodies of configurations over TCP, from whoever holds them.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::discovery;
+use crate::platform::objects::hash_of;
+use crate::shared::PeerAddress;
+use crate::shared::Shared;
+use crate::shared::lock;
+use cranereach_wire::peer::MESSAGE_MAX_BYTES;
+use cranereach_wire::peer::PeerAnswer;
+use cranereach_wire::peer::PeerRequest;
+use cranereach_wire::peer::open;
+use cranereach_wire::peer::seal;
+
+/// Time for one exchange with a peer, in milliseconds.
+const EXCHANGE_WITHIN_MS: u64 = 1_000;
+
+/// Peers asked before the object store is.
+const ASKED_COUNT: usize = 3;
+
+/// Answers peers until the process ends.
+pub async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _peer)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            let within = Duration::from_millis(EXCHANGE_WITHIN_MS);
+            let answered = tokio::time::timeout(within, answer(&shared, stream)).await;
+            if !matches!(answered, Ok(Ok(()))) {
+                shared
+                    .metrics
+                    .peer_dropped_total
+                    .with_label_values(&["tcp"])
+                    .inc();
+            }
+        });
+    }
+}
+
+/// Fetches a body from the peers; none if none of them gives it.
+pub async fn fetch(shared: &Shared, hash: &str) -> Option<Bytes> {
+    let mut peers = discovery::peers(shared);
+    let live = shared.membership().live(shared.now_ms());
+    peers.sort_by_key(|peer| (!live.contains(&peer.id), rand::random::<u32>()));
+    for peer in peers.iter().take(ASKED_COUNT) {
+        let within = Duration::from_millis(EXCHANGE_WITHIN_MS);
+        let asked = tokio::time::timeout(within, ask(shared, peer, hash)).await;
+        if let Ok(Ok(Some(body))) = asked {
+            return Some(body);
+        }
+    }
+    None
+}
+
+/// Asks one peer for a body.
+async fn ask(shared: &Shared, peer: &PeerAddress, hash: &str) -> io::Result<Option<Bytes>> {
+    let mut stream = TcpStream::connect(peer.address).await?;
+    let request = PeerRequest::Body {
+        hash: hash.to_owned(),
+    };
+    write_frame(&mut stream, &seal(&shared.peer_key, &request)).await?;
+    let sealed = read_frame(&mut stream).await?;
+    let PeerAnswer::Body(body) = open(&shared.peer_key, &sealed).map_err(io::Error::other)?;
+    Ok(body.map(Bytes::from).filter(|body| hash_of(body) == hash))
+}
+
+/// Answers one peer.
+async fn answer(shared: &Shared, mut stream: TcpStream) -> io::Result<()> {
+    let sealed = read_frame(&mut stream).await?;
+    let PeerRequest::Body { hash } = open(&shared.peer_key, &sealed).map_err(io::Error::other)?;
+    let held = lock(&shared.held_body).clone();
+    let body = (held.hash == hash).then(|| held.body.to_vec());
+    write_frame(
+        &mut stream,
+        &seal(&shared.peer_key, &PeerAnswer::Body(body)),
+    )
+    .await
+}
+
+/// Writes a message with its length before it.
+async fn write_frame(stream: &mut TcpStream, sealed: &[u8]) -> io::Result<()> {
+    stream.write_u32(sealed.len() as u32).await?;
+    stream.write_all(sealed).await?;
+    stream.flush().await
+}
+
+/// Reads a message with its length before it.
+async fn read_frame(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let length = stream.read_u32().await? as usize;
+    if length > MESSAGE_MAX_BYTES {
+        return Err(io::Error::other("the message is too large"));
+    }
+    // Memory grows with what arrives, not with what the length claims.
+    let mut sealed = Vec::new();
+    stream.take(length as u64).read_to_end(&mut sealed).await?;
+    if sealed.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(sealed)
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/peers/digests.rs
@@ -0,0 +1,130 @@
+//! Digests: what this instance knows, told to its peers five times a second.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use xtra::Address;
+
+use crate::control_actor::ControlActor;
+use crate::control_actor::PeerSaid;
+use crate::control_actor::TakeParts;
+use crate::discovery;
+use crate::dispatch_actor::PeerParts;
+use crate::dispatch_actor::TakeDigest;
+use crate::shared::Shared;
+use cranereach_core::cell::INSTANCES_MAX;
+use cranereach_core::drain::Phase;
+use cranereach_wire::peer::DATAGRAM_MAX_BYTES;
+use cranereach_wire::peer::Digest;
+use cranereach_wire::peer::DigestPart;
+use cranereach_wire::peer::VERSION;
+use cranereach_wire::peer::open;
+use cranereach_wire::peer::pack;
+use cranereach_wire::peer::seal;
+use cranereach_wire::replay::ReplayGuard;
+
+/// Sends digests until the process ends.
+pub async fn send(shared: Arc<Shared>, control: Address<ControlActor>, socket: Arc<UdpSocket>) {
+    let mut sequence = 1;
+    loop {
+        tokio::time::sleep(Duration::from_millis(shared.settings.peers.digest_every_ms)).await;
+        let parts = parts(&shared, &control).await;
+        let digests = pack(shared.own_id(), shared.boot_id, sequence, parts);
+        sequence += digests.len() as u64;
+        let peers = discovery::peers(&shared);
+        for digest in &digests {
+            let sealed = seal(&shared.peer_key, digest);
+            for peer in peers.iter().take(INSTANCES_MAX) {
+                // A lost datagram is followed by the next one.
+                let sent = socket.send_to(&sealed, peer.address).await.unwrap_or(0);
+                shared.metrics.peer_sent_bytes_total.inc_by(sent as u64);
+            }
+        }
+    }
+}
+
+/// Receives digests until the process ends.
+pub async fn receive(shared: Arc<Shared>, control: Address<ControlActor>, socket: Arc<UdpSocket>) {
+    let mut guard = ReplayGuard::default();
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES * 2];
+    loop {
+        let Ok((length, _from)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        match open::<Digest>(&shared.peer_key, &buffer[..length]) {
+            Ok(digest) if digest.version != VERSION => dropped(&shared, "version"),
+            Ok(digest) if !guard.admit(&digest.sender, digest.boot_id, digest.sequence) => {
+                dropped(&shared, "replayed");
+            }
+            Ok(digest) => take(&shared, &control, digest).await,
+            Err(_unsealed) => dropped(&shared, "unsealed"),
+        }
+    }
+}
+
+/// Collects what this instance has to say.
+async fn parts(shared: &Shared, control: &Address<ControlActor>) -> Vec<DigestPart> {
+    let mut parts = vec![DigestPart::Head(shared.config().held().clone())];
+    if shared.phase() != Phase::Serving {
+        parts.push(DigestPart::Leaving);
+    }
+    if let Ok(digest) = shared.dispatcher.send(TakeDigest).await {
+        parts.extend(
+            digest
+                .outstanding
+                .into_iter()
+                .map(|(worker, count)| DigestPart::Outstanding(worker, count)),
+        );
+        parts.extend(digest.demand.into_iter().map(DigestPart::Demand));
+        parts.extend(
+            digest
+                .served
+                .into_iter()
+                .map(|(account, tokens)| DigestPart::Served(account, tokens)),
+        );
+    }
+    parts.extend(control.send(TakeParts).await.unwrap_or_default());
+    parts
+}
+
+/// Tells every part what a peer said.
+async fn take(shared: &Shared, control: &Address<ControlActor>, digest: Digest) {
+    let now_ms = shared.now_ms();
+    shared.membership().heard(now_ms, &digest.sender);
+    for part in &digest.parts {
+        match part {
+            DigestPart::Head(head) => {
+                shared.config().heard_head(head);
+                if shared.config().missing().is_some() {
+                    shared.config_wanted.notify_one();
+                }
+            }
+            DigestPart::Leaving => shared.membership().left(&digest.sender),
+            _ => {}
+        }
+    }
+    let said = PeerSaid {
+        sender: digest.sender.clone(),
+        parts: digest.parts.clone(),
+    };
+    // Neither actor ends before this task does.
+    let _sent = control.send(said).await;
+    let _sent = shared
+        .dispatcher
+        .send(PeerParts {
+            sender: digest.sender,
+            parts: digest.parts,
+        })
+        .await;
+}
+
+/// Counts a dropped message.
+fn dropped(shared: &Shared, reason: &str) {
+    shared
+        .metrics
+        .peer_dropped_total
+        .with_label_values(&[reason])
+        .inc();
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/shared.rs
@@ -0,0 +1,233 @@
+//! What all parts of an entry instance share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use slog::Logger;
+use tokio::sync::Notify;
+use xtra::Address;
+
+use crate::clock::Clock;
+use crate::dispatch_actor::DispatchActor;
+use crate::metrics::Metrics;
+use crate::platform::table::Table;
+use crate::settings::Settings;
+use crate::upstream::Upstreams;
+use cranereach_core::config::CONFIRM_WITHIN_MS;
+use cranereach_core::config::ConfigState;
+use cranereach_core::drain::Drain;
+use cranereach_core::drain::Phase;
+use cranereach_core::membership::Membership;
+use cranereach_core::names::InstanceId;
+use cranereach_core::names::RequestId;
+use cranereach_core::retry_budget::RetryBudget;
+use cranereach_core::snapshot::Snapshot;
+use cranereach_wire::peer::PeerKey;
+use cranereach_wire::platform::ListedInstance;
+
+/// A peer on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Its identity.
+    pub id: InstanceId,
+    /// Its peers' port, UDP and TCP.
+    pub address: SocketAddr,
+}
+
+/// Body of the configuration in force, for peers that lack it.
+#[derive(Clone, Debug, Default)]
+pub struct HeldBody {
+    /// BLAKE3 of the body, in hex.
+    pub hash: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What all parts share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Logger of the process.
+    pub log: Logger,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    /// Number of this boot.
+    pub boot_id: u64,
+    /// Secret of the peers.
+    pub peer_key: PeerKey,
+    /// Connections to upstreams.
+    pub upstreams: Upstreams,
+    /// Client of the table.
+    pub table: Table,
+    /// Admission, order and route.
+    pub dispatcher: Address<DispatchActor>,
+    /// Wakes the synchronization of the configuration.
+    pub config_wanted: Notify,
+    /// Wakes the listeners of a planned stop.
+    pub drain_asked: Notify,
+    /// Retry budget towards all upstreams.
+    pub retry_budget: Mutex<RetryBudget>,
+    /// Body of the configuration in force.
+    pub held_body: Mutex<HeldBody>,
+    membership: Mutex<Membership>,
+    listed: RwLock<Arc<Vec<ListedInstance>>>,
+    snapshot: RwLock<Arc<Snapshot>>,
+    config: Mutex<ConfigState>,
+    drain: Mutex<Drain>,
+    in_flight_count: AtomicUsize,
+    request_count: AtomicU64,
+}
+
+/// Counts a request as in flight until dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    shared: Arc<Shared>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.in_flight_count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Locks a mutex, also after a panic elsewhere.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Makes the shared part of an instance.
+    pub fn new(settings: Settings, log: Logger, dispatcher: Address<DispatchActor>) -> Self {
+        let clock = Clock::start();
+        let secret = settings.peers.secret.clone().unwrap_or_default();
+        Self {
+            clock,
+            log,
+            metrics: Metrics::new(),
+            boot_id: crate::clock::boot_number_ms(),
+            peer_key: PeerKey::derive(&secret),
+            upstreams: Upstreams::default(),
+            table: Table::new(&settings.platform.table),
+            dispatcher,
+            config_wanted: Notify::new(),
+            drain_asked: Notify::new(),
+            retry_budget: Mutex::default(),
+            held_body: Mutex::default(),
+            membership: Mutex::new(Membership::new(settings.instance.id.clone())),
+            listed: RwLock::default(),
+            snapshot: RwLock::default(),
+            config: Mutex::new(ConfigState::new(clock.now_ms())),
+            drain: Mutex::default(),
+            in_flight_count: AtomicUsize::new(0),
+            request_count: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Returns this instance's identity.
+    pub fn own_id(&self) -> &InstanceId {
+        &self.settings.instance.id
+    }
+
+    /// Returns now, in milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Returns the configuration in force.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshot.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_snapshot(&self, snapshot: Snapshot) {
+        self.metrics.config_version.set(snapshot.version as i64);
+        *self
+            .snapshot
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(snapshot);
+    }
+
+    /// Returns the platform's list as last read.
+    pub fn listed(&self) -> Arc<Vec<ListedInstance>> {
+        Arc::clone(&self.listed.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes the platform's list.
+    pub fn set_listed(&self, listed: Vec<ListedInstance>) {
+        *self.listed.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(listed);
+    }
+
+    /// Returns what is known of the other instances.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        lock(&self.membership)
+    }
+
+    /// Returns what is known of the configuration's version.
+    pub fn config(&self) -> MutexGuard<'_, ConfigState> {
+        lock(&self.config)
+    }
+
+    /// Whether this instance can know that its configuration is in force.
+    pub fn may_serve(&self) -> bool {
+        let now_ms = self.now_ms();
+        let membership = self.membership();
+        let listed_count = membership.listed_count();
+        let heard_count = membership.heard_count(now_ms, CONFIRM_WITHIN_MS);
+        drop(membership);
+        self.config().may_serve(now_ms, listed_count, heard_count)
+    }
+
+    /// Whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        let is_ready = self.phase() == Phase::Serving && self.may_serve();
+        self.metrics.is_ready.set(i64::from(is_ready));
+        is_ready
+    }
+
+    /// Asks for a planned stop; asking again changes nothing.
+    pub fn ask_drain(&self) {
+        lock(&self.drain).ask(self.now_ms());
+        self.drain_asked.notify_waiters();
+    }
+
+    /// Returns the phase of a planned stop.
+    pub fn phase(&self) -> Phase {
+        let in_flight_count = self.in_flight_count.load(Ordering::Acquire);
+        lock(&self.drain).phase(self.now_ms(), in_flight_count, self.settings.drain.limit_ms)
+    }
+
+    /// Returns how many requests are in flight.
+    pub fn in_flight_count(&self) -> usize {
+        self.in_flight_count.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>) -> InFlight {
+        self.in_flight_count.fetch_add(1, Ordering::AcqRel);
+        InFlight {
+            shared: Arc::clone(self),
+        }
+    }
+
+    /// Returns a new identity for a request.
+    pub fn next_request(&self) -> RequestId {
+        RequestId(self.request_count.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
+    /// Returns the name of a request, unique over instances and boots.
+    pub fn request_name(&self, request: RequestId) -> String {
+        format!("{}-{:x}-{:x}", self.own_id(), self.boot_id, request.0)
+    }
+}
--- /dev/null
+++ b/crates/cranereach-entry/src/upstream/mod.rs
@@ -0,0 +1,88 @@
+//! Upstreams: kept connections to each, and the adapter of model engines.
+
+pub mod engine;
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+
+use cranereach_core::names::WorkerId;
+use cranereach_http::pool::Pool;
+
+/// Body of a request to an upstream.
+#[derive(Debug)]
+pub enum SendBody {
+    /// Kept whole, so that it can be sent again.
+    Kept(Full<Bytes>),
+    /// Passed on from the caller as it arrives.
+    Passed(Incoming),
+}
+
+impl Body for SendBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Self::Kept(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|never: Infallible| match never {}),
+            Self::Passed(body) => Pin::new(body).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Kept(body) => body.is_end_stream(),
+            Self::Passed(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Kept(body) => body.size_hint(),
+            Self::Passed(body) => body.size_hint(),
+        }
+    }
+}
+
+/// Connections to all listed upstreams.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    pools: RwLock<HashMap<WorkerId, Arc<Pool<SendBody>>>>,
+}
+
+impl Upstreams {
+    /// Takes the listed workers with their addresses.
+    pub fn list(&self, listed: &[(WorkerId, String)]) {
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        pools.retain(|id, _| listed.iter().any(|(listed_id, _)| listed_id == id));
+        for (id, address) in listed {
+            let known = pools.get(id).is_some_and(|pool| pool.address() == address);
+            if !known {
+                pools.insert(id.clone(), Arc::new(Pool::new(address)));
+            }
+        }
+    }
+
+    /// Returns the connections to a worker.
+    pub fn pool(&self, worker: &WorkerId) -> Option<Arc<Pool<SendBody>>> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.get(worker).cloned()
+    }
+}
--- /dev/null
+++ b/crates/cranereach-http/src/body.rs
@@ -0,0 +1,66 @@
+//! Reading bodies within limits, and making small ones.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use serde::Serialize;
+use thiserror::Error;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is larger than the limit.
+    #[error("the body is larger than the limit")]
+    TooLarge,
+    /// It did not arrive in time.
+    #[error("the body did not arrive in time")]
+    TooSlow,
+    /// The sender left.
+    #[error("the body broke off")]
+    Broken,
+}
+
+/// Reads a whole body of at most `max_bytes` within `within_ms`.
+pub async fn collect<B>(body: B, max_bytes: usize, within_ms: u64) -> Result<Bytes, BodyError>
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let collecting = Limited::new(body, max_bytes).collect();
+    let collected = tokio::time::timeout(Duration::from_millis(within_ms), collecting).await;
+    match collected {
+        Err(_elapsed) => Err(BodyError::TooSlow),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Ok(Err(_broken)) => Err(BodyError::Broken),
+    }
+}
+
+/// Makes an answer with a JSON body.
+///
+/// # Panics
+///
+/// If the value has no form in JSON, which our typed messages all have.
+///
+/// ```
+/// let answer = cranereach_http::body::json(200, &[1, 2]);
+/// assert_eq!(answer.status(), 200);
+/// ```
+pub fn json<T: Serialize>(status: u16, value: &T) -> Response<Full<Bytes>> {
+    let text = serde_json::to_vec(value).expect("typed messages have a form in JSON");
+    let mut answer = Response::new(Full::new(Bytes::from(text)));
+    *answer.status_mut() =
+        hyper::StatusCode::from_u16(status).expect("statuses are constants of ours");
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
--- /dev/null
+++ b/crates/cranereach-http/src/client.rs
@@ -0,0 +1,196 @@
+//! Calls to JSON interfaces, each with a deadline.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::body;
+use crate::pool::Pool;
+use crate::pool::SendError;
+
+/// Largest answer of a JSON interface, in bytes.
+const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// How a call failed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// Nothing was sent.
+    #[error("{address}: could not be reached")]
+    NotSent {
+        /// Whom the call was for.
+        address: String,
+    },
+    /// It may have taken effect: no answer came in time.
+    #[error("{address}: no answer")]
+    Unanswered {
+        /// Whom the call was for.
+        address: String,
+    },
+    /// The answer can't be understood.
+    #[error("{address}: answered {status} with {detail}")]
+    Garbled {
+        /// Whom the call was for.
+        address: String,
+        /// HTTP status.
+        status: u16,
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Client of one JSON interface.
+#[derive(Debug)]
+pub struct JsonClient {
+    pool: Pool<Full<Bytes>>,
+    token: Option<String>,
+}
+
+impl JsonClient {
+    /// Makes a client for `ip:port`.
+    pub fn new(address: &str) -> Self {
+        Self {
+            pool: Pool::new(address),
+            token: None,
+        }
+    }
+
+    /// Adds a bearer token to each call.
+    #[must_use]
+    pub fn with_token(mut self, token: &str) -> Self {
+        self.token = Some(token.to_owned());
+        self
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> &str {
+        self.pool.address()
+    }
+
+    /// Asks without a body.
+    pub async fn get(&self, path: &str, within_ms: u64) -> Result<Answer, CallError> {
+        self.call(Method::GET, path, Bytes::new(), within_ms).await
+    }
+
+    /// Sends a value.
+    pub async fn post<T: Serialize>(
+        &self,
+        path: &str,
+        value: &T,
+        within_ms: u64,
+    ) -> Result<Answer, CallError> {
+        let text =
+            serde_json::to_vec(value).map_err(|error| self.garbled(0, &error.to_string()))?;
+        self.call(Method::POST, path, Bytes::from(text), within_ms)
+            .await
+    }
+
+    /// Sends bytes.
+    pub async fn put(&self, path: &str, bytes: Bytes, within_ms: u64) -> Result<Answer, CallError> {
+        self.call(Method::PUT, path, bytes, within_ms).await
+    }
+
+    /// Reads an answer's body as a typed value.
+    pub fn read<T: DeserializeOwned>(&self, answer: &Answer) -> Result<T, CallError> {
+        serde_json::from_slice(&answer.body)
+            .map_err(|error| self.garbled(answer.status, &error.to_string()))
+    }
+
+    /// Makes one call; a connection that closed unused is replaced once.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        bytes: Bytes,
+        within_ms: u64,
+    ) -> Result<Answer, CallError> {
+        let calling = self.exchange(method, path, bytes);
+        tokio::time::timeout(Duration::from_millis(within_ms), calling)
+            .await
+            .map_err(|_elapsed| CallError::Unanswered {
+                address: self.address().to_owned(),
+            })?
+    }
+
+    /// Sends the request and reads the whole answer.
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        bytes: Bytes,
+    ) -> Result<Answer, CallError> {
+        let mut request = self.request(method, path, bytes)?;
+        let not_sent = || CallError::NotSent {
+            address: self.address().to_owned(),
+        };
+        let unanswered = || CallError::Unanswered {
+            address: self.address().to_owned(),
+        };
+        loop {
+            let mut connection = self.pool.take().await.map_err(|_refused| not_sent())?;
+            let head = match connection.send(request).await {
+                Ok(head) => head,
+                Err(SendError::Unsent(unsent)) if connection.is_reused() => {
+                    request = *unsent;
+                    continue;
+                }
+                Err(SendError::Unsent(_)) => return Err(not_sent()),
+                Err(SendError::Broken(_)) => return Err(unanswered()),
+            };
+            let status = head.status().as_u16();
+            let collected =
+                body::collect(head.into_body(), ANSWER_MAX_BYTES, u64::from(u32::MAX)).await;
+            let body = collected.map_err(|_broken| unanswered())?;
+            connection.keep();
+            return Ok(Answer { status, body });
+        }
+    }
+
+    /// Builds a request.
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        bytes: Bytes,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address());
+        if !bytes.is_empty() {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+        }
+        if let Some(token) = &self.token {
+            builder = builder.header(AUTHORIZATION, format!("Bearer {token}"));
+        }
+        builder
+            .body(Full::new(bytes))
+            .map_err(|error| self.garbled(0, &error.to_string()))
+    }
+
+    /// Makes the error of something that can't be understood.
+    fn garbled(&self, status: u16, detail: &str) -> CallError {
+        CallError::Garbled {
+            address: self.address().to_owned(),
+            status,
+            detail: detail.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranereach-http/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP plumbing over `hyper` that the entry instance and the stand-ins share.
+//!
+//! [`server`] accepts and stops gracefully, [`pool`] keeps connections to one
+//! upstream and says exactly whether a request was handed over, [`client`]
+//! calls JSON interfaces with a deadline, [`body`] reads and makes bodies.
+
+pub mod body;
+pub mod client;
+pub mod pool;
+pub mod server;
--- /dev/null
+++ b/crates/cranereach-http/src/server.rs
@@ -0,0 +1,107 @@
+//! Accepting connections, HTTP/1.1 and HTTP/2, with a graceful stop.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// Time to wait after the system refuses to accept, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// Limits of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ServeOptions {
+    /// Time for the head of a request to arrive, in milliseconds.
+    pub header_within_ms: u64,
+    /// Largest head of a request, in bytes.
+    pub header_max_bytes: usize,
+}
+
+impl Default for ServeOptions {
+    fn default() -> Self {
+        Self {
+            header_within_ms: 10_000,
+            header_max_bytes: 32 * 1024,
+        }
+    }
+}
+
+/// The handler wants the connection closed without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("closed without an answer")]
+pub struct Closed;
+
+/// Serves until `stopping` turns true, then until the open answers have ended.
+pub async fn serve<H, F, B>(
+    listener: TcpListener,
+    options: ServeOptions,
+    stopping: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<Response<B>, Closed>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let graceful = GracefulShutdown::new();
+    let builder = builder(options);
+    let mut stop = stopping.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _changed = stop.wait_for(|stopping| *stopping) => break,
+        };
+        let Ok(stream) = ready(accepted) else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        let handler = handler.clone();
+        let service = service_fn(handler);
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A broken connection is the peer's affair; its requests know.
+            let _ended = watched.await;
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+/// Prepares an accepted stream.
+fn ready(accepted: io::Result<(TcpStream, std::net::SocketAddr)>) -> io::Result<TcpStream> {
+    let (stream, _peer) = accepted?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Builds the protocol settings of a listener.
+fn builder(options: ServeOptions) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(options.header_within_ms))
+        .max_buf_size(options.header_max_bytes.max(8 * 1024));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(options.header_max_bytes as u32);
+    builder
+}
