--- /dev/null
+++ b/crates/cranereach-standin/src/engine/answer.rs
@@ -0,0 +1,390 @@
+//! Requests to the engine's stand-in: waiting for a slot, generating, leaving.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use crate::engine::loading;
+use crate::engine::state::EngineState;
+use crate::lock;
+use cranereach_core::ledger::Residence;
+use cranereach_core::membership::rendezvous_weight;
+use cranereach_core::names::TargetName;
+use cranereach_http::body;
+use cranereach_http::server::Closed;
+use cranereach_wire::upstream::NOT_RUN_HEADER;
+use cranereach_wire::upstream::NOT_RUN_NOT_RESIDENT;
+use cranereach_wire::upstream::REQUEST_HEADER;
+
+/// Tokens generated when the request doesn't say.
+const DEFAULT_TOKENS: u32 = 16;
+
+/// Characters of a prompt by which the prefix cache knows it.
+const PREFIX_CHARS: usize = 64;
+
+/// What the engine reads of a request.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+}
+
+/// One message of a chat.
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+/// Body of an engine's answer.
+#[derive(Debug)]
+pub struct EngineBody {
+    kind: Kind,
+}
+
+/// Whole, or generated token by token.
+#[derive(Debug)]
+enum Kind {
+    Whole(Full<Bytes>),
+    Stream(Box<Generation>),
+}
+
+/// A request that runs: gives its slot and memory use back when dropped.
+#[derive(Debug)]
+struct Run {
+    state: Arc<EngineState>,
+    target: TargetName,
+    has_slot: bool,
+    is_done: bool,
+}
+
+/// A stream that is being generated.
+#[derive(Debug)]
+struct Generation {
+    run: Run,
+    request: String,
+    echo: String,
+    next_index: u32,
+    total_count: u32,
+    break_after_count: Option<u32>,
+    pace: Pin<Box<Sleep>>,
+}
+
+impl EngineBody {
+    /// Wraps a whole body.
+    pub(crate) fn whole(body: Full<Bytes>) -> Self {
+        Self {
+            kind: Kind::Whole(body),
+        }
+    }
+}
+
+/// Runs one request.
+pub(crate) async fn complete(
+    state: Arc<EngineState>,
+    headers: &HeaderMap,
+    bytes: &Bytes,
+) -> Result<Response<EngineBody>, Closed> {
+    let Ok(completion) = serde_json::from_slice::<Completion>(bytes) else {
+        return Ok(body::json(400, &json!({ "error": "not a completion" })).map(EngineBody::whole));
+    };
+    if state.spend(|faults| &mut faults.refuse_count) {
+        return Ok(not_run("busy"));
+    }
+    let Some(mut run) = Run::begin(&state, &completion.model) else {
+        return Ok(not_run(NOT_RUN_NOT_RESIDENT));
+    };
+    run.take_slot().await;
+    let prompt = completion.text();
+    run.read_prompt(&prompt).await;
+    lock(&state.counts).run_count += 1;
+    if state.spend(|faults| &mut faults.close_unanswered_count) {
+        return Err(Closed);
+    }
+    if state.spend(|faults| &mut faults.garble_count) {
+        run.is_done = true;
+        return Ok(body::json(200, &json!("not what was asked for")).map(EngineBody::whole));
+    }
+    Ok(respond(run, &completion, &prompt, request_of(&state, headers)).await)
+}
+
+/// Makes the answer, whole or as a stream.
+async fn respond(
+    run: Run,
+    completion: &Completion,
+    prompt: &str,
+    request: String,
+) -> Response<EngineBody> {
+    let total_count = completion.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let echo: String = prompt
+        .chars()
+        .rev()
+        .take(PREFIX_CHARS)
+        .collect::<Vec<_>>()
+        .into_iter()
+        .rev()
+        .collect();
+    let header = HeaderValue::from_str(&request).unwrap_or(HeaderValue::from_static(""));
+    let mut answer = if completion.stream {
+        stream(run, request, echo, total_count)
+    } else {
+        whole(run, &request, &echo, total_count).await
+    };
+    answer.headers_mut().insert(REQUEST_HEADER, header);
+    answer
+}
+
+/// Makes a streamed answer.
+fn stream(run: Run, request: String, echo: String, total_count: u32) -> Response<EngineBody> {
+    let break_after_count = run
+        .state
+        .spend(|faults| &mut faults.break_stream_count)
+        .then_some(2);
+    let pace = Box::pin(tokio::time::sleep(run.token_time()));
+    let generation = Generation {
+        run,
+        request,
+        echo,
+        next_index: 0,
+        total_count,
+        break_after_count,
+        pace,
+    };
+    let mut answer = Response::new(EngineBody {
+        kind: Kind::Stream(Box::new(generation)),
+    });
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    answer
+}
+
+/// Generates everything and makes a whole answer.
+async fn whole(mut run: Run, request: &str, echo: &str, total_count: u32) -> Response<EngineBody> {
+    tokio::time::sleep(run.token_time() * total_count).await;
+    lock(&run.state.counts).token_count += u64::from(total_count);
+    run.is_done = true;
+    let text = json!({
+        "id": request,
+        "object": "chat.completion",
+        "choices": [{ "index": 0, "message": { "role": "assistant", "content": echo }, "finish_reason": "stop" }],
+        "usage": { "completion_tokens": total_count },
+    });
+    body::json(200, &text).map(EngineBody::whole)
+}
+
+/// Says that nothing ran.
+fn not_run(why: &'static str) -> Response<EngineBody> {
+    let mut answer = body::json(503, &json!({ "error": why })).map(EngineBody::whole);
+    answer
+        .headers_mut()
+        .insert(NOT_RUN_HEADER, HeaderValue::from_static(why));
+    answer
+}
+
+/// Returns the request that the answer will name.
+fn request_of(state: &EngineState, headers: &HeaderMap) -> String {
+    if state.spend(|faults| &mut faults.wrong_request_count) {
+        return "another-request".to_owned();
+    }
+    headers
+        .get(REQUEST_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+impl Completion {
+    /// Returns the whole prompt.
+    fn text(&self) -> String {
+        let mut text = self.prompt.clone();
+        for message in &self.messages {
+            text.push_str(&message.content);
+        }
+        text
+    }
+}
+
+impl Run {
+    /// Begins a run if the target can serve.
+    fn begin(state: &Arc<EngineState>, model: &str) -> Option<Self> {
+        let target = TargetName::from(model);
+        let mut memory = lock(&state.memory);
+        let residence = memory
+            .occupants
+            .get(&target)
+            .map(|occupant| occupant.residence);
+        if residence != Some(Residence::Resident) {
+            return None;
+        }
+        *memory.running.entry(target.clone()).or_default() += 1;
+        state.outstanding_count.fetch_add(1, Ordering::Relaxed);
+        Some(Self {
+            state: Arc::clone(state),
+            target,
+            has_slot: false,
+            is_done: false,
+        })
+    }
+
+    /// Waits for a place in the batch.
+    async fn take_slot(&mut self) {
+        let state = Arc::clone(&self.state);
+        let permit = state.slots.acquire().await;
+        permit.expect("the slots are never closed").forget();
+        self.has_slot = true;
+        state.running_count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes the time of a prompt unless its start is cached.
+    async fn read_prompt(&self, prompt: &str) {
+        let start: String = prompt.chars().take(PREFIX_CHARS).collect();
+        let hash = rendezvous_weight(&start, self.target.as_str());
+        let was_cached = self.note_prefix(hash);
+        let tokens = (prompt.len() / 4) as u64;
+        if !was_cached && self.state.options.prompt_token_us > 0 {
+            tokio::time::sleep(Duration::from_micros(
+                tokens * self.state.options.prompt_token_us,
+            ))
+            .await;
+        }
+    }
+
+    /// Remembers a prompt start; says whether it was known.
+    fn note_prefix(&self, hash: u64) -> bool {
+        let mut prefixes = lock(&self.state.prefixes);
+        let was_cached = prefixes.contains(&hash);
+        prefixes.retain(|known| *known != hash);
+        prefixes.push_back(hash);
+        while prefixes.len() > self.state.options.prefix_cache_count {
+            prefixes.pop_front();
+        }
+        lock(&self.state.counts).prefix_hit_count += u64::from(was_cached);
+        was_cached
+    }
+
+    /// Returns the time from one token to the next with the present batch.
+    fn token_time(&self) -> Duration {
+        let options = &self.state.options;
+        let batch = f64::from(self.state.running_count.load(Ordering::Relaxed));
+        let fullness = batch / f64::from(options.slot_count.max(1));
+        let token_us = options.token_us as f64 * (1.0 + options.batch_slowdown_ratio * fullness);
+        Duration::from_micros(token_us as u64)
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if self.has_slot {
+            self.state.slots.add_permits(1);
+            self.state.running_count.fetch_sub(1, Ordering::Relaxed);
+        }
+        self.state.outstanding_count.fetch_sub(1, Ordering::Relaxed);
+        if !self.is_done {
+            lock(&self.state.counts).cancelled_count += 1;
+        }
+        let mut memory = lock(&self.state.memory);
+        if let Some(count) = memory.running.get_mut(&self.target) {
+            *count = count.saturating_sub(1);
+        }
+        loading::free_if_idle(&mut memory, &self.target);
+    }
+}
+
+impl Generation {
+    /// Returns the next event of the stream, if any is left.
+    fn next_event(&mut self) -> Option<Bytes> {
+        let index = self.next_index;
+        self.next_index += 1;
+        if index < self.total_count {
+            let content = if index == 0 {
+                self.echo.clone()
+            } else {
+                format!(" t{index}")
+            };
+            let event = json!({ "id": self.request, "choices": [{ "index": 0, "delta": { "content": content } }] });
+            return Some(Bytes::from(format!("data: {event}\n\n")));
+        }
+        if index == self.total_count {
+            self.run.is_done = true;
+            lock(&self.run.state.counts).token_count += u64::from(self.total_count);
+            return Some(Bytes::from_static(b"data: [DONE]\n\n"));
+        }
+        None
+    }
+}
+
+/// The stream was made to break.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("broken on purpose")]
+pub struct BrokenOnPurpose;
+
+impl From<Infallible> for BrokenOnPurpose {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+impl Body for EngineBody {
+    type Data = Bytes;
+    type Error = BrokenOnPurpose;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOnPurpose>>> {
+        let generation = match &mut self.kind {
+            Kind::Whole(body) => {
+                return Pin::new(body).poll_frame(cx).map_err(BrokenOnPurpose::from);
+            }
+            Kind::Stream(generation) => generation,
+        };
+        let token_time = generation.run.token_time();
+        if !token_time.is_zero() && generation.next_index < generation.total_count {
+            std::task::ready!(generation.pace.as_mut().poll(cx));
+            generation.pace.as_mut().reset(Instant::now() + token_time);
+        }
+        if generation.break_after_count == Some(generation.next_index) {
+            return Poll::Ready(Some(Err(BrokenOnPurpose)));
+        }
+        Poll::Ready(generation.next_event().map(|event| Ok(Frame::data(event))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.kind {
+            Kind::Whole(body) => body.is_end_stream(),
+            Kind::Stream(generation) => generation.next_index > generation.total_count,
+        }
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match &self.kind {
+            Kind::Whole(body) => body.size_hint(),
+            Kind::Stream(_) => hyper::body::SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranereach-standin/src/engine/mod.rs
@@ -0,0 +1,139 @@
+//! Stand-in of a model engine: real memory, batch slots, orders, streams.
+//!
+//! It never refuses a load for want of memory: it records the excess, so that a
+//! test sees every overcommitment. An answer names the request that it belongs
+//! to and the run's number.
+
+mod answer;
+mod loading;
+pub mod state;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::BODY_MAX_BYTES;
+use crate::BODY_WITHIN_MS;
+use crate::engine::answer::EngineBody;
+use crate::engine::state::EngineFaults;
+use crate::engine::state::EngineOptions;
+use crate::engine::state::EngineState;
+use crate::lock;
+use cranereach_http::body;
+use cranereach_http::server;
+use cranereach_http::server::Closed;
+use cranereach_http::server::ServeOptions;
+use cranereach_wire::upstream::OrderRequest;
+
+/// A running stand-in.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    state: Arc<EngineState>,
+}
+
+impl Engine {
+    /// Starts serving on a listener until `stopping` turns true.
+    pub fn start(
+        listener: TcpListener,
+        options: EngineOptions,
+        stopping: watch::Receiver<bool>,
+    ) -> Self {
+        let state = Arc::new(EngineState::new(options));
+        tokio::spawn(refresh_reports(Arc::clone(&state), stopping.clone()));
+        let shared = Arc::clone(&state);
+        let handler = move |request| handle(Arc::clone(&shared), request);
+        tokio::spawn(server::serve(
+            listener,
+            ServeOptions::default(),
+            stopping,
+            handler,
+        ));
+        Self { state }
+    }
+
+    /// Returns the state, for looking at it and setting faults.
+    pub fn state(&self) -> &Arc<EngineState> {
+        &self.state
+    }
+}
+
+/// Renews the lagging report until the end.
+async fn refresh_reports(state: Arc<EngineState>, stopping: watch::Receiver<bool>) {
+    while !*stopping.borrow() {
+        state.refresh_report();
+        tokio::time::sleep(Duration::from_millis(state.options.report_every_ms.max(1))).await;
+    }
+}
+
+/// Answers one request.
+async fn handle(
+    state: Arc<EngineState>,
+    request: Request<Incoming>,
+) -> Result<Response<EngineBody>, Closed> {
+    let (parts, incoming) = request.into_parts();
+    let read = body::collect(incoming, BODY_MAX_BYTES, BODY_WITHIN_MS).await;
+    let Ok(bytes) = read else { return Err(Closed) };
+    match parts.uri.path() {
+        "/load" => Ok(whole(body::json(200, &state.report()))),
+        "/orders" => order(&state, &bytes),
+        "/v1/chat/completions" | "/v1/completions" => {
+            answer::complete(state, &parts.headers, &bytes).await
+        }
+        "/stand-in/faults" => Ok(take_faults(&state, &bytes)),
+        "/stand-in/ledger" => Ok(whole(body::json(200, &state.ledger()))),
+        "/stand-in/leave" => {
+            state.leave();
+            Ok(whole(body::json(200, &json!({}))))
+        }
+        _ => Ok(whole(body::json(404, &json!({ "error": "no such path" })))),
+    }
+}
+
+/// Takes an order, or loses or delays it.
+fn order(state: &Arc<EngineState>, bytes: &Bytes) -> Result<Response<EngineBody>, Closed> {
+    let Ok(order) = serde_json::from_slice::<OrderRequest>(bytes) else {
+        return Ok(whole(body::json(400, &json!({ "error": "not an order" }))));
+    };
+    if state.spend(|faults| &mut faults.lose_order_count) {
+        return Err(Closed);
+    }
+    if state.spend(|faults| &mut faults.delay_order_count) {
+        let delay_ms = lock(&state.faults).delay_order_ms;
+        let late = Arc::clone(state);
+        // The sender is told nothing; the order takes effect late.
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            loading::apply(&late, &order);
+        });
+        return Err(Closed);
+    }
+    let taken = loading::apply(state, &order);
+    if state.spend(|faults| &mut faults.repeat_order_count) {
+        loading::apply(state, &order);
+    }
+    let status = if taken.is_accepted { 200 } else { 409 };
+    Ok(whole(body::json(status, &taken)))
+}
+
+/// Sets the faults.
+fn take_faults(state: &EngineState, bytes: &Bytes) -> Response<EngineBody> {
+    match serde_json::from_slice::<EngineFaults>(bytes) {
+        Ok(faults) => {
+            *lock(&state.faults) = faults;
+            whole(body::json(200, &json!({})))
+        }
+        Err(error) => whole(body::json(400, &json!({ "error": error.to_string() }))),
+    }
+}
+
+/// Turns a whole body into the engine's kind.
+fn whole(answer: crate::Answer) -> Response<EngineBody> {
+    answer.map(EngineBody::whole)
+}
--- /dev/null
+++ b/crates/cranereach-standin/src/platform/mod.rs
@@ -0,0 +1,208 @@
+//! Stand-in of the platform: table, object store, list and weight store.
+//!
+//! One process, one port. Each store has its own faults: refusing, holding
+//! every answer, slow, or losing answers after the change has taken effect.
+
+pub mod state;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::Answer;
+use crate::BODY_MAX_BYTES;
+use crate::BODY_WITHIN_MS;
+use crate::lock;
+use crate::platform::state::PlatformFaults;
+use crate::platform::state::PlatformState;
+use crate::platform::state::StoreFaults;
+use crate::platform::state::WeightLimits;
+use cranereach_http::body;
+use cranereach_http::server;
+use cranereach_http::server::Closed;
+use cranereach_http::server::ServeOptions;
+use cranereach_wire::platform::Committed;
+use cranereach_wire::platform::ListedInstance;
+use cranereach_wire::platform::Transaction;
+
+/// Time for which a held answer is kept: longer than any caller waits.
+const HELD_FOR: Duration = Duration::from_mins(2);
+
+/// A running stand-in.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    state: Arc<PlatformState>,
+}
+
+impl Platform {
+    /// Starts serving on a listener until `stopping` turns true.
+    pub fn start(
+        listener: TcpListener,
+        limits: WeightLimits,
+        stopping: watch::Receiver<bool>,
+    ) -> Self {
+        let state = Arc::new(PlatformState::new(limits));
+        let shared = Arc::clone(&state);
+        let handler = move |request| answer(Arc::clone(&shared), request);
+        tokio::spawn(server::serve(
+            listener,
+            ServeOptions::default(),
+            stopping,
+            handler,
+        ));
+        Self { state }
+    }
+
+    /// Returns the state, for looking at it and setting faults.
+    pub fn state(&self) -> &PlatformState {
+        &self.state
+    }
+}
+
+/// Answers one request.
+async fn answer(state: Arc<PlatformState>, request: Request<Incoming>) -> Result<Answer, Closed> {
+    let (parts, incoming) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let read = body::collect(incoming, BODY_MAX_BYTES, BODY_WITHIN_MS).await;
+    let Ok(bytes) = read else { return Err(Closed) };
+    match path.split('/').nth(1).unwrap_or_default() {
+        "table" => table(&state, &parts.method, &path, &bytes).await,
+        "objects" => objects(&state, &parts.method, &path, bytes).await,
+        "instances" => instances(&state, &parts.method, &bytes).await,
+        "weights" => weights(&state).await,
+        "stand-in" => Ok(own(&state, &path, &bytes)),
+        _ => Ok(status(404)),
+    }
+}
+
+/// Answers for the table.
+async fn table(
+    state: &PlatformState,
+    method: &Method,
+    path: &str,
+    bytes: &Bytes,
+) -> Result<Answer, Closed> {
+    let faults = lock(&state.faults).table;
+    if let Some(refused) = before(faults).await {
+        return refused;
+    }
+    lock(&state.counts).table_count += 1;
+    if method == Method::GET {
+        let key = path.trim_start_matches("/table/");
+        return Ok(lock(&state.rows)
+            .get(key)
+            .map_or_else(|| status(404), |row| body::json(200, row)));
+    }
+    let Some(transaction) = read::<Transaction>(bytes) else {
+        return Ok(status(400));
+    };
+    let outcome = state.transact(&transaction);
+    if outcome.is_ok() && state.loses_answer() {
+        return Err(Closed);
+    }
+    Ok(match outcome {
+        Ok(versions) => body::json(200, &Committed { versions }),
+        Err(_failed) => status(409),
+    })
+}
+
+/// Answers for the object store.
+async fn objects(
+    state: &PlatformState,
+    method: &Method,
+    path: &str,
+    bytes: Bytes,
+) -> Result<Answer, Closed> {
+    let faults = lock(&state.faults).objects;
+    if let Some(refused) = before(faults).await {
+        return refused;
+    }
+    lock(&state.counts).object_count += 1;
+    let key = path.trim_start_matches("/objects/").to_owned();
+    if method == Method::PUT {
+        lock(&state.objects).insert(key, bytes);
+        return Ok(status(200));
+    }
+    let found = lock(&state.objects).get(&key).cloned();
+    Ok(found.map_or_else(|| status(404), |bytes| Response::new(Full::new(bytes))))
+}
+
+/// Answers for the list; a frozen list goes on showing what it showed.
+async fn instances(
+    state: &PlatformState,
+    method: &Method,
+    bytes: &Bytes,
+) -> Result<Answer, Closed> {
+    if method == Method::POST {
+        let Some(listed) = read::<ListedInstance>(bytes) else {
+            return Ok(status(400));
+        };
+        state.list(listed);
+        return Ok(status(200));
+    }
+    let faults = lock(&state.faults).list;
+    if let Some(refused) = before(faults).await {
+        return refused;
+    }
+    lock(&state.counts).list_count += 1;
+    Ok(body::json(200, &state.shown()))
+}
+
+/// Gives one load's worth of weights, within rate and number at once.
+async fn weights(state: &PlatformState) -> Result<Answer, Closed> {
+    let now_ms = state.now_ms();
+    let admitted = lock(&state.weights).begin(now_ms);
+    if !admitted {
+        return Ok(status(429));
+    }
+    let load_ms = state.limits.load_ms;
+    tokio::time::sleep(Duration::from_millis(load_ms)).await;
+    lock(&state.weights).end();
+    Ok(status(200))
+}
+
+/// Answers for the stand-in's own paths.
+fn own(state: &PlatformState, path: &str, bytes: &Bytes) -> Answer {
+    match path {
+        "/stand-in/faults" => match read::<PlatformFaults>(bytes) {
+            Some(faults) => {
+                *lock(&state.faults) = faults;
+                status(200)
+            }
+            None => status(400),
+        },
+        "/stand-in/counts" => body::json(200, &*lock(&state.counts)),
+        _ => status(404),
+    }
+}
+
+/// Applies a store's faults; an answer means that the store didn't act.
+async fn before(faults: StoreFaults) -> Option<Result<Answer, Closed>> {
+    if faults.holds {
+        tokio::time::sleep(HELD_FOR).await;
+        return Some(Err(Closed));
+    }
+    tokio::time::sleep_until((Instant::now() + Duration::from_millis(faults.slow_ms)).into()).await;
+    faults.refuses.then(|| Ok(status(503)))
+}
+
+/// Reads a typed body.
+fn read<T: DeserializeOwned>(bytes: &Bytes) -> Option<T> {
+    serde_json::from_slice(bytes).ok()
+}
+
+/// Makes an answer of a status alone.
+fn status(status: u16) -> Answer {
+    body::json(status, &json!({ "status": status }))
+}
--- /dev/null
+++ b/crates/cranereach-standin/src/platform/state.rs
@@ -0,0 +1,215 @@
+//! What the platform's stand-in keeps, and the faults that it takes.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::lock;
+use cranereach_core::token_bucket::TokenBucket;
+use cranereach_wire::platform::ListedInstance;
+use cranereach_wire::platform::TableRow;
+use cranereach_wire::platform::Transaction;
+
+/// A condition of a transaction did not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a condition did not hold")]
+pub struct ConditionFailed;
+
+/// Faults of one store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreFaults {
+    /// Refuses everything at once.
+    pub refuses: bool,
+    /// Takes requests and never answers.
+    pub holds: bool,
+    /// Waits before it acts, in milliseconds.
+    pub slow_ms: u64,
+}
+
+/// Faults of the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Of the table.
+    pub table: StoreFaults,
+    /// Of the object store.
+    pub objects: StoreFaults,
+    /// Of the list.
+    pub list: StoreFaults,
+    /// The list goes on showing what it showed.
+    pub list_frozen: bool,
+    /// Commits whose answer is lost after they have taken effect.
+    pub lose_answer_count: u32,
+}
+
+/// Limits of the weight store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WeightLimits {
+    /// Loads that may begin per second.
+    pub loads_per_s: f64,
+    /// Loads at once.
+    pub at_once_count: u32,
+    /// Time that one takes, in milliseconds.
+    pub load_ms: u64,
+}
+
+impl Default for WeightLimits {
+    fn default() -> Self {
+        Self {
+            loads_per_s: 1_000.0,
+            at_once_count: 1_000,
+            load_ms: 50,
+        }
+    }
+}
+
+/// Requests that each store has answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Of the table.
+    pub table_count: u64,
+    /// Of the object store.
+    pub object_count: u64,
+    /// Of the list.
+    pub list_count: u64,
+}
+
+/// The weight store's limits at work.
+#[derive(Debug)]
+pub struct WeightStore {
+    bucket: TokenBucket,
+    running_count: u32,
+    limit_count: u32,
+    /// Loads that have begun.
+    pub begun_count: u64,
+    /// Loads refused by a limit.
+    pub refused_count: u64,
+}
+
+impl WeightStore {
+    /// Begins a load if the limits allow it.
+    pub fn begin(&mut self, now_ms: u64) -> bool {
+        let allowed = self.running_count < self.limit_count && self.bucket.take(now_ms);
+        if allowed {
+            self.running_count += 1;
+            self.begun_count += 1;
+        } else {
+            self.refused_count += 1;
+        }
+        allowed
+    }
+
+    /// Ends a load.
+    pub fn end(&mut self) {
+        self.running_count = self.running_count.saturating_sub(1);
+    }
+}
+
+/// Everything that the platform's stand-in keeps.
+#[derive(Debug)]
+pub struct PlatformState {
+    /// Rows of the table.
+    pub rows: Mutex<HashMap<String, TableRow>>,
+    /// Objects by key.
+    pub objects: Mutex<HashMap<String, Bytes>>,
+    /// Faults in force.
+    pub faults: Mutex<PlatformFaults>,
+    /// Requests answered.
+    pub counts: Mutex<PlatformCounts>,
+    /// The weight store.
+    pub weights: Mutex<WeightStore>,
+    /// Its limits.
+    pub limits: WeightLimits,
+    listed: Mutex<BTreeMap<String, ListedInstance>>,
+    frozen: Mutex<Vec<ListedInstance>>,
+    started: Instant,
+}
+
+impl PlatformState {
+    /// Starts empty.
+    pub fn new(limits: WeightLimits) -> Self {
+        let burst = limits.loads_per_s.max(1.0);
+        let weights = WeightStore {
+            bucket: TokenBucket::new(limits.loads_per_s, burst, 0),
+            running_count: 0,
+            limit_count: limits.at_once_count,
+            begun_count: 0,
+            refused_count: 0,
+        };
+        Self {
+            rows: Mutex::default(),
+            objects: Mutex::default(),
+            faults: Mutex::default(),
+            counts: Mutex::default(),
+            weights: Mutex::new(weights),
+            limits,
+            listed: Mutex::default(),
+            frozen: Mutex::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Returns milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Adds or changes a listed instance.
+    pub fn list(&self, instance: ListedInstance) {
+        lock(&self.listed).insert(instance.id.to_string(), instance);
+    }
+
+    /// Takes an instance off the list.
+    pub fn unlist(&self, id: &str) {
+        lock(&self.listed).remove(id);
+    }
+
+    /// Returns what the list shows now.
+    pub fn shown(&self) -> Vec<ListedInstance> {
+        let is_frozen = lock(&self.faults).list_frozen;
+        let mut frozen = lock(&self.frozen);
+        if !is_frozen {
+            *frozen = lock(&self.listed).values().cloned().collect();
+        }
+        frozen.clone()
+    }
+
+    /// Applies a transaction if every condition holds.
+    pub fn transact(&self, transaction: &Transaction) -> Result<Vec<u64>, ConditionFailed> {
+        let mut rows = lock(&self.rows);
+        let version = |rows: &HashMap<String, TableRow>, key: &str| {
+            rows.get(key).map_or(0, |row| row.version)
+        };
+        let holds = transaction
+            .writes
+            .iter()
+            .all(|write| version(&rows, &write.key) == write.expected_version);
+        if !holds {
+            return Err(ConditionFailed);
+        }
+        let mut versions = Vec::with_capacity(transaction.writes.len());
+        for write in &transaction.writes {
+            let row = TableRow {
+                version: write.expected_version + 1,
+                value: write.value.clone(),
+            };
+            versions.push(row.version);
+            rows.insert(write.key.clone(), row);
+        }
+        Ok(versions)
+    }
+
+    /// Whether the answer to this commit is to be lost.
+    pub fn loses_answer(&self) -> bool {
+        let mut faults = lock(&self.faults);
+        let loses = faults.lose_answer_count > 0;
+        faults.lose_answer_count = faults.lose_answer_count.saturating_sub(1);
+        loses
+    }
+}
--- /dev/null
+++ b/crates/cranereach-wire/src/replay.rs
@@ -0,0 +1,78 @@
+//! Drops messages that were seen before or come from an earlier boot.
+
+use std::collections::HashMap;
+
+use cranereach_core::names::InstanceId;
+
+/// Messages by which one may be overtaken and still count.
+const WINDOW_COUNT: u64 = 64;
+
+/// What was last seen from one sender.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    boot_id: u64,
+    highest: u64,
+    window: u64,
+}
+
+/// Guard over all senders.
+#[derive(Clone, Debug, Default)]
+pub struct ReplayGuard {
+    senders: HashMap<InstanceId, Seen>,
+}
+
+impl ReplayGuard {
+    /// Whether a message is new; remembers it if so.
+    ///
+    /// ```
+    /// use cranereach_wire::replay::ReplayGuard;
+    ///
+    /// let mut guard = ReplayGuard::default();
+    /// assert!(guard.admit(&"a".into(), 1, 5));
+    /// assert!(!guard.admit(&"a".into(), 1, 5));
+    /// assert!(guard.admit(&"a".into(), 1, 4));
+    /// assert!(guard.admit(&"a".into(), 2, 1));
+    /// assert!(!guard.admit(&"a".into(), 1, 6));
+    /// ```
+    pub fn admit(&mut self, sender: &InstanceId, boot_id: u64, sequence: u64) -> bool {
+        let fresh = Seen {
+            boot_id,
+            highest: sequence,
+            window: 1,
+        };
+        let Some(seen) = self.senders.get_mut(sender) else {
+            self.senders.insert(sender.clone(), fresh);
+            return true;
+        };
+        if boot_id != seen.boot_id {
+            let later = boot_id > seen.boot_id;
+            if later {
+                *seen = fresh;
+            }
+            return later;
+        }
+        seen.admit(sequence)
+    }
+}
+
+impl Seen {
+    /// Whether a sequence number is new within the window.
+    fn admit(&mut self, sequence: u64) -> bool {
+        if sequence > self.highest {
+            let ahead = sequence - self.highest;
+            self.window = if ahead < WINDOW_COUNT {
+                (self.window << ahead) | 1
+            } else {
+                1
+            };
+            self.highest = sequence;
+            return true;
+        }
+        let behind = self.highest - sequence;
+        if behind >= WINDOW_COUNT || self.window & (1 << behind) != 0 {
+            return false;
+        }
+        self.window |= 1 << behind;
+        true
+    }
+}
--- /dev/null
+++ b/src/cmd/apply.rs
@@ -0,0 +1,83 @@
+//! `apply`: makes a folder of declarations the configuration in force.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use serde_json::json;
+
+use super::folder;
+use super::plan::read_both;
+use crate::exit::Exit;
+use cranereach_entry::apply::Stores;
+
+/// Options of `apply`.
+#[derive(Debug, Options)]
+pub struct ApplyArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "folder of declarations")]
+    folder: PathBuf,
+    #[options(
+        help = "settings file, for the platform's addresses",
+        required,
+        meta = "FILE"
+    )]
+    settings: PathBuf,
+    #[options(
+        help = "identity of the change; give the same one to repeat a try",
+        meta = "ID"
+    )]
+    change: Option<String>,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Applies the folder.
+pub fn execute(options: &ApplyArguments) -> Exit {
+    let (settings, mine) = match read_both(&options.settings, &options.folder) {
+        Ok(both) => both,
+        Err(exit) => return exit,
+    };
+    let stores = Stores::new(&settings.platform.table, &settings.platform.objects);
+    let base_version = folder::read_base(&options.folder);
+    let change_id = options
+        .change
+        .clone()
+        .unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+    match super::block_on(stores.apply(&mine, base_version, &change_id)) {
+        Ok(accepted) => {
+            if options.json {
+                super::print_json(
+                    &json!({ "version": accepted.version, "change": accepted.change_id, "hash": accepted.hash }),
+                );
+            } else {
+                println!(
+                    "version {} accepted (change {})",
+                    accepted.version, accepted.change_id
+                );
+            }
+            // Merged with others' changes, the folder isn't that version: it keeps its base.
+            let is_own = accepted.version == base_version + 1;
+            let kept = if is_own {
+                folder::write_base(&options.folder, accepted.version)
+            } else {
+                Ok(())
+            };
+            kept.map_or_else(
+                |error| {
+                    eprintln!("{error}");
+                    Exit::Faults
+                },
+                |()| Exit::Done,
+            )
+        }
+        Err(error) => {
+            eprintln!(
+                "{} {}: {error}",
+                error.code().row().number,
+                error.code().row().name
+            );
+            error.code().into()
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,60 @@
+//! `check`: declarations and settings, without a network.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+use super::folder;
+use crate::exit::Exit;
+use cranereach_core::snapshot::KeyHash;
+use cranereach_entry::settings::Settings;
+
+/// Options of `check`.
+#[derive(Debug, Options)]
+pub struct CheckArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "folder of declarations")]
+    folder: Option<PathBuf>,
+    #[options(help = "settings file to check", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(help = "print the hash of a bearer key, for key_hashes", meta = "KEY")]
+    hash_key: Option<String>,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Checks what the options name.
+pub fn execute(options: &CheckArguments) -> Exit {
+    if let Some(key) = &options.hash_key {
+        println!("{}", blake3::Hash::from_bytes(KeyHash::of(key).0).to_hex());
+        return Exit::Done;
+    }
+    if options.folder.is_none() && options.settings.is_none() {
+        eprintln!("{}", CheckArguments::usage());
+        return Exit::Usage;
+    }
+    if let Some(path) = &options.settings
+        && let Err(error) = Settings::read(path)
+    {
+        eprintln!("{error}");
+        return Exit::Settings;
+    }
+    let Some(path) = &options.folder else {
+        return Exit::Done;
+    };
+    let read = match folder::read(path) {
+        Ok(read) => read,
+        Err(error) => {
+            eprintln!("{error}");
+            return Exit::Faults;
+        }
+    };
+    let findings = folder::faults(path, &read);
+    folder::print(&findings, options.json);
+    if findings.is_empty() {
+        Exit::Done
+    } else {
+        Exit::Faults
+    }
+}
--- /dev/null
+++ b/src/cmd/folder.rs
@@ -0,0 +1,197 @@
+//! A folder of declarations on disk, with the version that it was begun from.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use cranereach_core::codes::ResultCode;
+use cranereach_core::snapshot::Snapshot;
+use cranereach_wire::folder::Folder;
+use cranereach_wire::jsonc::FileError;
+use cranereach_wire::locate::locate;
+
+/// File that keeps the version that a folder was begun from.
+const BASE_FILE: &str = "cranereach.base";
+
+/// Version that a folder was begun from.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Base {
+    version: u64,
+}
+
+/// A fault with its place on disk.
+#[derive(Clone, Debug, Serialize)]
+pub struct Finding {
+    /// Number of the code.
+    pub code: u16,
+    /// Name of the code.
+    pub name: &'static str,
+    /// File, as far as it is known.
+    pub file: Option<String>,
+    /// Line, from 1.
+    pub line: Option<usize>,
+    /// Section, entry and key.
+    pub place: Option<String>,
+    /// What is wrong and what would be valid.
+    pub detail: String,
+}
+
+/// A folder or one of its files can't be read or written.
+#[derive(Debug, Error)]
+#[error("{}: can't {doing}: {source}", path.display())]
+pub struct DiskError {
+    path: PathBuf,
+    doing: &'static str,
+    source: io::Error,
+}
+
+/// Reads the declaration files of a folder.
+pub fn read(path: &Path) -> Result<Folder, DiskError> {
+    let mut files = BTreeMap::new();
+    let entries = fs::read_dir(path).map_err(|source| DiskError {
+        path: path.to_owned(),
+        doing: "read the folder",
+        source,
+    })?;
+    for entry in entries.flatten() {
+        let file = entry.path();
+        let is_declaration = file
+            .extension()
+            .is_some_and(|extension| extension == "jsonc" || extension == "json");
+        if is_declaration {
+            let text = fs::read_to_string(&file).map_err(|source| DiskError {
+                path: file.clone(),
+                doing: "read the file",
+                source,
+            })?;
+            files.insert(entry.file_name().to_string_lossy().into_owned(), text);
+        }
+    }
+    Ok(Folder { files })
+}
+
+/// Writes a folder's files and the version that they are.
+pub fn write(path: &Path, folder: &Folder, version: u64) -> Result<(), DiskError> {
+    fs::create_dir_all(path).map_err(|source| DiskError {
+        path: path.to_owned(),
+        doing: "make the folder",
+        source,
+    })?;
+    for (name, text) in &folder.files {
+        let file = path.join(name);
+        fs::write(&file, text).map_err(|source| DiskError {
+            path: file.clone(),
+            doing: "write the file",
+            source,
+        })?;
+    }
+    write_base(path, version)
+}
+
+/// Returns the version that a folder was begun from; zero if it never was.
+pub fn read_base(path: &Path) -> u64 {
+    let base: Option<Base> = cranereach_wire::jsonc::read_file(&path.join(BASE_FILE)).ok();
+    base.unwrap_or_default().version
+}
+
+/// Writes the version that a folder is now begun from.
+pub fn write_base(path: &Path, version: u64) -> Result<(), DiskError> {
+    let file = path.join(BASE_FILE);
+    let text = format!(
+        "// Version that this folder was begun from; kept by cranereach.\n{{ \"version\": {version} }}\n"
+    );
+    fs::write(&file, text).map_err(|source| DiskError {
+        path: file.clone(),
+        doing: "write the file",
+        source,
+    })
+}
+
+/// Checks a folder whole; returns its faults with their places.
+pub fn faults(path: &Path, folder: &Folder) -> Vec<Finding> {
+    let shown = |file: &str| path.join(file).display().to_string();
+    let declared = match folder.declarations() {
+        Ok(declared) => declared,
+        Err(error) => return vec![of_file_error(&error, &shown)],
+    };
+    let Err(faults) = Snapshot::resolve(&declared, 0) else {
+        return Vec::new();
+    };
+    let finding = |fault: &cranereach_core::snapshot::Fault| {
+        let line = locate(folder, &fault.place);
+        Finding {
+            code: fault.code.row().number,
+            name: fault.code.row().name,
+            file: line.as_ref().map(|line| shown(&line.file)),
+            line: line.map(|line| line.line),
+            place: Some(format!(
+                "{} {:?} {}",
+                fault.place.section, fault.place.entry, fault.place.key
+            )),
+            detail: fault.detail.clone(),
+        }
+    };
+    faults.iter().map(finding).collect()
+}
+
+/// Makes the finding of a file that can't be understood.
+fn of_file_error(error: &FileError, shown: &impl Fn(&str) -> String) -> Finding {
+    let (code, file, line, detail) = match error {
+        FileError::Unreadable { path, source } => {
+            (ResultCode::Syntax, path, None, source.to_string())
+        }
+        FileError::Meaningless {
+            path,
+            line,
+            detail,
+            is_syntax,
+            ..
+        } => {
+            let code = if *is_syntax {
+                ResultCode::Syntax
+            } else {
+                ResultCode::UnknownKey
+            };
+            (code, path, Some(*line), detail.clone())
+        }
+    };
+    let row = code.row();
+    let file = Some(shown(&file.to_string_lossy()));
+    Finding {
+        code: row.number,
+        name: row.name,
+        file,
+        line,
+        place: None,
+        detail,
+    }
+}
+
+/// Prints findings, a line each, or as JSON.
+pub fn print(findings: &[Finding], as_json: bool) {
+    if as_json {
+        super::print_json(&findings);
+        return;
+    }
+    for finding in findings {
+        let file = finding.file.as_deref().unwrap_or("?");
+        let line = finding
+            .line
+            .map_or_else(String::new, |line| format!(":{line}"));
+        let place = finding
+            .place
+            .as_ref()
+            .map_or_else(String::new, |place| format!(" {place}:"));
+        println!(
+            "{file}{line}: {} {}:{place} {}",
+            finding.code, finding.name, finding.detail
+        );
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,86 @@
+//! Subcommands, one file each with its options and one `execute`.
+
+mod apply;
+mod check;
+mod folder;
+mod plan;
+mod pull;
+mod serve;
+mod stand_in;
+mod status;
+
+use gumdrop::Options;
+
+use crate::exit::Exit;
+
+/// Arguments of the binary.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", short = "V")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// A subcommand.
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run an entry instance")]
+    Serve(serve::ServeArguments),
+    #[options(help = "check declarations and settings, without a network")]
+    Check(check::CheckArguments),
+    #[options(help = "show what applying a folder would change")]
+    Plan(plan::PlanArguments),
+    #[options(help = "apply a folder of declarations")]
+    Apply(apply::ApplyArguments),
+    #[options(help = "fetch the declarations in force into a folder")]
+    Pull(pull::PullArguments),
+    #[options(help = "show what an entry instance knows and does")]
+    Status(status::StatusArguments),
+    #[options(help = "run a stand-in of the platform, an engine or a plain service")]
+    StandIn(stand_in::StandInArguments),
+}
+
+/// Runs what the arguments ask for.
+pub fn execute(arguments: &Arguments) -> Exit {
+    if arguments.version {
+        println!("cranereach {}", env!("CARGO_PKG_VERSION"));
+        return Exit::Done;
+    }
+    match &arguments.command {
+        Some(Command::Serve(options)) => serve::execute(options),
+        Some(Command::Check(options)) => check::execute(options),
+        Some(Command::Plan(options)) => plan::execute(options),
+        Some(Command::Apply(options)) => apply::execute(options),
+        Some(Command::Pull(options)) => pull::execute(options),
+        Some(Command::Status(options)) => status::execute(options),
+        Some(Command::StandIn(options)) => stand_in::execute(options),
+        None => {
+            eprintln!(
+                "{}\n\n{}",
+                Arguments::usage(),
+                Arguments::command_list().unwrap_or_default()
+            );
+            Exit::Usage
+        }
+    }
+}
+
+/// Runs a future on a runtime of all cores.
+///
+/// # Panics
+///
+/// If the system can't give the process its threads.
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    runtime.expect("the system gives threads").block_on(future)
+}
+
+/// Prints a value as one line of JSON.
+fn print_json<T: serde::Serialize>(value: &T) {
+    println!("{}", serde_json::to_string(value).unwrap_or_default());
+}
--- /dev/null
+++ b/tests/testsuite/harness.rs
@@ -0,0 +1,251 @@
+//! Processes of the binary, as a test starts and ends them.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use serde_json::Value;
+use serde_json::json;
+
+use cranereach_http::client::JsonClient;
+
+/// Declarations of the thin path.
+pub const DECLARATIONS: &str = include_str!("golden/declarations.jsonc");
+
+/// Time that a test allows for anything to come about, in milliseconds.
+pub const GENEROUS_MS: u64 = 60_000;
+
+/// A process, ended when dropped.
+pub struct Process {
+    child: Child,
+    output: BufReader<std::process::ChildStdout>,
+    /// The first line that it printed.
+    pub started: Value,
+}
+
+impl Process {
+    /// Starts the binary and reads its first line.
+    pub fn start(arguments: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cranereach"))
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the binary starts");
+        let output = child.stdout.take().expect("its output is piped");
+        let mut process = Self {
+            child,
+            output: BufReader::new(output),
+            started: Value::Null,
+        };
+        process.started = process.line();
+        process
+    }
+
+    /// Reads the next line of its output.
+    pub fn line(&mut self) -> Value {
+        let mut line = String::new();
+        self.output
+            .read_line(&mut line)
+            .expect("its output can be read");
+        serde_json::from_str(&line).unwrap_or(Value::Null)
+    }
+
+    /// Returns its address, for a stand-in.
+    pub fn address(&self) -> String {
+        self.started["address"]
+            .as_str()
+            .expect("stand-ins print it")
+            .to_owned()
+    }
+
+    /// Returns one of its addresses, for an entry instance.
+    pub fn address_of(&self, kind: &str) -> String {
+        self.started["addresses"][kind]
+            .as_str()
+            .expect("instances print them")
+            .to_owned()
+    }
+
+    /// Sends it a signal by name.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(sent.is_ok_and(|status| status.success()), "signal {name}");
+    }
+
+    /// Waits for its end and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("it can be waited for").code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _killed = self.child.kill();
+        let _waited = self.child.wait();
+    }
+}
+
+/// Runs the binary to its end; returns exit code, output and errors.
+pub fn run(arguments: &[&str]) -> (i32, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_cranereach"))
+        .args(arguments)
+        .output()
+        .expect("the binary runs");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (
+        output.status.code().unwrap_or(-1),
+        text(&output.stdout),
+        text(&output.stderr),
+    )
+}
+
+/// Makes an empty folder for one test.
+pub fn scratch(name: &str) -> PathBuf {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+        .join(format!("{name}-{}-{number}", std::process::id()));
+    fs::create_dir_all(&path).expect("a folder can be made");
+    path
+}
+
+/// Writes the settings of an entry instance; returns the file.
+pub fn write_settings(folder: &std::path::Path, id: &str, platform: &str) -> String {
+    let settings = json!({
+        "instance": { "id": id, "failure_domain": "d1" },
+        "platform": { "table": platform, "objects": platform, "instances": platform, "head_every_ms": 500, "list_every_ms": 300 },
+        "peers": { "secret": "test", "digest_every_ms": 100 },
+        "operators": { "token": "operator" },
+    });
+    let file = folder.join(format!("{id}.jsonc"));
+    fs::write(&file, settings.to_string()).expect("a file can be written");
+    file.display().to_string()
+}
+
+/// Lists an instance with the platform's stand-in.
+pub async fn list(platform: &str, listed: &Value) {
+    let client = JsonClient::new(platform);
+    let answer = client
+        .post("/instances", listed, GENEROUS_MS)
+        .await
+        .expect("the platform answers");
+    assert_eq!(answer.status, 200);
+}
+
+/// The thin path in separate processes: platform, engine, service, entry instance.
+pub struct Path {
+    /// Folder of its settings.
+    pub folder: PathBuf,
+    /// The platform.
+    pub platform: Process,
+    /// The engine.
+    pub engine: Process,
+    /// The plain service.
+    pub service: Process,
+    /// The entry instance.
+    pub entry: Process,
+}
+
+impl Path {
+    /// Starts everything, applies the golden declarations, waits until ready.
+    pub async fn start(name: &str) -> Self {
+        let folder = scratch(name);
+        let platform = Process::start(&["stand-in", "platform"]);
+        let engine = Process::start(&[
+            "stand-in",
+            "engine",
+            "--memory-bytes",
+            "100",
+            "--token-us",
+            "20000",
+        ]);
+        let service = Process::start(&["stand-in", "service"]);
+        let settings = write_settings(&folder, "entry-1", &platform.address());
+        let declared = folder.join("declared");
+        fs::create_dir_all(&declared).expect("a folder can be made");
+        fs::write(declared.join("all.jsonc"), DECLARATIONS).expect("a file can be written");
+        let (code, _output, errors) = run(&[
+            "apply",
+            "--settings",
+            &settings,
+            &declared.display().to_string(),
+        ]);
+        assert_eq!(code, 0, "{errors}");
+        let entry = Process::start(&["serve", "--settings", &settings]);
+        let path = Self {
+            folder,
+            platform,
+            engine,
+            service,
+            entry,
+        };
+        path.list_all().await;
+        path.wait_until_ready().await;
+        path
+    }
+
+    /// Lists everything with the platform.
+    async fn list_all(&self) {
+        let listed = |id: &str, role: &str, address: String, pool: Option<&str>| {
+            json!({
+                "id": id, "role": role, "state": "live", "domain": "d1", "address": address, "pool": pool,
+            })
+        };
+        let platform = self.platform.address();
+        list(
+            &platform,
+            &listed("w1", "worker", self.engine.address(), Some("text")),
+        )
+        .await;
+        list(
+            &platform,
+            &listed("s1", "worker", self.service.address(), Some("ledger")),
+        )
+        .await;
+        list(
+            &platform,
+            &listed("entry-1", "entry", self.entry.address_of("peers"), None),
+        )
+        .await;
+    }
+
+    /// Waits until the entry instance is ready.
+    pub async fn wait_until_ready(&self) {
+        let operators = JsonClient::new(&self.entry.address_of("operators"));
+        let mut is_ready = false;
+        while !is_ready {
+            is_ready = operators
+                .get("/health/ready", GENEROUS_MS)
+                .await
+                .is_ok_and(|answer| answer.status == 200);
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until the engine has begun to run this many requests.
+    pub async fn wait_for_runs(&self, count: u64) {
+        let engine = JsonClient::new(&self.engine.address());
+        loop {
+            let answer = engine
+                .get("/stand-in/ledger", GENEROUS_MS)
+                .await
+                .expect("the engine answers");
+            let ledger: Value = engine.read(&answer).expect("the ledger is JSON");
+            if ledger["run_count"].as_u64() >= Some(count) {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/planned_stop.rs
@@ -0,0 +1,55 @@
+//! A planned stop cuts no request in flight, in separate processes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+
+use crate::harness::Path;
+use cranereach_http::pool::Pool;
+use cranereach_standin::load;
+use cranereach_standin::load::Call;
+use cranereach_standin::load::Outcome;
+
+/// Calls until the answer is whole; gives up only with the test.
+async fn until_whole(pool: &Pool<Full<Bytes>>, call: &Call) -> Outcome {
+    loop {
+        let outcome = load::send(pool, call).await;
+        if outcome.status == 200 && outcome.is_whole {
+            return outcome;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sigterm_finishes_open_streams_and_a_second_one_is_harmless() {
+    let mut path = Path::start("planned-stop").await;
+    let pool = Arc::new(Pool::new(&path.entry.address_of("callers")));
+    let warm = Call::chat("crews-key", "harvest-a", "warm", 1, true);
+    until_whole(&pool, &warm).await;
+    // 200 tokens of 20 ms and more: the stream outlives the announced phase.
+    let stream = Call::chat("crews-key", "harvest-a", "long", 200, true);
+    let whole = Call::chat("crews-key", "harvest-a", "long", 200, false);
+    let lookup = Call::plain("clerks-key", Method::POST, "/ledger/tickets", "{}");
+    let open: Vec<_> = [stream, whole]
+        .into_iter()
+        .map(|call| {
+            let pool = Arc::clone(&pool);
+            tokio::spawn(async move { load::send(&pool, &call).await })
+        })
+        .collect();
+    path.wait_for_runs(3).await;
+    path.entry.signal("TERM");
+    // The balancer hasn't moved yet: what arrives now is still served.
+    let late = until_whole(&pool, &lookup).await;
+    path.entry.signal("TERM");
+    assert_eq!(late.status, 200);
+    for call in open {
+        let outcome = call.await.unwrap();
+        assert!(outcome.is_whole && outcome.status == 200, "{outcome:?}");
+    }
+    assert_eq!(path.entry.line()["stopped"], "entry-1");
+    assert_eq!(path.entry.wait(), Some(0));
+}
--- /dev/null
+++ b/tests/testsuite/thin_path.rs
@@ -0,0 +1,132 @@
+//! The whole path in separate processes, compared with a golden session.
+
+use std::fmt::Write;
+use std::fs;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+
+use crate::harness::GENEROUS_MS;
+use crate::harness::Path;
+use cranereach_http::pool::Pool;
+use cranereach_standin::load;
+use cranereach_standin::load::Call;
+use cranereach_standin::load::Outcome;
+
+/// What the session must look like.
+const GOLDEN: &str = include_str!("golden/session.txt");
+
+/// Adds one call and its outcome to the session's text.
+fn note(session: &mut String, title: &str, call: &Call, outcome: &Outcome) {
+    let text = outcome.text.replace('\n', "\\n");
+    let text = mask(&text);
+    writeln!(
+        session,
+        "# {title}\n> {} {}\n< {} {text}\n",
+        call.method, call.path, outcome.status
+    )
+    .expect("text can be written");
+}
+
+/// Replaces request names, which differ from run to run.
+fn mask(text: &str) -> String {
+    let mut masked = String::new();
+    let mut rest = text;
+    while let Some(at) = rest.find("entry-1-") {
+        masked.push_str(&rest[..at]);
+        masked.push_str("REQUEST");
+        let tail = &rest[at..];
+        let end = tail
+            .find(|c: char| !(c.is_ascii_alphanumeric() || c == '-'))
+            .unwrap_or(tail.len());
+        rest = &tail[end..];
+    }
+    masked + rest
+}
+
+/// Calls until the model has been loaded and the call is served.
+async fn until_served(pool: &Pool<Full<Bytes>>, call: &Call) -> Outcome {
+    let started = std::time::Instant::now();
+    loop {
+        let outcome = load::send(pool, call).await;
+        if outcome.status == 200 || started.elapsed().as_millis() as u64 > GENEROUS_MS {
+            return outcome;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_in_separate_processes_matches_its_golden_file() {
+    let path = Path::start("thin-path").await;
+    let pool = Pool::new(&path.entry.address_of("callers"));
+    let mut session = String::new();
+    let first = Call::chat("crews-key", "harvest-a", "hello", 3, true);
+    let title = "a cold model is loaded, then streams";
+    note(
+        &mut session,
+        title,
+        &first,
+        &until_served(&pool, &first).await,
+    );
+    let get = |path| Call::plain("crews-key", Method::GET, path, "");
+    let steps = [
+        (
+            "a whole answer",
+            Call::chat("crews-key", "harvest-a", "hello", 3, false),
+        ),
+        ("the models of the account", get("/v1/models")),
+        (
+            "a wrong key",
+            Call::chat("nobody", "harvest-a", "hello", 3, true),
+        ),
+        (
+            "a model of another account",
+            Call::chat("crews-key", "harvest-b", "hello", 3, true),
+        ),
+        (
+            "an unknown model",
+            Call::chat("crews-key", "harvest-c", "hello", 3, true),
+        ),
+        (
+            "not JSON",
+            Call::plain("crews-key", Method::POST, "/v1/chat/completions", "{"),
+        ),
+        ("a path of nobody", get("/nowhere")),
+        (
+            "a plain service that the account may not use",
+            get("/ledger/1"),
+        ),
+    ];
+    for (title, call) in &steps {
+        note(&mut session, title, call, &load::send(&pool, call).await);
+    }
+    let lookup = Call::plain("clerks-key", Method::POST, "/ledger/tickets", "{}")
+        .with_header("x-call", "c1");
+    note(
+        &mut session,
+        "a ledger lookup",
+        &lookup,
+        &until_served(&pool, &lookup).await,
+    );
+    let keyed = lookup
+        .with_header("x-call", "c2")
+        .with_header("idempotency-key", "k1");
+    note(
+        &mut session,
+        "a lookup with a key",
+        &keyed,
+        &load::send(&pool, &keyed).await,
+    );
+    note(
+        &mut session,
+        "its repeat gets the same answer",
+        &keyed,
+        &load::send(&pool, &keyed).await,
+    );
+    if session != GOLDEN {
+        fs::write(path.folder.join("session.txt"), &session).unwrap();
+    }
+    assert_eq!(session, GOLDEN, "written to {}", path.folder.display());
+}
