Memory under lost, late and doubled orders, pauses and restarts

Changed: a hand-over ends the term before the write is sent; an order names the boot it is meant for, and an engine that checks fences refuses others; after being surpassed an instance waits a term before it takes over again; a lease write's answer is matched by its nonce. Ruled out: reserving each order's memory for its whole lifetime on fenced engines too (safe, but every swap would wait 20 s); a seal as the first order of a boot (a stale seal may come first as well). Conclusion: 'checks fences' must include the boot; engines that don't check it are declared as not checking.

--- a/crates/cranereach-core/src/control/mod.rs
+++ b/crates/cranereach-core/src/control/mod.rs
@@ -53,6 +53,8 @@
 pub struct Order {
     /// Worker to order.
     pub worker: WorkerId,
+    /// Boot of the worker that the order is meant for.
+    pub boot_id: u64,
     /// Place among all orders.
     pub fence: Fence,
     /// What to do.
@@ -202,9 +204,9 @@
     }
 
     /// Takes the end of an order.
-    pub fn order_ended(&mut self, worker: &WorkerId, fence: Fence, end: OrderEnd) {
+    pub fn order_ended(&mut self, now_ms: u64, worker: &WorkerId, fence: Fence, end: OrderEnd) {
         if let OrderEnd::Refused(highest) = end {
-            self.lease.heard_epoch(highest.epoch);
+            self.lease.heard_epoch(now_ms, highest.epoch);
         }
         let Some(control) = self.workers.get_mut(worker) else {
             return;
@@ -391,8 +393,10 @@
     ) -> Order {
         self.sequence += 1;
         let epoch = self.acting.unwrap_or_default();
+        let boot_id = self.workers.get(&worker).and_then(WorkerControl::boot_id);
         Order {
             worker,
+            boot_id: boot_id.unwrap_or_default(),
             fence: Fence {
                 epoch,
                 sequence: self.sequence,
--- a/crates/cranereach-core/src/control/worker.rs
+++ b/crates/cranereach-core/src/control/worker.rs
@@ -104,7 +104,13 @@
         let waited =
             now_ms.saturating_sub(self.sealed_at_ms.max(self.ordered_at_ms)) >= settle_after_ms;
         let unsettled = !self.ledger.is_sealed() || self.ledger.has_unsettled();
-        self.ledger.needs_seal() || (self.ledger.checks_fences() && unsettled && waited)
+        let is_known = self.ledger.boot_id().is_some();
+        self.ledger.needs_seal() || (self.ledger.checks_fences() && is_known && unsettled && waited)
+    }
+
+    /// Returns the boot that orders are meant for.
+    pub(super) fn boot_id(&self) -> Option<u64> {
+        self.ledger.boot_id()
     }
 
     /// Whether the worker may be planned for.
--- a/crates/cranereach-core/src/lease.rs
+++ b/crates/cranereach-core/src/lease.rs
@@ -99,6 +99,7 @@
     pending: Option<Pending>,
     highest_epoch: Epoch,
     not_owner_since_ms: Option<u64>,
+    surpassed_at_ms: Option<u64>,
 }
 
 impl Lease {
@@ -115,6 +116,7 @@
             pending: None,
             highest_epoch: Epoch::default(),
             not_owner_since_ms: None,
+            surpassed_at_ms: None,
         }
     }
 
@@ -158,22 +160,24 @@
     }
 
     /// Takes the answer that a write was applied.
-    pub fn applied(&mut self, now_ms: u64, version: u64) {
-        if let Some(pending) = self.pending.clone() {
-            self.read(now_ms, version, &pending.write.row);
-        }
+    pub fn applied(&mut self, now_ms: u64, version: u64, row: &LeaseRow) {
+        self.read(now_ms, version, row);
     }
 
-    /// Takes the answer that a write lost its race.
-    pub fn refused(&mut self) {
-        self.pending = None;
+    /// Takes the answer that a write had no effect.
+    pub fn refused(&mut self, row: &LeaseRow) {
+        let is_it = |pending: &Pending| pending.write.row.write_nonce == row.write_nonce;
+        if self.pending.as_ref().is_some_and(is_it) {
+            self.pending = None;
+        }
     }
 
     /// Takes an epoch that was heard from a peer or refused by a worker.
-    pub fn heard_epoch(&mut self, epoch: Epoch) {
+    pub fn heard_epoch(&mut self, now_ms: u64, epoch: Epoch) {
         self.highest_epoch = self.highest_epoch.max(epoch);
         if self.held.is_some_and(|held| held.epoch < epoch) {
             self.held = None;
+            self.surpassed_at_ms = Some(now_ms);
         }
     }
 
@@ -181,6 +185,10 @@
     pub fn tick(&mut self, now_ms: u64, view: &LeaseView) -> Option<LeaseWrite> {
         self.note_owner(now_ms, view.is_owner);
         let row = self.due_row(now_ms, view)?;
+        if row.holder.is_none() {
+            // A successor may start as soon as this write takes effect.
+            self.held = None;
+        }
         let write = LeaseWrite {
             expected_version: self.row_version,
             row,
@@ -199,11 +207,15 @@
     pub fn take_over_without_table(&mut self, now_ms: u64, view: &LeaseView) -> Option<Epoch> {
         let silent_ms = now_ms.saturating_sub(self.read_at_ms.unwrap_or(self.started_at_ms));
         let table_lost = silent_ms >= TERM_MS;
+        let just_surpassed = self
+            .surpassed_at_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < TERM_MS);
         if !table_lost
             || !view.checks_fences
             || !view.is_owner
             || view.holder_heard
             || view.leaving
+            || just_surpassed
             || self.held.is_some()
         {
             return None;
--- a/crates/cranereach-core/src/ledger.rs
+++ b/crates/cranereach-core/src/ledger.rs
@@ -3,6 +3,11 @@
 //! A load is sent only when capacity minus the worst case covers it. Memory
 //! that an unload frees counts only once the worker reports it, at or after
 //! the unload's fence.
+//!
+//! A worker forgets its fence when it restarts. So an order names the boot that
+//! it is meant for, and a worker that checks fences refuses it in any other:
+//! otherwise an old order could be the first that a new boot accepts, unseen by
+//! a holder that still plans for the old one.
 
 use std::collections::HashMap;
 
@@ -15,6 +20,9 @@
 /// Time within which an order can still arrive at a worker without fences, ms.
 pub const ORDER_LIFETIME_MS: u64 = 20_000;
 
+/// Boots before the present one whose late reports are known and dropped.
+const RETIRED_BOOTS_COUNT: usize = 8;
+
 /// What a worker does with a target that occupies its memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -81,6 +89,7 @@
     report: Option<MemoryReport>,
     unsettled: Vec<Unsettled>,
     sealed_by: Option<Fence>,
+    retired_boots: Vec<u64>,
 }
 
 impl Ledger {
@@ -92,6 +101,7 @@
             report: None,
             unsettled: Vec::new(),
             sealed_by: None,
+            retired_boots: Vec::new(),
         }
     }
 
@@ -107,19 +117,38 @@
 
     /// Takes a report; an older one of the same boot is dropped.
     pub fn reported(&mut self, now_ms: u64, report: &MemoryReport) {
+        if self.retired_boots.contains(&report.boot_id) {
+            return;
+        }
         if let Some(last) = &self.report {
             if last.boot_id == report.boot_id && report.report_number < last.report_number {
                 return;
             }
             if last.boot_id != report.boot_id {
-                // The new boot has forgotten the gate, so the seal must be renewed.
-                self.sealed_by = None;
+                self.restart(last.boot_id);
             }
         }
         self.report = Some(report.clone());
         self.settle(now_ms);
     }
 
+    /// Returns the boot that orders are meant for, once a report has named it.
+    pub fn boot_id(&self) -> Option<u64> {
+        self.report.as_ref().map(|report| report.boot_id)
+    }
+
+    /// Starts anew after a restart: what was meant for the old boot is void.
+    fn restart(&mut self, old_boot_id: u64) {
+        self.sealed_by = None;
+        if self.checks_fences {
+            self.unsettled.clear();
+        }
+        if self.retired_boots.len() == RETIRED_BOOTS_COUNT {
+            self.retired_boots.remove(0);
+        }
+        self.retired_boots.push(old_boot_id);
+    }
+
     /// Records an order before it is sent.
     pub fn ordered(
         &mut self,
@@ -160,7 +189,7 @@
 
     /// Whether a seal must be sent.
     pub fn needs_seal(&self) -> bool {
-        self.checks_fences && self.sealed_by.is_none()
+        self.checks_fences && self.report.is_some() && self.sealed_by.is_none()
     }
 
     /// Whether orders are open that a further seal would settle.
--- /dev/null
+++ b/crates/cranereach-core/tests/control_faults.rs
@@ -0,0 +1,194 @@
+//! Memory is never overcommitted and targets stay reachable, under every fault.
+
+mod control_world;
+
+use control_world::CALM;
+use control_world::CAPACITY_BYTES;
+use control_world::Faults;
+use control_world::World;
+
+/// Seeds per row of the table.
+const SEEDS: u64 = 60;
+
+/// Steps per seed: 120 s of the world's time.
+const STEPS: u64 = 1_200;
+
+/// One row: its name and what fails.
+type Row = (&'static str, Faults);
+
+/// The fault table; each row also has lagging and lost reports.
+fn rows() -> Vec<Row> {
+    let lossy = Faults {
+        lose_report: 0.2,
+        ..CALM
+    };
+    vec![
+        ("reports lag and get lost", lossy),
+        (
+            "orders lost",
+            Faults {
+                lose_order: 0.3,
+                ..lossy
+            },
+        ),
+        (
+            "orders late",
+            Faults {
+                delay_order: 0.3,
+                ..lossy
+            },
+        ),
+        (
+            "orders doubled",
+            Faults {
+                double_order: 0.3,
+                ..lossy
+            },
+        ),
+        (
+            "holders pause between deciding and sending",
+            Faults {
+                pause: 0.01,
+                ..lossy
+            },
+        ),
+        (
+            "engines restart empty",
+            Faults {
+                restart_engine: 0.005,
+                ..lossy
+            },
+        ),
+        (
+            "table answers lost after taking effect",
+            Faults {
+                lose_table_answer: 0.5,
+                ..lossy
+            },
+        ),
+        (
+            "table down for long",
+            Faults {
+                table_outage: 0.005,
+                ..lossy
+            },
+        ),
+        (
+            "all together",
+            Faults {
+                lose_order: 0.2,
+                delay_order: 0.2,
+                double_order: 0.2,
+                pause: 0.01,
+                restart_engine: 0.003,
+                lose_table_answer: 0.3,
+                table_outage: 0.003,
+                lose_report: 0.3,
+            },
+        ),
+    ]
+}
+
+/// Runs one row over all seeds; every step must keep within memory.
+fn keeps_within_memory(fenced: bool) {
+    for (name, faults) in rows() {
+        let mut loaded = 0;
+        for seed in 0..SEEDS {
+            let mut world = World::new(seed, fenced, faults);
+            for _step in 0..STEPS {
+                world.step();
+                let taken_bytes = world.most_taken_bytes();
+                assert!(
+                    taken_bytes <= CAPACITY_BYTES,
+                    "{name}, seed {seed}, {} ms: {taken_bytes} bytes",
+                    world.now_ms
+                );
+            }
+            loaded += world.served.len();
+        }
+        assert!(
+            loaded as u64 > SEEDS,
+            "{name}: hardly anything was ever loaded ({loaded})"
+        );
+    }
+}
+
+#[test]
+fn engines_that_check_fences_are_never_overcommitted() {
+    keeps_within_memory(true);
+}
+
+#[test]
+fn engines_that_do_not_check_fences_are_never_overcommitted() {
+    keeps_within_memory(false);
+}
+
+#[test]
+fn at_most_one_instance_may_order_without_fences() {
+    for (name, faults) in rows() {
+        for seed in 0..SEEDS {
+            let mut world = World::new(seed, false, faults);
+            for _step in 0..STEPS {
+                world.step();
+                assert!(
+                    world.acting_count() <= 1,
+                    "{name}, seed {seed}, {} ms",
+                    world.now_ms
+                );
+            }
+        }
+    }
+}
+
+/// Steps until a target is resident; returns how long it took.
+fn until_resident(world: &mut World, index: usize, within_ms: u64) -> Option<u64> {
+    let started_ms = world.now_ms;
+    while world.now_ms < started_ms + within_ms {
+        world.step();
+        if world.is_resident(index) {
+            return Some(world.now_ms - started_ms);
+        }
+    }
+    None
+}
+
+#[test]
+fn every_target_gets_its_turn_when_asked_for() {
+    for fenced in [true, false] {
+        let mut world = World::new(7, fenced, CALM);
+        for round in 0..18 {
+            let index = round % 6;
+            world.want_only(index);
+            assert!(
+                until_resident(&mut world, index, 30_000).is_some(),
+                "fenced {fenced}, round {round}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_successor_controls_fenced_engines_while_the_table_is_down() {
+    let mut world = World::new(3, true, CALM);
+    world.want_only(0);
+    assert!(until_resident(&mut world, 0, 30_000).is_some());
+    world.table_down_until(world.now_ms + 600_000);
+    world.pause_holder(600_000);
+    world.want_only(5);
+    assert!(until_resident(&mut world, 5, 30_000).is_some());
+}
+
+#[test]
+fn a_successor_takes_over_from_a_paused_holder() {
+    for fenced in [true, false] {
+        let mut world = World::new(4, fenced, CALM);
+        world.want_only(0);
+        assert!(until_resident(&mut world, 0, 30_000).is_some());
+        world.pause_holder(600_000);
+        world.want_only(5);
+        assert!(
+            until_resident(&mut world, 5, 60_000).is_some(),
+            "fenced {fenced}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/cranereach-core/tests/control_world/mod.rs
@@ -0,0 +1,594 @@
+//! A cell with engines, a table and instances, all in one seeded loop.
+//!
+//! Orders are lost, late and doubled; reports lag; table answers are lost after
+//! the write took effect; instances pause between deciding and sending; engines
+//! restart empty. Real memory is checked at every step.
+
+use std::collections::HashMap;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use cranereach_core::cell::CellId;
+use cranereach_core::control::CellControl;
+use cranereach_core::control::ControlAction;
+use cranereach_core::control::ControlOptions;
+use cranereach_core::control::IntentRow;
+use cranereach_core::control::Order;
+use cranereach_core::control::OrderEnd;
+use cranereach_core::fence::FenceGate;
+use cranereach_core::lease::LeaseRow;
+use cranereach_core::lease::LeaseView;
+use cranereach_core::ledger::MemoryReport;
+use cranereach_core::ledger::ORDER_LIFETIME_MS;
+use cranereach_core::ledger::Occupant;
+use cranereach_core::ledger::OrderKind;
+use cranereach_core::ledger::Residence;
+use cranereach_core::names::InstanceId;
+use cranereach_core::names::TargetName;
+use cranereach_core::names::WorkerId;
+use cranereach_core::residency::MARGINAL;
+use cranereach_core::residency::PlanTarget;
+use cranereach_core::residency::PlanWeights;
+
+/// Memory of one engine.
+pub const CAPACITY_BYTES: u64 = 100;
+
+/// Time of one step.
+const STEP_MS: u64 = 100;
+
+/// Time of a load.
+const LOAD_MS: u64 = 700;
+
+/// Which faults happen, each as a chance per event.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub lose_order: f64,
+    pub delay_order: f64,
+    pub double_order: f64,
+    pub pause: f64,
+    pub restart_engine: f64,
+    pub lose_table_answer: f64,
+    pub table_outage: f64,
+    pub lose_report: f64,
+}
+
+/// Nothing fails.
+pub const CALM: Faults = Faults {
+    lose_order: 0.0,
+    delay_order: 0.0,
+    double_order: 0.0,
+    pause: 0.0,
+    restart_engine: 0.0,
+    lose_table_answer: 0.0,
+    table_outage: 0.0,
+    lose_report: 0.0,
+};
+
+/// One engine.
+#[derive(Debug)]
+struct Engine {
+    id: WorkerId,
+    gate: FenceGate,
+    occupants: HashMap<TargetName, (Occupant, u64)>,
+    boot_id: u64,
+    report: MemoryReport,
+}
+
+/// One instance, perhaps paused with actions that it hasn't carried out.
+#[derive(Debug)]
+struct Instance {
+    control: CellControl,
+    offset_ms: u64,
+    paused_until_ms: u64,
+    held: Vec<ControlAction>,
+    read_at_ms: u64,
+    intents_version: u64,
+}
+
+/// An order on its way.
+#[derive(Debug)]
+struct Flying {
+    arrives_at_ms: u64,
+    order: Order,
+}
+
+/// Everything.
+pub struct World {
+    pub now_ms: u64,
+    pub faults: Faults,
+    pub random: SmallRng,
+    pub served: HashMap<TargetName, u64>,
+    fenced: bool,
+    engines: Vec<Engine>,
+    instances: Vec<Instance>,
+    flying: Vec<Flying>,
+    lease: (u64, LeaseRow),
+    intents: (u64, IntentRow),
+    table_down_until_ms: u64,
+    targets: Vec<PlanTarget>,
+}
+
+impl World {
+    /// Makes a world of two engines and three instances.
+    pub fn new(seed: u64, fenced: bool, faults: Faults) -> Self {
+        let ids: Vec<WorkerId> = (0..2)
+            .map(|number| WorkerId::from(format!("w{number}")))
+            .collect();
+        let options = ControlOptions {
+            policy: &MARGINAL,
+            weights: PlanWeights::default(),
+            loads_per_s: 50.0,
+            loads_at_once_count: 4,
+        };
+        let cell = CellId {
+            pool: "text".into(),
+            domain: "d1".into(),
+            part: 0,
+        };
+        let instance = |number: u64| {
+            let own = InstanceId::from(format!("i{number}"));
+            let offset_ms = number * 777_000;
+            let mut control = CellControl::new(own, cell.clone(), fenced, options, offset_ms);
+            control.list(&ids, CAPACITY_BYTES);
+            Instance {
+                control,
+                offset_ms,
+                paused_until_ms: 0,
+                held: Vec::new(),
+                read_at_ms: 0,
+                intents_version: 0,
+            }
+        };
+        Self {
+            now_ms: 0,
+            faults,
+            random: SmallRng::seed_from_u64(seed),
+            served: HashMap::new(),
+            fenced,
+            engines: ids.iter().map(|id| Engine::new(id.clone())).collect(),
+            instances: (0..3).map(instance).collect(),
+            flying: Vec::new(),
+            lease: (0, LeaseRow::default()),
+            intents: (0, IntentRow::default()),
+            table_down_until_ms: 0,
+            targets: (0..6).map(target).collect(),
+        }
+    }
+
+    /// Lets one step pass.
+    pub fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.change_demand();
+        self.break_things();
+        self.land_orders();
+        for engine in &mut self.engines {
+            engine.settle(self.now_ms);
+        }
+        for index in 0..self.instances.len() {
+            self.run_instance(index);
+        }
+        // The next reports show the present; this step's showed the past.
+        self.engines.iter_mut().for_each(Engine::refresh);
+        self.note_served();
+    }
+
+    /// Returns the most memory that any engine has taken now.
+    pub fn most_taken_bytes(&self) -> u64 {
+        self.engines
+            .iter()
+            .map(Engine::taken_bytes)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Takes the table down until a time.
+    pub fn table_down_until(&mut self, until_ms: u64) {
+        self.table_down_until_ms = until_ms;
+    }
+
+    /// Pauses whoever acts now.
+    pub fn pause_holder(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        let acting = self
+            .instances
+            .iter_mut()
+            .filter(|instance| instance.control.acting().is_some());
+        acting.for_each(|instance| instance.paused_until_ms = until_ms);
+    }
+
+    /// Returns how many instances believe that they may order now.
+    pub fn acting_count(&self) -> usize {
+        let may = |instance: &&Instance| {
+            instance
+                .control
+                .lease()
+                .may_order(self.now_ms + instance.offset_ms, false)
+                .is_some()
+        };
+        self.instances.iter().filter(may).count()
+    }
+
+    /// Asks for one target and nothing else.
+    pub fn want_only(&mut self, index: usize) {
+        for (number, target) in self.targets.iter_mut().enumerate() {
+            target.waiting_count = u32::from(number == index);
+            target.oldest_wait_ms = 1_000;
+            target.concurrent_count = 0.0;
+        }
+    }
+
+    /// Whether some engine serves a target.
+    pub fn is_resident(&self, index: usize) -> bool {
+        let name = &self.targets[index].target;
+        let serves = |engine: &Engine| {
+            engine
+                .occupants
+                .get(name)
+                .is_some_and(|(occupant, _)| occupant.residence == Residence::Resident)
+        };
+        self.engines.iter().any(serves)
+    }
+
+    /// Changes what is asked for, now and then.
+    fn change_demand(&mut self) {
+        for target in &mut self.targets {
+            if self.faults.lose_report > 0.0 && self.random.random_bool(0.02) {
+                target.waiting_count = self.random.random_range(0..3);
+                target.oldest_wait_ms = self.random.random_range(0..5_000);
+                target.concurrent_count = self.random.random_range(0.0..20.0);
+                target.used_at_ms = self.now_ms;
+            }
+        }
+    }
+
+    /// Pauses instances, restarts engines, takes the table down.
+    fn break_things(&mut self) {
+        for instance in &mut self.instances {
+            if self.random.random_bool(self.faults.pause) {
+                instance.paused_until_ms = self.now_ms + self.random.random_range(500..15_000);
+            }
+        }
+        for engine in &mut self.engines {
+            if self.random.random_bool(self.faults.restart_engine) {
+                *engine = Engine::new(engine.id.clone());
+                engine.boot_id = self.random.random();
+            }
+        }
+        if self.random.random_bool(self.faults.table_outage) {
+            self.table_down_until_ms = self.now_ms + self.random.random_range(1_000..40_000);
+        }
+    }
+
+    /// Lets orders arrive that are due.
+    fn land_orders(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, flying): (Vec<_>, Vec<_>) = std::mem::take(&mut self.flying)
+            .into_iter()
+            .partition(|flying| flying.arrives_at_ms <= now_ms);
+        self.flying = flying;
+        for Flying { order, .. } in due {
+            self.land(&order);
+        }
+    }
+
+    /// Lets one order arrive; returns its end.
+    fn land(&mut self, order: &Order) -> OrderEnd {
+        let (now_ms, fenced) = (self.now_ms, self.fenced);
+        let engine = self
+            .engines
+            .iter_mut()
+            .find(|engine| engine.id == order.worker);
+        engine.map_or(OrderEnd::Unknown, |engine| {
+            engine.take(now_ms, order, fenced)
+        })
+    }
+
+    /// Runs one instance unless it is paused.
+    fn run_instance(&mut self, index: usize) {
+        if self.now_ms < self.instances[index].paused_until_ms {
+            return;
+        }
+        // What was decided before a pause goes out after it.
+        let held = std::mem::take(&mut self.instances[index].held);
+        self.carry_out(index, held);
+        self.read_lease(index);
+        self.deliver_reports(index);
+        let view = LeaseView {
+            is_owner: self
+                .instances
+                .iter()
+                .position(|other| self.now_ms >= other.paused_until_ms)
+                == Some(index),
+            holder_heard: self.holder_is_awake(),
+            checks_fences: self.fenced,
+            leaving: false,
+            nonce: self.random.random(),
+        };
+        let mut actions = Vec::new();
+        let instance = &mut self.instances[index];
+        let own_ms = self.now_ms + instance.offset_ms;
+        instance
+            .control
+            .tick(own_ms, &view, &self.targets, &mut actions);
+        if self.random.random_bool(self.faults.pause) {
+            self.instances[index].paused_until_ms =
+                self.now_ms + self.random.random_range(100..ORDER_LIFETIME_MS / 2);
+            self.instances[index].held = actions;
+            return;
+        }
+        self.carry_out(index, actions);
+    }
+
+    /// Whether the row's holder runs.
+    fn holder_is_awake(&self) -> bool {
+        let name = |number: usize| InstanceId::from(format!("i{number}"));
+        let holder =
+            (0..self.instances.len()).find(|&number| self.lease.1.holder == Some(name(number)));
+        holder.is_some_and(|number| self.now_ms >= self.instances[number].paused_until_ms)
+    }
+
+    /// Whether the table answers.
+    fn table_is_up(&self) -> bool {
+        self.now_ms >= self.table_down_until_ms
+    }
+
+    /// Reads the lease row every two seconds.
+    fn read_lease(&mut self, index: usize) {
+        let is_up = self.table_is_up();
+        let instance = &mut self.instances[index];
+        if is_up && self.now_ms >= instance.read_at_ms + 2_000 {
+            instance.read_at_ms = self.now_ms;
+            let (version, row) = &self.lease;
+            instance
+                .control
+                .lease_mut()
+                .read(self.now_ms + instance.offset_ms, *version, row);
+        }
+    }
+
+    /// Brings the engines' lagging reports to an instance that acts.
+    fn deliver_reports(&mut self, index: usize) {
+        for number in 0..self.engines.len() {
+            if self.random.random_bool(self.faults.lose_report) {
+                continue;
+            }
+            let report = self.engines[number].report.clone();
+            let worker = self.engines[number].id.clone();
+            let instance = &mut self.instances[index];
+            let own_ms = self.now_ms + instance.offset_ms;
+            instance
+                .control
+                .reported(own_ms, &worker, &report, 4, &mut Vec::new());
+        }
+    }
+
+    /// Carries out what an instance decided.
+    fn carry_out(&mut self, index: usize, actions: Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                ControlAction::WriteLease(write) => {
+                    self.write_lease(index, write.expected_version, &write.row);
+                }
+                ControlAction::Send(order) => self.send(index, &order),
+                ControlAction::ReadIntents => self.read_intents(index),
+                ControlAction::RecordIntents(row) => self.record_intents(index, row),
+                ControlAction::LoadTook(_) => {}
+            }
+        }
+    }
+
+    /// Writes the lease row; the answer may be lost.
+    fn write_lease(&mut self, index: usize, expected_version: u64, row: &LeaseRow) {
+        if !self.table_is_up() {
+            return;
+        }
+        let applied = self.lease.0 == expected_version;
+        if applied {
+            self.lease = (expected_version + 1, row.clone());
+        }
+        if self.random.random_bool(self.faults.lose_table_answer) {
+            return;
+        }
+        let instance = &mut self.instances[index];
+        let own_ms = self.now_ms + instance.offset_ms;
+        if applied {
+            instance
+                .control
+                .lease_mut()
+                .applied(own_ms, expected_version + 1, row);
+        } else {
+            instance.control.lease_mut().refused(row);
+        }
+    }
+
+    /// Reads the intents row.
+    fn read_intents(&mut self, index: usize) {
+        let is_up = self.table_is_up();
+        let instance = &mut self.instances[index];
+        if !is_up {
+            instance.control.intents_unread();
+            return;
+        }
+        instance.intents_version = self.intents.0;
+        instance
+            .control
+            .intents_read(self.now_ms + instance.offset_ms, &self.intents.1);
+    }
+
+    /// Writes the intents row and sends what is then allowed.
+    fn record_intents(&mut self, index: usize, row: IntentRow) {
+        let is_up = self.table_is_up();
+        let instance = &mut self.instances[index];
+        let applied = is_up && self.intents.0 == instance.intents_version;
+        if applied {
+            instance.intents_version += 1;
+            self.intents = (instance.intents_version, row);
+        }
+        let told = applied && !self.random.random_bool(self.faults.lose_table_answer);
+        let orders = instance
+            .control
+            .intents_recorded(self.now_ms + instance.offset_ms, told);
+        if !told {
+            instance.control.intents_lost();
+        }
+        for order in orders {
+            self.send(index, &order);
+        }
+    }
+
+    /// Sends an order into a world that loses, delays and doubles.
+    fn send(&mut self, index: usize, order: &Order) {
+        let instance = &mut self.instances[index];
+        let own_ms = self.now_ms + instance.offset_ms;
+        let expired = instance
+            .control
+            .lease()
+            .expires_at_ms()
+            .is_none_or(|at_ms| own_ms >= at_ms);
+        if !self.fenced && expired {
+            instance
+                .control
+                .order_ended(own_ms, &order.worker, order.fence, OrderEnd::NeverSent);
+            return;
+        }
+        if self.random.random_bool(self.faults.double_order) {
+            self.fly(order.clone());
+        }
+        if self.random.random_bool(self.faults.lose_order) {
+            return self.end(index, order, OrderEnd::Unknown);
+        }
+        if self.random.random_bool(self.faults.delay_order) {
+            self.fly(order.clone());
+            return self.end(index, order, OrderEnd::Unknown);
+        }
+        let end = self.land(order);
+        self.end(index, order, end);
+    }
+
+    /// Lets an order arrive late.
+    fn fly(&mut self, order: Order) {
+        let latest_ms = if self.fenced {
+            120_000
+        } else {
+            ORDER_LIFETIME_MS / 2
+        };
+        let arrives_at_ms = self.now_ms + self.random.random_range(100..latest_ms);
+        self.flying.push(Flying {
+            arrives_at_ms,
+            order,
+        });
+    }
+
+    /// Tells an instance how its order ended.
+    fn end(&mut self, index: usize, order: &Order, end: OrderEnd) {
+        let own_ms = self.now_ms + self.instances[index].offset_ms;
+        self.instances[index]
+            .control
+            .order_ended(own_ms, &order.worker, order.fence, end);
+    }
+
+    /// Notes which targets are resident, for reachability.
+    fn note_served(&mut self) {
+        for engine in &self.engines {
+            for (name, (occupant, _)) in &engine.occupants {
+                if occupant.residence == Residence::Resident {
+                    self.served.insert(name.clone(), self.now_ms);
+                }
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// Starts empty.
+    fn new(id: WorkerId) -> Self {
+        let report = MemoryReport {
+            boot_id: 1,
+            report_number: 0,
+            ..MemoryReport::default()
+        };
+        Self {
+            id,
+            gate: FenceGate::default(),
+            occupants: HashMap::new(),
+            boot_id: 1,
+            report,
+        }
+    }
+
+    /// Memory taken now.
+    fn taken_bytes(&self) -> u64 {
+        self.occupants
+            .values()
+            .map(|(occupant, _)| occupant.memory_bytes)
+            .sum()
+    }
+
+    /// Takes an order as a real engine does.
+    fn take(&mut self, now_ms: u64, order: &Order, fenced: bool) -> OrderEnd {
+        if fenced && (order.boot_id != self.boot_id || !self.gate.admit(order.fence)) {
+            return OrderEnd::Refused(self.gate.highest());
+        }
+        match order.kind {
+            OrderKind::Load => {
+                let occupant = Occupant {
+                    target: order.target.clone(),
+                    memory_bytes: order.memory_bytes,
+                    residence: Residence::Loading,
+                };
+                self.occupants
+                    .entry(order.target.clone())
+                    .or_insert((occupant, now_ms + LOAD_MS));
+            }
+            OrderKind::Unload => {
+                if let Some((occupant, due_ms)) = self.occupants.get_mut(&order.target) {
+                    occupant.residence = Residence::Unloading;
+                    *due_ms = now_ms + 300;
+                }
+            }
+            OrderKind::Seal => {}
+        }
+        OrderEnd::Accepted
+    }
+
+    /// Finishes loads and unloads that are due.
+    fn settle(&mut self, now_ms: u64) {
+        self.occupants.retain(|_, (occupant, due_ms)| {
+            occupant.residence != Residence::Unloading || now_ms < *due_ms
+        });
+        for (occupant, due_ms) in self.occupants.values_mut() {
+            if occupant.residence == Residence::Loading && now_ms >= *due_ms {
+                occupant.residence = Residence::Resident;
+            }
+        }
+    }
+
+    /// Makes the report that will be seen next.
+    fn refresh(&mut self) {
+        self.report = MemoryReport {
+            boot_id: self.boot_id,
+            report_number: self.report.report_number + 1,
+            applied: self.gate.highest(),
+            occupants: self
+                .occupants
+                .values()
+                .map(|(occupant, _)| occupant.clone())
+                .collect(),
+        };
+    }
+}
+
+/// Makes a target; most pairs of them fill an engine.
+fn target(number: u64) -> PlanTarget {
+    PlanTarget {
+        target: TargetName::from(format!("m{number}")),
+        memory_bytes: 30 + 10 * (number % 4),
+        base: None,
+        concurrent_count: 0.0,
+        waiting_count: 0,
+        oldest_wait_ms: 0,
+        used_at_ms: 0,
+    }
+}
--- a/crates/cranereach-entry/src/control_actor/calls.rs
+++ b/crates/cranereach-entry/src/control_actor/calls.rs
@@ -88,7 +88,7 @@
                 .table
                 .write(&lease_key(&id), write.expected_version, &write.row)
                 .await;
-            Some(Ended::LeaseWritten(id, written))
+            Some(Ended::LeaseWritten(id, write.row, written))
         });
     }
 
--- a/crates/cranereach-entry/src/control_actor/mod.rs
+++ b/crates/cranereach-entry/src/control_actor/mod.rs
@@ -102,7 +102,7 @@
 #[derive(Debug)]
 enum Ended {
     LeaseRead(CellId, Result<Versioned<LeaseRow>, StoreError>),
-    LeaseWritten(CellId, Result<u64, StoreError>),
+    LeaseWritten(CellId, LeaseRow, Result<u64, StoreError>),
     IntentsRead(CellId, Result<Versioned<IntentRow>, StoreError>),
     IntentsWritten(CellId, Result<u64, StoreError>),
     Polled(CellId, WorkerId, EngineLoad),
@@ -387,11 +387,15 @@
                     .lease_mut()
                     .read(now_ms, row.version, &row.value);
             }),
-            Ended::LeaseWritten(id, Ok(version)) => self.with_cell(&id, |cell| {
-                cell.control.lease_mut().applied(now_ms, version);
+            Ended::LeaseWritten(id, row, Ok(version)) => self.with_cell(&id, |cell| {
+                cell.control.lease_mut().applied(now_ms, version, &row);
             }),
-            Ended::LeaseWritten(id, Err(StoreError::Conflict | StoreError::NotDone { .. })) => {
-                self.with_cell(&id, |cell| cell.control.lease_mut().refused());
+            Ended::LeaseWritten(
+                id,
+                row,
+                Err(StoreError::Conflict | StoreError::NotDone { .. }),
+            ) => {
+                self.with_cell(&id, |cell| cell.control.lease_mut().refused(&row));
             }
             Ended::IntentsRead(id, Ok(row)) => self.with_cell(&id, |cell| {
                 cell.intents_version = row.version;
@@ -402,10 +406,12 @@
             }
             Ended::IntentsWritten(id, written) => self.intents_written(now_ms, &id, &written),
             Ended::Ordered(id, worker, fence, end) => {
-                self.with_cell(&id, |cell| cell.control.order_ended(&worker, fence, end));
+                self.with_cell(&id, |cell| {
+                    cell.control.order_ended(now_ms, &worker, fence, end);
+                });
             }
             Ended::LeaseRead(_, Err(_))
-            | Ended::LeaseWritten(_, Err(StoreError::Unknown { .. })) => {}
+            | Ended::LeaseWritten(_, _, Err(StoreError::Unknown { .. })) => {}
         }
     }
 
@@ -436,7 +442,10 @@
 
     /// Takes what a peer says of a cell's epoch.
     fn heard_epoch(&mut self, id: &CellId, epoch: Epoch) {
-        self.with_cell(id, |cell| cell.control.lease_mut().heard_epoch(epoch));
+        let now_ms = self.shared.now_ms();
+        self.with_cell(id, |cell| {
+            cell.control.lease_mut().heard_epoch(now_ms, epoch);
+        });
     }
 }
 
--- a/crates/cranereach-entry/src/upstream/engine.rs
+++ b/crates/cranereach-entry/src/upstream/engine.rs
@@ -42,6 +42,7 @@
     /// Sends an order and says how it ended.
     pub async fn order(&self, order: &Order) -> OrderEnd {
         let request = OrderRequest {
+            boot_id: order.boot_id,
             fence: order.fence,
             kind: order.kind,
             target: order.target.clone(),
--- a/crates/cranereach-standin/src/engine/loading.rs
+++ b/crates/cranereach-standin/src/engine/loading.rs
@@ -23,7 +23,8 @@
 /// Applies an order; loading goes on in the background.
 pub(crate) fn apply(state: &Arc<EngineState>, order: &OrderRequest) -> OrderAnswer {
     let mut memory = lock(&state.memory);
-    let is_accepted = memory.gate.admit(order.fence) || !state.options.checks_fences;
+    let is_in_order = order.boot_id == state.boot_id && memory.gate.admit(order.fence);
+    let is_accepted = is_in_order || !state.options.checks_fences;
     let highest = memory.gate.highest();
     if !is_accepted {
         lock(&state.counts).fenced_count += 1;
--- a/crates/cranereach-standin/src/engine/state.rs
+++ b/crates/cranereach-standin/src/engine/state.rs
@@ -130,7 +130,7 @@
     pub(crate) prefixes: Mutex<VecDeque<u64>>,
     report: Mutex<EngineLoad>,
     is_leaving: Mutex<bool>,
-    boot_id: u64,
+    pub(crate) boot_id: u64,
 }
 
 impl EngineState {
--- a/crates/cranereach-wire/src/upstream.rs
+++ b/crates/cranereach-wire/src/upstream.rs
@@ -36,6 +36,8 @@
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderRequest {
+    /// Boot that the order is meant for; checked by engines that check fences.
+    pub boot_id: u64,
     /// Place among all orders; checked by engines that do.
     pub fence: Fence,
     /// What to do.
