Promises proved on real sockets; a worker that says it leaves is planned around

Cause: a worker that reported itself as leaving, with the list down, still counted as a replica, so its models were loaded nowhere else: callers waited out their whole time to start and were refused (the test took 312 s). Changed: the control of a cell plans nothing for a worker that reports leaving. Ruled out: taking it off the cell's list (its ledger would be lost, and with it the memory that is still taken). Also new: tests for memory, reachability, whole answers, at most once and configuration, each with its fault brought about on real sockets.

--- a/crates/cranereach-core/src/control/mod.rs
+++ b/crates/cranereach-core/src/control/mod.rs
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Takes whether a worker says that it is leaving; nothing is planned for it.
+    pub fn leaving(&mut self, worker: &WorkerId, is_leaving: bool) {
+        if let Some(control) = self.workers.get_mut(worker) {
+            control.leaving(is_leaving);
+        }
+    }
+
     /// Takes the end of an order.
     pub fn order_ended(&mut self, now_ms: u64, worker: &WorkerId, fence: Fence, end: OrderEnd) {
         if let OrderEnd::Refused(highest) = end {
--- a/crates/cranereach-core/src/control/worker.rs
+++ b/crates/cranereach-core/src/control/worker.rs
@@ -24,6 +24,7 @@
     open: Vec<Order>,
     sealed_at_ms: u64,
     ordered_at_ms: u64,
+    is_leaving: bool,
 }
 
 impl WorkerControl {
@@ -38,6 +39,7 @@
             open: Vec::new(),
             sealed_at_ms: 0,
             ordered_at_ms: 0,
+            is_leaving: false,
         }
     }
 
@@ -113,9 +115,14 @@
         self.ledger.boot_id()
     }
 
+    /// Takes whether the worker says that it is leaving.
+    pub(super) fn leaving(&mut self, is_leaving: bool) {
+        self.is_leaving = is_leaving;
+    }
+
     /// Whether the worker may be planned for.
     pub(super) fn is_ready(&self) -> bool {
-        self.ledger.is_sealed()
+        !self.is_leaving && self.ledger.is_sealed()
     }
 
     /// Returns how many loads are open or under way.
--- a/crates/cranereach-entry/src/control_actor/mod.rs
+++ b/crates/cranereach-entry/src/control_actor/mod.rs
@@ -372,6 +372,7 @@
             return;
         };
         let mut actions = Vec::new();
+        cell.control.leaving(worker, load.is_leaving);
         cell.control
             .reported(now_ms, worker, &load.memory, load.slot_count, &mut actions);
         self.carry_out(id, actions);
--- /dev/null
+++ b/tests/testsuite/configuration.rs
@@ -0,0 +1,254 @@
+//! Accepted configuration comes into force everywhere and never reverts.
+
+use serde_json::json;
+
+use crate::fixture;
+use crate::fixture::GENEROUS_MS;
+use crate::fixture::Shape;
+use cranereach_bench::deployment::Deployment;
+use cranereach_bench::deployment::wait_until;
+use cranereach_core::codes::ResultCode;
+use cranereach_standin::load::Call;
+use cranereach_standin::platform::state::PlatformFaults;
+use cranereach_standin::platform::state::StoreFaults;
+use cranereach_standin::relay::Passage;
+use cranereach_wire::folder::Folder;
+
+/// A store that refuses.
+const REFUSES: StoreFaults = StoreFaults {
+    refuses: true,
+    holds: false,
+    slow_ms: 0,
+};
+
+/// Takes account a's key away and gives it another.
+fn rotated() -> Folder {
+    let mut declared = fixture::declarations(true);
+    declared["accounts"][0]["key_hashes"] = json!([fixture::key_hash("new-key")]);
+    fixture::folder(&declared)
+}
+
+/// Sets the platform's faults.
+fn set(deployment: &Deployment, faults: PlatformFaults) {
+    *deployment.platform.state().faults.lock().unwrap() = faults;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_working_everywhere() {
+    let deployment = fixture::start(Shape {
+        entry_count: 3,
+        ..Shape::default()
+    })
+    .await;
+    let version = deployment.apply(&rotated()).await.unwrap();
+    deployment
+        .wait_for_version(version, GENEROUS_MS)
+        .await
+        .unwrap();
+    for entry in 0..3 {
+        let models = |key: &str| Call::plain(key, hyper::Method::GET, "/v1/models", "");
+        assert_eq!(deployment.call(entry, &models("a")).await.code, Some(1002));
+        assert_eq!(deployment.call(entry, &models("new-key")).await.status, 200);
+    }
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_instance_that_saw_the_commit_is_enough_when_the_stores_go_down() {
+    let deployment = fixture::start(Shape {
+        entry_count: 3,
+        ..Shape::default()
+    })
+    .await;
+    let version = deployment.apply(&rotated()).await.unwrap();
+    let has_it = |entry: &Option<cranereach_entry::entry::Entry>| {
+        entry
+            .as_ref()
+            .is_some_and(|entry| entry.shared().config().held().version == version)
+    };
+    wait_until("one instance", GENEROUS_MS, || {
+        deployment.entries.iter().any(has_it)
+    })
+    .await
+    .unwrap();
+    set(
+        &deployment,
+        PlatformFaults {
+            table: REFUSES,
+            objects: REFUSES,
+            list: REFUSES,
+            ..PlatformFaults::default()
+        },
+    );
+    deployment
+        .wait_for_version(version, GENEROUS_MS)
+        .await
+        .unwrap();
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_instance_starts_from_its_peers_while_table_and_objects_are_down() {
+    let mut deployment = fixture::start(Shape {
+        entry_count: 2,
+        ..Shape::default()
+    })
+    .await;
+    let version = deployment.apply(&rotated()).await.unwrap();
+    deployment
+        .wait_for_version(version, GENEROUS_MS)
+        .await
+        .unwrap();
+    set(
+        &deployment,
+        PlatformFaults {
+            table: REFUSES,
+            objects: REFUSES,
+            ..PlatformFaults::default()
+        },
+    );
+    deployment.add_entry("d0").await.unwrap();
+    deployment
+        .wait_for_version(version, GENEROUS_MS)
+        .await
+        .unwrap();
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_commit_whose_answer_is_lost_is_reported_rightly_and_once() {
+    let deployment = fixture::start(Shape::default()).await;
+    set(
+        &deployment,
+        PlatformFaults {
+            lose_answer_count: 1,
+            ..PlatformFaults::default()
+        },
+    );
+    let stores = deployment.stores();
+    let accepted = stores.apply(&rotated(), 1, "change-1").await.unwrap();
+    assert_eq!(accepted.version, 2);
+    // The operator asks again with the same identity: nothing is applied twice.
+    let again = stores.apply(&rotated(), 1, "change-1").await.unwrap();
+    assert_eq!(again.version, 2);
+    assert_eq!(stores.current().await.unwrap().head.version, 2);
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_a_store_down_nothing_is_accepted() {
+    let deployment = fixture::start(Shape::default()).await;
+    for (name, faults) in [
+        (
+            "table",
+            PlatformFaults {
+                table: REFUSES,
+                ..PlatformFaults::default()
+            },
+        ),
+        (
+            "objects",
+            PlatformFaults {
+                objects: REFUSES,
+                ..PlatformFaults::default()
+            },
+        ),
+    ] {
+        set(&deployment, faults);
+        let error = deployment
+            .stores()
+            .apply(&rotated(), 1, "change-1")
+            .await
+            .unwrap_err();
+        assert_eq!(error.code(), ResultCode::StoreUnavailable, "{name}");
+        set(&deployment, PlatformFaults::default());
+        assert_eq!(
+            deployment.stores().current().await.unwrap().head.version,
+            1,
+            "{name}"
+        );
+    }
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_racing_on_the_same_file_lose_cleanly_on_others_both_win() {
+    let deployment = fixture::start(Shape::default()).await;
+    let mine = rotated();
+    let mut theirs = fixture::declarations(true);
+    theirs["accounts"][1]["parameters"] = json!({ "share": 3.0 });
+    let theirs = fixture::folder(&theirs);
+    let stores = deployment.stores();
+    let (first, second) = tokio::join!(
+        stores.apply(&mine, 1, "mine"),
+        stores.apply(&theirs, 1, "theirs")
+    );
+    let errors: Vec<_> = [&first, &second]
+        .into_iter()
+        .filter_map(|result| result.as_ref().err())
+        .collect();
+    assert_eq!(errors.len(), 1, "{first:?} {second:?}");
+    assert_eq!(errors[0].code(), ResultCode::RaceLost);
+    assert!(errors[0].to_string().contains("version 2"), "{}", errors[0]);
+    // Two new files, both begun from version 2: the later is merged.
+    let with_file = |name: &str, folder: &Folder| {
+        let account = json!({ "accounts": [{ "name": name, "template": "all", "key_hashes": [fixture::key_hash(name)] }] });
+        let mut folder = folder.clone();
+        folder
+            .files
+            .insert(format!("{name}.jsonc"), account.to_string());
+        folder
+    };
+    let base = stores.current().await.unwrap().folder;
+    let (c, d) = (with_file("c", &base), with_file("d", &base));
+    let (third, fourth) = tokio::join!(stores.apply(&c, 2, "c"), stores.apply(&d, 2, "d"));
+    let mut versions = [third.unwrap().version, fourth.unwrap().version];
+    versions.sort_unstable();
+    assert_eq!(versions, [3, 4]);
+    assert_eq!(stores.current().await.unwrap().folder.files.len(), 3);
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_table_takes_nobody_out_and_an_instance_cut_off_goes() {
+    let mut deployment = fixture::start(Shape {
+        entry_count: 2,
+        ..Shape::default()
+    })
+    .await;
+    // The third reaches the platform through a relay, and hears nobody else:
+    // it has another secret, so no digest of the others counts for it.
+    let (relay, address) = deployment.relay_to_platform().await.unwrap();
+    let third = deployment
+        .add_entry_with("d0", &address, |settings| {
+            settings.peers.secret = Some("other".to_owned());
+        })
+        .await
+        .unwrap();
+    deployment.wait_for_version(1, GENEROUS_MS).await.unwrap();
+    let ready = |index: usize| {
+        deployment.entries[index]
+            .as_ref()
+            .unwrap()
+            .shared()
+            .is_ready()
+    };
+    wait_until("all ready", GENEROUS_MS, || (0..3).all(ready))
+        .await
+        .unwrap();
+    relay.set(Passage::Cut);
+    wait_until("the third out", GENEROUS_MS, || !ready(third))
+        .await
+        .unwrap();
+    let models = Call::plain("a", hyper::Method::GET, "/v1/models", "");
+    assert_eq!(deployment.call(third, &models).await.code, Some(2008));
+    deployment.platform.state().faults.lock().unwrap().table = REFUSES;
+    tokio::time::sleep(std::time::Duration::from_secs(8)).await;
+    assert!(ready(0) && ready(1));
+    relay.set(Passage::Open);
+    deployment.platform.state().faults.lock().unwrap().table = StoreFaults::default();
+    wait_until("the third back", GENEROUS_MS, || ready(third))
+        .await
+        .unwrap();
+    deployment.stop().await;
+}
--- /dev/null
+++ b/tests/testsuite/fixture.rs
@@ -0,0 +1,123 @@
+//! A small deployment within the test's process, with faults at hand.
+
+use serde_json::Value;
+use serde_json::json;
+
+use cranereach_bench::deployment::Deployment;
+use cranereach_core::snapshot::KeyHash;
+use cranereach_standin::engine::state::EngineOptions;
+use cranereach_standin::platform::state::WeightLimits;
+use cranereach_wire::folder::Folder;
+
+/// Models of 60 bytes each, of which an engine of 100 bytes holds one.
+pub const MODEL_COUNT: usize = 4;
+
+/// Time that a test allows for anything to come about, in milliseconds.
+pub const GENEROUS_MS: u64 = 60_000;
+
+/// What a test varies.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Entry instances, one failure domain after the other.
+    pub entry_count: usize,
+    /// Engines, one failure domain after the other.
+    pub engine_count: usize,
+    /// Failure domains.
+    pub domain_count: usize,
+    /// Whether the engines check fences.
+    pub checks_fences: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            entry_count: 1,
+            engine_count: 1,
+            domain_count: 1,
+            checks_fences: true,
+        }
+    }
+}
+
+/// Returns the hash of a key, as declarations carry it.
+pub fn key_hash(key: &str) -> String {
+    blake3::Hash::from_bytes(KeyHash::of(key).0).to_string()
+}
+
+/// Returns declarations as JSON, for a test to change.
+pub fn declarations(checks_fences: bool) -> Value {
+    let models: Vec<Value> = (0..MODEL_COUNT)
+        .map(|n| json!({ "name": format!("m{n}"), "pool": "text", "memory_bytes": 60 }))
+        .collect();
+    let names: Vec<String> = (0..MODEL_COUNT).map(|n| format!("m{n}")).collect();
+    let account =
+        |name: &str| json!({ "name": name, "template": "all", "key_hashes": [key_hash(name)] });
+    json!({
+        "pools": [
+            { "name": "text", "kind": "engine", "checks_fences": checks_fences, "worker_memory_bytes": 100 },
+            { "name": "ledger", "kind": "plain", "path_prefix": "/ledger" },
+        ],
+        "models": models,
+        "templates": [{
+            "name": "all", "models": names, "services": ["ledger"],
+            "first_token_ms": 30_000, "whole_answer_ms": 60_000,
+        }],
+        "accounts": [account("a"), account("b")],
+    })
+}
+
+/// Returns a folder of one file.
+pub fn folder(declared: &Value) -> Folder {
+    Folder {
+        files: [("all.jsonc".to_owned(), declared.to_string())].into(),
+    }
+}
+
+/// Starts a deployment of a shape with one ledger, its declarations in force.
+pub async fn start(shape: Shape) -> Deployment {
+    let mut deployment = Deployment::start(WeightLimits::default())
+        .await
+        .expect("the platform starts");
+    let domain = |number: usize| format!("d{}", number % shape.domain_count);
+    for number in 0..shape.engine_count {
+        let options = EngineOptions {
+            memory_bytes: 100,
+            token_us: 2_000,
+            report_every_ms: 50,
+            checks_fences: shape.checks_fences,
+            ..EngineOptions::default()
+        };
+        deployment
+            .add_engine("text", &domain(number), options)
+            .await
+            .expect("an engine starts");
+    }
+    deployment
+        .add_service("ledger", "d0")
+        .await
+        .expect("a service starts");
+    let version = deployment
+        .apply(&folder(&declarations(shape.checks_fences)))
+        .await
+        .expect("declarations are accepted");
+    for number in 0..shape.entry_count {
+        deployment
+            .add_entry(&domain(number))
+            .await
+            .expect("an instance starts");
+    }
+    deployment
+        .wait_for_version(version, GENEROUS_MS)
+        .await
+        .expect("the version is in force");
+    deployment
+}
+
+/// Returns how often any engine was overcommitted.
+pub fn excess_count(deployment: &Deployment) -> u64 {
+    deployment
+        .engines
+        .iter()
+        .map(|engine| engine.stand_in.state().ledger().excess_count)
+        .sum()
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,11 @@
 //! The test suite of the whole system, by feature.
 
+mod at_most_once;
+mod configuration;
+mod fixture;
 mod harness;
+mod memory;
 mod planned_stop;
+mod reachable;
 mod thin_path;
+mod whole_answers;
--- /dev/null
+++ b/tests/testsuite/memory.rs
@@ -0,0 +1,151 @@
+//! Memory is never overcommitted, on real sockets, while orders go wrong.
+
+use crate::fixture;
+use crate::fixture::GENEROUS_MS;
+use crate::fixture::MODEL_COUNT;
+use crate::fixture::Shape;
+use cranereach_standin::engine::state::EngineFaults;
+use cranereach_standin::load::Call;
+
+/// The fault table: what happens to orders while models are swapped.
+const ROWS: [(&str, EngineFaults); 4] = [
+    (
+        "orders lost",
+        EngineFaults {
+            lose_order_count: 3,
+            ..NONE
+        },
+    ),
+    (
+        "orders late",
+        EngineFaults {
+            delay_order_count: 3,
+            delay_order_ms: 1_500,
+            ..NONE
+        },
+    ),
+    (
+        "orders doubled",
+        EngineFaults {
+            repeat_order_count: 6,
+            ..NONE
+        },
+    ),
+    (
+        "lost and late",
+        EngineFaults {
+            lose_order_count: 2,
+            delay_order_count: 2,
+            delay_order_ms: 700,
+            ..NONE
+        },
+    ),
+];
+
+/// No faults.
+const NONE: EngineFaults = EngineFaults {
+    lose_order_count: 0,
+    delay_order_count: 0,
+    delay_order_ms: 0,
+    repeat_order_count: 0,
+    close_unanswered_count: 0,
+    break_stream_count: 0,
+    wrong_request_count: 0,
+    garble_count: 0,
+    refuse_count: 0,
+};
+
+/// Asks for each model in turn, each of which must be loaded in another's place.
+async fn swap_all(deployment: &cranereach_bench::deployment::Deployment, entry: usize) {
+    for number in 0..MODEL_COUNT {
+        let call = Call::chat("a", &format!("m{number}"), "hello", 2, true);
+        let outcome = deployment
+            .call_until_served(entry, &call, GENEROUS_MS)
+            .await;
+        assert!(
+            outcome.status == 200 && outcome.is_whole,
+            "m{number}: {outcome:?}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn swapping_models_while_orders_go_wrong_stays_within_memory() {
+    for (name, faults) in ROWS {
+        let deployment = fixture::start(Shape {
+            entry_count: 2,
+            ..Shape::default()
+        })
+        .await;
+        *deployment.engines[0]
+            .stand_in
+            .state()
+            .faults
+            .lock()
+            .unwrap() = faults;
+        swap_all(&deployment, 1).await;
+        assert_eq!(fixture::excess_count(&deployment), 0, "{name}");
+        deployment.stop().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn swapping_models_on_engines_without_fences_stays_within_memory() {
+    let deployment = fixture::start(Shape {
+        checks_fences: false,
+        ..Shape::default()
+    })
+    .await;
+    let faults = EngineFaults {
+        repeat_order_count: 4,
+        ..NONE
+    };
+    *deployment.engines[0]
+        .stand_in
+        .state()
+        .faults
+        .lock()
+        .unwrap() = faults;
+    for number in 0..2 {
+        let call = Call::chat("a", &format!("m{number}"), "hello", 2, true);
+        let outcome = deployment
+            .call_until_served(0, &call, 2 * GENEROUS_MS)
+            .await;
+        assert_eq!(outcome.status, 200, "m{number}: {outcome:?}");
+    }
+    assert_eq!(fixture::excess_count(&deployment), 0);
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_swaps_models_after_the_holder_is_killed() {
+    let mut deployment = fixture::start(Shape {
+        entry_count: 3,
+        ..Shape::default()
+    })
+    .await;
+    let first = Call::chat("a", "m0", "hello", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &first, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let is_holder =
+        |entry: &cranereach_entry::entry::Entry| entry.shared().metrics.cells_held.get() > 0;
+    let holder = deployment
+        .entries
+        .iter()
+        .position(|entry| entry.as_ref().is_some_and(is_holder));
+    let holder = holder.expect("somebody loaded m0");
+    deployment.kill_entry(holder).await;
+    let other = (holder + 1) % 3;
+    let next = Call::chat("a", "m1", "hello", 2, true);
+    let outcome = deployment
+        .call_until_served(other, &next, GENEROUS_MS)
+        .await;
+    assert_eq!(outcome.status, 200, "{outcome:?}");
+    assert_eq!(fixture::excess_count(&deployment), 0);
+    deployment.stop().await;
+}
--- /dev/null
+++ b/tests/testsuite/reachable.rs
@@ -0,0 +1,183 @@
+//! Every entitled model stays reachable.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use crate::fixture;
+use crate::fixture::GENEROUS_MS;
+use crate::fixture::Shape;
+use cranereach_standin::load::Call;
+use cranereach_standin::platform::state::PlatformFaults;
+use cranereach_standin::platform::state::StoreFaults;
+use cranereach_wire::platform::ListState;
+
+/// All of the platform's stores refuse.
+const OUTAGE: PlatformFaults = PlatformFaults {
+    table: REFUSES,
+    objects: REFUSES,
+    list: REFUSES,
+    list_frozen: false,
+    lose_answer_count: 0,
+};
+
+/// A store refuses.
+const REFUSES: StoreFaults = StoreFaults {
+    refuses: true,
+    holds: false,
+    slow_ms: 0,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_model_is_served_while_hot_ones_fill_everything() {
+    let deployment = Arc::new(
+        fixture::start(Shape {
+            entry_count: 2,
+            engine_count: 2,
+            ..Shape::default()
+        })
+        .await,
+    );
+    let stop = Arc::new(AtomicBool::new(false));
+    let hot: Vec<_> = (0..16)
+        .map(|number| {
+            let deployment = Arc::clone(&deployment);
+            let stop = Arc::clone(&stop);
+            tokio::spawn(async move {
+                let call = Call::chat("a", &format!("m{}", number % 2), "hot", 20, true);
+                while !stop.load(Ordering::Relaxed) {
+                    deployment.call(number % 2, &call).await;
+                }
+            })
+        })
+        .collect();
+    for model in ["m0", "m1"] {
+        deployment
+            .wait_for_resident(model, GENEROUS_MS)
+            .await
+            .unwrap();
+    }
+    let cold = Call::chat("b", "m3", "cold", 2, true);
+    let outcome = deployment.call_until_served(0, &cold, GENEROUS_MS).await;
+    stop.store(true, Ordering::Relaxed);
+    for task in hot {
+        task.await.unwrap();
+    }
+    assert!(outcome.status == 200 && outcome.is_whole, "{outcome:?}");
+    assert_eq!(fixture::excess_count(&deployment), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_whose_only_worker_dies_is_loaded_elsewhere() {
+    let mut deployment = fixture::start(Shape {
+        engine_count: 2,
+        domain_count: 2,
+        ..Shape::default()
+    })
+    .await;
+    let call = Call::chat("a", "m0", "hello", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &call, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let holder = deployment
+        .engines
+        .iter()
+        .position(|engine| engine.stand_in.state().is_resident("m0"))
+        .unwrap();
+    deployment.kill_engine(holder);
+    let dead = &deployment.engines[holder];
+    deployment.platform.state().unlist(&dead.id);
+    let outcome = deployment.call_until_served(0, &call, GENEROUS_MS).await;
+    assert_eq!(outcome.status, 200, "{outcome:?}");
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_model_is_loaded_while_the_platform_is_out() {
+    let deployment = fixture::start(Shape {
+        entry_count: 3,
+        ..Shape::default()
+    })
+    .await;
+    let first = Call::chat("a", "m0", "hello", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &first, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    *deployment.platform.state().faults.lock().unwrap() = OUTAGE;
+    // Longer than a term and than the time in which an instance must be confirmed.
+    tokio::time::sleep(std::time::Duration::from_secs(9)).await;
+    for entry in 0..3 {
+        let next = Call::chat("a", &format!("m{}", entry + 1), "hello", 2, true);
+        let outcome = deployment
+            .call_until_served(entry, &next, GENEROUS_MS)
+            .await;
+        assert_eq!(outcome.status, 200, "entry {entry}: {outcome:?}");
+    }
+    assert_eq!(fixture::excess_count(&deployment), 0);
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_worker_gets_no_new_work() {
+    let deployment = fixture::start(Shape {
+        engine_count: 2,
+        ..Shape::default()
+    })
+    .await;
+    let call = Call::chat("a", "m0", "hello", 2, true);
+    for by_list in [true, false] {
+        assert_eq!(
+            deployment
+                .call_until_served(0, &call, GENEROUS_MS)
+                .await
+                .status,
+            200
+        );
+        let holder = deployment
+            .engines
+            .iter()
+            .position(|engine| engine.stand_in.state().is_resident("m0"))
+            .unwrap();
+        let engine = &deployment.engines[holder];
+        if by_list {
+            deployment.list_worker(
+                &engine.id,
+                &engine.pool,
+                &engine.domain,
+                &engine.address,
+                ListState::Leaving,
+            );
+        } else {
+            // The list is down meanwhile: the worker's own report has to do.
+            deployment.platform.state().faults.lock().unwrap().list = REFUSES;
+            engine.stand_in.state().leave();
+        }
+        tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+        let before = engine.stand_in.state().ledger().run_count;
+        let outcome = deployment.call_until_served(0, &call, GENEROUS_MS).await;
+        assert_eq!(outcome.status, 200, "by list {by_list}: {outcome:?}");
+        assert_eq!(
+            engine.stand_in.state().ledger().run_count,
+            before,
+            "by list {by_list}"
+        );
+        if by_list {
+            deployment.list_worker(
+                &engine.id,
+                &engine.pool,
+                &engine.domain,
+                &engine.address,
+                ListState::Live,
+            );
+        }
+    }
+    deployment.stop().await;
+}
--- /dev/null
+++ b/tests/testsuite/whole_answers.rs
@@ -0,0 +1,191 @@
+//! Each caller gets the whole answer to its own request, or a clear error.
+
+use std::sync::Arc;
+
+use crate::fixture;
+use crate::fixture::GENEROUS_MS;
+use crate::fixture::Shape;
+use cranereach_standin::engine::state::EngineFaults;
+use cranereach_standin::load::Call;
+
+/// One row: a fault, whether the call streams, and the code that is due.
+type Row = (&'static str, EngineFaults, bool, Option<u16>);
+
+/// The fault table; no code means that a repeat by us brings a whole answer.
+fn rows() -> Vec<Row> {
+    let none = EngineFaults::default();
+    vec![
+        (
+            "an answer to another request, stream",
+            EngineFaults {
+                wrong_request_count: 1,
+                ..none
+            },
+            true,
+            None,
+        ),
+        (
+            "an answer to another request, whole",
+            EngineFaults {
+                wrong_request_count: 1,
+                ..none
+            },
+            false,
+            None,
+        ),
+        (
+            "a garbled answer, stream",
+            EngineFaults {
+                garble_count: 1,
+                ..none
+            },
+            true,
+            None,
+        ),
+        (
+            "a garbled answer, whole",
+            EngineFaults {
+                garble_count: 1,
+                ..none
+            },
+            false,
+            None,
+        ),
+        (
+            "no answer after the request ran",
+            EngineFaults {
+                close_unanswered_count: 1,
+                ..none
+            },
+            true,
+            None,
+        ),
+        (
+            "refused as not run",
+            EngineFaults {
+                refuse_count: 1,
+                ..none
+            },
+            true,
+            None,
+        ),
+        (
+            "a stream that breaks midway",
+            EngineFaults {
+                break_stream_count: 1,
+                ..none
+            },
+            true,
+            Some(3002),
+        ),
+        (
+            "garbled for good",
+            EngineFaults {
+                garble_count: 100,
+                ..none
+            },
+            false,
+            Some(3005),
+        ),
+        (
+            "unanswered for good",
+            EngineFaults {
+                close_unanswered_count: 100,
+                ..none
+            },
+            false,
+            Some(3001),
+        ),
+        (
+            "refused for good",
+            EngineFaults {
+                refuse_count: 100,
+                ..none
+            },
+            false,
+            Some(2007),
+        ),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_answer_never_passes_as_whole() {
+    let deployment = fixture::start(Shape::default()).await;
+    let warm = Call::chat("a", "m0", "warm", 1, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &warm, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let engine = deployment.engines[0].stand_in.state();
+    for (name, faults, stream, code) in rows() {
+        *engine.faults.lock().unwrap() = faults;
+        let call = Call::chat("a", "m0", name, 6, stream);
+        let outcome = deployment.call(0, &call).await;
+        *engine.faults.lock().unwrap() = EngineFaults::default();
+        assert_eq!(outcome.code, code, "{name}: {outcome:?}");
+        assert_eq!(
+            outcome.is_whole && outcome.status == 200,
+            code.is_none(),
+            "{name}: {outcome:?}"
+        );
+        assert_eq!(
+            outcome.text.contains(name),
+            code.is_none() || code == Some(3002),
+            "{name}: {outcome:?}"
+        );
+        // Fills the retry budget again for the next row.
+        for _call in 0..60 {
+            deployment.call(0, &warm).await;
+        }
+    }
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_callers_at_once_each_get_their_own_answer() {
+    let deployment = Arc::new(
+        fixture::start(Shape {
+            entry_count: 2,
+            engine_count: 2,
+            ..Shape::default()
+        })
+        .await,
+    );
+    let warm = Call::chat("a", "m0", "warm", 1, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &warm, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let calls: Vec<_> = (0..200)
+        .map(|number| {
+            let deployment = Arc::clone(&deployment);
+            tokio::spawn(async move {
+                let own = format!("own words of caller {number}.");
+                let call = Call::chat("a", "m0", &own, 5, number % 2 == 0);
+                // Every seventh caller leaves early; others must not get its answer.
+                if number % 7 == 0 {
+                    let soon = std::time::Duration::from_millis(5);
+                    let _left =
+                        tokio::time::timeout(soon, deployment.call(number % 2, &call)).await;
+                    return;
+                }
+                let outcome = deployment
+                    .call_until_served(number % 2, &call, GENEROUS_MS)
+                    .await;
+                assert!(
+                    outcome.is_whole && outcome.text.contains(&own),
+                    "{outcome:?}"
+                );
+            })
+        })
+        .collect();
+    for call in calls {
+        call.await.unwrap();
+    }
+}
