Residency plans over all cells; a cold target that nobody can wait for is loaded

Changed: replicas are counted over all cells from the reports in the digests; one cell adds the next, where there is room first; bases go together with their adapters; a quarter of the loads may be forced by targets waited for 6 s; who asked for a target that is nowhere counts as waiting for 10 s; a worker that is asked for more than its slots gains less by another replica. Ruled out: the weight store as the limit (27 moves of some 50 allowed).

--- a/crates/cranereach-bench/src/scenario/run.rs
+++ b/crates/cranereach-bench/src/scenario/run.rs
@@ -198,7 +198,7 @@
         match fault.kind {
             FaultKind::KillEngine => kill_engines(&mut deployment, |index| index == 0),
             FaultKind::KillDomain => {
-                kill_engines(&mut deployment, |index| index % scenario.domain_count == 0)
+                kill_engines(&mut deployment, |index| index % scenario.domain_count == 0);
             }
             FaultKind::KillEntry => deployment.kill_entry(0).await,
             FaultKind::TableDown => deployment.platform.state().set_table_refuses(true),
--- a/crates/cranereach-core/src/control/mod.rs
+++ b/crates/cranereach-core/src/control/mod.rs
@@ -35,6 +35,9 @@
 /// Time after which an open order is settled by a further seal, in ms.
 const SETTLE_AFTER_MS: u64 = 1_000;
 
+/// Part of the loads that targets waited for too long may force.
+const FORCED_PART: f64 = 0.25;
+
 /// What varies between deployments.
 #[derive(Clone, Copy, Debug)]
 pub struct ControlOptions {
@@ -121,6 +124,7 @@
     workers: HashMap<WorkerId, WorkerControl>,
     intents: Intents,
     bucket: TokenBucket,
+    forced: TokenBucket,
     moves_count: u64,
 }
 
@@ -144,6 +148,7 @@
             workers: HashMap::new(),
             intents: Intents::default(),
             bucket: TokenBucket::new(options.loads_per_s, burst, now_ms),
+            forced: TokenBucket::new(options.loads_per_s * FORCED_PART, 1.0, now_ms),
             moves_count: 0,
         }
     }
@@ -330,8 +335,15 @@
             weights: self.options.weights,
             targets,
             workers: &workers,
+            forces_allowed_count: usize::from(self.forced.is_filled(now_ms)),
         };
         let moves = (self.options.policy.plan)(&input);
+        if moves
+            .iter()
+            .any(|planned| planned.is_urgent && !planned.is_load)
+        {
+            self.forced.take(now_ms);
+        }
         let orders = self.orders_of(now_ms, &moves, targets);
         self.moves_count += orders.len() as u64;
         if self.checks_fences {
--- a/crates/cranereach-core/src/dispatch/mod.rs
+++ b/crates/cranereach-core/src/dispatch/mod.rs
@@ -152,8 +152,8 @@
         let target = waiting.target.clone();
         self.demand.arrived(now_ms, &target);
         self.used_at_ms.insert(target.clone(), now_ms);
+        self.note_wanted(now_ms, &target);
         if let Some(refusal) = self.refusal(now_ms, &waiting) {
-            self.note_wanted(now_ms, &refusal, &target);
             actions.push(refusal);
             return;
         }
@@ -299,21 +299,19 @@
         }
     }
 
-    /// Remembers that a caller was sent away because a target isn't resident.
-    fn note_wanted(&mut self, now_ms: u64, refusal: &Action, target: &TargetName) {
-        if !matches!(
-            refusal,
-            Action::Refuse {
-                code: ResultCode::NotResident,
-                ..
-            }
-        ) {
+    /// Remembers that a caller asked for a target that is nowhere.
+    ///
+    /// It counts on after the caller was sent away, so that a target that needs
+    /// longer to load than callers wait is loaded all the same.
+    fn note_wanted(&mut self, now_ms: u64, target: &TargetName) {
+        if self.workers.holders(target).next().is_some() {
             return;
         }
-        let wanted = self.wanted.entry(target.clone()).or_insert(Wanted {
+        let fresh = Wanted {
             first_at_ms: now_ms,
             last_at_ms: now_ms,
-        });
+        };
+        let wanted = self.wanted.entry(target.clone()).or_insert(fresh);
         if now_ms.saturating_sub(wanted.last_at_ms) >= WANTED_FOR_MS {
             wanted.first_at_ms = now_ms;
         }
--- a/crates/cranereach-core/src/dispatch/workers.rs
+++ b/crates/cranereach-core/src/dispatch/workers.rs
@@ -41,6 +41,8 @@
     pub slot_count: u32,
     /// Whether it says that it is leaving.
     pub is_leaving: bool,
+    /// Memory that nothing takes, in bytes.
+    pub free_bytes: u64,
     /// Targets that it can serve now.
     pub resident: Vec<TargetName>,
 }
--- a/crates/cranereach-core/src/residency/mod.rs
+++ b/crates/cranereach-core/src/residency/mod.rs
@@ -17,12 +17,13 @@
 
 use self::draft::Draft;
 use self::draft::Eviction;
-use self::worth::growing_targets;
+pub use self::worth::LOADED_AFTER_MS;
 use self::worth::marginal_worth;
 use self::worth::recency_worth;
 use self::worth::urgent_targets;
+use self::worth::wanted_targets;
 
-/// Demand of one target on this cell.
+/// Demand for one target, and where it stands.
 #[derive(Clone, Debug)]
 pub struct PlanTarget {
     /// The target.
@@ -31,7 +32,7 @@
     pub memory_bytes: u64,
     /// Base that must be resident beside it.
     pub base: Option<TargetName>,
-    /// Requests that would run at once on this cell.
+    /// Requests that would run at once, over all cells.
     pub concurrent_count: f64,
     /// Requests that wait, on all instances.
     pub waiting_count: u32,
@@ -39,6 +40,12 @@
     pub oldest_wait_ms: u64,
     /// When it was last asked for.
     pub used_at_ms: u64,
+    /// Replicas in cells before this one in the target's order.
+    pub replicas_before: usize,
+    /// Replicas in all other cells.
+    pub replicas_elsewhere: usize,
+    /// Whether this cell adds the next replica.
+    pub may_grow: bool,
 }
 
 /// One target on a worker.
@@ -85,7 +92,7 @@
     fn default() -> Self {
         Self {
             attainment_weight: 1.0,
-            move_weight: 0.5,
+            move_weight: 0.2,
         }
     }
 }
@@ -101,6 +108,8 @@
     pub targets: &'a [PlanTarget],
     /// Workers of the cell.
     pub workers: &'a [PlanWorker],
+    /// Targets waited for too long that may evict whatever it costs, now.
+    pub forces_allowed_count: usize,
 }
 
 /// One order that the plan wants sent.
@@ -163,19 +172,15 @@
 /// Plans by marginal attainment.
 fn plan_marginal(input: &PlanInput<'_>) -> Vec<Move> {
     let mut draft = Draft::new(input);
-    for index in urgent_targets(input) {
-        let eviction = Eviction {
-            worth: marginal_worth,
-            spares_young: false,
-        };
-        draft.place(index, eviction, true, f64::INFINITY);
-    }
-    for (index, gain) in growing_targets(input) {
-        let eviction = Eviction {
-            worth: marginal_worth,
-            spares_young: true,
-        };
-        draft.place(index, eviction, false, gain);
+    for wanted in wanted_targets(input) {
+        let spares_young = wanted.gain.is_finite();
+        draft.place(
+            wanted,
+            Eviction {
+                worth: marginal_worth,
+                spares_young,
+            },
+        );
     }
     draft.moves
 }
@@ -183,12 +188,15 @@
 /// Plans by least recent use, on demand only.
 fn plan_least_recently_used(input: &PlanInput<'_>) -> Vec<Move> {
     let mut draft = Draft::new(input);
-    for index in urgent_targets(input) {
-        let eviction = Eviction {
-            worth: recency_worth,
-            spares_young: false,
-        };
-        draft.place(index, eviction, true, f64::INFINITY);
+    draft.forces_left_count = usize::MAX;
+    for wanted in urgent_targets(input) {
+        draft.place(
+            wanted,
+            Eviction {
+                worth: recency_worth,
+                spares_young: false,
+            },
+        );
     }
     draft.moves
 }
--- a/crates/cranereach-core/src/residency/split.rs
+++ b/crates/cranereach-core/src/residency/split.rs
@@ -1,63 +1,95 @@
-//! Splits the demand for a target over the cells of its pool.
+//! One cell's place among those that may hold a target.
 //!
-//! Every holder computes the same split from the digests, so that no two cells
-//! load the same cold target and hot ones spread over failure domains.
+//! Every holder computes the same from the reports in the digests: which cells
+//! hold the target already, and which one adds the next replica. So no two cells
+//! load the same cold target, and replicas spread over failure domains.
+
+use std::collections::HashMap;
 
-use super::worth::SLOT_PART;
 use crate::cell::CellId;
 use crate::cell::hosts_of;
 use crate::names::TargetName;
 
 /// Wait after which the next cell in order loads a target too, in ms.
-const NEXT_CELL_AFTER_MS: u64 = 5_000;
+const NEXT_CELL_AFTER_MS: u64 = 8_000;
+
+/// Where a target stands over all cells of its pool.
+#[derive(Clone, Debug, Default)]
+pub struct Standing<'a> {
+    /// Replicas in each cell that has any.
+    pub replicas: HashMap<&'a CellId, usize>,
+    /// Cells that hold its base, for an adapter; empty for others.
+    pub base_cells: Vec<&'a CellId>,
+    /// Most memory that is free on one worker of each cell, in bytes.
+    pub free_bytes: HashMap<&'a CellId, u64>,
+    /// Memory that the target needs, its base included if that is nowhere.
+    pub needed_bytes: u64,
+    /// How long the oldest caller has waited, in milliseconds.
+    pub oldest_wait_ms: u64,
+}
 
-/// One cell's part of the demand for a target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CellDemand {
-    /// Requests that would run at once on this cell.
-    pub concurrent_count: f64,
-    /// Whether this cell is to load the target for those who wait.
-    pub serves_waiting: bool,
+/// One cell's place in a target's order of cells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CellPlace {
+    /// Replicas in cells before this one.
+    pub replicas_before: usize,
+    /// Replicas in all other cells.
+    pub replicas_elsewhere: usize,
+    /// Whether this cell adds the next replica.
+    pub may_grow: bool,
 }
 
-/// Returns a cell's part of a target's demand.
+/// Returns a cell's place in a target's order.
 ///
-/// The nth replica belongs to the nth cell in the target's order of hosts.
+/// `ordered_by` is the target's base for an adapter, so that adapters follow
+/// their base, and the target itself for all others.
 ///
 /// ```
 /// use cranereach_core::cell::CellId;
-/// use cranereach_core::residency::split::cell_demand;
+/// use cranereach_core::residency::split::{cell_place, Standing};
 ///
 /// let cell = CellId { pool: "text".into(), domain: "d1".into(), part: 0 };
-/// let part = cell_demand(&"m".into(), 5.0, 0, &[cell.clone()], &cell, 16);
-/// assert_eq!(part.concurrent_count, 5.0);
-/// assert!(part.serves_waiting);
+/// let place = cell_place(&"m".into(), &Standing::default(), &[cell.clone()], &cell);
+/// assert!(place.may_grow);
 /// ```
-pub fn cell_demand(
-    target: &TargetName,
-    total_count: f64,
-    oldest_wait_ms: u64,
+pub fn cell_place(
+    ordered_by: &TargetName,
+    standing: &Standing<'_>,
     cells: &[CellId],
     cell: &CellId,
-    slot_count: u32,
-) -> CellDemand {
-    let hosts = hosts_of(target, cells);
-    let Some(place) = hosts.iter().position(|host| *host == cell) else {
-        return CellDemand {
-            concurrent_count: 0.0,
-            serves_waiting: false,
-        };
+) -> CellPlace {
+    let hosts = hosts_of(ordered_by, cells);
+    let replicas = |host: &CellId| standing.replicas.get(host).copied().unwrap_or_default();
+    let own_place = hosts
+        .iter()
+        .position(|host| *host == cell)
+        .unwrap_or(hosts.len());
+    let replicas_before = hosts
+        .iter()
+        .take(own_place)
+        .map(|host| replicas(host))
+        .sum();
+    let total: usize = hosts.iter().map(|host| replicas(host)).sum();
+    let has_base =
+        |host: &&&CellId| standing.base_cells.is_empty() || standing.base_cells.contains(*host);
+    let fits = |host: &CellId| {
+        standing
+            .free_bytes
+            .get(host)
+            .is_some_and(|free| *free >= standing.needed_bytes)
     };
-    let per_replica = (f64::from(slot_count) * SLOT_PART).max(1.0);
-    let mut concurrent_count = 0.0;
-    let mut start_count = per_replica * place as f64;
-    while start_count < total_count {
-        concurrent_count += (total_count - start_count).min(per_replica);
-        start_count += per_replica * hosts.len() as f64;
-    }
-    let serves_waiting = place as u64 <= oldest_wait_ms / NEXT_CELL_AFTER_MS;
-    CellDemand {
-        concurrent_count,
-        serves_waiting,
+    // Where there is room first, then where it stands least.
+    let next = hosts
+        .iter()
+        .filter(has_base)
+        .min_by_key(|host| (!fits(host), replicas(host)));
+    let is_next = next.is_some_and(|next| *next == cell);
+    let is_aged = total == 0
+        && own_place as u64 <= standing.oldest_wait_ms / NEXT_CELL_AFTER_MS
+        && standing.oldest_wait_ms >= NEXT_CELL_AFTER_MS;
+    CellPlace {
+        replicas_before,
+        replicas_elsewhere: total - replicas(cell),
+        may_grow: is_next || is_aged,
     }
 }
--- a/crates/cranereach-core/src/token_bucket.rs
+++ b/crates/cranereach-core/src/token_bucket.rs
@@ -39,6 +39,12 @@
         allowed
     }
 
+    /// Whether a token could be taken.
+    pub fn is_filled(&mut self, now_ms: u64) -> bool {
+        self.fill(now_ms);
+        self.level_count >= 1.0
+    }
+
     /// Adds what has accrued since the last look.
     fn fill(&mut self, now_ms: u64) {
         let passed_ms = now_ms.saturating_sub(self.filled_at_ms);
--- a/crates/cranereach-core/tests/control_world/mod.rs
+++ b/crates/cranereach-core/tests/control_world/mod.rs
@@ -234,6 +234,7 @@
     /// Changes what is asked for, now and then.
     fn change_demand(&mut self) {
         for target in &mut self.targets {
+            target.oldest_wait_ms += if target.waiting_count > 0 { STEP_MS } else { 0 };
             if self.faults.lose_report > 0.0 && self.random.random_bool(0.02) {
                 target.waiting_count = self.random.random_range(0..3);
                 target.oldest_wait_ms = self.random.random_range(0..5_000);
@@ -590,5 +591,8 @@
         waiting_count: 0,
         oldest_wait_ms: 0,
         used_at_ms: 0,
+        replicas_before: 0,
+        replicas_elsewhere: 0,
+        may_grow: true,
     }
 }
--- a/crates/cranereach-entry/src/control_actor/demand.rs
+++ b/crates/cranereach-entry/src/control_actor/demand.rs
@@ -2,13 +2,16 @@
 
 use std::collections::HashMap;
 
+use super::residents::Residents;
 use crate::dispatch_actor::DispatchDigest;
 use cranereach_core::cell::CellId;
+use cranereach_core::declarations::Model;
 use cranereach_core::demand::TargetDemand;
 use cranereach_core::names::InstanceId;
 use cranereach_core::names::TargetName;
 use cranereach_core::residency::PlanTarget;
-use cranereach_core::residency::split::cell_demand;
+use cranereach_core::residency::split::Standing;
+use cranereach_core::residency::split::cell_place;
 use cranereach_core::snapshot::Snapshot;
 
 /// Age at which a peer's demand no longer counts, in milliseconds.
@@ -69,21 +72,16 @@
         );
     }
 
-    /// Returns the targets of a cell's pool with the cell's part of the demand.
+    /// Returns the targets of a cell's pool with their demand and standing.
     pub(super) fn targets(
         &self,
         now_ms: u64,
         snapshot: &Snapshot,
         cell: &CellId,
-        cells: &[CellId],
-        slot_count: u32,
+        residents: &Residents,
     ) -> Vec<PlanTarget> {
-        let mut same_pool: Vec<CellId> = cells
-            .iter()
-            .filter(|other| other.pool == cell.pool)
-            .cloned()
-            .collect();
-        same_pool.sort();
+        let cells = residents.cells_of(&cell.pool);
+        let free_bytes = residents.free_bytes();
         let models = snapshot
             .models
             .values()
@@ -91,30 +89,36 @@
         models
             .map(|model| {
                 let total = self.total(now_ms, &model.name);
-                let part = cell_demand(
-                    &model.name,
-                    total.concurrent_count,
-                    total.oldest_wait_ms,
-                    &same_pool,
+                let standing = Standing {
+                    replicas: residents.replicas(&model.name),
+                    base_cells: model.base.as_ref().map_or_else(Vec::new, |base| {
+                        residents.replicas(base).into_keys().collect()
+                    }),
+                    free_bytes: free_bytes.clone(),
+                    needed_bytes: needed_bytes(snapshot, model, residents),
+                    oldest_wait_ms: total.oldest_wait_ms,
+                };
+                let place = cell_place(
+                    model.base.as_ref().unwrap_or(&model.name),
+                    &standing,
+                    &cells,
                     cell,
-                    slot_count,
                 );
                 PlanTarget {
                     target: model.name.clone(),
                     memory_bytes: model.memory_bytes,
                     base: model.base.clone(),
-                    concurrent_count: part.concurrent_count,
-                    waiting_count: if part.serves_waiting {
-                        total.waiting_count
-                    } else {
-                        0
-                    },
+                    concurrent_count: total.concurrent_count,
+                    waiting_count: total.waiting_count,
                     oldest_wait_ms: total.oldest_wait_ms,
                     used_at_ms: self
                         .used_at_ms
                         .get(&model.name)
                         .copied()
                         .unwrap_or_default(),
+                    replicas_before: place.replicas_before,
+                    replicas_elsewhere: place.replicas_elsewhere,
+                    may_grow: place.may_grow,
                 }
             })
             .collect()
@@ -145,3 +149,17 @@
         *used_at_ms = at_ms.max(*used_at_ms);
     }
 }
+
+/// Returns the memory that one more replica needs, its base included if that is
+/// nowhere, in bytes.
+fn needed_bytes(snapshot: &Snapshot, model: &Model, residents: &Residents) -> u64 {
+    let has_base = model
+        .base
+        .as_ref()
+        .is_some_and(|base| !residents.replicas(base).is_empty());
+    if has_base {
+        model.memory_bytes
+    } else {
+        snapshot.memory_with_base_bytes(&model.name)
+    }
+}
--- a/crates/cranereach-entry/src/control_actor/mod.rs
+++ b/crates/cranereach-entry/src/control_actor/mod.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod demand;
+mod residents;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 
 pub(crate) use self::calls::tell;
 use self::demand::DemandBook;
+use self::residents::Residents;
 use crate::discovery::worker_id;
 use crate::dispatch_actor::LoadTook;
 use crate::dispatch_actor::Reports;
@@ -129,6 +131,7 @@
     clients: HashMap<WorkerId, Arc<EngineControl>>,
     polled: HashMap<WorkerId, WorkerReport>,
     demand: DemandBook,
+    residents: Residents,
 }
 
 impl ControlActor {
@@ -144,6 +147,7 @@
             clients: HashMap::new(),
             polled: HashMap::new(),
             demand: DemandBook::default(),
+            residents: Residents::default(),
         }
     }
 
@@ -180,6 +184,10 @@
             .retain(|id, _| workers.iter().any(|instance| &worker_id(instance) == id));
         self.polled.retain(|id, _| self.clients.contains_key(id));
         self.cells.retain(|id, _| members.contains_key(id));
+        let cells = members.iter().flat_map(|(cell, workers)| {
+            workers.iter().map(|worker| (worker.clone(), cell.clone()))
+        });
+        self.residents.arrange(cells.collect());
         self.make_cells(members);
     }
 
@@ -283,7 +291,7 @@
                 if place < WATCHER_COUNT || is_acting {
                     self.read_lease(now_ms, id);
                 }
-                self.tick_cell(now_ms, id, place == 0, &live, &ids);
+                self.tick_cell(now_ms, id, place == 0, &live);
             }
         }
         let held = self
@@ -295,18 +303,9 @@
     }
 
     /// Ticks one cell and carries out what it wants.
-    fn tick_cell(
-        &mut self,
-        now_ms: u64,
-        id: &CellId,
-        is_owner: bool,
-        live: &[InstanceId],
-        ids: &[CellId],
-    ) {
+    fn tick_cell(&mut self, now_ms: u64, id: &CellId, is_owner: bool, live: &[InstanceId]) {
         let snapshot = self.shared.snapshot();
-        let targets = self
-            .demand
-            .targets(now_ms, &snapshot, id, ids, self.slots_of(id));
+        let targets = self.demand.targets(now_ms, &snapshot, id, &self.residents);
         let Some(cell) = self.cells.get_mut(id) else {
             return;
         };
@@ -325,15 +324,6 @@
         self.carry_out(id, actions);
     }
 
-    /// Returns how many requests a worker of a cell's pool batches.
-    fn slots_of(&self, id: &CellId) -> u32 {
-        let in_pool = self.cells.iter().filter(|(other, _)| other.pool == id.pool);
-        let reports = in_pool
-            .flat_map(|(_, cell)| &cell.workers)
-            .filter_map(|worker| self.polled.get(worker));
-        reports.map(|report| report.slot_count).max().unwrap_or(1)
-    }
-
     /// Carries out what a cell wants.
     fn carry_out(&mut self, id: &CellId, actions: Vec<ControlAction>) {
         for action in actions {
@@ -357,6 +347,17 @@
             .occupants
             .iter()
             .filter(|occupant| occupant.residence == Residence::Resident);
+        let taken_bytes: u64 = load
+            .memory
+            .occupants
+            .iter()
+            .map(|occupant| occupant.memory_bytes)
+            .sum();
+        let snapshot = self.shared.snapshot();
+        let capacity_bytes = snapshot
+            .pools
+            .get(&id.pool)
+            .map_or(0, |pool| pool.worker_memory_bytes);
         let report = WorkerReport {
             worker: worker.clone(),
             boot_id: load.memory.boot_id,
@@ -364,9 +365,11 @@
             outstanding_count: load.outstanding_count,
             slot_count: load.slot_count,
             is_leaving: load.is_leaving,
+            free_bytes: capacity_bytes.saturating_sub(taken_bytes),
             resident: resident.map(|occupant| occupant.target.clone()).collect(),
         };
         tell(&self.shared.dispatcher, Reports(vec![report.clone()]));
+        self.residents.reported(&report);
         self.polled.insert(worker.clone(), report);
         let Some(cell) = self.cells.get_mut(id) else {
             return;
@@ -482,6 +485,7 @@
         for part in message.parts {
             match part {
                 DigestPart::Demand(demand) => self.demand.peer(now_ms, &message.sender, demand),
+                DigestPart::Report(report) => self.residents.reported(&report),
                 DigestPart::Epoch(cell, epoch) => self.heard_epoch(&cell, epoch),
                 _ => {}
             }
--- /dev/null
+++ b/tests/testsuite/bad_input.rs
@@ -0,0 +1,159 @@
+//! Bad input gets a clear code and harms nobody else.
+
+use hyper::Method;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+
+use crate::fixture;
+use crate::fixture::GENEROUS_MS;
+use crate::fixture::Shape;
+use cranereach_bench::deployment::Deployment;
+use cranereach_standin::load::Call;
+
+/// Returns an address of the first entry instance.
+fn addresses(deployment: &Deployment) -> cranereach_entry::entry::Addresses {
+    deployment.entries[0].as_ref().unwrap().addresses()
+}
+
+/// Sends bytes and returns whatever comes back until the end.
+async fn raw(deployment: &Deployment, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addresses(deployment).callers)
+        .await
+        .unwrap();
+    // The other side may close before all is written.
+    let _written = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _ended = tokio::time::timeout(std::time::Duration::from_millis(GENEROUS_MS), reading).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_their_codes_and_others_are_served_meanwhile() {
+    let deployment = fixture::start(Shape::default()).await;
+    let good = Call::chat("a", "m0", "hello", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &good, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let large = "x".repeat(5 * 1024 * 1024);
+    let chat = |body: &str| Call::plain("a", Method::POST, "/v1/chat/completions", body);
+    let rows = [
+        ("a body that is too large", chat(&large), 1004),
+        ("not JSON", chat("{"), 1001),
+        ("no model", chat("{}"), 1001),
+        (
+            "a wrong key",
+            Call::chat("nobody", "m0", "hello", 2, true),
+            1002,
+        ),
+        (
+            "an unknown model",
+            Call::chat("a", "none", "hello", 2, true),
+            1003,
+        ),
+        (
+            "a path of nobody",
+            Call::plain("a", Method::GET, "/nowhere", ""),
+            1006,
+        ),
+    ];
+    for (name, call, code) in rows {
+        let outcome = deployment.call(0, &call).await;
+        // A caller that still writes may miss the answer to a body too large.
+        let is_expected = outcome.code == Some(code) || (code == 1004 && outcome.status == 0);
+        assert!(is_expected, "{name}: {} {:?}", outcome.status, outcome.code);
+        assert_eq!(deployment.call(0, &good).await.status, 200, "after {name}");
+    }
+    let huge_header = format!(
+        "GET /v1/models HTTP/1.1\r\nx: {}\r\n\r\n",
+        "y".repeat(100_000)
+    );
+    assert!(
+        raw(&deployment, huge_header.as_bytes())
+            .await
+            .starts_with("HTTP/1.1 431")
+    );
+    assert!(
+        raw(&deployment, b"nonsense\r\n\r\n")
+            .await
+            .starts_with("HTTP/1.1 400")
+    );
+    assert_eq!(deployment.call(0, &good).await.status, 200);
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_sender_is_told_so_and_holds_up_nobody() {
+    let mut deployment = fixture::start(Shape {
+        entry_count: 0,
+        ..Shape::default()
+    })
+    .await;
+    let platform = deployment.platform_address.clone();
+    let entry = deployment
+        .add_entry_with("d0", &platform, |settings| {
+            settings.limits.body_within_ms = 300;
+        })
+        .await
+        .unwrap();
+    deployment.wait_for_version(1, GENEROUS_MS).await.unwrap();
+    let good = Call::chat("a", "m0", "hello", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(entry, &good, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer a\r\nconnection: close\r\ncontent-length: 100\r\n\r\n{";
+    let (slow, outcome) = tokio::join!(
+        raw(&deployment, head.as_bytes()),
+        deployment.call(entry, &good)
+    );
+    assert!(slow.contains("\"code\":1005"), "{slow}");
+    assert_eq!(outcome.status, 200);
+    deployment.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_peer_messages_are_dropped_and_counted() {
+    let deployment = fixture::start(Shape {
+        entry_count: 2,
+        ..Shape::default()
+    })
+    .await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let peers = addresses(&deployment).peers;
+    for bytes in [&b""[..], &b"short"[..], &[0xff; 1_000][..]] {
+        socket.send_to(bytes, peers).await.unwrap();
+    }
+    let mut stream = TcpStream::connect(peers).await.unwrap();
+    stream.write_all(&u32::MAX.to_be_bytes()).await.unwrap();
+    let shared = deployment.entries[0].as_ref().unwrap().shared();
+    let dropped = |reason: &str| {
+        shared
+            .metrics
+            .peer_dropped_total
+            .with_label_values(&[reason])
+            .get()
+    };
+    let is_counted = || dropped("unsealed") >= 2 && dropped("tcp") >= 1;
+    cranereach_bench::deployment::wait_until("drops counted", GENEROUS_MS, is_counted)
+        .await
+        .unwrap();
+    let good = Call::chat("a", "m0", "hello", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &good, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    deployment.stop().await;
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,13 @@
 //! The test suite of the whole system, by feature.
 
 mod at_most_once;
+mod bad_input;
+mod cli;
 mod configuration;
 mod fixture;
 mod harness;
 mod memory;
+mod overload;
 mod planned_stop;
 mod reachable;
 mod thin_path;
--- /dev/null
+++ b/tests/testsuite/overload.rs
@@ -0,0 +1,95 @@
+//! One account's flood fills its own queue; retries stay within their budget.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use crate::fixture;
+use crate::fixture::GENEROUS_MS;
+use crate::fixture::Shape;
+use cranereach_standin::engine::state::EngineFaults;
+use cranereach_standin::load::Call;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_is_refused_at_once_and_the_other_account_is_served() {
+    let deployment = Arc::new(fixture::start(Shape::default()).await);
+    let warm = Call::chat("b", "m0", "warm", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &warm, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let stop = Arc::new(AtomicBool::new(false));
+    let flood: Vec<_> = (0..400)
+        .map(|_| {
+            let deployment = Arc::clone(&deployment);
+            let stop = Arc::clone(&stop);
+            tokio::spawn(async move {
+                let mut codes = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let outcome = deployment
+                        .call(0, &Call::chat("a", "m0", "flood", 10, true))
+                        .await;
+                    if let Some(code) = outcome.code {
+                        assert!(outcome.retry_after_s.is_some(), "{outcome:?}");
+                        codes.push(code);
+                        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                    }
+                }
+                codes
+            })
+        })
+        .collect();
+    let queues = deployment.entries[0].as_ref().unwrap().shared();
+    let is_full = || queues.metrics.queue_waiting.get() >= 256;
+    cranereach_bench::deployment::wait_until("a full queue", GENEROUS_MS, is_full)
+        .await
+        .unwrap();
+    for number in 0..10 {
+        let outcome = deployment
+            .call(0, &Call::chat("b", "m0", "calm", 10, true))
+            .await;
+        assert!(
+            outcome.status == 200 && outcome.is_whole,
+            "call {number}: {outcome:?}"
+        );
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut codes = Vec::new();
+    for task in flood {
+        codes.extend(task.await.unwrap());
+    }
+    assert!(codes.contains(&2001), "{codes:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_refuses_everything_causes_no_storm() {
+    let deployment = fixture::start(Shape::default()).await;
+    let call = Call::chat("a", "m0", "hello", 1, true);
+    assert_eq!(
+        deployment
+            .call_until_served(0, &call, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    let engine = deployment.engines[0].stand_in.state();
+    *engine.faults.lock().unwrap() = EngineFaults {
+        refuse_count: u32::MAX,
+        ..EngineFaults::default()
+    };
+    let calls = 300;
+    for _call in 0..calls {
+        let outcome = deployment.call(0, &call).await;
+        assert_ne!(outcome.status, 200);
+    }
+    let arrived = u32::MAX - engine.faults.lock().unwrap().refuse_count;
+    // A tenth more, and what quiet times had saved.
+    assert!(
+        arrived <= calls + calls / 10 + 50,
+        "{arrived} attempts for {calls} calls"
+    );
+    deployment.stop().await;
+}
--- a/tests/testsuite/reachable.rs
+++ b/tests/testsuite/reachable.rs
@@ -7,6 +7,7 @@
 use crate::fixture;
 use crate::fixture::GENEROUS_MS;
 use crate::fixture::Shape;
+use cranereach_bench::deployment::wait_until;
 use cranereach_standin::load::Call;
 use cranereach_standin::platform::state::PlatformFaults;
 use cranereach_standin::platform::state::StoreFaults;
@@ -157,6 +158,17 @@
             );
         } else {
             // The list is down meanwhile: the worker's own report has to do.
+            // What it said last is that all are live.
+            let shared = deployment.entries[0].as_ref().unwrap().shared();
+            let all_live = || {
+                shared
+                    .listed()
+                    .iter()
+                    .all(|listed| listed.state == ListState::Live)
+            };
+            wait_until("all listed live", GENEROUS_MS, all_live)
+                .await
+                .unwrap();
             deployment.platform.state().faults.lock().unwrap().list = REFUSES;
             engine.stand_in.state().leave();
         }
