--- /dev/null
+++ b/crates/cranereach-bench/src/path_cost.rs
@@ -0,0 +1,170 @@
+//! What the entry instance adds: time per call, calls and tokens per core, memory.
+//!
+//! The instance and the engine are processes of their own; this caller talks to
+//! the instance and, for comparison in the same run, to the engine directly.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use serde::Serialize;
+
+use crate::process;
+use cranereach_http::pool::Pool;
+use cranereach_standin::load;
+use cranereach_standin::load::Call;
+
+/// Calls one after the other, each way, for the added time.
+const LONE_CALLS: usize = 3_000;
+
+/// Callers at once, for calls and tokens per core.
+const BUSY_CALLERS: usize = 64;
+
+/// Time of each busy part, in milliseconds.
+const BUSY_MS: u64 = 5_000;
+
+/// Tokens of a streamed answer in the busy part.
+const STREAM_TOKENS: u32 = 400;
+
+/// Streams held open for the memory per stream.
+const OPEN_STREAMS: usize = 1_000;
+
+/// What is called.
+#[derive(Clone, Debug)]
+pub struct Path {
+    /// Callers' address of the instance.
+    pub through: String,
+    /// Address of the engine.
+    pub direct: String,
+    /// Process id of the instance.
+    pub process: String,
+    /// Bearer key.
+    pub key: String,
+    /// Model, resident on the engine.
+    pub model: String,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct PathCost {
+    /// Time of a small call, in microseconds: median, 95 and 99 in 100.
+    pub through_us: [u64; 3],
+    /// The same, directly.
+    pub direct_us: [u64; 3],
+    /// Small calls a second, with all callers busy.
+    pub calls_per_s: f64,
+    /// Cores that the instance used meanwhile.
+    pub calls_cores: f64,
+    /// Streamed tokens a second, with all callers busy.
+    pub tokens_per_s: f64,
+    /// Cores that the instance used meanwhile.
+    pub tokens_cores: f64,
+    /// Resident memory at rest, in bytes.
+    pub rest_bytes: u64,
+    /// Resident memory with the streams open, in bytes.
+    pub open_bytes: u64,
+    /// Streams open.
+    pub open_count: usize,
+}
+
+/// Measures a path.
+pub async fn measure(path: &Path) -> PathCost {
+    let through = Arc::new(Pool::new(&path.through));
+    let direct = Arc::new(Pool::new(&path.direct));
+    let small = Call::chat(&path.key, &path.model, "small", 1, false);
+    until_served(&through, &small).await;
+    let rest_bytes = process::resident_bytes(&path.process);
+    let mut spent = [Vec::new(), Vec::new()];
+    // Alternating, so that whatever else the machine does hits both alike.
+    for _call in 0..LONE_CALLS {
+        for (pool, spent) in [&through, &direct].into_iter().zip(&mut spent) {
+            spent.push(load::send(pool, &small).await.whole_us);
+        }
+    }
+    let calls = busy(&through, &small, path).await;
+    let stream = Call::chat(&path.key, &path.model, "stream", STREAM_TOKENS, true);
+    let streams = busy(&through, &stream, path).await;
+    let open_bytes = open_memory(&through, path).await;
+    PathCost {
+        through_us: quantiles(&spent[0]),
+        direct_us: quantiles(&spent[1]),
+        calls_per_s: calls.0,
+        calls_cores: calls.1,
+        tokens_per_s: streams.0 * f64::from(STREAM_TOKENS),
+        tokens_cores: streams.1,
+        rest_bytes,
+        open_bytes,
+        open_count: OPEN_STREAMS,
+    }
+}
+
+/// Calls until the model is resident.
+async fn until_served(pool: &Pool<Full<bytes::Bytes>>, call: &Call) {
+    while load::send(pool, call).await.status != 200 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Keeps all callers busy; returns answers a second and cores of the instance.
+async fn busy(pool: &Arc<Pool<Full<bytes::Bytes>>>, call: &Call, path: &Path) -> (f64, f64) {
+    let started = Instant::now();
+    let cpu_before_s = process::cpu_s(&path.process);
+    let callers: Vec<_> = (0..BUSY_CALLERS)
+        .map(|_| {
+            let pool = Arc::clone(pool);
+            let call = call.clone();
+            tokio::spawn(async move {
+                let mut served = 0_u32;
+                while started.elapsed().as_millis() < u128::from(BUSY_MS) {
+                    served += u32::from(load::send(&pool, &call).await.status == 200);
+                }
+                served
+            })
+        })
+        .collect();
+    let mut served = 0.0;
+    for caller in callers {
+        served += f64::from(caller.await.unwrap_or(0));
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    (
+        served / seconds,
+        (process::cpu_s(&path.process) - cpu_before_s) / seconds,
+    )
+}
+
+/// Holds streams open and returns the instance's memory meanwhile.
+async fn open_memory(pool: &Arc<Pool<Full<bytes::Bytes>>>, path: &Path) -> u64 {
+    // Most of them wait in the instance, as callers of a busy engine do.
+    let call = Call::chat(
+        &path.key,
+        &path.model,
+        &"words ".repeat(100),
+        2_000_000,
+        true,
+    );
+    let streams: Vec<_> = (0..OPEN_STREAMS)
+        .map(|_| {
+            let pool = Arc::clone(pool);
+            let call = call.clone();
+            tokio::spawn(async move { load::send(&pool, &call).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let bytes = process::resident_bytes(&path.process);
+    for stream in &streams {
+        stream.abort();
+    }
+    bytes
+}
+
+/// Returns the median, 95 and 99 in 100.
+fn quantiles(spent_us: &[u64]) -> [u64; 3] {
+    let mut histogram = Histogram::<u64>::new(3).expect("three digits are allowed");
+    for &spent in spent_us {
+        histogram.saturating_record(spent);
+    }
+    [0.5, 0.95, 0.99].map(|quantile| histogram.value_at_quantile(quantile))
+}
--- /dev/null
+++ b/crates/cranereach-bench/src/process.rs
@@ -0,0 +1,46 @@
+//! What the system says of a process: processor time and memory.
+
+use std::fs;
+
+/// Ticks per second of the times in `/proc`; fixed by the kernel's interface.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Bytes in a KiB, the unit of `/proc/.../status`.
+const KIB_BYTES: u64 = 1024;
+
+/// Returns the processor time that a process has used, in seconds.
+///
+/// `process` is a process id or `self`; zero if it can't be read.
+///
+/// ```
+/// assert!(cranereach_bench::process::cpu_s("self") >= 0.0);
+/// ```
+pub fn cpu_s(process: &str) -> f64 {
+    let Ok(text) = fs::read_to_string(format!("/proc/{process}/stat")) else {
+        return 0.0;
+    };
+    // The name in parentheses may hold spaces; the times follow it.
+    let Some((_, after)) = text.rsplit_once(')') else {
+        return 0.0;
+    };
+    let fields: Vec<&str> = after.split_whitespace().collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|field| field.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    (ticks(11) + ticks(12)) / TICKS_PER_S
+}
+
+/// Returns the resident memory of a process, in bytes.
+pub fn resident_bytes(process: &str) -> u64 {
+    let Ok(text) = fs::read_to_string(format!("/proc/{process}/status")) else {
+        return 0;
+    };
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line
+        .and_then(|line| line.split_whitespace().nth(1))
+        .and_then(|number| number.parse::<u64>().ok());
+    kib.unwrap_or(0) * KIB_BYTES
+}
--- /dev/null
+++ b/crates/cranereach-bench/src/slopes.rs
@@ -0,0 +1,84 @@
+//! How each role's cost grows with one thing at a time.
+//!
+//! Each slope is measured at four sizes or more, tenfold from first to last, and
+//! fitted by a line; the largest distance from it is given as a part of the
+//! value. [`kernel`] looks at the kernel alone, [`system`] at whole deployments.
+
+pub mod kernel;
+pub mod system;
+
+use serde::Serialize;
+
+/// One measured point.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Point {
+    /// Size.
+    pub size: f64,
+    /// Value at that size.
+    pub value: f64,
+}
+
+/// A fitted slope.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Slope {
+    /// What was measured.
+    pub name: &'static str,
+    /// What grew.
+    pub per: &'static str,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// Value at size zero, by the fit.
+    pub base: f64,
+    /// Growth per unit of size, by the fit.
+    pub slope: f64,
+    /// Largest distance from the fit, as a part of the largest value.
+    pub residual_ratio: f64,
+    /// What was measured at each size.
+    pub points: Vec<Point>,
+}
+
+/// Fits a line by least squares.
+///
+/// ```
+/// use cranereach_bench::slopes::{fit, Point};
+///
+/// let points = [1.0, 2.0, 10.0].map(|size| Point { size, value: 5.0 + 3.0 * size });
+/// let slope = fit("x", "thing", "us", points.to_vec());
+/// assert!((slope.slope - 3.0).abs() < 1e-9);
+/// ```
+pub fn fit(name: &'static str, per: &'static str, unit: &'static str, points: Vec<Point>) -> Slope {
+    let count = points.len() as f64;
+    let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+    let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+    let covariance: f64 = points
+        .iter()
+        .map(|point| (point.size - mean_size) * (point.value - mean_value))
+        .sum();
+    let variance: f64 = points
+        .iter()
+        .map(|point| (point.size - mean_size).powi(2))
+        .sum();
+    let slope = if variance > 0.0 {
+        covariance / variance
+    } else {
+        0.0
+    };
+    let base = mean_value - slope * mean_size;
+    let largest = points
+        .iter()
+        .map(|point| point.value.abs())
+        .fold(f64::MIN_POSITIVE, f64::max);
+    let distance = points
+        .iter()
+        .map(|point| (point.value - base - slope * point.size).abs())
+        .fold(0.0, f64::max);
+    Slope {
+        name,
+        per,
+        unit,
+        base,
+        slope,
+        residual_ratio: distance / largest,
+        points,
+    }
+}
--- /dev/null
+++ b/crates/cranereach-bench/src/slopes/kernel.rs
@@ -0,0 +1,413 @@
+//! Costs of the kernel's decisions and of messages, by size.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use super::Point;
+use super::Slope;
+use super::fit;
+use crate::scenario::Scenario;
+use crate::scenario::arrivals;
+use cranereach_core::cell::CellId;
+use cranereach_core::cell::hosts_of;
+use cranereach_core::codes::ResultCode;
+use cranereach_core::declarations::Class;
+use cranereach_core::demand::TargetDemand;
+use cranereach_core::dispatch::DispatchOptions;
+use cranereach_core::dispatch::Dispatcher;
+use cranereach_core::dispatch::queues::Waiting;
+use cranereach_core::dispatch::workers::ListedWorker;
+use cranereach_core::dispatch::workers::WorkerReport;
+use cranereach_core::ledger::Residence;
+use cranereach_core::membership::Membership;
+use cranereach_core::names::InstanceId;
+use cranereach_core::names::RequestId;
+use cranereach_core::names::TargetName;
+use cranereach_core::names::WorkerId;
+use cranereach_core::order;
+use cranereach_core::residency;
+use cranereach_core::residency::PlanInput;
+use cranereach_core::residency::PlanOccupant;
+use cranereach_core::residency::PlanTarget;
+use cranereach_core::residency::PlanWeights;
+use cranereach_core::residency::PlanWorker;
+use cranereach_core::route;
+use cranereach_core::snapshot::Snapshot;
+use cranereach_wire::peer::Digest;
+use cranereach_wire::peer::DigestPart;
+use cranereach_wire::peer::PeerKey;
+use cranereach_wire::peer::open;
+use cranereach_wire::peer::pack;
+use cranereach_wire::peer::seal;
+
+/// Time spent on each point, in milliseconds.
+const POINT_MS: u128 = 150;
+
+/// Measures all slopes of the kernel.
+pub fn measure(scenario: &Scenario) -> Vec<Slope> {
+    vec![
+        per_size(
+            "route and send one request",
+            "workers that hold the target",
+            "us",
+            &[12, 24, 48, 120, 200],
+            route_us,
+        ),
+        per_size(
+            "admit one request into a queue",
+            "accounts that wait",
+            "us",
+            &[10, 30, 100, 300],
+            admit_us,
+        ),
+        per_size(
+            "plan one cell",
+            "models x workers (models = 5 x workers)",
+            "us",
+            &[5, 10, 21, 48],
+            plan_us,
+        ),
+        per_size(
+            "plan one cell of 48 workers",
+            "models",
+            "us",
+            &[33, 90, 165, 330],
+            plan_models_us,
+        ),
+        per_size(
+            "order the cells for one target",
+            "cells of the pool",
+            "us",
+            &[3, 8, 16, 32],
+            hosts_us,
+        ),
+        per_size(
+            "list the live instances",
+            "instances of the group",
+            "us",
+            &[2, 6, 16, 20],
+            live_us,
+        ),
+        per_size(
+            "seal and open one digest",
+            "parts",
+            "us",
+            &[4, 12, 24, 40],
+            digest_us,
+        ),
+        per_size(
+            "bytes of demand in a digest",
+            "targets",
+            "bytes",
+            &[33, 90, 165, 330],
+            demand_bytes,
+        ),
+        per_size(
+            "bytes of reports in a digest",
+            "workers",
+            "bytes",
+            &[4, 12, 24, 48],
+            report_bytes,
+        ),
+        per_size(
+            "resolve a configuration",
+            "accounts",
+            "us",
+            &[100, 300, 1_000, 3_000],
+            |count| resolve_us(scenario, count),
+        ),
+        per_size(
+            "bytes of a configuration's body",
+            "accounts",
+            "bytes",
+            &[100, 300, 1_000, 3_000],
+            |count| body_bytes(scenario, count),
+        ),
+    ]
+}
+
+/// Measures one slope.
+fn per_size(
+    name: &'static str,
+    per: &'static str,
+    unit: &'static str,
+    sizes: &[usize],
+    value: impl Fn(usize) -> f64,
+) -> Slope {
+    let points = sizes
+        .iter()
+        .map(|&size| Point {
+            size: size as f64,
+            value: value(size),
+        })
+        .collect();
+    fit(name, per, unit, points)
+}
+
+/// Returns the time of one run, in microseconds, over many runs.
+fn time_us(mut run: impl FnMut()) -> f64 {
+    run();
+    let started = Instant::now();
+    let mut count = 0_u32;
+    while started.elapsed().as_millis() < POINT_MS {
+        run();
+        count += 1;
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(count)
+}
+
+/// Makes a dispatcher that knows some workers, all holding one target.
+fn dispatcher(worker_count: usize) -> Dispatcher {
+    let options = DispatchOptions {
+        order: &order::VIRTUAL_TIME,
+        route: &route::SAMPLED,
+        refuses_early: true,
+        domain: "d0".into(),
+        seed: 1,
+    };
+    let mut dispatcher = Dispatcher::new(options);
+    let listed = |number: usize| ListedWorker {
+        worker: worker(number),
+        domain: format!("d{}", number % 3).into(),
+        is_leaving: false,
+        serves: None,
+        slot_count: 16,
+    };
+    dispatcher
+        .workers_mut()
+        .list((0..worker_count).map(listed).collect());
+    for number in 0..worker_count {
+        dispatcher.reported(0, &report(number), &mut Vec::new());
+    }
+    dispatcher
+}
+
+/// Returns a worker's identity.
+fn worker(number: usize) -> WorkerId {
+    WorkerId::from(format!("worker-{number:05}"))
+}
+
+/// Makes a worker's report of eight targets.
+fn report(number: usize) -> WorkerReport {
+    let others = (0..7).map(|other| TargetName::from(format!("model-{}", (number + other) % 330)));
+    WorkerReport {
+        worker: worker(number),
+        boot_id: 1,
+        report_number: 1,
+        outstanding_count: 0,
+        slot_count: 16,
+        is_leaving: false,
+        free_bytes: 0,
+        resident: std::iter::once(TargetName::from("m"))
+            .chain(others)
+            .collect(),
+    }
+}
+
+/// Makes a request.
+fn waiting(number: u64, account: usize) -> Waiting {
+    Waiting {
+        request: RequestId(number),
+        account: format!("account-{account}").into(),
+        share: 1.0,
+        queue_count: u32::MAX,
+        target: "m".into(),
+        class: Class::Standard,
+        arrived_at_ms: 0,
+        start_by_ms: 1_000_000 + number,
+        cost_tokens: 100.0,
+        prefix_hash: number % 64 + 1,
+    }
+}
+
+/// Time of an arrival that is routed at once, and of its end.
+fn route_us(worker_count: usize) -> f64 {
+    let mut dispatcher = dispatcher(worker_count);
+    let mut number = 0;
+    let mut actions = Vec::new();
+    time_us(|| {
+        number += 1;
+        actions.clear();
+        dispatcher.arrive(1, waiting(number, 0), &mut actions);
+        dispatcher.ended(2, RequestId(number), 100.0, true, &mut actions);
+        black_box(&actions);
+    })
+}
+
+/// Time of an arrival that has to wait, and of its leaving.
+fn admit_us(account_count: usize) -> f64 {
+    let mut dispatcher = dispatcher(1);
+    let mut actions = Vec::new();
+    let mut number = 0;
+    for _fill in 0..(17 + account_count) {
+        number += 1;
+        dispatcher.arrive(
+            1,
+            waiting(number, number as usize % account_count),
+            &mut actions,
+        );
+    }
+    time_us(|| {
+        number += 1;
+        actions.clear();
+        dispatcher.arrive(
+            1,
+            waiting(number, number as usize % account_count),
+            &mut actions,
+        );
+        let was_waiting = dispatcher.left(RequestId(number));
+        assert!(was_waiting, "{actions:?} {:?}", ResultCode::QueueFull);
+    })
+}
+
+/// Time of one plan of so many workers and five times as many models.
+fn plan_us(worker_count: usize) -> f64 {
+    plan(worker_count * 5, worker_count)
+}
+
+/// Time of one plan of 48 workers.
+fn plan_models_us(model_count: usize) -> f64 {
+    plan(model_count, 48)
+}
+
+/// Time of one plan.
+fn plan(model_count: usize, worker_count: usize) -> f64 {
+    let target = |number: usize| PlanTarget {
+        target: format!("model-{number}").into(),
+        memory_bytes: 20,
+        base: None,
+        concurrent_count: 30.0 / (1.0 + number as f64),
+        waiting_count: u32::from(number.is_multiple_of(10)),
+        oldest_wait_ms: 100,
+        used_at_ms: 0,
+        replicas_before: 0,
+        replicas_elsewhere: 0,
+        may_grow: number.is_multiple_of(3),
+    };
+    let targets: Vec<PlanTarget> = (0..model_count).map(target).collect();
+    let occupant = |index: usize| PlanOccupant {
+        target_index: Some(index),
+        target: targets[index].target.clone(),
+        memory_bytes: 20,
+        residence: Residence::Resident,
+        seen_at_ms: 0,
+    };
+    let worker = |number: usize| PlanWorker {
+        worker: worker(number),
+        free_bytes: 0,
+        freeing_bytes: 0,
+        slot_count: 16,
+        occupants: (0..4)
+            .map(|step| occupant((number * 4 + step) % model_count))
+            .collect(),
+    };
+    let workers: Vec<PlanWorker> = (0..worker_count).map(worker).collect();
+    let input = PlanInput {
+        now_ms: 100_000,
+        weights: PlanWeights::default(),
+        targets: &targets,
+        workers: &workers,
+        forces_allowed_count: 1,
+    };
+    time_us(|| {
+        black_box((residency::MARGINAL.plan)(&input));
+    })
+}
+
+/// Time of ordering cells for a target.
+fn hosts_us(cell_count: usize) -> f64 {
+    let cell = |number: usize| CellId {
+        pool: "text".into(),
+        domain: format!("d{}", number % 8).into(),
+        part: number as u32,
+    };
+    let cells: Vec<CellId> = (0..cell_count).map(cell).collect();
+    time_us(|| {
+        black_box(hosts_of(&"model-7".into(), &cells));
+    })
+}
+
+/// Time of listing the live instances.
+fn live_us(instance_count: usize) -> f64 {
+    let ids: Vec<InstanceId> = (0..instance_count)
+        .map(|number| InstanceId::from(format!("entry-{number}")))
+        .collect();
+    let mut membership = Membership::new("own".into());
+    membership.list(ids.clone());
+    for id in &ids {
+        membership.heard(0, id);
+    }
+    time_us(|| {
+        black_box(membership.live(1));
+    })
+}
+
+/// Makes demand parts.
+fn demand_parts(count: usize) -> Vec<DigestPart> {
+    let demand = |number: usize| TargetDemand {
+        target: format!("model-{number}").into(),
+        concurrent_count: 1.5,
+        waiting_count: 3,
+        oldest_wait_ms: 700,
+    };
+    (0..count).map(demand).map(DigestPart::Demand).collect()
+}
+
+/// Time of sealing and opening one digest of so many parts.
+fn digest_us(part_count: usize) -> f64 {
+    let key = PeerKey::derive("secret");
+    let digests = pack(&"entry-1".into(), 1, 1, demand_parts(part_count));
+    time_us(|| {
+        for digest in &digests {
+            let sealed = seal(&key, digest);
+            black_box(open::<Digest>(&key, &sealed).is_ok());
+        }
+    })
+}
+
+/// Bytes of so many parts on the wire.
+fn wire_bytes(parts: Vec<DigestPart>) -> f64 {
+    let key = PeerKey::derive("secret");
+    pack(&"entry-1".into(), 1, 1, parts)
+        .iter()
+        .map(|digest| seal(&key, digest).len() as f64)
+        .sum()
+}
+
+/// Bytes of the demand for so many targets.
+fn demand_bytes(count: usize) -> f64 {
+    wire_bytes(demand_parts(count))
+}
+
+/// Bytes of the reports of so many workers.
+fn report_bytes(count: usize) -> f64 {
+    wire_bytes((0..count).map(report).map(DigestPart::Report).collect())
+}
+
+/// Time of resolving a configuration of so many accounts.
+fn resolve_us(scenario: &Scenario, account_count: usize) -> f64 {
+    let scenario = Scenario {
+        account_count,
+        ..scenario.clone()
+    };
+    let folder = arrivals::declarations(&scenario);
+    time_us(|| {
+        let declared = folder
+            .declarations()
+            .expect("our own declarations can be read");
+        black_box(Snapshot::resolve(&declared, 1).is_ok());
+    })
+}
+
+/// Bytes of the body of a configuration of so many accounts.
+fn body_bytes(scenario: &Scenario, account_count: usize) -> f64 {
+    let scenario = Scenario {
+        account_count,
+        ..scenario.clone()
+    };
+    arrivals::declarations(&scenario)
+        .files
+        .values()
+        .map(|text| text.len() as f64)
+        .sum()
+}
--- a/crates/cranereach-core/src/codes.rs
+++ b/crates/cranereach-core/src/codes.rs
@@ -87,7 +87,7 @@
     NoSuchPath = 1006, "no_such_path", 404, No, AfterChange, "No model call and no declared service has this path.";
     IdempotencyMismatch = 1007, "idempotency_mismatch", 422, No, AfterChange, "The idempotency key was used before for another request.";
     CallerLeft = 1008, "caller_left", 499, Unknown, OnlyIfSafe, "The caller left before the answer was whole.";
-    QueueFull = 2001, "queue_full", 429, No, Later, "The account's own queue is full.";
+    QueueFull = 2001, "queue_full", 429, No, Later, "The account's own queue for this model or service is full.";
     DeadlineUnreachable = 2002, "deadline_unreachable", 503, No, Later, "No upstream can start the request before its deadline.";
     DeadlinePassed = 2003, "deadline_passed", 503, No, Later, "The deadline passed while the request waited.";
     NotResident = 2004, "not_resident", 503, No, Later, "The model is being loaded and can't be ready before the deadline.";
--- a/crates/cranereach-core/src/declarations.rs
+++ b/crates/cranereach-core/src/declarations.rs
@@ -161,7 +161,7 @@
     /// Promised time to the whole answer, in milliseconds.
     #[serde(default = "default_whole_answer_ms")]
     pub whole_answer_ms: u64,
-    /// Longest queue on one entry instance, in requests.
+    /// Longest queue for one model or service on one entry instance, in requests.
     #[serde(default = "default_queue_count")]
     pub queue_count: u32,
 }
--- a/crates/cranereach-core/src/dispatch/mod.rs
+++ b/crates/cranereach-core/src/dispatch/mod.rs
@@ -35,6 +35,9 @@
 /// Time for which a refused caller still counts as waiting for a load, in ms.
 const WANTED_FOR_MS: u64 = 10_000;
 
+/// Time for which a queue must have stood for its rate to tell, in ms.
+const QUEUE_STOOD_MS: u64 = 300;
+
 /// Shortest Retry-After, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 250;
 
@@ -325,7 +328,7 @@
             code,
             retry_after_ms: clamp_retry(retry_after_ms),
         };
-        let queued = self.queues.account_count(&waiting.account);
+        let queued = self.queues.queue_count(&waiting.account, &waiting.target);
         let wait_ms = self.expected_wait_ms(now_ms, waiting);
         if queued >= waiting.queue_count {
             return Some(refuse(ResultCode::QueueFull, wait_ms.max(1_000)));
@@ -360,7 +363,24 @@
         let by_share = f64::from(ahead.own_count) * ahead.share_sum / waiting.share;
         let count = (f64::from(ahead.total_count) + 1.0).min(by_share + 1.0);
         let service_ms = self.demand.service_ms(&waiting.target);
-        (count * service_ms / f64::from(slot_count)) as u64
+        let by_slots_ms = count * service_ms / f64::from(slot_count);
+        by_slots_ms.max(self.wait_by_rate_ms(now_ms, &waiting.target, count)) as u64
+    }
+
+    /// Returns how long so many would wait at the rate of late, in ms.
+    ///
+    /// It tells what the slots don't: that the workers are shared with other
+    /// targets, classes and instances. It counts once a queue has stood a while.
+    fn wait_by_rate_ms(&self, now_ms: u64, target: &TargetName, count: f64) -> f64 {
+        let (_waiting_count, oldest_at_ms) = self.queues.waiting_of(target);
+        let has_stood =
+            oldest_at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) >= QUEUE_STOOD_MS);
+        let rate_per_ms = self.demand.start_rate_per_ms(now_ms, target);
+        if has_stood && rate_per_ms > 0.0 {
+            count / rate_per_ms
+        } else {
+            0.0
+        }
     }
 
     /// Sends what waits for a target while workers that hold it have room.
@@ -405,6 +425,7 @@
         self.queues
             .charge(&waiting.account, waiting.cost_tokens, waiting.share);
         self.workers.sent(worker, waiting.request);
+        self.demand.started(now_ms, &waiting.target);
         let running = Running {
             account: waiting.account,
             target: waiting.target,
--- a/crates/cranereach-core/src/dispatch/queues.rs
+++ b/crates/cranereach-core/src/dispatch/queues.rs
@@ -20,7 +20,7 @@
     pub account: AccountName,
     /// Share of the account.
     pub share: f64,
-    /// Longest queue of the account, in requests.
+    /// Longest queue of the account for one target, in requests.
     pub queue_count: u32,
     /// What it asks for.
     pub target: TargetName,
@@ -104,13 +104,26 @@
         self.entries.len()
     }
 
-    /// Returns how many requests of an account wait.
+    /// Returns how many requests of an account wait, for all targets.
     pub fn account_count(&self, account: &AccountName) -> u32 {
         self.accounts
             .get(account)
             .map_or(0, |rank| rank.waiting_count)
     }
 
+    /// Returns how many requests of an account wait for a target.
+    pub fn queue_count(&self, account: &AccountName, target: &TargetName) -> u32 {
+        let classes = self
+            .targets
+            .get(target)
+            .into_iter()
+            .flat_map(|queue| &queue.classes);
+        classes
+            .filter_map(|accounts| accounts.get(account))
+            .map(|own| own.len() as u32)
+            .sum()
+    }
+
     /// Returns the share under which an account was last charged.
     pub fn share_of(&self, account: &AccountName) -> Option<f64> {
         self.accounts.get(account).map(|rank| rank.share)
--- /dev/null
+++ b/crates/cranereach-core/tests/attempts.rs
@@ -0,0 +1,209 @@
+//! "Not run" means not run, over all orders of events.
+
+use assert_matches::assert_matches;
+use proptest::prelude::*;
+
+use cranereach_core::attempt::Attempt;
+use cranereach_core::attempt::Event;
+use cranereach_core::attempt::Verdict;
+use cranereach_core::codes::Ran;
+use cranereach_core::codes::ResultCode;
+use cranereach_core::declarations::Repeatable;
+use cranereach_core::retry_budget::RetryBudget;
+
+/// Deadline of all attempts here.
+const DEADLINE_AT_MS: u64 = 1_000;
+
+/// One row: events, whether the call may be repeated, and the last verdict.
+type Row = (&'static str, Repeatable, &'static [(u64, Event)], Verdict);
+
+/// The fault table.
+const ROWS: [Row; 12] = [
+    (
+        "no connection",
+        Repeatable::Unsafe,
+        &[(0, Event::NotConnected)],
+        Verdict::TryElsewhere,
+    ),
+    (
+        "closed after the request left, unsafe",
+        Repeatable::Unsafe,
+        &[(0, Event::Handed), (1, Event::Broken)],
+        Verdict::End(ResultCode::OutcomeUnknown),
+    ),
+    (
+        "closed after the request left, safe",
+        Repeatable::Safe,
+        &[(0, Event::Handed), (1, Event::Broken)],
+        Verdict::TryElsewhere,
+    ),
+    (
+        "refused as not run, unsafe",
+        Repeatable::Unsafe,
+        &[
+            (0, Event::Handed),
+            (0, Event::Head),
+            (1, Event::RefusedByUpstream),
+        ],
+        Verdict::TryElsewhere,
+    ),
+    (
+        "broken midway",
+        Repeatable::Safe,
+        &[
+            (0, Event::Handed),
+            (0, Event::Head),
+            (0, Event::FirstBytes),
+            (1, Event::Broken),
+        ],
+        Verdict::End(ResultCode::BrokenMidway),
+    ),
+    (
+        "garbled, unsafe",
+        Repeatable::Unsafe,
+        &[(0, Event::Handed), (0, Event::Head), (1, Event::Garbled)],
+        Verdict::End(ResultCode::GarbledAnswer),
+    ),
+    (
+        "late before it was sent",
+        Repeatable::Unsafe,
+        &[(1_000, Event::DeadlinePassed)],
+        Verdict::End(ResultCode::DeadlinePassed),
+    ),
+    (
+        "late after it was sent",
+        Repeatable::Safe,
+        &[(0, Event::Handed), (1_000, Event::DeadlinePassed)],
+        Verdict::End(ResultCode::DeadlinePassedRunning),
+    ),
+    (
+        "no connection, too late to repeat",
+        Repeatable::Safe,
+        &[(1_000, Event::NotConnected)],
+        Verdict::End(ResultCode::DeadlinePassed),
+    ),
+    (
+        "may have run, then no connection and too late",
+        Repeatable::Safe,
+        &[
+            (0, Event::Handed),
+            (1, Event::Broken),
+            (1_000, Event::NotConnected),
+        ],
+        Verdict::End(ResultCode::OutcomeUnknown),
+    ),
+    (
+        "whole",
+        Repeatable::Unsafe,
+        &[(0, Event::Handed), (0, Event::Head), (0, Event::Whole)],
+        Verdict::End(ResultCode::Served),
+    ),
+    (
+        "doubled end",
+        Repeatable::Unsafe,
+        &[(0, Event::Handed), (0, Event::Whole), (1, Event::Broken)],
+        Verdict::End(ResultCode::Served),
+    ),
+];
+
+#[test]
+fn each_fault_has_its_verdict() {
+    for (name, repeat, events, verdict) in ROWS {
+        let mut attempt = Attempt::new(repeat, DEADLINE_AT_MS);
+        let mut budget = RetryBudget::default();
+        let last = events
+            .iter()
+            .map(|(now_ms, event)| attempt.on(*now_ms, *event, &mut budget))
+            .last();
+        assert_eq!(last, Some(verdict), "{name}");
+    }
+}
+
+#[test]
+fn the_budget_bounds_what_retries_add() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _call in 0..1_000 {
+        budget.first_try();
+        retries += u32::from(budget.spend());
+    }
+    assert!(retries <= 103, "{retries}");
+}
+
+/// Any event.
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::NotConnected),
+        Just(Event::Handed),
+        Just(Event::RefusedByUpstream),
+        Just(Event::Head),
+        Just(Event::FirstBytes),
+        Just(Event::Whole),
+        Just(Event::Broken),
+        Just(Event::Garbled),
+        Just(Event::DeadlinePassed),
+    ]
+}
+
+proptest! {
+    /// A code that says "not run" is never reached after bytes may have been
+    /// acted on, and an unsafe call is never sent again after that.
+    #[test]
+    fn not_run_is_true_over_all_orders_of_events(
+        is_unsafe in any::<bool>(),
+        events in prop::collection::vec((0_u64..1_500, event()), 1..12),
+        refusal_follows in any::<bool>(),
+    ) {
+        let repeat = if is_unsafe { Repeatable::Unsafe } else { Repeatable::Safe };
+        let mut attempt = Attempt::new(repeat, DEADLINE_AT_MS);
+        let mut budget = RetryBudget::default();
+        // What the upstreams may have acted on, kept apart from the kernel.
+        let mut may_have_run = false;
+        let mut in_flight = false;
+        let mut ended = None;
+        for (now_ms, event) in events {
+            if matches!(event, Event::Handed | Event::Head | Event::FirstBytes) {
+                in_flight = true;
+            }
+            let verdict = attempt.on(now_ms, event, &mut budget);
+            if verdict == Verdict::Continue {
+                continue;
+            }
+            // Only the upstream's word that it did not run it clears an attempt,
+            // and only as long as nothing of an answer was passed on.
+            let cleared = event == Event::RefusedByUpstream && verdict == Verdict::TryElsewhere;
+            may_have_run |= in_flight && !cleared && event != Event::RefusedByUpstream;
+            in_flight = false;
+            if verdict == Verdict::TryElsewhere && is_unsafe {
+                prop_assert!(!may_have_run, "an unsafe call is sent again");
+            }
+            if let Verdict::End(code) = verdict {
+                ended = Some(code);
+                break;
+            }
+        }
+        let code = match ended {
+            Some(code) => Some(code),
+            None if refusal_follows && !in_flight => Some(attempt.refused(ResultCode::NoUpstream)),
+            None => None,
+        };
+        if may_have_run && let Some(code) = code {
+            prop_assert_ne!(code.row().ran, Ran::No, "{:?}", code);
+        }
+    }
+}
+
+#[test]
+fn a_refusal_at_the_queue_is_true_to_earlier_attempts() {
+    let mut attempt = Attempt::new(Repeatable::Safe, DEADLINE_AT_MS);
+    let mut budget = RetryBudget::default();
+    attempt.on(0, Event::Handed, &mut budget);
+    assert_matches!(
+        attempt.on(1, Event::Broken, &mut budget),
+        Verdict::TryElsewhere
+    );
+    assert_eq!(
+        attempt.refused(ResultCode::DeadlinePassed),
+        ResultCode::OutcomeUnknown
+    );
+}
--- /dev/null
+++ b/crates/cranereach-core/tests/versions.rs
@@ -0,0 +1,100 @@
+//! Configuration versions only grow, and an instance knows when it can't know.
+
+use proptest::prelude::*;
+
+use cranereach_core::config::CONFIRM_WITHIN_MS;
+use cranereach_core::config::ConfigState;
+use cranereach_core::config::Head;
+
+/// Makes a head.
+fn head(version: u64) -> Head {
+    Head {
+        version,
+        hash: format!("hash-{version}"),
+    }
+}
+
+/// One row: table read how long ago, listed and heard peers, and whether to serve.
+type Row = (&'static str, Option<u64>, usize, usize, bool);
+
+/// The fault table, for an instance that holds a version.
+const ROWS: [Row; 8] = [
+    ("table read lately, nobody heard", Some(0), 5, 0, true),
+    ("table out, all heard", Some(CONFIRM_WITHIN_MS), 5, 5, true),
+    ("table out, half heard", Some(CONFIRM_WITHIN_MS), 4, 2, true),
+    (
+        "table out, fewer than half heard",
+        Some(CONFIRM_WITHIN_MS),
+        5,
+        2,
+        false,
+    ),
+    (
+        "cut off from everybody",
+        Some(CONFIRM_WITHIN_MS),
+        5,
+        0,
+        false,
+    ),
+    (
+        "table out, no other instance listed",
+        Some(CONFIRM_WITHIN_MS),
+        0,
+        0,
+        true,
+    ),
+    ("table never read, peers heard", None, 2, 1, true),
+    ("table never read, nobody heard", None, 2, 0, false),
+];
+
+#[test]
+fn an_instance_serves_only_while_it_can_know() {
+    for (name, read_ago_ms, listed, heard, serves) in ROWS {
+        let mut state = ConfigState::new(0);
+        state.adopt(&head(1));
+        if read_ago_ms.is_some() {
+            state.read_table(0, &head(1));
+        }
+        let now_ms = read_ago_ms.unwrap_or(CONFIRM_WITHIN_MS);
+        assert_eq!(state.may_serve(now_ms, listed, heard), serves, "{name}");
+    }
+}
+
+#[test]
+fn an_instance_that_knows_of_a_newer_version_goes_if_it_cannot_get_it() {
+    let mut state = ConfigState::new(0);
+    state.adopt(&head(1));
+    state.heard_head(&head(2));
+    assert!(state.may_serve(0, 2, 2));
+    assert!(!state.may_serve(CONFIRM_WITHIN_MS, 2, 2));
+    state.adopt(&head(2));
+    assert!(state.may_serve(CONFIRM_WITHIN_MS, 2, 2));
+}
+
+#[test]
+fn a_new_instance_serves_nothing_before_it_holds_a_version() {
+    let mut state = ConfigState::new(0);
+    state.read_table(0, &head(3));
+    assert!(!state.may_serve(0, 0, 0));
+    assert_eq!(state.missing(), Some(&head(3)));
+}
+
+proptest! {
+    #[test]
+    fn the_version_held_never_falls(events in prop::collection::vec((0_u8..3, 0_u64..20), 0..60)) {
+        let mut state = ConfigState::new(0);
+        let mut held = 0;
+        for (kind, version) in events {
+            match kind {
+                0 => state.read_table(0, &head(version)),
+                1 => state.heard_head(&head(version)),
+                _ => {
+                    state.adopt(&head(version));
+                }
+            }
+            prop_assert!(state.held().version >= held);
+            held = state.held().version;
+            prop_assert!(state.missing().is_none_or(|missing| missing.version > held));
+        }
+    }
+}
--- a/crates/cranereach-entry/src/control_actor/mod.rs
+++ b/crates/cranereach-entry/src/control_actor/mod.rs
@@ -57,6 +57,9 @@
 /// Time between two reads of a lease row, in milliseconds.
 const LEASE_READ_EVERY_MS: u64 = 2_000;
 
+/// Age at which a report polled here is no longer told to peers, in ms.
+const POLLED_FRESH_MS: u64 = 1_000;
+
 /// Instances that watch a cell's lease row: the owner and one successor.
 const WATCHER_COUNT: usize = 2;
 
@@ -111,6 +114,13 @@
     Ordered(CellId, WorkerId, Fence, OrderEnd),
 }
 
+/// A worker's report as polled here.
+#[derive(Debug)]
+struct Polled {
+    report: WorkerReport,
+    polled_at_ms: u64,
+}
+
 /// One cell with what only the runtime needs.
 #[derive(Debug)]
 struct Cell {
@@ -129,7 +139,7 @@
     lease_id: InstanceId,
     cells: HashMap<CellId, Cell>,
     clients: HashMap<WorkerId, Arc<EngineControl>>,
-    polled: HashMap<WorkerId, WorkerReport>,
+    polled: HashMap<WorkerId, Polled>,
     demand: DemandBook,
     residents: Residents,
 }
@@ -264,6 +274,7 @@
     /// Looks at every cell.
     fn look_at_cells(&mut self) {
         let now_ms = self.shared.now_ms();
+        self.residents.forget_silent(now_ms);
         let live = self.shared.membership().live(now_ms);
         let ids: Vec<CellId> = self.cells.keys().cloned().collect();
         for id in &ids {
@@ -369,8 +380,14 @@
             resident: resident.map(|occupant| occupant.target.clone()).collect(),
         };
         tell(&self.shared.dispatcher, Reports(vec![report.clone()]));
-        self.residents.reported(&report);
-        self.polled.insert(worker.clone(), report);
+        self.residents.reported(now_ms, &report);
+        self.polled.insert(
+            worker.clone(),
+            Polled {
+                report,
+                polled_at_ms: now_ms,
+            },
+        );
         let Some(cell) = self.cells.get_mut(id) else {
             return;
         };
@@ -485,7 +502,7 @@
         for part in message.parts {
             match part {
                 DigestPart::Demand(demand) => self.demand.peer(now_ms, &message.sender, demand),
-                DigestPart::Report(report) => self.residents.reported(&report),
+                DigestPart::Report(report) => self.residents.reported(now_ms, &report),
                 DigestPart::Epoch(cell, epoch) => self.heard_epoch(&cell, epoch),
                 _ => {}
             }
@@ -504,9 +521,12 @@
         let mut parts: Vec<_> = acting
             .map(|(id, epoch)| DigestPart::Epoch(id.clone(), epoch))
             .collect();
-        parts.extend(self.polled.values().cloned().map(DigestPart::Report));
-        // Each report is told once; the next poll brings the next one.
-        self.polled.clear();
+        // A worker that no longer answers here is no longer spoken for.
+        let now_ms = self.shared.now_ms();
+        let is_fresh =
+            |polled: &&Polled| now_ms.saturating_sub(polled.polled_at_ms) < POLLED_FRESH_MS;
+        let fresh = self.polled.values().filter(is_fresh);
+        parts.extend(fresh.map(|polled| DigestPart::Report(polled.report.clone())));
         parts
     }
 }
--- a/crates/cranereach-entry/src/control_actor/residents.rs
+++ b/crates/cranereach-entry/src/control_actor/residents.rs
@@ -16,14 +16,24 @@
     held: HashMap<WorkerId, Held>,
 }
 
+/// Time after which a worker that nobody speaks of holds nothing, in ms.
+const SILENT_AFTER_MS: u64 = 4_500;
+
 /// What one worker holds.
 #[derive(Debug, Default)]
 struct Held {
     targets: HashSet<TargetName>,
     free_bytes: u64,
+    reported_at_ms: u64,
 }
 
 impl Residents {
+    /// Forgets workers of which nobody has spoken for too long.
+    pub(super) fn forget_silent(&mut self, now_ms: u64) {
+        self.held
+            .retain(|_, held| now_ms.saturating_sub(held.reported_at_ms) < SILENT_AFTER_MS);
+    }
+
     /// Takes which worker is in which cell.
     pub(super) fn arrange(&mut self, cells: HashMap<WorkerId, CellId>) {
         self.held.retain(|worker, _| cells.contains_key(worker));
@@ -31,13 +41,17 @@
     }
 
     /// Takes a worker's report; a worker that leaves holds nothing any more.
-    pub(super) fn reported(&mut self, report: &WorkerReport) {
+    pub(super) fn reported(&mut self, now_ms: u64, report: &WorkerReport) {
         let held = if report.is_leaving {
-            Held::default()
+            Held {
+                reported_at_ms: now_ms,
+                ..Held::default()
+            }
         } else {
             Held {
                 targets: report.resident.iter().cloned().collect(),
                 free_bytes: report.free_bytes,
+                reported_at_ms: now_ms,
             }
         };
         self.held.insert(report.worker.clone(), held);
--- a/crates/cranereach-entry/src/peers/digests.rs
+++ b/crates/cranereach-entry/src/peers/digests.rs
@@ -23,13 +23,15 @@
 use cranereach_wire::peer::pack;
 use cranereach_wire::peer::seal;
 use cranereach_wire::replay::ReplayGuard;
+use cranereach_wire::thinner::Thinner;
 
 /// Sends digests until the process ends.
 pub async fn send(shared: Arc<Shared>, control: Address<ControlActor>, socket: Arc<UdpSocket>) {
     let mut sequence = 1;
+    let mut thinner = Thinner::default();
     loop {
         tokio::time::sleep(Duration::from_millis(shared.settings.peers.digest_every_ms)).await;
-        let parts = parts(&shared, &control).await;
+        let parts = thinner.thin(shared.now_ms(), parts(&shared, &control).await);
         let digests = pack(shared.own_id(), shared.boot_id, sequence, parts);
         sequence += digests.len() as u64;
         let peers = discovery::peers(&shared);
--- a/crates/cranereach-wire/src/lib.rs
+++ b/crates/cranereach-wire/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod peer;
 pub mod platform;
 pub mod replay;
+pub mod thinner;
 pub mod upstream;
--- /dev/null
+++ b/crates/cranereach-wire/src/thinner.rs
@@ -0,0 +1,124 @@
+//! Leaves out of a digest what its readers know already.
+//!
+//! A part is sent when it has changed enough to matter, or when its last sending
+//! is so old that a reader would soon forget it. A lost datagram is made good by
+//! that repetition.
+
+use std::collections::HashMap;
+
+use crate::peer::DigestPart;
+use cranereach_core::cell::CellId;
+use cranereach_core::names::AccountName;
+use cranereach_core::names::TargetName;
+use cranereach_core::names::WorkerId;
+
+/// Age at which an unchanged part is sent again, in milliseconds.
+///
+/// Readers forget after 3 s, so one lost repetition in between does no harm.
+pub const REPEAT_AFTER_MS: u64 = 1_400;
+
+/// Change of a demand that matters, as a part of it.
+const DEMAND_CHANGE_RATIO: f32 = 0.25;
+
+/// Change of a demand that matters, in requests at once.
+const DEMAND_CHANGE_COUNT: f32 = 0.5;
+
+/// What a part is about.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Subject {
+    Head,
+    Outstanding(WorkerId),
+    Demand(TargetName),
+    Served(AccountName),
+    Report(WorkerId),
+    Epoch(CellId),
+    Leaving,
+}
+
+/// A part with the time of its last sending.
+#[derive(Clone, Debug)]
+struct Sent {
+    part: DigestPart,
+    at_ms: u64,
+}
+
+/// What one sender has told its peers.
+#[derive(Clone, Debug, Default)]
+pub struct Thinner {
+    sent: HashMap<Subject, Sent>,
+}
+
+impl Thinner {
+    /// Keeps the parts that are worth sending now.
+    ///
+    /// ```
+    /// use cranereach_wire::peer::DigestPart;
+    /// use cranereach_wire::thinner::Thinner;
+    ///
+    /// let mut thinner = Thinner::default();
+    /// let part = DigestPart::Outstanding("w".into(), 3);
+    /// assert_eq!(thinner.thin(0, vec![part.clone()]).len(), 1);
+    /// assert_eq!(thinner.thin(100, vec![part]).len(), 0);
+    /// ```
+    pub fn thin(&mut self, now_ms: u64, parts: Vec<DigestPart>) -> Vec<DigestPart> {
+        self.sent
+            .retain(|_, sent| now_ms.saturating_sub(sent.at_ms) < 10 * REPEAT_AFTER_MS);
+        parts
+            .into_iter()
+            .filter(|part| self.is_due(now_ms, part))
+            .collect()
+    }
+
+    /// Whether a part is worth sending; remembers it if so.
+    fn is_due(&mut self, now_ms: u64, part: &DigestPart) -> bool {
+        let subject = subject(part);
+        let known = self.sent.get(&subject);
+        let is_due = known.is_none_or(|sent| {
+            now_ms.saturating_sub(sent.at_ms) >= REPEAT_AFTER_MS || differs(&sent.part, part)
+        });
+        if is_due {
+            self.sent.insert(
+                subject,
+                Sent {
+                    part: part.clone(),
+                    at_ms: now_ms,
+                },
+            );
+        }
+        is_due
+    }
+}
+
+/// Returns what a part is about.
+fn subject(part: &DigestPart) -> Subject {
+    match part {
+        DigestPart::Head(_) => Subject::Head,
+        DigestPart::Outstanding(worker, _) => Subject::Outstanding(worker.clone()),
+        DigestPart::Demand(demand) => Subject::Demand(demand.target.clone()),
+        DigestPart::Served(account, _) => Subject::Served(account.clone()),
+        DigestPart::Report(report) => Subject::Report(report.worker.clone()),
+        DigestPart::Epoch(cell, _) => Subject::Epoch(cell.clone()),
+        DigestPart::Leaving => Subject::Leaving,
+    }
+}
+
+/// Whether a part says something else than the one sent before.
+fn differs(sent: &DigestPart, now: &DigestPart) -> bool {
+    match (sent, now) {
+        (DigestPart::Demand(sent), DigestPart::Demand(now)) => {
+            let change = (sent.concurrent_count - now.concurrent_count).abs();
+            let matters = change > DEMAND_CHANGE_COUNT
+                && change > DEMAND_CHANGE_RATIO * sent.concurrent_count;
+            matters || (sent.waiting_count > 0) != (now.waiting_count > 0)
+        }
+        // Totals grow with every answer; readers take the difference, late or not.
+        (DigestPart::Served(..), DigestPart::Served(..)) => false,
+        (DigestPart::Report(sent), DigestPart::Report(now)) => {
+            sent.boot_id != now.boot_id
+                || sent.is_leaving != now.is_leaving
+                || sent.slot_count != now.slot_count
+                || sent.resident != now.resident
+        }
+        (sent, now) => sent != now,
+    }
+}
--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -5,10 +5,13 @@
 use gumdrop::Options;
 
 use crate::exit::Exit;
+use cranereach_bench::path_cost;
+use cranereach_bench::path_cost::Path;
 use cranereach_bench::scenario::FaultKind;
 use cranereach_bench::scenario::Scenario;
 use cranereach_bench::scenario::TimedFault;
 use cranereach_bench::scenario::run;
+use cranereach_bench::slopes;
 use cranereach_entry::settings::PolicySettings;
 use cranereach_wire::jsonc;
 
@@ -19,6 +22,22 @@
     help: bool,
     #[options(help = "scenario file", meta = "FILE")]
     scenario: Option<PathBuf>,
+    #[options(help = "how each role's cost grows, with the scenario's declarations")]
+    slopes: bool,
+    #[options(help = "what an instance adds: its callers' address", meta = "IP:PORT")]
+    path: Option<String>,
+    #[options(help = "with --path: address of the engine", meta = "IP:PORT")]
+    direct: Option<String>,
+    #[options(help = "with --path: process id of the instance", meta = "ID")]
+    process: Option<String>,
+    #[options(help = "with --path: bearer key", default = "a", meta = "KEY")]
+    key: String,
+    #[options(
+        help = "with --path: model on the engine",
+        default = "m0",
+        meta = "NAME"
+    )]
+    model: String,
     #[options(help = "seed of the arrivals", default = "1", meta = "N")]
     seed: u64,
     #[options(
@@ -38,6 +57,11 @@
     no_early_refusal: bool,
     #[options(help = "price of a move, in place of the scenario's", meta = "WEIGHT")]
     move_weight: Option<f64>,
+    #[options(
+        help = "accelerator memory of an engine in GB, in place of the scenario's",
+        meta = "GB"
+    )]
+    memory_gb: Option<u64>,
     #[options(help = "lag of the engines' reports in milliseconds", meta = "MS")]
     lag_ms: Option<u64>,
     #[options(help = "account that floods, by number", meta = "N")]
@@ -54,6 +78,9 @@
 
 /// Runs the scenario.
 pub fn execute(options: &MeasureArguments) -> Exit {
+    if let Some(through) = &options.path {
+        return path(options, through);
+    }
     let Some(path) = &options.scenario else {
         eprintln!("{}", MeasureArguments::usage());
         return Exit::Usage;
@@ -65,6 +92,9 @@
             return Exit::Settings;
         }
     };
+    if options.slopes {
+        return slopes(&scenario);
+    }
     let Some(scenario) = changed(scenario, options) else {
         eprintln!(
             "--fault is not one of kill_engine, kill_domain, kill_entry, table_down, lose_orders"
@@ -84,10 +114,39 @@
     }
 }
 
+/// Measures what an instance adds.
+fn path(options: &MeasureArguments, through: &str) -> Exit {
+    let path = Path {
+        through: through.to_owned(),
+        direct: options.direct.clone().unwrap_or_default(),
+        process: options.process.clone().unwrap_or_default(),
+        key: options.key.clone(),
+        model: options.model.clone(),
+    };
+    super::print_json(&super::block_on(path_cost::measure(&path)));
+    Exit::Done
+}
+
+/// Measures all slopes, a line of JSON each.
+fn slopes(scenario: &Scenario) -> Exit {
+    let kernel = slopes::kernel::measure(scenario);
+    match super::block_on(slopes::system::measure(scenario)) {
+        Ok(system) => {
+            kernel.iter().chain(&system).for_each(super::print_json);
+            Exit::Done
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            Exit::Unavailable
+        }
+    }
+}
+
 /// Puts the options' values into a scenario; none if the fault has no meaning.
 fn changed(mut scenario: Scenario, options: &MeasureArguments) -> Option<Scenario> {
     scenario.load_ratio = options.load.unwrap_or(scenario.load_ratio);
     scenario.move_weight = options.move_weight.unwrap_or(scenario.move_weight);
+    scenario.engine_memory_gb = options.memory_gb.unwrap_or(scenario.engine_memory_gb);
     scenario.report_every_ms = options.lag_ms.unwrap_or(scenario.report_every_ms);
     scenario.flooding_account = options.flood.or(scenario.flooding_account);
     if let Some(name) = &options.fault {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -28,6 +28,10 @@
 
 /// A subcommand.
 #[derive(Debug, Options)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "parsed once; the options' derive takes no box"
+)]
 enum Command {
     #[options(help = "run the whole path in one process, no files needed")]
     Demo(demo::DemoArguments),
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -6,7 +6,11 @@
 use http_body_util::Full;
 use hyper::Method;
 
+use crate::fixture;
+use crate::fixture::GENEROUS_MS;
+use crate::fixture::Shape;
 use crate::harness::Path;
+use cranereach_bench::deployment::wait_until;
 use cranereach_http::pool::Pool;
 use cranereach_standin::load;
 use cranereach_standin::load::Call;
@@ -53,3 +57,59 @@
     assert_eq!(path.entry.line()["stopped"], "entry-1");
     assert_eq!(path.entry.wait(), Some(0));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_instances_stopping_at_once_cut_nothing() {
+    let mut deployment = fixture::start(Shape {
+        entry_count: 3,
+        ..Shape::default()
+    })
+    .await;
+    let call = Call::chat("a", "m0", "warm", 2, true);
+    for entry in 0..3 {
+        assert_eq!(
+            deployment
+                .call_until_served(entry, &call, GENEROUS_MS)
+                .await
+                .status,
+            200
+        );
+    }
+    let callers = deployment.callers();
+    let long = Call::chat("a", "m0", "long", 1_500, true);
+    let open: Vec<_> = (0..3)
+        .flat_map(|entry| std::iter::repeat_n(Arc::clone(&callers[entry]), 4))
+        .map(|caller| {
+            let long = long.clone();
+            tokio::spawn(async move { caller.send(&long).await })
+        })
+        .collect();
+    let running = |count: u64| deployment.engines[0].stand_in.state().ledger().run_count >= count;
+    wait_until("twelve streams", GENEROUS_MS, || running(15))
+        .await
+        .unwrap();
+    // One of the two that stop holds the cell's lease, or the third does.
+    let (first, second) = (
+        deployment.entries[0].take().unwrap(),
+        deployment.entries[1].take().unwrap(),
+    );
+    tokio::join!(first.drain(), second.drain());
+    for stream in open {
+        let outcome = stream.await.unwrap();
+        assert!(
+            outcome.is_whole && outcome.status == 200,
+            "{}",
+            outcome.text.len()
+        );
+    }
+    let next = Call::chat("a", "m1", "hello", 2, true);
+    assert_eq!(
+        deployment
+            .call_until_served(2, &next, GENEROUS_MS)
+            .await
+            .status,
+        200
+    );
+    assert_eq!(fixture::excess_count(&deployment), 0);
+    deployment.stop().await;
+}
