--- /dev/null
+++ b/crates/cranereach-bench/src/caller.rs
@@ -0,0 +1,29 @@
+//! A caller of one entry instance.
+
+use bytes::Bytes;
+use http_body_util::Full;
+
+use cranereach_http::pool::Pool;
+use cranereach_standin::load;
+use cranereach_standin::load::Call;
+use cranereach_standin::load::Outcome;
+
+/// A caller of one entry instance, with its kept connections.
+#[derive(Debug)]
+pub struct Caller {
+    pool: Pool<Full<Bytes>>,
+}
+
+impl Caller {
+    /// Makes a caller of `ip:port`.
+    pub(crate) fn new(address: &str) -> Self {
+        Self {
+            pool: Pool::new(address),
+        }
+    }
+
+    /// Sends a call and reads the whole answer.
+    pub async fn send(&self, call: &Call) -> Outcome {
+        load::send(&self.pool, call).await
+    }
+}
--- a/crates/cranereach-bench/src/deployment.rs
+++ b/crates/cranereach-bench/src/deployment.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::caller::Caller;
+use crate::waiting::wait_until;
 use cranereach_core::names::FailureDomain;
 use cranereach_core::names::InstanceId;
 use cranereach_core::names::PoolName;
@@ -28,10 +28,8 @@
 use cranereach_entry::settings::PolicySettings;
 use cranereach_entry::settings::Settings;
 use cranereach_entry::settings::WeightStoreSettings;
-use cranereach_http::pool::Pool;
 use cranereach_standin::engine::Engine;
 use cranereach_standin::engine::state::EngineOptions;
-use cranereach_standin::load;
 use cranereach_standin::load::Call;
 use cranereach_standin::load::Outcome;
 use cranereach_standin::platform::Platform;
@@ -82,19 +80,6 @@
     stopping: watch::Sender<bool>,
 }
 
-/// A caller of one entry instance, with its kept connections.
-#[derive(Debug)]
-pub struct Caller {
-    pool: Pool<Full<Bytes>>,
-}
-
-impl Caller {
-    /// Sends a call and reads the whole answer.
-    pub async fn send(&self, call: &Call) -> Outcome {
-        load::send(&self.pool, call).await
-    }
-}
-
 /// A running deployment.
 #[derive(Debug)]
 pub struct Deployment {
@@ -219,8 +204,8 @@
         let entry = Entry::start(settings).await?;
         let addresses = entry.addresses();
         self.list_entry(&id, domain, &addresses.peers.to_string(), ListState::Live);
-        let pool = Pool::new(&addresses.callers.to_string());
-        self.callers.push(Arc::new(Caller { pool }));
+        self.callers
+            .push(Arc::new(Caller::new(&addresses.callers.to_string())));
         self.entries.push(Some(entry));
         Ok(number)
     }
@@ -232,22 +217,6 @@
         Ok((Relay::start(listener, &self.platform_address), address))
     }
 
-    /// Puts a relay before an engine and lists the relay's address for it.
-    pub async fn relay_to_engine(&mut self, index: usize) -> Result<Relay, DeployError> {
-        let listener = TcpListener::bind(ANY_PORT).await?;
-        let address = listener.local_addr()?.to_string();
-        let engine = &self.engines[index];
-        let relay = Relay::start(listener, &engine.address);
-        self.list_worker(
-            &engine.id,
-            &engine.pool,
-            &engine.domain,
-            &address,
-            ListState::Live,
-        );
-        Ok(relay)
-    }
-
     /// Returns the stores, as an operator's command uses them.
     pub fn stores(&self) -> Stores {
         Stores::new(&self.platform_address, &self.platform_address)
@@ -363,7 +332,6 @@
             instance: InstanceSettings {
                 id: InstanceId::from(id),
                 failure_domain: FailureDomain::from(domain),
-                region: "region-1".to_owned(),
             },
             listen: ListenSettings::default(),
             platform: PlatformSettings {
@@ -392,21 +360,3 @@
         }
     }
 }
-
-/// Waits until something holds.
-pub async fn wait_until(
-    what: &str,
-    within_ms: u64,
-    mut holds: impl FnMut() -> bool,
-) -> Result<(), DeployError> {
-    let until = Instant::now() + Duration::from_millis(within_ms);
-    while !holds() {
-        if Instant::now() >= until {
-            return Err(DeployError::Waited {
-                what: what.to_owned(),
-            });
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    Ok(())
-}
--- a/crates/cranereach-bench/src/lib.rs
+++ b/crates/cranereach-bench/src/lib.rs
@@ -5,9 +5,11 @@
 //! [`demo`] shows them to a newcomer, [`scenario`] measures the
 //! decisions, [`slopes`] how costs grow, [`path_cost`] what an instance adds.
 
+pub mod caller;
 pub mod demo;
 pub mod deployment;
 pub mod path_cost;
 pub mod process;
 pub mod scenario;
 pub mod slopes;
+pub mod waiting;
--- a/crates/cranereach-bench/src/path_cost.rs
+++ b/crates/cranereach-bench/src/path_cost.rs
@@ -63,6 +63,8 @@
     pub tokens_cores: f64,
     /// Resident memory at rest, in bytes.
     pub rest_bytes: u64,
+    /// Resident memory after the busy parts, before streams are opened, in bytes.
+    pub after_busy_bytes: u64,
     /// Resident memory with the streams open, in bytes.
     pub open_bytes: u64,
     /// Streams open.
@@ -86,6 +88,7 @@
     let calls = busy(&through, &small, path).await;
     let stream = Call::chat(&path.key, &path.model, "stream", STREAM_TOKENS, true);
     let streams = busy(&through, &stream, path).await;
+    let after_busy_bytes = process::resident_bytes(&path.process);
     let open_bytes = open_memory(&through, path).await;
     PathCost {
         through_us: quantiles(&spent[0]),
@@ -95,6 +98,7 @@
         tokens_per_s: streams.0 * f64::from(STREAM_TOKENS),
         tokens_cores: streams.1,
         rest_bytes,
+        after_busy_bytes,
         open_bytes,
         open_count: OPEN_STREAMS,
     }
--- a/crates/cranereach-bench/src/scenario/run.rs
+++ b/crates/cranereach-bench/src/scenario/run.rs
@@ -14,7 +14,7 @@
 use super::arrivals::Ask;
 use super::report;
 use super::report::Report;
-use crate::deployment::Caller;
+use crate::caller::Caller;
 use crate::deployment::DeployError;
 use crate::deployment::Deployment;
 use cranereach_entry::settings::PolicySettings;
--- a/crates/cranereach-bench/src/slopes.rs
+++ b/crates/cranereach-bench/src/slopes.rs
@@ -4,6 +4,7 @@
 //! fitted by a line; the largest distance from it is given as a part of the
 //! value. [`kernel`] looks at the kernel alone, [`system`] at whole deployments.
 
+mod fixtures;
 pub mod kernel;
 pub mod system;
 
@@ -13,7 +14,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Point {
     /// Size.
-    pub size: f64,
+    pub count: f64,
     /// Value at that size.
     pub value: f64,
 }
@@ -42,35 +43,35 @@
 /// ```
 /// use cranereach_bench::slopes::{fit, Point};
 ///
-/// let points = [1.0, 2.0, 10.0].map(|size| Point { size, value: 5.0 + 3.0 * size });
+/// let points = [1.0, 2.0, 10.0].map(|count| Point { count, value: 5.0 + 3.0 * count });
 /// let slope = fit("x", "thing", "us", points.to_vec());
 /// assert!((slope.slope - 3.0).abs() < 1e-9);
 /// ```
 pub fn fit(name: &'static str, per: &'static str, unit: &'static str, points: Vec<Point>) -> Slope {
-    let count = points.len() as f64;
-    let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
-    let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+    let points_count = points.len() as f64;
+    let mean_count = points.iter().map(|point| point.count).sum::<f64>() / points_count;
+    let mean_value = points.iter().map(|point| point.value).sum::<f64>() / points_count;
     let covariance: f64 = points
         .iter()
-        .map(|point| (point.size - mean_size) * (point.value - mean_value))
+        .map(|point| (point.count - mean_count) * (point.value - mean_value))
         .sum();
     let variance: f64 = points
         .iter()
-        .map(|point| (point.size - mean_size).powi(2))
+        .map(|point| (point.count - mean_count).powi(2))
         .sum();
     let slope = if variance > 0.0 {
         covariance / variance
     } else {
         0.0
     };
-    let base = mean_value - slope * mean_size;
+    let base = mean_value - slope * mean_count;
     let largest = points
         .iter()
         .map(|point| point.value.abs())
         .fold(f64::MIN_POSITIVE, f64::max);
     let distance = points
         .iter()
-        .map(|point| (point.value - base - slope * point.size).abs())
+        .map(|point| (point.value - base - slope * point.count).abs())
         .fold(0.0, f64::max);
     Slope {
         name,
--- a/crates/cranereach-bench/src/slopes/kernel.rs
+++ b/crates/cranereach-bench/src/slopes/kernel.rs
@@ -6,32 +6,26 @@
 use super::Point;
 use super::Slope;
 use super::fit;
+use super::fixtures::dispatcher;
+use super::fixtures::report;
+use super::fixtures::waiting;
+use super::fixtures::worker;
 use crate::scenario::Scenario;
 use crate::scenario::arrivals;
 use cranereach_core::cell::CellId;
 use cranereach_core::cell::hosts_of;
 use cranereach_core::codes::ResultCode;
-use cranereach_core::declarations::Class;
 use cranereach_core::demand::TargetDemand;
-use cranereach_core::dispatch::DispatchOptions;
-use cranereach_core::dispatch::Dispatcher;
-use cranereach_core::dispatch::queues::Waiting;
-use cranereach_core::dispatch::workers::ListedWorker;
-use cranereach_core::dispatch::workers::WorkerReport;
 use cranereach_core::ledger::Residence;
 use cranereach_core::membership::Membership;
 use cranereach_core::names::InstanceId;
 use cranereach_core::names::RequestId;
-use cranereach_core::names::TargetName;
-use cranereach_core::names::WorkerId;
-use cranereach_core::order;
 use cranereach_core::residency;
 use cranereach_core::residency::PlanInput;
 use cranereach_core::residency::PlanOccupant;
 use cranereach_core::residency::PlanTarget;
 use cranereach_core::residency::PlanWeights;
 use cranereach_core::residency::PlanWorker;
-use cranereach_core::route;
 use cranereach_core::snapshot::Snapshot;
 use cranereach_wire::peer::Digest;
 use cranereach_wire::peer::DigestPart;
@@ -137,7 +131,7 @@
     let points = sizes
         .iter()
         .map(|&size| Point {
-            size: size as f64,
+            count: size as f64,
             value: value(size),
         })
         .collect();
@@ -156,70 +150,6 @@
     started.elapsed().as_secs_f64() * 1e6 / f64::from(count)
 }
 
-/// Makes a dispatcher that knows some workers, all holding one target.
-fn dispatcher(worker_count: usize) -> Dispatcher {
-    let options = DispatchOptions {
-        order: &order::VIRTUAL_TIME,
-        route: &route::SAMPLED,
-        refuses_early: true,
-        domain: "d0".into(),
-        seed: 1,
-    };
-    let mut dispatcher = Dispatcher::new(options);
-    let listed = |number: usize| ListedWorker {
-        worker: worker(number),
-        domain: format!("d{}", number % 3).into(),
-        is_leaving: false,
-        serves: None,
-        slot_count: 16,
-    };
-    dispatcher
-        .workers_mut()
-        .list((0..worker_count).map(listed).collect());
-    for number in 0..worker_count {
-        dispatcher.reported(0, &report(number), &mut Vec::new());
-    }
-    dispatcher
-}
-
-/// Returns a worker's identity.
-fn worker(number: usize) -> WorkerId {
-    WorkerId::from(format!("worker-{number:05}"))
-}
-
-/// Makes a worker's report of eight targets.
-fn report(number: usize) -> WorkerReport {
-    let others = (0..7).map(|other| TargetName::from(format!("model-{}", (number + other) % 330)));
-    WorkerReport {
-        worker: worker(number),
-        boot_id: 1,
-        report_number: 1,
-        outstanding_count: 0,
-        slot_count: 16,
-        is_leaving: false,
-        free_bytes: 0,
-        resident: std::iter::once(TargetName::from("m"))
-            .chain(others)
-            .collect(),
-    }
-}
-
-/// Makes a request.
-fn waiting(number: u64, account: usize) -> Waiting {
-    Waiting {
-        request: RequestId(number),
-        account: format!("account-{account}").into(),
-        share: 1.0,
-        queue_count: u32::MAX,
-        target: "m".into(),
-        class: Class::Standard,
-        arrived_at_ms: 0,
-        start_by_ms: 1_000_000 + number,
-        cost_tokens: 100.0,
-        prefix_hash: number % 64 + 1,
-    }
-}
-
 /// Time of an arrival that is routed at once, and of its end.
 fn route_us(worker_count: usize) -> f64 {
     let mut dispatcher = dispatcher(worker_count);
--- a/crates/cranereach-bench/src/slopes/system.rs
+++ b/crates/cranereach-bench/src/slopes/system.rs
@@ -46,7 +46,7 @@
         costs
             .iter()
             .map(|(count, cost)| Point {
-                size: *count as f64,
+                count: *count as f64,
                 value: value(cost),
             })
             .collect::<Vec<_>>()
--- a/crates/cranereach-core/src/attempt.rs
+++ b/crates/cranereach-core/src/attempt.rs
@@ -90,11 +90,6 @@
         }
     }
 
-    /// Returns how far the present attempt has got.
-    pub fn stage(&self) -> Stage {
-        self.stage
-    }
-
     /// Takes an event and says what to do; after the end nothing changes.
     pub fn on(&mut self, now_ms: u64, event: Event, budget: &mut RetryBudget) -> Verdict {
         if let Some(code) = self.ended {
--- a/crates/cranereach-core/src/control/mod.rs
+++ b/crates/cranereach-core/src/control/mod.rs
@@ -6,20 +6,21 @@
 //! intent of each order is recorded in the table before it is sent, and a
 //! successor holds memory for every recorded order until it can't arrive.
 
+mod orders;
 mod worker;
 
 use std::collections::HashMap;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+pub use self::orders::ControlAction;
+pub use self::orders::ControlOptions;
+pub use self::orders::IntentRow;
+pub use self::orders::Order;
+pub use self::orders::OrderEnd;
 use self::worker::WorkerControl;
-use crate::cell::CellId;
 use crate::fence::Epoch;
 use crate::fence::Fence;
 use crate::lease::Lease;
 use crate::lease::LeaseView;
-use crate::lease::LeaseWrite;
 use crate::ledger::MemoryReport;
 use crate::ledger::OrderKind;
 use crate::names::InstanceId;
@@ -28,8 +29,6 @@
 use crate::residency::Move;
 use crate::residency::PlanInput;
 use crate::residency::PlanTarget;
-use crate::residency::PlanWeights;
-use crate::residency::ResidencyPolicy;
 use crate::token_bucket::TokenBucket;
 
 /// Time after which an open order is settled by a further seal, in ms.
@@ -38,71 +37,6 @@
 /// Part of the loads that targets waited for too long may force.
 const FORCED_PART: f64 = 0.25;
 
-/// What varies between deployments.
-#[derive(Clone, Copy, Debug)]
-pub struct ControlOptions {
-    /// Residency policy.
-    pub policy: &'static ResidencyPolicy,
-    /// Weights of attainment and moves.
-    pub weights: PlanWeights,
-    /// Loads that this cell may begin per second.
-    pub loads_per_s: f64,
-    /// Loads of this cell at once.
-    pub loads_at_once_count: usize,
-}
-
-/// An order to be sent to a worker.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Order {
-    /// Worker to order.
-    pub worker: WorkerId,
-    /// Boot of the worker that the order is meant for.
-    pub boot_id: u64,
-    /// Place among all orders.
-    pub fence: Fence,
-    /// What to do.
-    pub kind: OrderKind,
-    /// Target; empty for a seal.
-    pub target: TargetName,
-    /// Memory of the target, in bytes.
-    pub memory_bytes: u64,
-}
-
-/// Orders recorded in the table before they are sent.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct IntentRow {
-    /// Every order that isn't known to be settled.
-    pub orders: Vec<Order>,
-}
-
-/// How an order ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderEnd {
-    /// The worker accepted it.
-    Accepted,
-    /// The worker has seen this higher fence.
-    Refused(Fence),
-    /// It provably never left.
-    NeverSent,
-    /// It may take effect, now or later.
-    Unknown,
-}
-
-/// What the runtime is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ControlAction {
-    /// Write the lease row.
-    WriteLease(LeaseWrite),
-    /// Send an order.
-    Send(Order),
-    /// Read the intents row, then call [`CellControl::intents_read`].
-    ReadIntents,
-    /// Write the intents row, then call [`CellControl::intents_recorded`].
-    RecordIntents(IntentRow),
-    /// A load took this long, in milliseconds.
-    LoadTook(u64),
-}
-
 /// What is known of the intents row of a cell without fences.
 #[derive(Clone, Debug, Default)]
 struct Intents {
@@ -115,7 +49,6 @@
 /// Control of one cell on one instance.
 #[derive(Debug)]
 pub struct CellControl {
-    cell: CellId,
     checks_fences: bool,
     options: ControlOptions,
     lease: Lease,
@@ -130,16 +63,9 @@
 
 impl CellControl {
     /// Starts without the lease.
-    pub fn new(
-        own: InstanceId,
-        cell: CellId,
-        checks_fences: bool,
-        options: ControlOptions,
-        now_ms: u64,
-    ) -> Self {
+    pub fn new(own: InstanceId, checks_fences: bool, options: ControlOptions, now_ms: u64) -> Self {
         let burst = (options.loads_at_once_count as f64).max(1.0);
         Self {
-            cell,
             checks_fences,
             options,
             lease: Lease::new(own, now_ms),
@@ -153,11 +79,6 @@
         }
     }
 
-    /// Returns the cell.
-    pub fn cell(&self) -> &CellId {
-        &self.cell
-    }
-
     /// Whether the cell's workers check fences.
     pub fn checks_fences(&self) -> bool {
         self.checks_fences
@@ -265,11 +186,6 @@
         self.intents = Intents::default();
     }
 
-    /// Whether an order may still be sent, checked right before it goes.
-    pub fn may_send(&self, now_ms: u64, order: &Order) -> bool {
-        self.lease.may_order(now_ms, self.checks_fences) == Some(order.fence.epoch)
-    }
-
     /// Looks at the lease and, if this instance holds it, plans.
     pub fn tick(
         &mut self,
--- a/crates/cranereach-core/src/demand.rs
+++ b/crates/cranereach-core/src/demand.rs
@@ -10,9 +10,6 @@
 /// Time in which a past arrival loses half of its weight, in milliseconds.
 pub const HALF_LIFE_MS: f64 = 5_000.0;
 
-/// Time in which a past start loses half of its weight, in milliseconds.
-const STARTS_HALF_LIFE_MS: f64 = 1_000.0;
-
 /// Service time assumed of a target that was never served, in milliseconds.
 const FIRST_SERVICE_MS: f64 = 500.0;
 
@@ -38,8 +35,6 @@
     weight_count: f64,
     decayed_at_ms: u64,
     service_ms: f64,
-    starts_count: f64,
-    starts_decayed_at_ms: u64,
 }
 
 /// Demand estimates of one entry instance.
@@ -62,23 +57,6 @@
         arrivals.service_ms += SERVICE_GAIN * (service_ms - arrivals.service_ms);
     }
 
-    /// Records that a request of a target was sent.
-    pub fn started(&mut self, now_ms: u64, target: &TargetName) {
-        let arrivals = self.entry(now_ms, target);
-        arrivals.decay_starts(now_ms);
-        arrivals.starts_count += 1.0;
-    }
-
-    /// Returns at which rate requests of a target were sent lately, per ms.
-    pub fn start_rate_per_ms(&self, now_ms: u64, target: &TargetName) -> f64 {
-        let Some(arrivals) = self.targets.get(target) else {
-            return 0.0;
-        };
-        let mut arrivals = *arrivals;
-        arrivals.decay_starts(now_ms);
-        arrivals.starts_count * std::f64::consts::LN_2 / STARTS_HALF_LIFE_MS
-    }
-
     /// Returns the mean service time of a target, in milliseconds.
     pub fn service_ms(&self, target: &TargetName) -> f64 {
         self.targets
@@ -118,8 +96,6 @@
                 weight_count: 0.0,
                 decayed_at_ms: now_ms,
                 service_ms: FIRST_SERVICE_MS,
-                starts_count: 0.0,
-                starts_decayed_at_ms: now_ms,
             };
             self.targets.insert(target.clone(), fresh);
         }
@@ -128,13 +104,6 @@
 }
 
 impl Arrivals {
-    /// Lets past starts fade to the present.
-    fn decay_starts(&mut self, now_ms: u64) {
-        let passed_ms = now_ms.saturating_sub(self.starts_decayed_at_ms) as f64;
-        self.starts_count *= (-passed_ms / STARTS_HALF_LIFE_MS).exp2();
-        self.starts_decayed_at_ms = self.starts_decayed_at_ms.max(now_ms);
-    }
-
     /// Lets past arrivals fade to the present.
     fn decay(&mut self, now_ms: u64) {
         let passed_ms = now_ms.saturating_sub(self.decayed_at_ms) as f64;
--- a/crates/cranereach-core/src/dispatch/mod.rs
+++ b/crates/cranereach-core/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! workers stands in [`workers`].
 
 pub mod queues;
+mod waits;
 pub mod workers;
 
 use std::collections::HashMap;
@@ -15,6 +16,7 @@
 
 use self::queues::Queues;
 use self::queues::Waiting;
+use self::waits::clamp_retry;
 use self::workers::WorkerReport;
 use self::workers::Workers;
 use crate::codes::ResultCode;
@@ -35,15 +37,6 @@
 /// Time for which a refused caller still counts as waiting for a load, in ms.
 const WANTED_FOR_MS: u64 = 10_000;
 
-/// Time for which a queue must have stood for its rate to tell, in ms.
-const QUEUE_STOOD_MS: u64 = 300;
-
-/// Shortest Retry-After, in milliseconds.
-const RETRY_AFTER_MIN_MS: u64 = 250;
-
-/// Longest Retry-After, in milliseconds.
-const RETRY_AFTER_MAX_MS: u64 = 30_000;
-
 /// What varies between deployments.
 #[derive(Clone, Debug)]
 pub struct DispatchOptions {
@@ -241,17 +234,6 @@
         }
     }
 
-    /// Takes everything away that waits, for a stop that can't wait longer.
-    pub fn refuse_all(&mut self, code: ResultCode, actions: &mut Vec<Action>) {
-        for waiting in self.queues.take_overdue(u64::MAX) {
-            actions.push(Action::Refuse {
-                request: waiting.request,
-                code,
-                retry_after_ms: RETRY_AFTER_MIN_MS,
-            });
-        }
-    }
-
     /// Returns this instance's demand per target, for its digest.
     pub fn demand(&self, now_ms: u64) -> Vec<TargetDemand> {
         self.demand
@@ -321,68 +303,6 @@
         wanted.last_at_ms = now_ms;
     }
 
-    /// Returns the refusal that a new request gets at once, if any.
-    fn refusal(&self, now_ms: u64, waiting: &Waiting) -> Option<Action> {
-        let refuse = |code, retry_after_ms| Action::Refuse {
-            request: waiting.request,
-            code,
-            retry_after_ms: clamp_retry(retry_after_ms),
-        };
-        let queued = self.queues.queue_count(&waiting.account, &waiting.target);
-        let wait_ms = self.expected_wait_ms(now_ms, waiting);
-        if queued >= waiting.queue_count {
-            return Some(refuse(ResultCode::QueueFull, wait_ms.max(1_000)));
-        }
-        let late_ms = (now_ms + wait_ms).saturating_sub(waiting.start_by_ms);
-        if self.options.refuses_early && late_ms > 0 {
-            let resident = self.workers.holders(&waiting.target).next().is_some();
-            let code = if resident {
-                ResultCode::DeadlineUnreachable
-            } else {
-                ResultCode::NotResident
-            };
-            return Some(refuse(code, late_ms));
-        }
-        None
-    }
-
-    /// Returns how long a request would wait if it arrived now, in ms.
-    ///
-    /// An account waits for its own queue at the rate of its share, or for the
-    /// whole queue at the full rate, whichever is shorter: a flood by one
-    /// account makes only its own wait long.
-    fn expected_wait_ms(&self, now_ms: u64, waiting: &Waiting) -> u64 {
-        let (open_count, slot_count) = self.workers.room(now_ms, &waiting.target);
-        if slot_count == 0 {
-            return self.load_ms as u64;
-        }
-        let ahead = self.queues.ahead(waiting);
-        if ahead.total_count < open_count {
-            return 0;
-        }
-        let by_share = f64::from(ahead.own_count) * ahead.share_sum / waiting.share;
-        let count = (f64::from(ahead.total_count) + 1.0).min(by_share + 1.0);
-        let service_ms = self.demand.service_ms(&waiting.target);
-        let by_slots_ms = count * service_ms / f64::from(slot_count);
-        by_slots_ms.max(self.wait_by_rate_ms(now_ms, &waiting.target, count)) as u64
-    }
-
-    /// Returns how long so many would wait at the rate of late, in ms.
-    ///
-    /// It tells what the slots don't: that the workers are shared with other
-    /// targets, classes and instances. It counts once a queue has stood a while.
-    fn wait_by_rate_ms(&self, now_ms: u64, target: &TargetName, count: f64) -> f64 {
-        let (_waiting_count, oldest_at_ms) = self.queues.waiting_of(target);
-        let has_stood =
-            oldest_at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) >= QUEUE_STOOD_MS);
-        let rate_per_ms = self.demand.start_rate_per_ms(now_ms, target);
-        if has_stood && rate_per_ms > 0.0 {
-            count / rate_per_ms
-        } else {
-            0.0
-        }
-    }
-
     /// Sends what waits for a target while workers that hold it have room.
     fn pump_target(&mut self, now_ms: u64, target: &TargetName, actions: &mut Vec<Action>) {
         while let Some(prefix_hash) = self.queues.head_prefix(target) {
@@ -425,7 +345,6 @@
         self.queues
             .charge(&waiting.account, waiting.cost_tokens, waiting.share);
         self.workers.sent(worker, waiting.request);
-        self.demand.started(now_ms, &waiting.target);
         let running = Running {
             account: waiting.account,
             target: waiting.target,
@@ -442,8 +361,3 @@
         true
     }
 }
-
-/// Keeps a Retry-After within its bounds.
-fn clamp_retry(retry_after_ms: u64) -> u64 {
-    retry_after_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
-}
--- a/crates/cranereach-core/src/dispatch/workers.rs
+++ b/crates/cranereach-core/src/dispatch/workers.rs
@@ -23,6 +23,9 @@
 /// Time for which a worker is left alone after it could not be reached, in ms.
 const AVOID_MS: u64 = 1_000;
 
+/// Odd constant of the golden ratio, which spreads bits well.
+const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Requests beyond its slots that a worker may be given, to stay busy.
 const DEPTH_COUNT: f64 = 1.0;
 
@@ -75,6 +78,7 @@
     slot_count: u32,
     reports_leaving: bool,
     avoid_until_ms: u64,
+    identity_hash: u64,
 }
 
 /// A peer's word on what it has at a worker.
@@ -240,7 +244,6 @@
         prefix_hash: u64,
         domain: &FailureDomain,
     ) -> Vec<(&WorkerId, Candidate)> {
-        let prefix = prefix_hash.to_string();
         self.holders(target)
             .filter_map(|id| self.known.get_key_value(id))
             .filter(|(_, known)| known.has_room(now_ms))
@@ -250,11 +253,7 @@
                     reported_count: f64::from(known.reported_count),
                     slot_count: known.slot_count,
                     same_domain: &known.listed.domain == domain,
-                    prefix_rank: if prefix_hash == 0 {
-                        0
-                    } else {
-                        rendezvous_weight(id.as_str(), &prefix)
-                    },
+                    prefix_rank: prefix_rank(prefix_hash, known.identity_hash),
                 };
                 (id, candidate)
             })
@@ -279,6 +278,7 @@
                 slot_count,
                 reports_leaving: false,
                 avoid_until_ms: 0,
+                identity_hash: rendezvous_weight(listed.worker.as_str(), "prefix"),
             });
         known.listed = listed;
     }
@@ -322,3 +322,16 @@
             && self.outstanding_count(now_ms) < f64::from(self.slot_count) + DEPTH_COUNT
     }
 }
+
+/// Returns a worker's rank for a prefix; zero if there is no prefix.
+///
+/// The hashes are mixed by a multiplication and shifts: a hash of text for each
+/// candidate would be most of the cost of a route.
+fn prefix_rank(prefix_hash: u64, identity_hash: u64) -> u64 {
+    if prefix_hash == 0 {
+        return 0;
+    }
+    let mixed = (prefix_hash ^ identity_hash).wrapping_mul(MIX);
+    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(MIX);
+    (mixed ^ (mixed >> 29)).max(1)
+}
--- a/crates/cranereach-core/src/membership.rs
+++ b/crates/cranereach-core/src/membership.rs
@@ -82,11 +82,6 @@
         live
     }
 
-    /// Whether this instance owns an item among the live ones.
-    pub fn owns(&self, now_ms: u64, item: &str) -> bool {
-        owner(&self.live(now_ms), item).is_some_and(|id| id == &self.own)
-    }
-
     /// Whether a peer was heard within a time.
     fn heard_within(&self, now_ms: u64, id: &InstanceId, within_ms: u64) -> bool {
         self.heard_at_ms
--- a/crates/cranereach-core/src/snapshot.rs
+++ b/crates/cranereach-core/src/snapshot/mod.rs
@@ -6,81 +6,26 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use thiserror::Error;
-
 use crate::codes::ResultCode;
-use crate::declarations::Class;
 use crate::declarations::ClientAccount;
 use crate::declarations::Declarations;
 use crate::declarations::Model;
 use crate::declarations::Pool;
 use crate::declarations::PoolKind;
-use crate::declarations::Repeatable;
 use crate::declarations::Template;
-use crate::names::AccountName;
 use crate::names::PoolName;
 use crate::names::TargetName;
 
-/// Place in the declarations that a fault is about.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Place {
-    /// Section, such as `accounts`.
-    pub section: &'static str,
-    /// Name of the entry in the section.
-    pub entry: String,
-    /// Key within the entry.
-    pub key: &'static str,
-}
-
-/// A fault in the declarations.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("{} {}: {}: {detail}", place.section, place.entry, place.key)]
-pub struct Fault {
-    /// Numbered code of the fault.
-    pub code: ResultCode,
-    /// Where it is.
-    pub place: Place,
-    /// What is wrong and what would be valid.
-    pub detail: String,
-}
-
-/// What one client account may do, with its template filled in.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Grant {
-    /// The account.
-    pub account: AccountName,
-    /// Models and plain pools it is entitled to.
-    pub targets: BTreeSet<TargetName>,
-    /// Class of its requests.
-    pub class: Class,
-    /// Share of served cost.
-    pub share: f64,
-    /// Whether model calls may be repeated.
-    pub repeat: Repeatable,
-    /// Promised time to the first token, in milliseconds.
-    pub first_token_ms: u64,
-    /// Promised time to the whole answer, in milliseconds.
-    pub whole_answer_ms: u64,
-    /// Longest queue on one instance, in requests.
-    pub queue_count: u32,
-}
+mod fault;
+mod grant;
 
-/// Hash of a bearer key: BLAKE3 of its bytes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct KeyHash(pub [u8; 32]);
-
-impl KeyHash {
-    /// Hashes the key that a caller presents.
-    ///
-    /// ```
-    /// use cranereach_core::snapshot::KeyHash;
-    ///
-    /// assert_ne!(KeyHash::of("a"), KeyHash::of("b"));
-    /// ```
-    pub fn of(key: &str) -> Self {
-        Self(*blake3::hash(key.as_bytes()).as_bytes())
-    }
-}
+pub use self::fault::Fault;
+pub use self::fault::Place;
+use self::fault::duplicate;
+use self::fault::fault;
+use self::fault::list;
+pub use self::grant::Grant;
+pub use self::grant::KeyHash;
 
 /// The resolved configuration of one version.
 #[derive(Clone, Debug, Default)]
@@ -441,44 +386,3 @@
     path.strip_prefix(prefix)
         .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
-
-/// Makes a fault.
-fn fault(
-    code: ResultCode,
-    section: &'static str,
-    entry: &str,
-    key: &'static str,
-    detail: String,
-) -> Fault {
-    Fault {
-        code,
-        place: Place {
-            section,
-            entry: entry.to_owned(),
-            key,
-        },
-        detail,
-    }
-}
-
-/// Makes the fault of a name that stands twice.
-fn duplicate(section: &'static str, entry: &str) -> Fault {
-    fault(
-        ResultCode::DuplicateName,
-        section,
-        entry,
-        "name",
-        "the name stands twice".to_owned(),
-    )
-}
-
-/// Lists names in order, for messages.
-fn list(names: impl Iterator<Item = impl ToString>) -> String {
-    let mut names: Vec<String> = names.map(|name| name.to_string()).collect();
-    names.sort();
-    if names.is_empty() {
-        "none".to_owned()
-    } else {
-        names.join(", ")
-    }
-}
--- /dev/null
+++ b/crates/cranereach-core/tests/control_world/carrying.rs
@@ -0,0 +1,139 @@
+//! Between instances, table and engines: losing, delaying and doubling.
+
+use rand::RngExt;
+
+use super::Flying;
+use super::World;
+use cranereach_core::control::ControlAction;
+use cranereach_core::control::IntentRow;
+use cranereach_core::control::Order;
+use cranereach_core::control::OrderEnd;
+use cranereach_core::lease::LeaseRow;
+use cranereach_core::ledger::ORDER_LIFETIME_MS;
+
+impl World {
+    /// Carries out what an instance decided.
+    pub(super) fn carry_out(&mut self, index: usize, actions: Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                ControlAction::WriteLease(write) => {
+                    self.write_lease(index, write.expected_version, &write.row);
+                }
+                ControlAction::Send(order) => self.send(index, &order),
+                ControlAction::ReadIntents => self.read_intents(index),
+                ControlAction::RecordIntents(row) => self.record_intents(index, row),
+                ControlAction::LoadTook(_) => {}
+            }
+        }
+    }
+
+    /// Writes the lease row; the answer may be lost.
+    fn write_lease(&mut self, index: usize, expected_version: u64, row: &LeaseRow) {
+        if !self.table_is_up() {
+            return;
+        }
+        let applied = self.lease.0 == expected_version;
+        if applied {
+            self.lease = (expected_version + 1, row.clone());
+        }
+        if self.random.random_bool(self.faults.lose_table_answer) {
+            return;
+        }
+        let instance = &mut self.instances[index];
+        let own_ms = self.now_ms + instance.offset_ms;
+        if applied {
+            instance
+                .control
+                .lease_mut()
+                .applied(own_ms, expected_version + 1, row);
+        } else {
+            instance.control.lease_mut().refused(row);
+        }
+    }
+
+    /// Reads the intents row.
+    fn read_intents(&mut self, index: usize) {
+        let is_up = self.table_is_up();
+        let instance = &mut self.instances[index];
+        if !is_up {
+            instance.control.intents_unread();
+            return;
+        }
+        instance.intents_version = self.intents.0;
+        instance
+            .control
+            .intents_read(self.now_ms + instance.offset_ms, &self.intents.1);
+    }
+
+    /// Writes the intents row and sends what is then allowed.
+    fn record_intents(&mut self, index: usize, row: IntentRow) {
+        let is_up = self.table_is_up();
+        let instance = &mut self.instances[index];
+        let applied = is_up && self.intents.0 == instance.intents_version;
+        if applied {
+            instance.intents_version += 1;
+            self.intents = (instance.intents_version, row);
+        }
+        let told = applied && !self.random.random_bool(self.faults.lose_table_answer);
+        let orders = instance
+            .control
+            .intents_recorded(self.now_ms + instance.offset_ms, told);
+        if !told {
+            instance.control.intents_lost();
+        }
+        for order in orders {
+            self.send(index, &order);
+        }
+    }
+
+    /// Sends an order into a world that loses, delays and doubles.
+    fn send(&mut self, index: usize, order: &Order) {
+        let instance = &mut self.instances[index];
+        let own_ms = self.now_ms + instance.offset_ms;
+        let expired = instance
+            .control
+            .lease()
+            .expires_at_ms()
+            .is_none_or(|at_ms| own_ms >= at_ms);
+        if !self.fenced && expired {
+            instance
+                .control
+                .order_ended(own_ms, &order.worker, order.fence, OrderEnd::NeverSent);
+            return;
+        }
+        if self.random.random_bool(self.faults.double_order) {
+            self.fly(order.clone());
+        }
+        if self.random.random_bool(self.faults.lose_order) {
+            return self.end(index, order, OrderEnd::Unknown);
+        }
+        if self.random.random_bool(self.faults.delay_order) {
+            self.fly(order.clone());
+            return self.end(index, order, OrderEnd::Unknown);
+        }
+        let end = self.land(order);
+        self.end(index, order, end);
+    }
+
+    /// Lets an order arrive late.
+    fn fly(&mut self, order: Order) {
+        let latest_ms = if self.fenced {
+            120_000
+        } else {
+            ORDER_LIFETIME_MS / 2
+        };
+        let arrives_at_ms = self.now_ms + self.random.random_range(100..latest_ms);
+        self.flying.push(Flying {
+            arrives_at_ms,
+            order,
+        });
+    }
+
+    /// Tells an instance how its order ended.
+    fn end(&mut self, index: usize, order: &Order, end: OrderEnd) {
+        let own_ms = self.now_ms + self.instances[index].offset_ms;
+        self.instances[index]
+            .control
+            .order_ended(own_ms, &order.worker, order.fence, end);
+    }
+}
--- /dev/null
+++ b/crates/cranereach-core/tests/control_world/engine.rs
@@ -0,0 +1,105 @@
+//! One engine of the world: takes orders as a real one does.
+
+use std::collections::HashMap;
+
+use cranereach_core::control::Order;
+use cranereach_core::control::OrderEnd;
+use cranereach_core::fence::FenceGate;
+use cranereach_core::ledger::MemoryReport;
+use cranereach_core::ledger::Occupant;
+use cranereach_core::ledger::OrderKind;
+use cranereach_core::ledger::Residence;
+use cranereach_core::names::TargetName;
+use cranereach_core::names::WorkerId;
+
+/// Time of a load.
+const LOAD_MS: u64 = 700;
+
+/// One engine.
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) id: WorkerId,
+    pub(super) gate: FenceGate,
+    pub(super) occupants: HashMap<TargetName, (Occupant, u64)>,
+    pub(super) boot_id: u64,
+    pub(super) report: MemoryReport,
+}
+
+impl Engine {
+    /// Starts empty.
+    pub(super) fn new(id: WorkerId) -> Self {
+        let report = MemoryReport {
+            boot_id: 1,
+            report_number: 0,
+            ..MemoryReport::default()
+        };
+        Self {
+            id,
+            gate: FenceGate::default(),
+            occupants: HashMap::new(),
+            boot_id: 1,
+            report,
+        }
+    }
+
+    /// Memory taken now.
+    pub(super) fn taken_bytes(&self) -> u64 {
+        self.occupants
+            .values()
+            .map(|(occupant, _)| occupant.memory_bytes)
+            .sum()
+    }
+
+    /// Takes an order as a real engine does.
+    pub(super) fn take(&mut self, now_ms: u64, order: &Order, fenced: bool) -> OrderEnd {
+        if fenced && (order.boot_id != self.boot_id || !self.gate.admit(order.fence)) {
+            return OrderEnd::Refused(self.gate.highest());
+        }
+        match order.kind {
+            OrderKind::Load => {
+                let occupant = Occupant {
+                    target: order.target.clone(),
+                    memory_bytes: order.memory_bytes,
+                    residence: Residence::Loading,
+                };
+                self.occupants
+                    .entry(order.target.clone())
+                    .or_insert((occupant, now_ms + LOAD_MS));
+            }
+            OrderKind::Unload => {
+                if let Some((occupant, due_ms)) = self.occupants.get_mut(&order.target) {
+                    occupant.residence = Residence::Unloading;
+                    *due_ms = now_ms + 300;
+                }
+            }
+            OrderKind::Seal => {}
+        }
+        OrderEnd::Accepted
+    }
+
+    /// Finishes loads and unloads that are due.
+    pub(super) fn settle(&mut self, now_ms: u64) {
+        self.occupants.retain(|_, (occupant, due_ms)| {
+            occupant.residence != Residence::Unloading || now_ms < *due_ms
+        });
+        for (occupant, due_ms) in self.occupants.values_mut() {
+            if occupant.residence == Residence::Loading && now_ms >= *due_ms {
+                occupant.residence = Residence::Resident;
+            }
+        }
+    }
+
+    /// Makes the report that will be seen next.
+    pub(super) fn refresh(&mut self) {
+        self.report = MemoryReport {
+            boot_id: self.boot_id,
+            report_number: self.report.report_number + 1,
+            applied: self.gate.highest(),
+            occupants: self
+                .occupants
+                .values()
+                .map(|(occupant, _)| occupant.clone())
+                .collect(),
+        };
+    }
+}
--- a/crates/cranereach-core/tests/control_world/mod.rs
+++ b/crates/cranereach-core/tests/control_world/mod.rs
@@ -4,26 +4,25 @@
 //! the write took effect; instances pause between deciding and sending; engines
 //! restart empty. Real memory is checked at every step.
 
+mod carrying;
+mod engine;
+
 use std::collections::HashMap;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use cranereach_core::cell::CellId;
+use self::engine::Engine;
 use cranereach_core::control::CellControl;
 use cranereach_core::control::ControlAction;
 use cranereach_core::control::ControlOptions;
 use cranereach_core::control::IntentRow;
 use cranereach_core::control::Order;
 use cranereach_core::control::OrderEnd;
-use cranereach_core::fence::FenceGate;
 use cranereach_core::lease::LeaseRow;
 use cranereach_core::lease::LeaseView;
-use cranereach_core::ledger::MemoryReport;
 use cranereach_core::ledger::ORDER_LIFETIME_MS;
-use cranereach_core::ledger::Occupant;
-use cranereach_core::ledger::OrderKind;
 use cranereach_core::ledger::Residence;
 use cranereach_core::names::InstanceId;
 use cranereach_core::names::TargetName;
@@ -38,9 +37,6 @@
 /// Time of one step.
 const STEP_MS: u64 = 100;
 
-/// Time of a load.
-const LOAD_MS: u64 = 700;
-
 /// Which faults happen, each as a chance per event.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
@@ -66,16 +62,6 @@
     lose_report: 0.0,
 };
 
-/// One engine.
-#[derive(Debug)]
-struct Engine {
-    id: WorkerId,
-    gate: FenceGate,
-    occupants: HashMap<TargetName, (Occupant, u64)>,
-    boot_id: u64,
-    report: MemoryReport,
-}
-
 /// One instance, perhaps paused with actions that it hasn't carried out.
 #[derive(Debug)]
 struct Instance {
@@ -122,15 +108,10 @@
             loads_per_s: 50.0,
             loads_at_once_count: 4,
         };
-        let cell = CellId {
-            pool: "text".into(),
-            domain: "d1".into(),
-            part: 0,
-        };
         let instance = |number: u64| {
             let own = InstanceId::from(format!("i{number}"));
             let offset_ms = number * 777_000;
-            let mut control = CellControl::new(own, cell.clone(), fenced, options, offset_ms);
+            let mut control = CellControl::new(own, fenced, options, offset_ms);
             control.list(&ids, CAPACITY_BYTES);
             Instance {
                 control,
@@ -365,131 +346,6 @@
         }
     }
 
-    /// Carries out what an instance decided.
-    fn carry_out(&mut self, index: usize, actions: Vec<ControlAction>) {
-        for action in actions {
-            match action {
-                ControlAction::WriteLease(write) => {
-                    self.write_lease(index, write.expected_version, &write.row);
-                }
-                ControlAction::Send(order) => self.send(index, &order),
-                ControlAction::ReadIntents => self.read_intents(index),
-                ControlAction::RecordIntents(row) => self.record_intents(index, row),
-                ControlAction::LoadTook(_) => {}
-            }
-        }
-    }
-
-    /// Writes the lease row; the answer may be lost.
-    fn write_lease(&mut self, index: usize, expected_version: u64, row: &LeaseRow) {
-        if !self.table_is_up() {
-            return;
-        }
-        let applied = self.lease.0 == expected_version;
-        if applied {
-            self.lease = (expected_version + 1, row.clone());
-        }
-        if self.random.random_bool(self.faults.lose_table_answer) {
-            return;
-        }
-        let instance = &mut self.instances[index];
-        let own_ms = self.now_ms + instance.offset_ms;
-        if applied {
-            instance
-                .control
-                .lease_mut()
-                .applied(own_ms, expected_version + 1, row);
-        } else {
-            instance.control.lease_mut().refused(row);
-        }
-    }
-
-    /// Reads the intents row.
-    fn read_intents(&mut self, index: usize) {
-        let is_up = self.table_is_up();
-        let instance = &mut self.instances[index];
-        if !is_up {
-            instance.control.intents_unread();
-            return;
-        }
-        instance.intents_version = self.intents.0;
-        instance
-            .control
-            .intents_read(self.now_ms + instance.offset_ms, &self.intents.1);
-    }
-
-    /// Writes the intents row and sends what is then allowed.
-    fn record_intents(&mut self, index: usize, row: IntentRow) {
-        let is_up = self.table_is_up();
-        let instance = &mut self.instances[index];
-        let applied = is_up && self.intents.0 == instance.intents_version;
-        if applied {
-            instance.intents_version += 1;
-            self.intents = (instance.intents_version, row);
-        }
-        let told = applied && !self.random.random_bool(self.faults.lose_table_answer);
-        let orders = instance
-            .control
-            .intents_recorded(self.now_ms + instance.offset_ms, told);
-        if !told {
-            instance.control.intents_lost();
-        }
-        for order in orders {
-            self.send(index, &order);
-        }
-    }
-
-    /// Sends an order into a world that loses, delays and doubles.
-    fn send(&mut self, index: usize, order: &Order) {
-        let instance = &mut self.instances[index];
-        let own_ms = self.now_ms + instance.offset_ms;
-        let expired = instance
-            .control
-            .lease()
-            .expires_at_ms()
-            .is_none_or(|at_ms| own_ms >= at_ms);
-        if !self.fenced && expired {
-            instance
-                .control
-                .order_ended(own_ms, &order.worker, order.fence, OrderEnd::NeverSent);
-            return;
-        }
-        if self.random.random_bool(self.faults.double_order) {
-            self.fly(order.clone());
-        }
-        if self.random.random_bool(self.faults.lose_order) {
-            return self.end(index, order, OrderEnd::Unknown);
-        }
-        if self.random.random_bool(self.faults.delay_order) {
-            self.fly(order.clone());
-            return self.end(index, order, OrderEnd::Unknown);
-        }
-        let end = self.land(order);
-        self.end(index, order, end);
-    }
-
-    /// Lets an order arrive late.
-    fn fly(&mut self, order: Order) {
-        let latest_ms = if self.fenced {
-            120_000
-        } else {
-            ORDER_LIFETIME_MS / 2
-        };
-        let arrives_at_ms = self.now_ms + self.random.random_range(100..latest_ms);
-        self.flying.push(Flying {
-            arrives_at_ms,
-            order,
-        });
-    }
-
-    /// Tells an instance how its order ended.
-    fn end(&mut self, index: usize, order: &Order, end: OrderEnd) {
-        let own_ms = self.now_ms + self.instances[index].offset_ms;
-        self.instances[index]
-            .control
-            .order_ended(own_ms, &order.worker, order.fence, end);
-    }
-
     /// Notes which targets are resident, for reachability.
     fn note_served(&mut self) {
         for engine in &self.engines {
@@ -502,85 +358,6 @@
     }
 }
 
-impl Engine {
-    /// Starts empty.
-    fn new(id: WorkerId) -> Self {
-        let report = MemoryReport {
-            boot_id: 1,
-            report_number: 0,
-            ..MemoryReport::default()
-        };
-        Self {
-            id,
-            gate: FenceGate::default(),
-            occupants: HashMap::new(),
-            boot_id: 1,
-            report,
-        }
-    }
-
-    /// Memory taken now.
-    fn taken_bytes(&self) -> u64 {
-        self.occupants
-            .values()
-            .map(|(occupant, _)| occupant.memory_bytes)
-            .sum()
-    }
-
-    /// Takes an order as a real engine does.
-    fn take(&mut self, now_ms: u64, order: &Order, fenced: bool) -> OrderEnd {
-        if fenced && (order.boot_id != self.boot_id || !self.gate.admit(order.fence)) {
-            return OrderEnd::Refused(self.gate.highest());
-        }
-        match order.kind {
-            OrderKind::Load => {
-                let occupant = Occupant {
-                    target: order.target.clone(),
-                    memory_bytes: order.memory_bytes,
-                    residence: Residence::Loading,
-                };
-                self.occupants
-                    .entry(order.target.clone())
-                    .or_insert((occupant, now_ms + LOAD_MS));
-            }
-            OrderKind::Unload => {
-                if let Some((occupant, due_ms)) = self.occupants.get_mut(&order.target) {
-                    occupant.residence = Residence::Unloading;
-                    *due_ms = now_ms + 300;
-                }
-            }
-            OrderKind::Seal => {}
-        }
-        OrderEnd::Accepted
-    }
-
-    /// Finishes loads and unloads that are due.
-    fn settle(&mut self, now_ms: u64) {
-        self.occupants.retain(|_, (occupant, due_ms)| {
-            occupant.residence != Residence::Unloading || now_ms < *due_ms
-        });
-        for (occupant, due_ms) in self.occupants.values_mut() {
-            if occupant.residence == Residence::Loading && now_ms >= *due_ms {
-                occupant.residence = Residence::Resident;
-            }
-        }
-    }
-
-    /// Makes the report that will be seen next.
-    fn refresh(&mut self) {
-        self.report = MemoryReport {
-            boot_id: self.boot_id,
-            report_number: self.report.report_number + 1,
-            applied: self.gate.highest(),
-            occupants: self
-                .occupants
-                .values()
-                .map(|(occupant, _)| occupant.clone())
-                .collect(),
-        };
-    }
-}
-
 /// Makes a target; most pairs of them fill an engine.
 fn target(number: u64) -> PlanTarget {
     PlanTarget {
--- a/crates/cranereach-entry/src/control_actor/mod.rs
+++ b/crates/cranereach-entry/src/control_actor/mod.rs
@@ -4,8 +4,10 @@
 //! rows, polls workers and sends orders, each in a task that reports back. What
 //! it knows of demand is in [`demand`], its calls to others in [`calls`].
 
+mod arrange;
 mod calls;
 mod demand;
+mod messages;
 mod residents;
 
 use std::collections::HashMap;
@@ -17,38 +19,33 @@
 
 pub(crate) use self::calls::tell;
 use self::demand::DemandBook;
+pub use self::messages::CellView;
+use self::messages::Ended;
+pub use self::messages::ListChanged;
+pub use self::messages::Look;
+pub use self::messages::PeerSaid;
+pub use self::messages::TakeParts;
+pub use self::messages::Tick;
 use self::residents::Residents;
-use crate::discovery::worker_id;
 use crate::dispatch_actor::LoadTook;
 use crate::dispatch_actor::Reports;
 use crate::dispatch_actor::TakeDigest;
 use crate::platform::StoreError;
-use crate::platform::table::Versioned;
 use crate::shared::Shared;
 use crate::upstream::engine::EngineControl;
 use cranereach_core::cell::CellId;
-use cranereach_core::cell::cell_of;
 use cranereach_core::control::CellControl;
 use cranereach_core::control::ControlAction;
-use cranereach_core::control::ControlOptions;
-use cranereach_core::control::IntentRow;
-use cranereach_core::control::OrderEnd;
 use cranereach_core::declarations::PoolKind;
 use cranereach_core::dispatch::workers::WorkerReport;
 use cranereach_core::drain::Phase;
 use cranereach_core::fence::Epoch;
-use cranereach_core::fence::Fence;
-use cranereach_core::lease::LeaseRow;
 use cranereach_core::lease::LeaseView;
 use cranereach_core::ledger::Residence;
 use cranereach_core::membership::rendezvous_weight;
 use cranereach_core::names::InstanceId;
 use cranereach_core::names::WorkerId;
-use cranereach_core::residency;
 use cranereach_wire::peer::DigestPart;
-use cranereach_wire::platform::ListState;
-use cranereach_wire::platform::ListedInstance;
-use cranereach_wire::platform::Role;
 use cranereach_wire::upstream::EngineLoad;
 
 /// Time between two looks at all cells, in milliseconds.
@@ -63,57 +60,6 @@
 /// Instances that watch a cell's lease row: the owner and one successor.
 const WATCHER_COUNT: usize = 2;
 
-/// The platform's list or the configuration has changed.
-#[derive(Clone, Copy, Debug)]
-pub struct ListChanged;
-
-/// Time has passed.
-#[derive(Clone, Copy, Debug)]
-pub struct Tick;
-
-/// Parts of a peer's digest.
-#[derive(Clone, Debug)]
-pub struct PeerSaid {
-    /// The peer.
-    pub sender: InstanceId,
-    /// What it says.
-    pub parts: Vec<DigestPart>,
-}
-
-/// Asks for this actor's parts of the digest.
-#[derive(Clone, Copy, Debug)]
-pub struct TakeParts;
-
-/// Asks what operators see of control.
-#[derive(Clone, Copy, Debug)]
-pub struct Look;
-
-/// What operators see of one cell.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct CellView {
-    /// The cell.
-    pub cell: String,
-    /// Holder in the table, as last read.
-    pub holder: Option<String>,
-    /// Whether this instance orders the cell.
-    pub is_acting: bool,
-    /// Loads and unloads ordered from here.
-    pub moves_count: u64,
-    /// Worst case of each worker's memory, in bytes.
-    pub committed_bytes: Vec<(String, u64)>,
-}
-
-/// A read or write of a row, or a call to a worker, ended.
-#[derive(Debug)]
-enum Ended {
-    LeaseRead(CellId, Result<Versioned<LeaseRow>, StoreError>),
-    LeaseWritten(CellId, LeaseRow, Result<u64, StoreError>),
-    IntentsRead(CellId, Result<Versioned<IntentRow>, StoreError>),
-    IntentsWritten(CellId, Result<u64, StoreError>),
-    Polled(CellId, WorkerId, EngineLoad),
-    Ordered(CellId, WorkerId, Fence, OrderEnd),
-}
-
 /// A worker's report as polled here.
 #[derive(Debug)]
 struct Polled {
@@ -161,116 +107,6 @@
         }
     }
 
-    /// Sorts the listed workers into cells.
-    fn arrange(&mut self) {
-        let snapshot = self.shared.snapshot();
-        let listed = self.shared.listed();
-        let workers: Vec<&ListedInstance> = listed
-            .iter()
-            .filter(|instance| instance.role == Role::Worker)
-            .collect();
-        let mut members: HashMap<CellId, Vec<WorkerId>> = HashMap::new();
-        for instance in &workers {
-            let Some(pool) = instance
-                .pool
-                .as_ref()
-                .and_then(|name| snapshot.pools.get(name))
-            else {
-                continue;
-            };
-            let sharing = workers
-                .iter()
-                .filter(|other| other.pool == instance.pool && other.domain == instance.domain)
-                .count();
-            let cell = cell_of(&pool.name, &instance.domain, &worker_id(instance), sharing);
-            let is_live = instance.state == ListState::Live;
-            members
-                .entry(cell)
-                .or_default()
-                .extend(is_live.then(|| worker_id(instance)));
-            self.keep_client(instance);
-        }
-        self.clients
-            .retain(|id, _| workers.iter().any(|instance| &worker_id(instance) == id));
-        self.polled.retain(|id, _| self.clients.contains_key(id));
-        self.cells.retain(|id, _| members.contains_key(id));
-        let cells = members.iter().flat_map(|(cell, workers)| {
-            workers.iter().map(|worker| (worker.clone(), cell.clone()))
-        });
-        self.residents.arrange(cells.collect());
-        self.make_cells(members);
-    }
-
-    /// Keeps a client for a worker's address.
-    fn keep_client(&mut self, instance: &ListedInstance) {
-        let id = worker_id(instance);
-        let is_known = self
-            .clients
-            .get(&id)
-            .is_some_and(|client| client.address() == instance.address);
-        if !is_known {
-            self.clients
-                .insert(id, Arc::new(EngineControl::new(&instance.address)));
-        }
-    }
-
-    /// Makes missing cells and tells all which workers they have.
-    fn make_cells(&mut self, members: HashMap<CellId, Vec<WorkerId>>) {
-        let snapshot = self.shared.snapshot();
-        let engine_cells = members.keys().filter(|cell| {
-            snapshot
-                .pools
-                .get(&cell.pool)
-                .is_some_and(|pool| pool.kind == PoolKind::Engine)
-        });
-        let options = self.options(engine_cells.count());
-        let now_ms = self.shared.now_ms();
-        for (id, workers) in members {
-            let Some(pool) = snapshot.pools.get(&id.pool) else {
-                continue;
-            };
-            let is_known = self
-                .cells
-                .get(&id)
-                .is_some_and(|cell| cell.control.checks_fences() == pool.checks_fences);
-            if !is_known {
-                let control = CellControl::new(
-                    self.lease_id.clone(),
-                    id.clone(),
-                    pool.checks_fences,
-                    options,
-                    now_ms,
-                );
-                let cell = Cell {
-                    control,
-                    kind: pool.kind,
-                    workers: Vec::new(),
-                    lease_read_at_ms: None,
-                    intents_version: 0,
-                };
-                self.cells.insert(id.clone(), cell);
-            }
-            if let Some(cell) = self.cells.get_mut(&id) {
-                cell.control.list(&workers, pool.worker_memory_bytes);
-                cell.workers = workers;
-            }
-        }
-    }
-
-    /// Returns the options of a cell: its part of the weight store's limits.
-    fn options(&self, engine_cells_count: usize) -> ControlOptions {
-        let settings = &self.shared.settings;
-        let cells_count = engine_cells_count.max(1);
-        let policy = residency::find(&settings.policy.residency).unwrap_or(&residency::MARGINAL);
-        ControlOptions {
-            policy,
-            weights: settings.weights(),
-            loads_per_s: settings.weight_store.loads_per_s / cells_count as f64,
-            loads_at_once_count: (settings.weight_store.loads_at_once_count as usize / cells_count)
-                .max(1),
-        }
-    }
-
     /// Looks at every cell.
     fn look_at_cells(&mut self) {
         let now_ms = self.shared.now_ms();
--- a/crates/cranereach-entry/src/settings.rs
+++ b/crates/cranereach-entry/src/settings.rs
@@ -61,14 +61,6 @@
     pub id: InstanceId,
     /// Failure domain.
     pub failure_domain: FailureDomain,
-    /// Region.
-    #[serde(default = "default_region")]
-    pub region: String,
-}
-
-/// Region of an instance that names none.
-fn default_region() -> String {
-    "region-1".to_owned()
 }
 
 /// Addresses to listen on; port 0 lets the system choose.
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -20,6 +20,9 @@
 /// Most idle connections kept per upstream.
 const IDLE_MAX_COUNT: usize = 256;
 
+/// Largest buffer of one connection, so that a fast upstream fills no memory.
+const BUFFER_MAX_BYTES: usize = 32 * 1024;
+
 /// How a request failed.
 #[derive(Debug, Error)]
 pub enum SendError<B> {
@@ -106,7 +109,9 @@
     pub async fn make(&self) -> Result<Connection<B>, ConnectError> {
         let stream = TcpStream::connect(&self.address).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_MAX_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
             // The error reaches whoever waits on the sender.
             let _ended = connection.await;
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -144,7 +144,7 @@
             .get()
     };
     let is_counted = || dropped("unsealed") >= 2 && dropped("tcp") >= 1;
-    cranereach_bench::deployment::wait_until("drops counted", GENEROUS_MS, is_counted)
+    cranereach_bench::waiting::wait_until("drops counted", GENEROUS_MS, is_counted)
         .await
         .unwrap();
     let good = Call::chat("a", "m0", "hello", 2, true);
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -6,7 +6,7 @@
 use crate::fixture::GENEROUS_MS;
 use crate::fixture::Shape;
 use cranereach_bench::deployment::Deployment;
-use cranereach_bench::deployment::wait_until;
+use cranereach_bench::waiting::wait_until;
 use cranereach_core::codes::ResultCode;
 use cranereach_standin::load::Call;
 use cranereach_standin::platform::state::PlatformFaults;
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -44,7 +44,7 @@
         .collect();
     let queues = deployment.entries[0].as_ref().unwrap().shared();
     let is_full = || queues.metrics.queue_waiting.get() >= 256;
-    cranereach_bench::deployment::wait_until("a full queue", GENEROUS_MS, is_full)
+    cranereach_bench::waiting::wait_until("a full queue", GENEROUS_MS, is_full)
         .await
         .unwrap();
     for number in 0..10 {
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -10,7 +10,7 @@
 use crate::fixture::GENEROUS_MS;
 use crate::fixture::Shape;
 use crate::harness::Path;
-use cranereach_bench::deployment::wait_until;
+use cranereach_bench::waiting::wait_until;
 use cranereach_http::pool::Pool;
 use cranereach_standin::load;
 use cranereach_standin::load::Call;
--- a/tests/testsuite/reachable.rs
+++ b/tests/testsuite/reachable.rs
@@ -7,7 +7,7 @@
 use crate::fixture;
 use crate::fixture::GENEROUS_MS;
 use crate::fixture::Shape;
-use cranereach_bench::deployment::wait_until;
+use cranereach_bench::waiting::wait_until;
 use cranereach_standin::load::Call;
 use cranereach_standin::platform::state::PlatformFaults;
 use cranereach_standin::platform::state::StoreFaults;
