--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -129,10 +129,12 @@
 
 /// Measures all slopes, a line of JSON each.
 fn slopes(scenario: &Scenario) -> Exit {
-    let kernel = slopes::kernel::measure(scenario);
+    slopes::kernel::measure(scenario)
+        .iter()
+        .for_each(super::print_json);
     match super::block_on(slopes::system::measure(scenario)) {
         Ok(system) => {
-            kernel.iter().chain(&system).for_each(super::print_json);
+            system.iter().for_each(super::print_json);
             Exit::Done
         }
         Err(error) => {
