Tests wait for a served call in one place

Cause: the same wait for a call that is served stood 20 times in the tests, and three times more for separate processes.

--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -26,13 +26,7 @@
 async fn an_unsafe_call_without_an_answer_is_not_sent_again() {
     let deployment = fixture::start(Shape::default()).await;
     let warm = ledger_call("warm");
-    assert_eq!(
-        deployment
-            .call_until_served(0, &warm, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &warm).await;
     *deployment.services[0]
         .stand_in
         .state()
@@ -51,13 +45,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_told_not_run_did_not_run() {
     let deployment = fixture::start(Shape::default()).await;
-    assert_eq!(
-        deployment
-            .call_until_served(0, &ledger_call("warm"), GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &ledger_call("warm")).await;
     deployment.services.iter().for_each(|service| {
         deployment.list_worker(
             &service.id,
@@ -82,13 +70,7 @@
         ..Shape::default()
     })
     .await;
-    assert_eq!(
-        deployment
-            .call_until_served(0, &ledger_call("warm"), GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &ledger_call("warm")).await;
     let keyed = ledger_call("c1").with_header("idempotency-key", "k1");
     let first = deployment.call(0, &keyed).await;
     assert_eq!(first.status, 200, "{first:?}");
@@ -114,13 +96,7 @@
     })
     .await;
     for entry in 0..2 {
-        assert_eq!(
-            deployment
-                .call_until_served(entry, &ledger_call("warm"), GENEROUS_MS)
-                .await
-                .status,
-            200
-        );
+        fixture::served(&deployment, entry, &ledger_call("warm")).await;
     }
     deployment.services[0]
         .stand_in
@@ -150,13 +126,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_claim_whose_answer_is_lost_still_runs_once() {
     let deployment = fixture::start(Shape::default()).await;
-    assert_eq!(
-        deployment
-            .call_until_served(0, &ledger_call("warm"), GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &ledger_call("warm")).await;
     deployment
         .platform
         .state()
@@ -178,13 +148,7 @@
         ..Shape::default()
     })
     .await;
-    assert_eq!(
-        deployment
-            .call_until_served(0, &ledger_call("warm"), GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &ledger_call("warm")).await;
     let refuses = StoreFaults {
         refuses: true,
         ..StoreFaults::default()
@@ -218,13 +182,7 @@
         &address,
         cranereach_wire::platform::ListState::Live,
     );
-    assert_eq!(
-        deployment
-            .call_until_served(0, &ledger_call("warm"), GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &ledger_call("warm")).await;
     service.stand_in.state().faults.lock().unwrap().slow_ms = 5;
     for number in 0..40 {
         let name = format!("c{number}");
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -34,13 +34,7 @@
 async fn bad_requests_get_their_codes_and_others_are_served_meanwhile() {
     let deployment = fixture::start(Shape::default()).await;
     let good = Call::chat("a", "m0", "hello", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &good, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &good).await;
     let large = "x".repeat(5 * 1024 * 1024);
     let chat = |body: &str| Call::plain("a", Method::POST, "/v1/chat/completions", body);
     let rows = [
@@ -104,13 +98,7 @@
         .unwrap();
     deployment.wait_for_version(1, GENEROUS_MS).await.unwrap();
     let good = Call::chat("a", "m0", "hello", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(entry, &good, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, entry, &good).await;
     let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer a\r\nconnection: close\r\ncontent-length: 100\r\n\r\n{";
     let (slow, outcome) = tokio::join!(
         raw(&deployment, head.as_bytes()),
@@ -148,12 +136,6 @@
         .await
         .unwrap();
     let good = Call::chat("a", "m0", "hello", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &good, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &good).await;
     deployment.stop().await;
 }
--- a/tests/testsuite/fixture.rs
+++ b/tests/testsuite/fixture.rs
@@ -6,6 +6,8 @@
 use cranereach_bench::deployment::Deployment;
 use cranereach_core::snapshot::KeyHash;
 use cranereach_standin::engine::state::EngineOptions;
+use cranereach_standin::load::Call;
+use cranereach_standin::load::Outcome;
 use cranereach_standin::platform::state::WeightLimits;
 use cranereach_wire::folder::Folder;
 
@@ -121,3 +123,15 @@
         .map(|engine| engine.stand_in.state().ledger().excess_count)
         .sum()
 }
+
+/// Sends a call until it is served with a whole answer; fails the test if it isn't.
+pub async fn served(deployment: &Deployment, entry: usize, call: &Call) -> Outcome {
+    let outcome = deployment.call_until_served(entry, call, GENEROUS_MS).await;
+    assert!(
+        outcome.status == 200 && outcome.is_whole,
+        "{} {}: {outcome:?}",
+        call.method,
+        call.path
+    );
+    outcome
+}
--- a/tests/testsuite/frozen.rs
+++ b/tests/testsuite/frozen.rs
@@ -10,22 +10,12 @@
 use crate::harness::GENEROUS_MS;
 use crate::harness::Path;
 use crate::harness::Process;
+use crate::harness::until_status;
 use cranereach_http::client::JsonClient;
 use cranereach_http::pool::Pool;
 use cranereach_standin::load;
 use cranereach_standin::load::Call;
 
-/// Calls until the answer is a given status; gives up only with the test.
-async fn until_status(pool: &Pool<Full<Bytes>>, call: &Call, status: u16) -> load::Outcome {
-    loop {
-        let outcome = load::send(pool, call).await;
-        if outcome.status == status {
-            return outcome;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-    }
-}
-
 /// Returns how often a named call ran at the service.
 async fn runs(path: &Path, name: &str) -> u64 {
     let service = JsonClient::new(&path.service.address());
--- a/tests/testsuite/harness.rs
+++ b/tests/testsuite/harness.rs
@@ -10,10 +10,16 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use bytes::Bytes;
+use http_body_util::Full;
 use serde_json::Value;
 use serde_json::json;
 
 use cranereach_http::client::JsonClient;
+use cranereach_http::pool::Pool;
+use cranereach_standin::load;
+use cranereach_standin::load::Call;
+use cranereach_standin::load::Outcome;
 
 /// Declarations of the thin path.
 pub const DECLARATIONS: &str = include_str!("golden/declarations.jsonc");
@@ -249,3 +255,14 @@
         }
     }
 }
+
+/// Calls a process until the answer has a status and is whole; gives up only with the test.
+pub async fn until_status(pool: &Pool<Full<Bytes>>, call: &Call, status: u16) -> Outcome {
+    loop {
+        let outcome = load::send(pool, call).await;
+        if outcome.status == status && outcome.is_whole {
+            return outcome;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+}
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -126,13 +126,7 @@
     })
     .await;
     let first = Call::chat("a", "m0", "hello", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &first, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &first).await;
     let is_holder =
         |entry: &cranereach_entry::entry::Entry| entry.shared().metrics.cells_held.get() > 0;
     let holder = deployment
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -14,13 +14,7 @@
 async fn a_flood_is_refused_at_once_and_the_other_account_is_served() {
     let deployment = Arc::new(fixture::start(Shape::default()).await);
     let warm = Call::chat("b", "m0", "warm", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &warm, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &warm).await;
     let stop = Arc::new(AtomicBool::new(false));
     let flood: Vec<_> = (0..400)
         .map(|_| {
@@ -68,13 +62,7 @@
 async fn a_worker_that_refuses_everything_causes_no_storm() {
     let deployment = fixture::start(Shape::default()).await;
     let call = Call::chat("a", "m0", "hello", 1, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &call, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &call).await;
     let engine = deployment.engines[0].stand_in.state();
     *engine.faults.lock().unwrap() = EngineFaults {
         refuse_count: u32::MAX,
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -2,37 +2,24 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Method;
 
 use crate::fixture;
 use crate::fixture::GENEROUS_MS;
 use crate::fixture::Shape;
 use crate::harness::Path;
+use crate::harness::until_status;
 use cranereach_bench::waiting::wait_until;
 use cranereach_http::pool::Pool;
 use cranereach_standin::load;
 use cranereach_standin::load::Call;
-use cranereach_standin::load::Outcome;
-
-/// Calls until the answer is whole; gives up only with the test.
-async fn until_whole(pool: &Pool<Full<Bytes>>, call: &Call) -> Outcome {
-    loop {
-        let outcome = load::send(pool, call).await;
-        if outcome.status == 200 && outcome.is_whole {
-            return outcome;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-    }
-}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn sigterm_finishes_open_streams_and_a_second_one_is_harmless() {
     let mut path = Path::start("planned-stop").await;
     let pool = Arc::new(Pool::new(&path.entry.address_of("callers")));
     let warm = Call::chat("crews-key", "harvest-a", "warm", 1, true);
-    until_whole(&pool, &warm).await;
+    until_status(&pool, &warm, 200).await;
     // 200 tokens of 20 ms and more: the stream outlives the announced phase.
     let stream = Call::chat("crews-key", "harvest-a", "long", 200, true);
     let whole = Call::chat("crews-key", "harvest-a", "long", 200, false);
@@ -47,7 +34,7 @@
     path.wait_for_runs(3).await;
     path.entry.signal("TERM");
     // The balancer hasn't moved yet: what arrives now is still served.
-    let late = until_whole(&pool, &lookup).await;
+    let late = until_status(&pool, &lookup, 200).await;
     path.entry.signal("TERM");
     assert_eq!(late.status, 200);
     for call in open {
@@ -67,13 +54,7 @@
     .await;
     let call = Call::chat("a", "m0", "warm", 2, true);
     for entry in 0..3 {
-        assert_eq!(
-            deployment
-                .call_until_served(entry, &call, GENEROUS_MS)
-                .await
-                .status,
-            200
-        );
+        fixture::served(&deployment, entry, &call).await;
     }
     let callers = deployment.callers();
     let long = Call::chat("a", "m0", "long", 1_500, true);
@@ -103,13 +84,7 @@
         );
     }
     let next = Call::chat("a", "m1", "hello", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(2, &next, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 2, &next).await;
     assert_eq!(fixture::excess_count(&deployment), 0);
     deployment.stop().await;
 }
--- a/tests/testsuite/reachable.rs
+++ b/tests/testsuite/reachable.rs
@@ -77,13 +77,7 @@
     })
     .await;
     let call = Call::chat("a", "m0", "hello", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &call, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &call).await;
     let holder = deployment
         .engines
         .iter()
@@ -105,13 +99,7 @@
     })
     .await;
     let first = Call::chat("a", "m0", "hello", 2, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &first, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &first).await;
     *deployment.platform.state().faults.lock().unwrap() = OUTAGE;
     // Longer than a term and than the time in which an instance must be confirmed.
     tokio::time::sleep(std::time::Duration::from_secs(9)).await;
@@ -135,13 +123,7 @@
     .await;
     let call = Call::chat("a", "m0", "hello", 2, true);
     for by_list in [true, false] {
-        assert_eq!(
-            deployment
-                .call_until_served(0, &call, GENEROUS_MS)
-                .await
-                .status,
-            200
-        );
+        fixture::served(&deployment, 0, &call).await;
         let holder = deployment
             .engines
             .iter()
--- a/tests/testsuite/thin_path.rs
+++ b/tests/testsuite/thin_path.rs
@@ -3,12 +3,10 @@
 use std::fmt::Write;
 use std::fs;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Method;
 
-use crate::harness::GENEROUS_MS;
 use crate::harness::Path;
+use crate::harness::until_status;
 use cranereach_http::pool::Pool;
 use cranereach_standin::load;
 use cranereach_standin::load::Call;
@@ -45,18 +43,6 @@
     masked + rest
 }
 
-/// Calls until the model has been loaded and the call is served.
-async fn until_served(pool: &Pool<Full<Bytes>>, call: &Call) -> Outcome {
-    let started = std::time::Instant::now();
-    loop {
-        let outcome = load::send(pool, call).await;
-        if outcome.status == 200 || started.elapsed().as_millis() as u64 > GENEROUS_MS {
-            return outcome;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_session_in_separate_processes_matches_its_golden_file() {
     let path = Path::start("thin-path").await;
@@ -68,7 +54,7 @@
         &mut session,
         title,
         &first,
-        &until_served(&pool, &first).await,
+        &until_status(&pool, &first, 200).await,
     );
     let get = |path| Call::plain("crews-key", Method::GET, path, "");
     let steps = [
@@ -108,7 +94,7 @@
         &mut session,
         "a ledger lookup",
         &lookup,
-        &until_served(&pool, &lookup).await,
+        &until_status(&pool, &lookup, 200).await,
     );
     let keyed = lookup
         .with_header("x-call", "c2")
--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -112,13 +112,7 @@
 async fn a_broken_answer_never_passes_as_whole() {
     let deployment = fixture::start(Shape::default()).await;
     let warm = Call::chat("a", "m0", "warm", 1, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &warm, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &warm).await;
     let engine = deployment.engines[0].stand_in.state();
     for (name, faults, stream, code) in rows() {
         *engine.faults.lock().unwrap() = faults;
@@ -155,13 +149,7 @@
         .await,
     );
     let warm = Call::chat("a", "m0", "warm", 1, true);
-    assert_eq!(
-        deployment
-            .call_until_served(0, &warm, GENEROUS_MS)
-            .await
-            .status,
-        200
-    );
+    fixture::served(&deployment, 0, &warm).await;
     let calls: Vec<_> = (0..200)
         .map(|number| {
             let deployment = Arc::clone(&deployment);
