The book's examples pass the check, by a test

Cause: nothing kept docs/examples in step with the declarations' format. Ruled out: checking them by a unit of the folder reader (the command is what a reader runs).

--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use crate::harness;
 use cranereach_core::cell;
 use cranereach_core::codes::TABLE;
 use cranereach_core::config;
@@ -122,3 +123,10 @@
         );
     }
 }
+
+#[test]
+fn the_examples_of_the_book_pass_the_check() {
+    let examples = root("docs/examples").display().to_string();
+    let (exit, output, errors) = harness::run(&["check", &examples]);
+    assert_eq!(exit, 0, "{output}{errors}");
+}
