--- a/crates/cranereach-core/src/token_bucket.rs
+++ b/crates/cranereach-core/src/token_bucket.rs
@@ -45,6 +45,12 @@
         self.level_count >= 1.0
     }
 
+    /// Empties the bucket, as if all of it had just been taken.
+    pub fn drain(&mut self, now_ms: u64) {
+        self.fill(now_ms);
+        self.level_count = 0.0;
+    }
+
     /// Adds what has accrued since the last look.
     fn fill(&mut self, now_ms: u64) {
         let passed_ms = now_ms.saturating_sub(self.filled_at_ms);
--- /dev/null
+++ b/crates/cranereach-fleet/src/configuration.rs
@@ -0,0 +1,191 @@
+//! The declared configuration: routes by host and longest path prefix, services, limits.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// What a route's calls allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// May run more than once.
+    Repeatable,
+    /// May run at most once.
+    Once,
+    /// A stream of events, run at most once unless the route may be resumed.
+    Stream,
+}
+
+/// One target of a route with its share of the traffic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Service.
+    pub service: Arc<str>,
+    /// Share, in proportion to the other targets.
+    pub weight: f64,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: Arc<str>,
+    /// Host that callers name.
+    pub host: String,
+    /// Path prefix, with a slash at both ends.
+    pub path_prefix: String,
+    /// What its calls allow.
+    pub kind: RouteKind,
+    /// Whether a stream may be taken up at another worker.
+    pub is_resumable: bool,
+    /// Longest time from receipt to the final answer, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer is in time, in milliseconds.
+    pub aim_ms: u64,
+    /// Most workers that one request may run on.
+    pub attempt_max_count: u32,
+    /// Rank, zero first.
+    pub priority: u8,
+    /// Where its calls go.
+    pub targets: Vec<Target>,
+}
+
+impl Route {
+    /// Whether a call that may have run may be sent again.
+    pub fn may_repeat(&self) -> bool {
+        match self.kind {
+            RouteKind::Repeatable => true,
+            RouteKind::Once => false,
+            RouteKind::Stream => self.is_resumable,
+        }
+    }
+
+    /// Picks a target by weight; `draw` lies in `0.0..1.0`.
+    pub fn target(&self, draw: f64) -> Option<&Arc<str>> {
+        let total: f64 = self.targets.iter().map(|target| target.weight).sum();
+        let mut left = draw * total;
+        for target in &self.targets {
+            left -= target.weight;
+            if left < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        self.targets.last().map(|target| &target.service)
+    }
+}
+
+/// A model that an engine service declares.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Name.
+    pub name: Arc<str>,
+    /// Memory of its weights, in megabytes.
+    pub weights_mb: f64,
+    /// Adapters, named `a1` and so on.
+    pub adapter_count: u16,
+    /// Memory of one adapter, in megabytes.
+    pub adapter_mb: f64,
+    /// Time of a load from the weight store, in seconds.
+    pub load_s: f64,
+}
+
+/// What an engine service declares of its workers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests that a worker runs at once.
+    pub slot_count: u32,
+    /// Tokens that a worker's memory holds.
+    pub kv_tokens: u64,
+    /// Memory for weights and adapters of a worker, in megabytes.
+    pub weights_mb: f64,
+    /// Adapters that a worker holds at most.
+    pub adapter_slot_count: u32,
+    /// Loads that the weight store allows, per second.
+    pub loads_per_s: f64,
+    /// Models, the order as declared.
+    pub models: Vec<Model>,
+}
+
+impl Engine {
+    /// Returns a model's place in the list.
+    pub fn model_index(&self, name: &str) -> Option<u16> {
+        let found = self
+            .models
+            .iter()
+            .position(|model| model.name.as_ref() == name);
+        found.map(|index| index as u16)
+    }
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: Arc<str>,
+    /// Connections that one worker takes from all callers.
+    pub connection_max_count: u32,
+    /// What its workers are, if they hold models.
+    pub engine: Option<Engine>,
+}
+
+/// Limits on callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub header_max_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_max_bytes: usize,
+    /// Time for a head to arrive, in milliseconds.
+    pub header_within_ms: u64,
+    /// Time that a kept connection may rest, in milliseconds.
+    pub idle_within_ms: u64,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// Version; only grows.
+    pub version: u64,
+    /// Services by name.
+    pub services: HashMap<Arc<str>, Arc<Service>>,
+    /// Limits on callers.
+    pub limits: Limits,
+    routes: HashMap<String, HashMap<String, Arc<Route>>>,
+}
+
+impl Configuration {
+    /// Makes a configuration from its parts.
+    pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
+        let mut by_host: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let prefixes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
+            prefixes.insert(route.path_prefix.clone(), Arc::new(route));
+        }
+        Self {
+            version,
+            services: services
+                .into_iter()
+                .map(|service| (Arc::clone(&service.name), Arc::new(service)))
+                .collect(),
+            limits,
+            routes: by_host,
+        }
+    }
+
+    /// Finds the route of a host with the longest prefix of a path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let prefixes = self.routes.get(&host.to_ascii_lowercase())?;
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = prefixes.get(&path[..=slash]) {
+                return Some(route);
+            }
+            end = slash;
+        }
+        None
+    }
+
+    /// Counts the routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(HashMap::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/cranereach-fleet/src/demand.rs
@@ -0,0 +1,48 @@
+//! What callers ask for, per model and adapter, as decayed rates.
+
+use std::collections::HashMap;
+
+/// Time after which half of the demand is forgotten, in milliseconds.
+const HALF_LIFE_MS: f64 = 2_500.0;
+
+/// Demand below which an entry is dropped, in tokens per second.
+const LEAST_TOKENS_PER_S: f64 = 0.05;
+
+/// A model, or an adapter of it; adapter zero stands for the bare model.
+pub type ModelKey = (u16, u16);
+
+/// Decayed demand of one instance.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    rates: HashMap<ModelKey, f64>,
+    decayed_at_ms: u64,
+}
+
+impl Demand {
+    /// Notes a request of a size in tokens.
+    pub fn asked(&mut self, now_ms: u64, key: ModelKey, tokens: f64) {
+        self.decay(now_ms);
+        let added_per_s = tokens * std::f64::consts::LN_2 * 1_000.0 / HALF_LIFE_MS;
+        *self.rates.entry(key).or_default() += added_per_s;
+    }
+
+    /// Returns the rates in tokens per second.
+    pub fn rates(&mut self, now_ms: u64) -> &HashMap<ModelKey, f64> {
+        self.decay(now_ms);
+        &self.rates
+    }
+
+    /// Forgets what is old.
+    fn decay(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.decayed_at_ms) as f64;
+        if passed_ms < 1.0 {
+            return;
+        }
+        let kept = 0.5_f64.powf(passed_ms / HALF_LIFE_MS);
+        self.rates.retain(|_, rate| {
+            *rate *= kept;
+            *rate > LEAST_TOKENS_PER_S
+        });
+        self.decayed_at_ms = now_ms;
+    }
+}
--- /dev/null
+++ b/crates/cranereach-fleet/src/health.rs
@@ -0,0 +1,90 @@
+//! Passive health of one worker, from the ends of the calls sent to it.
+
+/// Time after which half of what was seen is forgotten, in milliseconds.
+const HALF_LIFE_MS: f64 = 3_000.0;
+
+/// Failures in a row that put a worker aside.
+const FAILURES_IN_A_ROW: u32 = 3;
+
+/// Share of failed calls that puts a worker aside.
+const FAILED_SHARE: f64 = 0.25;
+
+/// Failures seen at least before their share counts.
+const FAILED_LEAST: f64 = 2.5;
+
+/// First time that a worker is put aside for, in milliseconds.
+const ASIDE_FIRST_MS: u64 = 600;
+
+/// Longest time that a worker is put aside for, in milliseconds.
+const ASIDE_MAX_MS: u64 = 5_000;
+
+/// What is believed of a worker's health.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    failed: f64,
+    whole: f64,
+    decayed_at_ms: u64,
+    failed_in_a_row: u32,
+    aside_count: u32,
+    aside_until_ms: u64,
+}
+
+impl Health {
+    /// Notes a call that came back as it should.
+    pub fn succeeded(&mut self, now_ms: u64) {
+        self.decay(now_ms);
+        self.whole += 1.0;
+        self.failed_in_a_row = 0;
+        if self.failed < 0.5 {
+            self.aside_count = 0;
+        }
+    }
+
+    /// Notes a call that failed after it was sent.
+    pub fn failed(&mut self, now_ms: u64) {
+        self.decay(now_ms);
+        self.failed += 1.0;
+        self.failed_in_a_row += 1;
+        let share = self.failed / (self.failed + self.whole);
+        let is_often = self.failed >= FAILED_LEAST && share >= FAILED_SHARE;
+        if is_often || self.failed_in_a_row >= FAILURES_IN_A_ROW {
+            self.put_aside(now_ms);
+        }
+    }
+
+    /// Notes that the worker could not be reached.
+    pub fn unreachable(&mut self, now_ms: u64) {
+        self.decay(now_ms);
+        self.failed += 1.0;
+        self.put_aside(now_ms);
+    }
+
+    /// Whether calls should go elsewhere for now.
+    pub fn is_aside(&self, now_ms: u64) -> bool {
+        now_ms < self.aside_until_ms
+    }
+
+    /// Returns the share of failed calls, with a prior of few good ones.
+    pub fn failed_share(&self) -> f64 {
+        self.failed / (self.failed + self.whole + 4.0)
+    }
+
+    /// Puts the worker aside, each time for longer.
+    fn put_aside(&mut self, now_ms: u64) {
+        if self.is_aside(now_ms) {
+            return;
+        }
+        let doubled = ASIDE_FIRST_MS << self.aside_count.min(4);
+        self.aside_until_ms = now_ms + doubled.min(ASIDE_MAX_MS);
+        self.aside_count += 1;
+    }
+
+    /// Forgets what is old.
+    fn decay(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.decayed_at_ms) as f64;
+        let kept = 0.5_f64.powf(passed_ms / HALF_LIFE_MS);
+        self.failed *= kept;
+        self.whole *= kept;
+        self.decayed_at_ms = now_ms;
+    }
+}
--- /dev/null
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -0,0 +1,393 @@
+//! What the holder of a lease knows of its workers, and which orders are open.
+//!
+//! Every order names the sequence that the worker must have, and is made for
+//! what the worker held at that sequence. So an order that is carried out late,
+//! or that an earlier holder sent, either comes first and makes all others for
+//! that sequence fail, or fails itself. A worker whose state isn't known at its
+//! sequence is asked for a report before it gets an order.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::demand::ModelKey;
+use crate::placement::Order;
+use crate::placement::Place;
+use crate::placement::WorkerView;
+
+/// Time after which an order without an answer is sent again, in milliseconds.
+const RESEND_AFTER_MS: u64 = 300;
+
+/// Times that an order is sent before a report is asked for.
+const SEND_MAX_COUNT: u32 = 3;
+
+/// Time for which a worker that failed is left alone, in milliseconds.
+const ASIDE_FOR_MS: u64 = 1_000;
+
+/// Time before a report shows what an order did, in milliseconds.
+const REPORT_LAG_MS: u64 = 200;
+
+/// Time between two reports of a busy worker, in milliseconds.
+const BUSY_LOOK_EVERY_MS: u64 = 1_200;
+
+/// First look at an unload, in milliseconds.
+const UNLOAD_LOOK_MS: u64 = 350;
+
+/// A worker's state at one sequence, from its row or a report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerState {
+    /// Orders that it has taken.
+    pub sequence: u64,
+    /// Whether an order is under way; a row doesn't say.
+    pub is_busy: bool,
+    /// What it holds.
+    pub places: Vec<Place>,
+}
+
+/// How an order to a worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// Under way, or done.
+    Taken,
+    /// It was done before.
+    AlreadyDone,
+    /// Another order is under way, or the sequence has moved.
+    Conflict,
+    /// The worker refused it, or is another one.
+    Refused,
+    /// Nothing was sent.
+    NotSent,
+    /// It may be carried out now or later.
+    Unanswered,
+}
+
+/// An order with the sequence that it was made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenOrder {
+    /// The order.
+    pub order: Order,
+    /// Sequence that the worker must have.
+    pub expected_sequence: u64,
+}
+
+/// What is going on at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// A report is needed.
+    Unknown { ask_at_ms: u64 },
+    /// Its state is known at its sequence.
+    Free,
+    /// An order or report is on its way.
+    Waiting,
+    /// It carries a load or unload out.
+    Busy { look_at_ms: u64 },
+    /// An order got no answer.
+    Unsettled { resend_at_ms: u64, sent_count: u32 },
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+struct Entry {
+    sequence: u64,
+    places: Vec<Place>,
+    copies: Vec<u16>,
+    is_serving: bool,
+    phase: Phase,
+    open: Option<OpenOrder>,
+    row_version: u64,
+}
+
+/// All workers of one lease.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    entries: HashMap<Arc<str>, Entry>,
+}
+
+/// A worker's row as the ledger takes it.
+#[derive(Clone, Debug)]
+pub struct WorkerRow<'a> {
+    /// Identity.
+    pub id: &'a Arc<str>,
+    /// Version of the row.
+    pub version: u64,
+    /// What it says.
+    pub state: WorkerState,
+    /// Models that it loads cheaply.
+    pub copies: Vec<u16>,
+    /// Whether it takes requests.
+    pub is_serving: bool,
+}
+
+impl Ledger {
+    /// Forgets everything, as a new holder starts.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+    }
+
+    /// Keeps only the workers that are still listed.
+    pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.entries.retain(|id, _| is_listed(id));
+    }
+
+    /// Takes a worker's row.
+    pub fn row(&mut self, now_ms: u64, row: WorkerRow<'_>) {
+        let state = row.state;
+        let entry = self.entries.entry(Arc::clone(row.id)).or_insert_with(|| {
+            // A worker that never took an order can't have one under way.
+            let phase = if state.sequence == 0 {
+                Phase::Free
+            } else {
+                Phase::Unknown { ask_at_ms: now_ms }
+            };
+            Entry {
+                sequence: state.sequence,
+                places: state.places.clone(),
+                copies: Vec::new(),
+                is_serving: true,
+                phase,
+                open: None,
+                row_version: 0,
+            }
+        });
+        entry.copies = row.copies;
+        entry.is_serving = row.is_serving;
+        if entry.row_version >= row.version {
+            return;
+        }
+        entry.row_version = row.version;
+        entry.take_row(now_ms, state);
+    }
+
+    /// Takes a report.
+    pub fn reported(&mut self, now_ms: u64, id: &str, state: Option<WorkerState>) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let Some(state) = state else {
+            entry.phase = Phase::Unknown {
+                ask_at_ms: now_ms + ASIDE_FOR_MS,
+            };
+            return;
+        };
+        if state.sequence < entry.sequence {
+            entry.phase = Phase::Unknown {
+                ask_at_ms: now_ms + REPORT_LAG_MS,
+            };
+            return;
+        }
+        if state.is_busy && state.sequence == entry.sequence && entry.open.is_some() {
+            // What is under way is known: its memory is counted already.
+            entry.phase = Phase::Busy {
+                look_at_ms: now_ms + BUSY_LOOK_EVERY_MS,
+            };
+            return;
+        }
+        entry.sequence = state.sequence;
+        entry.places = state.places;
+        entry.open = None;
+        entry.phase = if state.is_busy {
+            Phase::Unknown {
+                ask_at_ms: now_ms + BUSY_LOOK_EVERY_MS,
+            }
+        } else {
+            Phase::Free
+        };
+    }
+
+    /// Lists the workers whose report is due, and marks them as asked.
+    pub fn reports_due(&mut self, now_ms: u64) -> Vec<Arc<str>> {
+        let mut due = Vec::new();
+        for (id, entry) in &mut self.entries {
+            let at_ms = match entry.phase {
+                Phase::Unknown { ask_at_ms } => ask_at_ms,
+                Phase::Busy { look_at_ms } => look_at_ms,
+                Phase::Free | Phase::Waiting | Phase::Unsettled { .. } => continue,
+            };
+            if at_ms <= now_ms && entry.is_serving {
+                entry.phase = Phase::Waiting;
+                due.push(Arc::clone(id));
+            }
+        }
+        due
+    }
+
+    /// Lists the orders that are to be sent once more, and marks them as sent.
+    pub fn resends_due(&mut self, now_ms: u64) -> Vec<(Arc<str>, OpenOrder, u32)> {
+        let mut due = Vec::new();
+        for (id, entry) in &mut self.entries {
+            let Phase::Unsettled {
+                resend_at_ms,
+                sent_count,
+            } = entry.phase
+            else {
+                continue;
+            };
+            if let (Some(open), true) = (entry.open, resend_at_ms <= now_ms) {
+                entry.phase = Phase::Waiting;
+                due.push((Arc::clone(id), open, sent_count + 1));
+            }
+        }
+        due
+    }
+
+    /// Begins an order and returns it with the sequence that it is made for.
+    pub fn begin(&mut self, id: &str, order: Order) -> Option<OpenOrder> {
+        let entry = self.entries.get_mut(id)?;
+        if entry.phase != Phase::Free {
+            return None;
+        }
+        let open = OpenOrder {
+            order,
+            expected_sequence: entry.sequence,
+        };
+        entry.open = Some(open);
+        entry.phase = Phase::Waiting;
+        entry.apply(order);
+        Some(open)
+    }
+
+    /// Takes the end of an order that was sent `sent_count` times.
+    pub fn ended(&mut self, now_ms: u64, id: &str, end: OrderEnd, sent_count: u32, load_ms: u64) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let Some(open) = entry.open else { return };
+        let ask = |after_ms: u64| Phase::Unknown {
+            ask_at_ms: now_ms + after_ms,
+        };
+        entry.phase = match end {
+            OrderEnd::Taken => {
+                entry.sequence = open.expected_sequence + 1;
+                match open.order {
+                    Order::Load(_) => Phase::Busy {
+                        look_at_ms: now_ms + load_ms + 600,
+                    },
+                    Order::Unload(_) => Phase::Busy {
+                        look_at_ms: now_ms + UNLOAD_LOOK_MS,
+                    },
+                    Order::LoadAdapter(_) => {
+                        entry.open = None;
+                        Phase::Free
+                    }
+                    // It may wait for its requests; a report shows the free slot.
+                    Order::UnloadAdapter(_) => {
+                        entry.open = None;
+                        ask(REPORT_LAG_MS)
+                    }
+                }
+            }
+            OrderEnd::AlreadyDone if matches!(open.order, Order::UnloadAdapter(_)) => {
+                entry.sequence = open.expected_sequence + 1;
+                entry.open = None;
+                Phase::Free
+            }
+            OrderEnd::Unanswered if sent_count < SEND_MAX_COUNT => Phase::Unsettled {
+                resend_at_ms: now_ms + RESEND_AFTER_MS,
+                sent_count,
+            },
+            OrderEnd::AlreadyDone | OrderEnd::Conflict => {
+                entry.open = None;
+                ask(REPORT_LAG_MS)
+            }
+            OrderEnd::Unanswered | OrderEnd::Refused | OrderEnd::NotSent => {
+                entry.open = None;
+                ask(ASIDE_FOR_MS)
+            }
+        };
+    }
+
+    /// Returns the workers as the plan sees them, in the order of their names.
+    pub fn views(&self) -> (Vec<Arc<str>>, Vec<WorkerView>) {
+        let mut ids: Vec<Arc<str>> = self.entries.keys().cloned().collect();
+        ids.sort_unstable();
+        let views = ids.iter().filter_map(|id| self.entries.get(id));
+        let views = views.map(|entry| WorkerView {
+            places: entry.places.clone(),
+            is_free: entry.phase == Phase::Free,
+            is_serving: entry.is_serving,
+            copies: entry.copies.clone(),
+        });
+        let views = views.collect();
+        (ids, views)
+    }
+
+    /// Lists the adapters that workers hold by these orders.
+    pub fn adapters(&self) -> impl Iterator<Item = (&Arc<str>, ModelKey)> {
+        self.entries.iter().flat_map(|(id, entry)| {
+            let places = entry.places.iter();
+            places.flat_map(move |place| {
+                let adapters = place.adapters.iter();
+                adapters.map(move |adapter| (id, (place.model, *adapter)))
+            })
+        })
+    }
+
+    /// Lists the models that are being unloaded.
+    pub fn going(&self) -> impl Iterator<Item = (&Arc<str>, u16)> {
+        self.entries.iter().flat_map(|(id, entry)| {
+            let places = entry.places.iter().filter(|place| place.is_going);
+            places.map(move |place| (id, place.model))
+        })
+    }
+}
+
+impl Entry {
+    /// Takes what a newer row says of the state.
+    fn take_row(&mut self, now_ms: u64, state: WorkerState) {
+        if state.sequence > self.sequence {
+            let is_own = self
+                .open
+                .is_some_and(|open| state.sequence == open.expected_sequence + 1);
+            if !is_own && self.phase != Phase::Waiting {
+                self.phase = Phase::Unknown { ask_at_ms: now_ms };
+            }
+            return;
+        }
+        if state.sequence < self.sequence {
+            return;
+        }
+        match (self.phase, self.open.map(|open| open.order)) {
+            (Phase::Free, _) => self.places = state.places,
+            (Phase::Busy { .. }, Some(order)) if is_done(order, &state.places) => {
+                self.places = state.places;
+                self.open = None;
+                self.phase = Phase::Free;
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts an order as it will be, memory at its worst.
+    fn apply(&mut self, order: Order) {
+        match order {
+            Order::Load(model) => self.places.push(Place {
+                model,
+                ..Place::default()
+            }),
+            Order::Unload(model) => {
+                for place in self.places.iter_mut().filter(|place| place.model == model) {
+                    place.is_going = true;
+                }
+            }
+            Order::LoadAdapter((model, adapter)) => {
+                for place in self.places.iter_mut().filter(|place| place.model == model) {
+                    place.adapters.push(adapter);
+                }
+            }
+            Order::UnloadAdapter((model, adapter)) => {
+                for place in self.places.iter_mut().filter(|place| place.model == model) {
+                    place.adapters.retain(|held| *held != adapter);
+                }
+            }
+        }
+    }
+}
+
+/// Whether a state shows that an order is done.
+fn is_done(order: Order, places: &[Place]) -> bool {
+    let holds = |model: u16| places.iter().any(|place| place.model == model);
+    match order {
+        Order::Load(model) => holds(model),
+        Order::Unload(model) => !holds(model),
+        Order::LoadAdapter(_) | Order::UnloadAdapter(_) => true,
+    }
+}
--- /dev/null
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decisions about declared routes and their workers, without I/O or a clock.
+//!
+//! [`configuration`] answers which route a request takes. [`roster`] keeps what
+//! is known of every worker and picks one; it builds on [`health`] and
+//! [`prefixes`]. [`retry_window`] bounds repeats. [`tenure`] says whether this
+//! instance may order workers, and [`placement`] what it should order.
+//!
+//! ```
+//! use cranereach_fleet::tenure::Tenure;
+//!
+//! assert!(!Tenure::new("entry-1", 3_000).may_order(0));
+//! ```
+
+pub mod configuration;
+pub mod demand;
+pub mod health;
+pub mod ledger;
+pub mod placement;
+pub mod prefixes;
+pub mod retry_window;
+pub mod roster;
+pub mod tenure;
--- /dev/null
+++ b/crates/cranereach-fleet/src/tenure.rs
@@ -0,0 +1,188 @@
+//! The lease that lets one instance order workers, for workers without fences.
+//!
+//! The lease is a row that is only changed under the condition that nobody else
+//! changed it. The holder counts its term from before it sent the write, on its
+//! own clock. A successor must have seen the row unchanged for a whole term and
+//! the pause that must lie between two holders' orders. No clocks are compared.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Length of a term, in milliseconds.
+pub const TERM_MS: u64 = 2_000;
+
+/// Time between two renewals, in milliseconds.
+pub const RENEW_EVERY_MS: u64 = 650;
+
+/// Time added to what a successor waits, in milliseconds.
+pub const MARGIN_MS: u64 = 350;
+
+/// Content of the lease row.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRow {
+    /// Machine that holds the lease, or held it last.
+    pub holder: String,
+    /// Start of the process that wrote the row.
+    pub boot: u64,
+    /// Whether the holder has given the lease up.
+    pub is_released: bool,
+}
+
+/// What to do about the lease now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing.
+    Wait,
+    /// Read the row.
+    Read,
+    /// Write it, if its version still is this; zero if there is no row.
+    Write {
+        /// Version that the row must have.
+        expected_version: u64,
+    },
+}
+
+/// The row as last seen.
+#[derive(Clone, Debug)]
+struct Seen {
+    version: u64,
+    row: Option<LeaseRow>,
+    first_seen_at_ms: u64,
+}
+
+/// The lease as held.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    token: u64,
+    version: u64,
+    until_ms: u64,
+    renew_at_ms: u64,
+}
+
+/// One instance's view of one lease.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    machine: String,
+    pause_ms: u64,
+    seen: Option<Seen>,
+    held: Option<Held>,
+    is_stopping: bool,
+}
+
+impl Tenure {
+    /// Makes the view of a machine; `pause_ms` must lie between two holders.
+    pub fn new(machine: &str, pause_ms: u64) -> Self {
+        Self {
+            machine: machine.to_owned(),
+            pause_ms,
+            seen: None,
+            held: None,
+            is_stopping: false,
+        }
+    }
+
+    /// Whether orders may be sent now; ask right before each.
+    pub fn may_order(&self, now_ms: u64) -> bool {
+        self.token(now_ms).is_some()
+    }
+
+    /// Returns the fencing token while orders may be sent.
+    pub fn token(&self, now_ms: u64) -> Option<u64> {
+        self.held
+            .filter(|held| now_ms < held.until_ms && !self.is_stopping)
+            .map(|held| held.token)
+    }
+
+    /// Whether this instance has the lease, also when its term has run out.
+    pub fn is_holder(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// Says what to do; `is_holder_heard` if the row's holder is heard to hold.
+    pub fn step(&self, now_ms: u64, is_holder_heard: bool) -> Step {
+        if let Some(held) = self.held {
+            if self.is_stopping || now_ms < held.renew_at_ms {
+                return Step::Wait;
+            }
+            return Step::Write {
+                expected_version: held.version,
+            };
+        }
+        if self.is_stopping || is_holder_heard {
+            return Step::Wait;
+        }
+        let Some(seen) = &self.seen else {
+            return Step::Read;
+        };
+        if now_ms < seen.first_seen_at_ms + self.wait_ms(seen.row.as_ref()) {
+            return Step::Wait;
+        }
+        Step::Write {
+            expected_version: seen.version,
+        }
+    }
+
+    /// Takes the row as read; version zero if there is none.
+    pub fn read(&mut self, now_ms: u64, version: u64, row: Option<LeaseRow>) {
+        if self.held.is_some_and(|held| held.version != version) {
+            self.held = None;
+        }
+        if self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.version == version)
+        {
+            return;
+        }
+        self.seen = Some(Seen {
+            version,
+            row,
+            first_seen_at_ms: now_ms,
+        });
+    }
+
+    /// Takes a write that was done; `sent_at_ms` is from before it was sent.
+    pub fn written(&mut self, sent_at_ms: u64, version: u64) {
+        let token = self.held.map_or(version, |held| held.token);
+        self.held = Some(Held {
+            token,
+            version,
+            until_ms: sent_at_ms + TERM_MS,
+            renew_at_ms: sent_at_ms + RENEW_EVERY_MS,
+        });
+        self.seen = None;
+    }
+
+    /// Takes a write that another one was ahead of.
+    pub fn conflicted(&mut self) {
+        self.held = None;
+        self.seen = None;
+    }
+
+    /// Takes a write without an answer: it may have been done, or be done later.
+    pub fn unanswered(&mut self, now_ms: u64) {
+        // Whatever the row now says, a new term starts from a row that was read:
+        // a renewal that arrives late changes the version, and is read again.
+        if let Some(held) = &mut self.held {
+            held.renew_at_ms = now_ms + RENEW_EVERY_MS / 4;
+        }
+        self.seen = None;
+    }
+
+    /// Stops ordering for good and returns the version to release, if held.
+    pub fn release(&mut self) -> Option<u64> {
+        self.is_stopping = true;
+        self.held.map(|held| held.version)
+    }
+
+    /// Returns how long the row must have stood unchanged, in milliseconds.
+    fn wait_ms(&self, row: Option<&LeaseRow>) -> u64 {
+        match row {
+            None => 0,
+            // The machine's own earlier orders are no other holder's.
+            Some(row) if row.holder == self.machine => 0,
+            Some(row) if row.is_released => self.pause_ms + MARGIN_MS,
+            Some(_) => TERM_MS + self.pause_ms + MARGIN_MS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -0,0 +1,221 @@
+//! What a platform's adapter provides: names, formats and calls, nothing that decides.
+
+use cranereach_fleet::configuration::Configuration;
+use cranereach_fleet::roster::HeldModel;
+use cranereach_fleet::roster::WorkerRecord;
+use thiserror::Error;
+
+/// Something from the platform that can't be understood.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{what}: {detail}")]
+pub struct FormatError {
+    /// What was being read.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub detail: String,
+}
+
+/// Names of headers, in lower case.
+#[derive(Clone, Copy, Debug)]
+pub struct HeaderNames {
+    /// Identity of a request.
+    pub request_id: &'static str,
+    /// Time that the caller waits, in milliseconds.
+    pub deadline_ms: &'static str,
+    /// Worker that is meant.
+    pub expected_worker: &'static str,
+    /// Says that a worker did not run the request.
+    pub not_run: &'static str,
+    /// A worker's load: running, waiting, slots.
+    pub load: &'static str,
+    /// Model, with an adapter behind a slash.
+    pub model: &'static str,
+    /// Tokens of the prompt and of the longest answer.
+    pub tokens: &'static str,
+    /// Parts of the prompt.
+    pub prompt_parts: &'static str,
+    /// Urgency at the worker.
+    pub priority: &'static str,
+    /// Last event that a caller has.
+    pub last_event: &'static str,
+    /// Headers that only this system may set; callers' ones are dropped.
+    pub reserved: &'static [&'static str],
+}
+
+/// Name of a row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowName {
+    /// Table.
+    pub table: &'static str,
+    /// Key within the table.
+    pub key: String,
+}
+
+/// A row as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Content; empty if the row is gone.
+    pub value: Vec<u8>,
+    /// Version of the row.
+    pub version: u64,
+    /// Whether the row was dropped.
+    pub is_gone: bool,
+}
+
+/// Rows as read, as of one version of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rows {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Newest version of the store.
+    pub version: u64,
+    /// Whether there are more behind the last.
+    pub has_more: bool,
+}
+
+/// What the store answers to a read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadAnswer {
+    /// The rows.
+    Rows(Rows),
+    /// The history that was asked for is gone.
+    HistoryGone,
+    /// Nothing was done.
+    Refused(u16),
+}
+
+/// What the store answers to a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteAnswer {
+    /// Done at this version.
+    Done(u64),
+    /// The row had another version.
+    Conflict,
+    /// Nothing was done.
+    Refused(u16),
+}
+
+/// How the store is spoken to.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreFormat {
+    /// Table and key of the configuration.
+    pub configuration: (&'static str, &'static str),
+    /// Table of the workers.
+    pub workers: &'static str,
+    /// Path of a read of a table, from a key.
+    pub read_path: fn(table: &str, from: &str) -> String,
+    /// Path of a wait for changes of a table after a version.
+    pub watch_path: fn(table: &str, after: u64, wait_ms: u64) -> String,
+    /// Reads the answer to either.
+    pub parse_read: fn(status: u16, body: &[u8]) -> Result<ReadAnswer, FormatError>,
+    /// Path of a write.
+    pub write_path: &'static str,
+    /// Body of a write of one row that must have a version.
+    pub encode_write: fn(row: &RowName, expected_version: u64, value: &[u8]) -> Vec<u8>,
+    /// Reads the answer to a write.
+    pub parse_write: fn(status: u16, body: &[u8]) -> Result<WriteAnswer, FormatError>,
+}
+
+/// What an order does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Load a model or an adapter of it.
+    Load,
+    /// Unload it.
+    Unload,
+}
+
+/// An order to a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerOrder {
+    /// What to do.
+    pub kind: OrderKind,
+    /// Model.
+    pub model: String,
+    /// Adapter of the model, if it is about one.
+    pub adapter: Option<String>,
+    /// Orders that the worker must have taken.
+    pub expected_sequence: u64,
+    /// Who orders.
+    pub holder: String,
+    /// Token of the lease.
+    pub token: u64,
+}
+
+/// What a worker answers to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// Under way.
+    Taken,
+    /// It holds that already.
+    AlreadyDone,
+    /// Another order is under way, or others were taken meanwhile.
+    Conflict,
+    /// It is another worker.
+    OtherWorker,
+    /// Anything else.
+    Refused(u16),
+}
+
+/// What a worker says of itself when asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerReport {
+    /// Orders that it has taken.
+    pub sequence: u64,
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// What it holds.
+    pub models: Vec<HeldModel>,
+    /// Adapters on their way.
+    pub pending: Vec<(String, String)>,
+}
+
+/// How a worker's control interface is spoken to.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineFormat {
+    /// Path of orders.
+    pub order_path: &'static str,
+    /// Body of an order.
+    pub encode_order: fn(&WorkerOrder) -> Vec<u8>,
+    /// Reads the status of the answer.
+    pub parse_order: fn(status: u16) -> OrderAnswer,
+    /// Path of the report.
+    pub report_path: &'static str,
+    /// Reads a report.
+    pub parse_report: fn(body: &[u8]) -> Result<WorkerReport, FormatError>,
+}
+
+/// One platform's adapter; it registers itself and is chosen by name.
+#[derive(Clone, Copy, Debug)]
+pub struct Adapter {
+    /// Name, as in settings.
+    pub name: &'static str,
+    /// Names of headers.
+    pub headers: HeaderNames,
+    /// Path at which the platform asks whether this instance is ready.
+    pub ready_path: &'static str,
+    /// Reads a configuration.
+    pub parse_configuration: fn(&[u8]) -> Result<Configuration, FormatError>,
+    /// Reads a worker's row.
+    pub parse_worker: fn(id: &str, value: &[u8]) -> Result<WorkerRecord, FormatError>,
+    /// The store.
+    pub store: StoreFormat,
+    /// Workers' control interface.
+    pub engine: EngineFormat,
+}
+
+inventory::collect!(Adapter);
+
+/// Finds an adapter by name.
+pub fn find(name: &str) -> Option<&'static Adapter> {
+    inventory::iter::<Adapter>().find(|adapter| adapter.name == name)
+}
+
+/// Lists the names of all adapters.
+pub fn names() -> Vec<&'static str> {
+    inventory::iter::<Adapter>()
+        .map(|adapter| adapter.name)
+        .collect()
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -0,0 +1,163 @@
+//! Keeps the row of one lease in the store.
+
+use std::sync::Arc;
+
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::tenure::LeaseRow;
+use cranereach_fleet::tenure::Step;
+use cranereach_fleet::tenure::Tenure;
+use slog::info;
+
+use crate::adapter::RowName;
+use crate::adapter::WriteAnswer;
+use crate::node::Node;
+use crate::store::StoreError;
+
+/// Table of the leases.
+const TABLE: &str = "cranereach_leases";
+
+/// Time between two candidates' turns, in milliseconds.
+const TURN_MS: u64 = 250;
+
+/// Pause after a failed call, in milliseconds.
+const FAILED_PAUSE_MS: u64 = 200;
+
+/// When this instance may take its turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Candidacy {
+    due_since_ms: Option<u64>,
+    call_after_ms: u64,
+    has_released: bool,
+}
+
+/// Does what the lease needs now: nothing, one read or one write.
+pub async fn keep(node: &Node, tenure: &mut Tenure, candidacy: &mut Candidacy, service: &Arc<str>) {
+    let now_ms = node.now_ms();
+    if node.is_stopping() {
+        release(node, tenure, candidacy, service).await;
+        return;
+    }
+    let key = worker_key(service);
+    let is_heard = node.peers().hears_holder(now_ms, key);
+    if is_heard {
+        candidacy.due_since_ms = None;
+    }
+    if now_ms < candidacy.call_after_ms {
+        return;
+    }
+    match tenure.step(now_ms, is_heard) {
+        Step::Wait => {}
+        Step::Read => read(node, tenure, candidacy, service).await,
+        Step::Write { expected_version } => {
+            let since_ms = *candidacy.due_since_ms.get_or_insert(now_ms);
+            let is_renewal = tenure.is_holder();
+            if is_renewal || now_ms >= since_ms + rank(node, now_ms, key) * TURN_MS {
+                write(node, tenure, candidacy, service, expected_version).await;
+            }
+        }
+    }
+}
+
+/// Returns how many instances go before this one.
+fn rank(node: &Node, now_ms: u64, service: u64) -> u64 {
+    let peers = node.peers();
+    let weight = |ip: std::net::Ipv4Addr| worker_key(&format!("{service}/{ip}"));
+    let own = weight(peers.own_ip());
+    let before = peers
+        .heard_peers(now_ms)
+        .filter(|(ip, _)| weight(**ip) > own);
+    before.count() as u64
+}
+
+/// Returns the name of a service's lease row.
+fn row_name(service: &str) -> RowName {
+    RowName {
+        table: TABLE,
+        key: service.to_owned(),
+    }
+}
+
+/// Reads the row.
+async fn read(node: &Node, tenure: &mut Tenure, candidacy: &mut Candidacy, service: &str) {
+    let rows = node.store.read(TABLE).await;
+    crate::configuration_sync::note_call(node, "lease", &rows);
+    let now_ms = node.now_ms();
+    match rows {
+        Ok(rows) => {
+            let row = rows.rows.iter().find(|row| row.key == service);
+            let version = row.map_or(0, |row| row.version);
+            let content = row.and_then(|row| serde_json::from_slice(&row.value).ok());
+            tenure.read(now_ms, version, content);
+        }
+        Err(_failed) => candidacy.call_after_ms = now_ms + FAILED_PAUSE_MS,
+    }
+}
+
+/// Writes the row to take or renew the lease.
+async fn write(
+    node: &Node,
+    tenure: &mut Tenure,
+    candidacy: &mut Candidacy,
+    service: &str,
+    expected_version: u64,
+) {
+    let sent_at_ms = node.now_ms();
+    let content = content(node, false);
+    let written = node
+        .store
+        .write(&row_name(service), expected_version, &content)
+        .await;
+    let now_ms = node.now_ms();
+    let outcome = match written {
+        Ok(WriteAnswer::Done(version)) => {
+            tenure.written(sent_at_ms, version);
+            candidacy.due_since_ms = None;
+            "done"
+        }
+        Ok(WriteAnswer::Conflict | WriteAnswer::Refused(_)) => {
+            tenure.conflicted();
+            "conflict"
+        }
+        Err(StoreError::NotDone(_) | StoreError::HistoryGone) => {
+            candidacy.call_after_ms = now_ms + FAILED_PAUSE_MS;
+            "not_done"
+        }
+        Err(StoreError::Unknown(_)) => {
+            tenure.unanswered(now_ms);
+            candidacy.call_after_ms = now_ms + FAILED_PAUSE_MS;
+            "unknown"
+        }
+    };
+    let counter = &node.metrics.store_calls_total;
+    counter.with_label_values(&["lease_write", outcome]).inc();
+    if outcome != "done" {
+        info!(node.log, "lease write"; "service" => service, "outcome" => outcome,
+            "expected_version" => expected_version, "took_ms" => now_ms - sent_at_ms);
+    }
+}
+
+/// Gives the lease up, once.
+async fn release(node: &Node, tenure: &mut Tenure, candidacy: &mut Candidacy, service: &str) {
+    if candidacy.has_released {
+        return;
+    }
+    candidacy.has_released = true;
+    if let Some(version) = tenure.release() {
+        let content = content(node, true);
+        // Without an answer the successor waits for the end of the term.
+        let _written = node
+            .store
+            .write(&row_name(service), version, &content)
+            .await;
+    }
+}
+
+/// Returns the content of the row.
+fn content(node: &Node, is_released: bool) -> Vec<u8> {
+    let row = LeaseRow {
+        holder: node.settings.instance.id.clone(),
+        boot: node.boot,
+        is_released,
+    };
+    serde_json::to_vec(&row).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -0,0 +1,260 @@
+//! Holds the leases of engine services and orders their workers.
+//!
+//! One lease per service. Its holder plans from the list of workers and from
+//! the demand that all instances tell; [`lease`] keeps the row in the store,
+//! [`orders`] sends orders and asks for reports.
+
+mod lease;
+mod orders;
+mod view;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranereach_core::token_bucket::TokenBucket;
+use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::ledger::Ledger;
+use cranereach_fleet::placement::Plan;
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::tenure::Tenure;
+use slog::info;
+use tokio::sync::mpsc;
+
+use self::lease::Candidacy;
+use self::orders::Done;
+use self::orders::Sender;
+use crate::gossip;
+use crate::node::Announced;
+use crate::node::Node;
+use crate::node::pause;
+
+/// Time between two looks, in milliseconds.
+const LOOK_EVERY_MS: u64 = 100;
+
+/// Least time between two looks, in milliseconds.
+const LOOK_LEAST_MS: u64 = 15;
+
+/// Time before the first look, so that peers can be heard, in milliseconds.
+const BEGIN_AFTER_MS: u64 = 400;
+
+/// Loads from the weight store that may begin at once.
+const LOAD_BURST_COUNT: f64 = 2.0;
+
+/// Orders that one look sends at most.
+const ORDER_MAX_COUNT: usize = 16;
+
+/// Adapters that a holder tells peers of at most.
+const TOLD_ADAPTER_MAX_COUNT: usize = 512;
+
+/// The lease of one service, with what its holder knows.
+#[derive(Debug)]
+struct Group {
+    service: Arc<str>,
+    tenure: Tenure,
+    candidacy: Candidacy,
+    ledger: Ledger,
+    loads: TokenBucket,
+    was_ordering: bool,
+    is_first: bool,
+}
+
+/// Runs until the process ends.
+pub async fn run(node: Arc<Node>) {
+    pause(BEGIN_AFTER_MS).await;
+    let (finished, mut ends) = mpsc::unbounded_channel();
+    let mut sender = Sender::new(Arc::clone(&node), finished);
+    let mut groups: HashMap<Arc<str>, Group> = HashMap::new();
+    loop {
+        while let Ok(done) = ends.try_recv() {
+            if let Some(group) = groups.get_mut(&done.service) {
+                group.take(&node, done);
+            }
+        }
+        update_groups(&node, &mut groups);
+        for group in groups.values_mut() {
+            lease::keep(
+                &node,
+                &mut group.tenure,
+                &mut group.candidacy,
+                &group.service,
+            )
+            .await;
+            group.look(&node, &mut sender);
+        }
+        pause(LOOK_LEAST_MS).await;
+        let look = Duration::from_millis(LOOK_EVERY_MS);
+        tokio::select! {
+            _wanted = node.controller_wanted.notified() => {}
+            _elapsed = tokio::time::sleep(look) => {}
+            done = ends.recv() => {
+                if let Some(done) = done
+                    && let Some(group) = groups.get_mut(&done.service)
+                {
+                    group.take(&node, done);
+                }
+            }
+        }
+    }
+}
+
+/// Makes a group for each engine service of the configuration.
+fn update_groups(node: &Node, groups: &mut HashMap<Arc<str>, Group>) {
+    let Some(configuration) = node.configuration() else {
+        return;
+    };
+    for service in configuration.services.values() {
+        if let Some(engine) = &service.engine
+            && !groups.contains_key(&service.name)
+        {
+            let group = Group::new(node, Arc::clone(&service.name), engine);
+            groups.insert(Arc::clone(&service.name), group);
+        }
+    }
+}
+
+impl Group {
+    /// Makes a group whose lease isn't held.
+    fn new(node: &Node, service: Arc<str>, engine: &Engine) -> Self {
+        let settings = &node.settings;
+        Self {
+            tenure: Tenure::new(&settings.instance.id, settings.bounds.lease_ms),
+            candidacy: Candidacy::default(),
+            ledger: Ledger::default(),
+            loads: TokenBucket::new(engine.loads_per_s * 0.95, LOAD_BURST_COUNT, node.now_ms()),
+            was_ordering: false,
+            is_first: true,
+            service,
+        }
+    }
+
+    /// Takes how an order or a question for a report ended.
+    fn take(&mut self, node: &Node, done: Done) {
+        let now_ms = node.now_ms();
+        match done.end {
+            orders::End::Report(state) => self.ledger.reported(now_ms, &done.worker, state),
+            orders::End::Order(end, sent_count) => {
+                let load_ms = self.load_ms(node, &done);
+                self.ledger
+                    .ended(now_ms, &done.worker, end, sent_count, load_ms);
+            }
+        }
+    }
+
+    /// Returns the time that the load of an order takes at most, in milliseconds.
+    fn load_ms(&self, node: &Node, done: &Done) -> u64 {
+        let service = node.service(&self.service);
+        let engine = service.as_ref().and_then(|service| service.engine.as_ref());
+        let model = engine.and_then(|engine| engine.models.get(usize::from(done.model)));
+        model.map_or(1_000, |model| (model.load_s * 1_000.0) as u64)
+    }
+
+    /// Plans and orders, if the lease allows it now.
+    fn look(&mut self, node: &Arc<Node>, sender: &mut Sender) {
+        let now_ms = node.now_ms();
+        let is_ordering = self.tenure.may_order(now_ms);
+        if is_ordering != self.was_ordering {
+            info!(node.log, "lease"; "service" => self.service.as_ref(),
+                "held" => is_ordering, "token" => self.tenure.token(now_ms));
+            node.metrics.leases_held.set(i64::from(is_ordering));
+            self.was_ordering = is_ordering;
+            self.ledger.clear();
+            if !self.is_first {
+                // Whoever ordered before may have begun loads just now.
+                self.loads.drain(now_ms);
+            }
+            self.is_first = false;
+        }
+        if !is_ordering {
+            if node.announced().remove(&self.service).is_some() {
+                node.digest_wanted.notify_one();
+            }
+            return;
+        }
+        let Some(service) = node.service(&self.service) else {
+            return;
+        };
+        let Some(engine) = &service.engine else {
+            return;
+        };
+        view::update_ledger(node, &service.name, engine, &mut self.ledger);
+        for worker in self.ledger.reports_due(now_ms) {
+            sender.ask(&self.service, &worker);
+        }
+        for (worker, open, sent_count) in self.ledger.resends_due(now_ms) {
+            sender.order(
+                &self.tenure,
+                &self.service,
+                engine,
+                &worker,
+                open,
+                sent_count,
+            );
+        }
+        self.plan(node, engine, sender);
+        self.announce(node);
+    }
+
+    /// Sends what the plan says.
+    fn plan(&mut self, node: &Arc<Node>, engine: &Engine, sender: &mut Sender) {
+        let now_ms = node.now_ms();
+        let demand = view::demand(node, now_ms, &self.service);
+        let models = view::model_sizes(engine);
+        for _order in 0..ORDER_MAX_COUNT {
+            let (ids, workers) = self.ledger.views();
+            let plan = Plan {
+                models: &models,
+                weights_mb: engine.weights_mb,
+                adapter_slot_count: engine.adapter_slot_count as usize,
+                demand: &demand,
+                workers: &workers,
+            };
+            let Some(planned) = plan.next(self.loads.is_filled(now_ms)) else {
+                return;
+            };
+            let id = Arc::clone(&ids[planned.worker]);
+            let Some(open) = self.ledger.begin(&id, planned.order) else {
+                return;
+            };
+            if planned.is_from_store {
+                self.loads.take(now_ms);
+            }
+            sender.order(&self.tenure, &self.service, engine, &id, open, 1);
+        }
+    }
+
+    /// Tells peers, and this instance's own roster, what the orders changed.
+    fn announce(&self, node: &Node) {
+        let mut announced = Announced::default();
+        {
+            let roster = node.roster();
+            let adapters = self.ledger.adapters();
+            let told = adapters.filter(|(id, (_, adapter))| {
+                let listed = roster.get(id).is_some_and(|worker| {
+                    let mut held = worker.record.models.iter().flat_map(|held| &held.adapters);
+                    held.any(|name| name.trim_start_matches('a') == adapter.to_string())
+                });
+                !listed
+            });
+            announced.adapters = told
+                .map(|(id, key)| (worker_key(id), key))
+                .take(TOLD_ADAPTER_MAX_COUNT)
+                .collect();
+        }
+        let going = self.ledger.going();
+        announced.withheld = going.map(|(id, model)| (worker_key(id), model)).collect();
+        let now_ms = node.now_ms();
+        gossip::apply_orders(node, now_ms, &announced.adapters, &announced.withheld);
+        let mut all = node.announced();
+        let before = all.insert(Arc::clone(&self.service), announced.clone());
+        drop(all);
+        let has_changed = before.is_none_or(|before| {
+            before.adapters.len() != announced.adapters.len()
+                || before.withheld != announced.withheld
+        });
+        if has_changed {
+            node.roster_changed.notify_waiters();
+            node.digest_wanted.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -0,0 +1,244 @@
+//! Sends orders to workers and asks them for reports.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::ledger::OpenOrder;
+use cranereach_fleet::ledger::OrderEnd;
+use cranereach_fleet::ledger::WorkerState;
+use cranereach_fleet::placement::Order;
+use cranereach_fleet::tenure::Tenure;
+use cranereach_http::client::CallError;
+use cranereach_http::client::JsonClient;
+use slog::info;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::view;
+use crate::adapter::OrderAnswer;
+use crate::adapter::OrderKind;
+use crate::adapter::WorkerOrder;
+use crate::adapter::WorkerReport;
+use crate::node::Node;
+
+/// Time for the answer to an order or a question, in milliseconds.
+const ANSWER_WITHIN_MS: u64 = 600;
+
+/// How an order or a question ended.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// A report, or none.
+    Report(Option<WorkerState>),
+    /// An order that was sent so many times.
+    Order(OrderEnd, u32),
+}
+
+/// The end of an order or a question, for the ledger.
+#[derive(Clone, Debug)]
+pub struct Done {
+    /// Service.
+    pub service: Arc<str>,
+    /// Worker.
+    pub worker: Arc<str>,
+    /// Model that the order was about.
+    pub model: u16,
+    /// How it ended.
+    pub end: End,
+}
+
+/// Sends orders and questions, each in a task of its own.
+#[derive(Debug)]
+pub struct Sender {
+    node: Arc<Node>,
+    finished: UnboundedSender<Done>,
+    clients: HashMap<Arc<str>, Arc<JsonClient>>,
+}
+
+impl Sender {
+    /// Makes a sender whose ends go to `finished`.
+    pub fn new(node: Arc<Node>, finished: UnboundedSender<Done>) -> Self {
+        Self {
+            node,
+            finished,
+            clients: HashMap::new(),
+        }
+    }
+
+    /// Asks a worker for its report.
+    pub fn ask(&mut self, service: &Arc<str>, worker: &Arc<str>) {
+        let client = self.client(worker);
+        let node = Arc::clone(&self.node);
+        let finished = self.finished.clone();
+        let service = Arc::clone(service);
+        let worker = Arc::clone(worker);
+        tokio::spawn(async move {
+            let state = match client {
+                Some(client) => report(&node, &client, &service).await,
+                None => None,
+            };
+            let counter = &node.metrics.orders_total;
+            let outcome = if state.is_some() { "done" } else { "failed" };
+            counter.with_label_values(&["report", outcome]).inc();
+            let end = End::Report(state);
+            // The controller only ends with the process.
+            let _told = finished.send(Done {
+                service,
+                worker,
+                model: 0,
+                end,
+            });
+        });
+    }
+
+    /// Sends an order, if the lease still allows it when it leaves.
+    pub fn order(
+        &mut self,
+        tenure: &Tenure,
+        service: &Arc<str>,
+        engine: &Engine,
+        worker: &Arc<str>,
+        open: OpenOrder,
+        sent_count: u32,
+    ) {
+        let model = model_of(open.order);
+        let client = self.client(worker);
+        let name = engine.models.get(usize::from(model));
+        let name = name.map(|model| model.name.to_string());
+        let node = Arc::clone(&self.node);
+        let finished = self.finished.clone();
+        let tenure = tenure.clone();
+        let service = Arc::clone(service);
+        let worker = Arc::clone(worker);
+        tokio::spawn(async move {
+            let end = match (client, name) {
+                (Some(client), Some(name)) => {
+                    send(&node, &client, &tenure, &worker, name, open, sent_count).await
+                }
+                _ => OrderEnd::NotSent,
+            };
+            let end = End::Order(end, sent_count);
+            // The controller only ends with the process.
+            let _told = finished.send(Done {
+                service,
+                worker,
+                model,
+                end,
+            });
+        });
+    }
+
+    /// Returns the client of a worker; none if it is no longer listed.
+    fn client(&mut self, worker: &Arc<str>) -> Option<Arc<JsonClient>> {
+        let roster = self.node.roster();
+        self.clients.retain(|id, _| roster.get(id).is_some());
+        let address = &roster.get(worker)?.record.address;
+        let header = self.node.adapter.headers.expected_worker;
+        let client = self
+            .clients
+            .entry(Arc::clone(worker))
+            .or_insert_with(|| Arc::new(JsonClient::new(address).with_header(header, worker)));
+        Some(Arc::clone(client))
+    }
+}
+
+/// Returns the model that an order is about.
+fn model_of(order: Order) -> u16 {
+    match order {
+        Order::Load(model) | Order::Unload(model) => model,
+        Order::LoadAdapter((model, _)) | Order::UnloadAdapter((model, _)) => model,
+    }
+}
+
+/// Returns the adapter that an order is about.
+fn adapter_of(order: Order) -> Option<u16> {
+    match order {
+        Order::Load(_) | Order::Unload(_) => None,
+        Order::LoadAdapter((_, adapter)) | Order::UnloadAdapter((_, adapter)) => Some(adapter),
+    }
+}
+
+/// Sends one order.
+async fn send(
+    node: &Node,
+    client: &JsonClient,
+    tenure: &Tenure,
+    worker: &str,
+    model: String,
+    open: OpenOrder,
+    sent_count: u32,
+) -> OrderEnd {
+    // The last look at the lease before the order leaves.
+    let Some(token) = tenure.token(node.now_ms()) else {
+        return OrderEnd::NotSent;
+    };
+    let kind = match open.order {
+        Order::Load(_) | Order::LoadAdapter(_) => OrderKind::Load,
+        Order::Unload(_) | Order::UnloadAdapter(_) => OrderKind::Unload,
+    };
+    let order = WorkerOrder {
+        kind,
+        model,
+        adapter: adapter_of(open.order).map(|adapter| format!("a{adapter}")),
+        expected_sequence: open.expected_sequence,
+        holder: node.settings.instance.id.clone(),
+        token,
+    };
+    let format = &node.adapter.engine;
+    let body = Bytes::from((format.encode_order)(&order));
+    let answer = client
+        .post_bytes(format.order_path, body, ANSWER_WITHIN_MS)
+        .await;
+    let end = match answer {
+        Ok(answer) => match (format.parse_order)(answer.status) {
+            OrderAnswer::Taken => OrderEnd::Taken,
+            OrderAnswer::AlreadyDone => OrderEnd::AlreadyDone,
+            OrderAnswer::Conflict => OrderEnd::Conflict,
+            OrderAnswer::OtherWorker | OrderAnswer::Refused(_) => OrderEnd::Refused,
+        },
+        Err(CallError::NotSent { .. }) => OrderEnd::NotSent,
+        Err(CallError::Unanswered { .. } | CallError::Garbled { .. }) => OrderEnd::Unanswered,
+    };
+    info!(node.log, "order"; "worker" => worker, "order" => format!("{:?}", open.order),
+        "model" => order.model, "expected_sequence" => open.expected_sequence,
+        "token" => token, "end" => format!("{end:?}"), "sent" => sent_count);
+    let counter = &node.metrics.orders_total;
+    counter
+        .with_label_values(&[&format!("{kind:?}"), &format!("{end:?}")])
+        .inc();
+    end
+}
+
+/// Asks for a report and reads it.
+async fn report(node: &Node, client: &JsonClient, service: &str) -> Option<WorkerState> {
+    let format = &node.adapter.engine;
+    let answer = client
+        .get(format.report_path, ANSWER_WITHIN_MS)
+        .await
+        .ok()?;
+    if answer.status != 200 {
+        return None;
+    }
+    let report = (format.parse_report)(&answer.body).ok()?;
+    let service = node.service(service)?;
+    Some(state(service.engine.as_ref()?, &report))
+}
+
+/// Returns the state that a report shows, adapters on their way included.
+fn state(engine: &Engine, report: &WorkerReport) -> WorkerState {
+    let mut places = view::places(engine, &report.models);
+    for (model, adapter) in &report.pending {
+        let model = engine.model_index(model);
+        let place = places.iter_mut().find(|place| Some(place.model) == model);
+        if let (Some(place), Some(adapter)) = (place, view::adapter_number(adapter))
+            && !place.adapters.contains(&adapter)
+        {
+            place.adapters.push(adapter);
+        }
+    }
+    WorkerState {
+        sequence: report.sequence,
+        is_busy: report.is_busy,
+        places,
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -0,0 +1,90 @@
+//! What the holder plans from: workers, models and demand, by their numbers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::ledger::Ledger;
+use cranereach_fleet::ledger::WorkerRow;
+use cranereach_fleet::ledger::WorkerState;
+use cranereach_fleet::placement::ModelSize;
+use cranereach_fleet::placement::Place;
+use cranereach_fleet::roster::HeldModel;
+use cranereach_fleet::roster::worker_key;
+
+use crate::node::Node;
+
+/// Returns the number of an adapter from its name, `a1` and so on.
+pub fn adapter_number(name: &str) -> Option<u16> {
+    let name = name.split('@').next().unwrap_or_default();
+    name.trim_start_matches('a').parse().ok()
+}
+
+/// Returns what a worker holds, by numbers; unknown models are left out.
+pub fn places(engine: &Engine, models: &[HeldModel]) -> Vec<Place> {
+    models
+        .iter()
+        .filter_map(|held| {
+            let adapters = held.adapters.iter();
+            Some(Place {
+                model: engine.model_index(&held.name)?,
+                adapters: adapters.filter_map(|name| adapter_number(name)).collect(),
+                is_going: false,
+            })
+        })
+        .collect()
+}
+
+/// Takes the list of workers into the ledger.
+pub fn update_ledger(node: &Node, service: &str, engine: &Engine, ledger: &mut Ledger) {
+    let now_ms = node.now_ms();
+    let roster = node.roster();
+    ledger.retain(|id| roster.get(id).is_some());
+    for worker in roster.of_service(service) {
+        let record = &worker.record;
+        let copies = record.in_memory.iter().chain(&record.on_disk);
+        ledger.row(
+            now_ms,
+            WorkerRow {
+                id: &record.id,
+                version: worker.version,
+                state: WorkerState {
+                    sequence: record.sequence,
+                    is_busy: record.is_busy,
+                    places: places(engine, &record.models),
+                },
+                copies: copies.filter_map(|name| engine.model_index(name)).collect(),
+                is_serving: !record.is_leaving && !worker.health.is_aside(now_ms),
+            },
+        );
+    }
+}
+
+/// Returns the sizes of the models.
+pub fn model_sizes(engine: &Engine) -> Vec<ModelSize> {
+    let models = engine.models.iter();
+    models
+        .map(|model| ModelSize {
+            weights_mb: model.weights_mb,
+            adapter_mb: model.adapter_mb,
+            adapter_count: model.adapter_count,
+        })
+        .collect()
+}
+
+/// Returns the demand for a service at all instances that are heard.
+pub fn demand(node: &Node, now_ms: u64, service: &Arc<str>) -> HashMap<ModelKey, f64> {
+    let mut all: HashMap<ModelKey, f64> = HashMap::new();
+    if let Some(own) = node.demand().get_mut(service) {
+        all.clone_from(own.rates(now_ms));
+    }
+    let key = worker_key(service);
+    let peers = node.peers();
+    for (_, peer) in peers.heard_peers(now_ms) {
+        for part in peer.last.demand.iter().filter(|part| part.service == key) {
+            *all.entry(part.model).or_default() += f64::from(part.tokens_per_s);
+        }
+    }
+    all
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -0,0 +1,453 @@
+//! Sends a call to workers until there is an answer or an end.
+//!
+//! What decides is what may have run: a call that never reached a worker, or
+//! that a worker says it did not run, may go elsewhere within the bound of
+//! repeats. One that may have run goes elsewhere only if it may be repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranereach_core::codes::ResultCode;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::roster::Choice;
+use cranereach_fleet::roster::NoWorker;
+use cranereach_fleet::roster::SaidLoad;
+use cranereach_fleet::roster::Wanted;
+use cranereach_http::body;
+use cranereach_http::pool::Connection;
+use cranereach_http::pool::SendError;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use slog::info;
+
+use super::AnswerBody;
+use super::open::OpenCall;
+use super::passing::Passing;
+use super::refusal::Refusal;
+use super::request::Call;
+use super::request::passed_headers;
+use crate::node::Node;
+
+/// Largest answer that is kept whole before it is passed on, in bytes.
+const WHOLE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Time to connect to a worker, in milliseconds.
+const CONNECT_WITHIN_MS: u64 = 250;
+
+/// Workers that one call is offered to at most.
+const OFFER_MAX_COUNT: usize = 5;
+
+/// Share of the aim for which a call waits for its model or adapter.
+const WAIT_SHARE: f64 = 0.2;
+
+/// Longest pause between two looks for a worker, in milliseconds.
+const LOOK_EVERY_MS: u64 = 40;
+
+/// Time that an idle connection is used again for, where the worker says none.
+const REST_UNSAID_MS: u64 = 300;
+
+/// Time before a worker's own limit from which a connection isn't used again.
+const REST_MARGIN_MS: u64 = 150;
+
+/// How one offer to one worker failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// It never left: no connection, or the connection closed before.
+    NotSent,
+    /// The worker says that it did not run it.
+    NotRun,
+    /// The worker does not hold the model, or is another one.
+    NotThere,
+    /// It may have run.
+    Unknown,
+}
+
+/// A call on its way.
+struct Exchange<'a> {
+    node: &'a Arc<Node>,
+    call: &'a Call,
+    tried: Vec<Arc<str>>,
+    offer_count: usize,
+    run_count: u32,
+    may_have_run: bool,
+    may_run_now: bool,
+}
+
+/// The head of a worker's answer with all that belongs to it.
+pub struct Head {
+    /// The answer.
+    pub answer: Response<Incoming>,
+    /// The connection that it came on.
+    pub connection: Connection<Full<Bytes>>,
+    /// The count of the call at the worker.
+    pub open: OpenCall,
+}
+
+/// Runs a call to its answer or refusal, both in time.
+pub async fn run(node: &Arc<Node>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
+    node.note_request(&call.service.name);
+    note_demand(node, &call);
+    let due = node.instant(call.end_by_ms);
+    let mut exchange = Exchange {
+        node,
+        call: &call,
+        tried: Vec::new(),
+        offer_count: 0,
+        run_count: 0,
+        may_have_run: false,
+        may_run_now: false,
+    };
+    let ended = tokio::time::timeout_at(due, exchange.run()).await;
+    let result = ended.unwrap_or_else(|_elapsed| {
+        let code = if exchange.may_run_now || exchange.may_have_run {
+            ResultCode::DeadlinePassedRunning
+        } else {
+            ResultCode::DeadlinePassed
+        };
+        if let (true, Some(worker)) = (exchange.may_run_now, exchange.tried.last()) {
+            let now_ms = node.now_ms();
+            if let Some(worker) = node.roster().get_mut(worker) {
+                worker.health.failed(now_ms);
+            }
+        }
+        Err(exchange.refusal(code, "deadline"))
+    });
+    let result_name = match &result {
+        Ok(answer) if answer.status().is_success() => "served",
+        Ok(_) => "passed",
+        Err(_refusal) => return result,
+    };
+    let counter = &node.metrics.requests_total;
+    counter
+        .with_label_values(&[&call.route.name, result_name])
+        .inc();
+    let took_s = node.now_ms().saturating_sub(call.received_ms) as f64 / 1_000.0;
+    let seconds = &node.metrics.first_byte_seconds;
+    seconds
+        .with_label_values(&[&call.route.name])
+        .observe(took_s);
+    result
+}
+
+/// Notes what the call asks for, so that it is loaded where that is needed.
+fn note_demand(node: &Node, call: &Call) {
+    let Some(key) = model_key(call) else { return };
+    let now_ms = node.now_ms();
+    let mut demand = node.demand();
+    let of_service = demand.entry(Arc::clone(&call.service.name)).or_default();
+    of_service.asked(now_ms, key, f64::from(call.held_tokens.max(1)));
+}
+
+/// Returns the place of the model and adapter that a call names.
+fn model_key(call: &Call) -> Option<ModelKey> {
+    let (name, adapter) = call.model()?;
+    let model = call.service.engine.as_ref()?.model_index(name)?;
+    let adapter = adapter.and_then(|adapter| adapter.trim_start_matches('a').parse().ok());
+    Some((model, adapter.unwrap_or(0)))
+}
+
+impl Exchange<'_> {
+    /// Offers the call to workers until there is an answer or an end.
+    async fn run(&mut self) -> Result<Response<AnswerBody>, Refusal> {
+        loop {
+            let choice = self.choose().await?;
+            self.offer_count += 1;
+            if !self.tried.contains(&choice.id) {
+                self.tried.push(Arc::clone(&choice.id));
+            }
+            let failure = match self.offer(&choice).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            self.may_run_now = false;
+            info!(self.node.log, "offer failed"; "request" => self.call.id.clone(),
+                "worker" => choice.id.as_ref(), "failure" => format!("{failure:?}"),
+                "offer" => self.offer_count);
+            self.judge(failure)?;
+        }
+    }
+
+    /// Chooses a worker, waiting a little for one that holds the model.
+    async fn choose(&self) -> Result<Choice, Refusal> {
+        let call = self.call;
+        let wait_ms = (call.route.aim_ms as f64 * WAIT_SHARE) as u64;
+        let wait_until_ms = (call.received_ms + wait_ms).min(call.end_by_ms);
+        let mut has_asked = false;
+        loop {
+            let now_ms = self.node.now_ms();
+            let wanted = self.wanted();
+            let engine = call.service.engine.as_ref();
+            let changed = self.node.roster_changed.notified();
+            let chosen = self
+                .node
+                .roster()
+                .choose(now_ms, &wanted, engine, &mut rand::rng());
+            let why = match chosen {
+                Ok(choice) => return Ok(choice),
+                Err(why) => why,
+            };
+            if !has_asked {
+                has_asked = true;
+                // The holder learns of the demand at once.
+                self.node.digest_wanted.notify_one();
+                self.node.controller_wanted.notify_one();
+            }
+            if now_ms >= wait_until_ms || why == NoWorker::None {
+                let code = match why {
+                    NoWorker::None => ResultCode::NoUpstream,
+                    NoWorker::NoModel | NoWorker::NoAdapter => ResultCode::NotResident,
+                };
+                let mut refusal = self.refusal(code, &format!("{why:?}"));
+                if why == NoWorker::NoModel {
+                    refusal.retry_after_ms = 1_500;
+                }
+                return Err(refusal);
+            }
+            let look = Duration::from_millis(LOOK_EVERY_MS.min(wait_until_ms - now_ms + 1));
+            let _changed = tokio::time::timeout(look, changed).await;
+        }
+    }
+
+    /// Returns what the call wants of a worker.
+    fn wanted(&self) -> Wanted<'_> {
+        Wanted {
+            service: &self.call.service.name,
+            model: self.call.model(),
+            parts: &self.call.parts,
+            prompt_tokens: self.call.prompt_tokens,
+            held_tokens: self.call.held_tokens,
+            zone: &self.node.settings.instance.failure_domain,
+            tried: &self.tried,
+        }
+    }
+
+    /// Decides whether a failed call goes to another worker.
+    fn judge(&mut self, failure: Failure) -> Result<(), Refusal> {
+        if failure == Failure::Unknown {
+            self.may_have_run = true;
+            self.run_count += 1;
+            let may_repeat = self.call.route.may_repeat();
+            if !may_repeat || self.run_count >= self.call.route.attempt_max_count {
+                return Err(self.refusal(ResultCode::OutcomeUnknown, "no whole answer"));
+            }
+        }
+        let is_counted = failure != Failure::NotSent;
+        let code = if self.may_have_run {
+            ResultCode::OutcomeUnknown
+        } else {
+            ResultCode::NoUpstream
+        };
+        if self.offer_count >= OFFER_MAX_COUNT {
+            return Err(self.refusal(code, "offered too often"));
+        }
+        if is_counted && !self.node.spend_repeat(&self.call.service.name) {
+            let code = if self.may_have_run {
+                ResultCode::OutcomeUnknown
+            } else {
+                ResultCode::RetryBudgetSpent
+            };
+            return Err(self.refusal(code, "bound of repeats"));
+        }
+        let cause = format!("{failure:?}");
+        let counter = &self.node.metrics.repeats_total;
+        counter.with_label_values(&[&cause]).inc();
+        Ok(())
+    }
+
+    /// Offers the call to one worker and makes the answer.
+    async fn offer(&mut self, choice: &Choice) -> Result<Response<AnswerBody>, Failure> {
+        let head = self.send(choice).await?;
+        let status = head.answer.status();
+        if self.call.is_stream() && status == StatusCode::OK {
+            return self.begin_stream(head).await;
+        }
+        self.read_whole(head).await
+    }
+
+    /// Sends the call to one worker and waits for the head of the answer.
+    async fn send(&mut self, choice: &Choice) -> Result<Head, Failure> {
+        let node = self.node;
+        let open = OpenCall::begin(node, choice, &self.wanted());
+        let pool = node.pool(&choice.id, &choice.address);
+        let within = Duration::from_millis(CONNECT_WITHIN_MS);
+        let taken = tokio::time::timeout(within, pool.take()).await;
+        let Ok(Ok(mut connection)) = taken else {
+            let now_ms = node.now_ms();
+            if let Some(worker) = node.roster().get_mut(&choice.id) {
+                worker.health.unreachable(now_ms);
+            }
+            return Err(Failure::NotSent);
+        };
+        if !connection.is_reused() {
+            node.metrics.connections_total.inc();
+        }
+        let request = self
+            .call
+            .to_worker(node, &choice.id, None)
+            .ok_or(Failure::NotSent)?;
+        self.may_run_now = true;
+        let answer = match connection.send(request).await {
+            Ok(answer) => answer,
+            Err(SendError::Unsent(_)) => return Err(Failure::NotSent),
+            Err(SendError::Broken(_)) => {
+                open.failed();
+                return Err(Failure::Unknown);
+            }
+        };
+        self.check_head(&open, &answer)?;
+        Ok(Head {
+            answer,
+            connection,
+            open,
+        })
+    }
+
+    /// Checks that the answer is to this call and that something ran.
+    fn check_head(&self, open: &OpenCall, answer: &Response<Incoming>) -> Result<(), Failure> {
+        let names = &self.node.adapter.headers;
+        let headers = answer.headers();
+        let now_ms = self.node.now_ms();
+        let is_ours = headers
+            .get(names.request_id)
+            .is_none_or(|id| id.as_bytes() == self.call.id.as_bytes());
+        let is_named = headers.contains_key(names.request_id);
+        let status = answer.status();
+        let is_not_run =
+            headers.contains_key(names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
+        if !is_ours || (!is_named && !is_not_run) {
+            self.node
+                .metrics
+                .bad_input_total
+                .with_label_values(&["answer"])
+                .inc();
+            open.failed();
+            return Err(Failure::Unknown);
+        }
+        if let Some(worker) = self.node.roster().get_mut(open.worker()) {
+            if let Some(said) = headers
+                .get(names.load)
+                .and_then(|value| value.to_str().ok())
+            {
+                worker.said(now_ms, said_load(said));
+            }
+            if status == StatusCode::MISDIRECTED_REQUEST
+                && let Some((model, adapter)) = self.call.model()
+            {
+                worker.lacks(now_ms, model, adapter);
+            }
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(Failure::NotThere);
+        }
+        if is_not_run {
+            return Err(Failure::NotRun);
+        }
+        Ok(())
+    }
+
+    /// Waits for the first piece, so that a stream that never began can be repeated.
+    async fn begin_stream(&self, head: Head) -> Result<Response<AnswerBody>, Failure> {
+        let Head {
+            answer,
+            connection,
+            mut open,
+        } = head;
+        let (parts, mut incoming) = answer.into_parts();
+        let Some(Ok(first)) = incoming.frame().await else {
+            open.failed();
+            return Err(Failure::Unknown);
+        };
+        open.read();
+        let rest_ms = rest_ms(&parts.headers);
+        let headers = passed_headers(&parts.headers, &[]);
+        let due = self.node.instant(self.call.end_by_ms);
+        let passing = Passing::new(
+            self.node,
+            &self.call.id,
+            first.into_data().unwrap_or_default(),
+            incoming,
+            (connection, rest_ms),
+            open,
+            due,
+        );
+        let mut answer = Response::new(AnswerBody::Passing(Box::new(passing)));
+        *answer.status_mut() = parts.status;
+        *answer.headers_mut() = headers;
+        Ok(answer)
+    }
+
+    /// Reads a whole answer before any of it is passed on.
+    async fn read_whole(&self, head: Head) -> Result<Response<AnswerBody>, Failure> {
+        let Head {
+            answer,
+            connection,
+            open,
+        } = head;
+        let (parts, incoming) = answer.into_parts();
+        let left_ms = self.call.end_by_ms.saturating_sub(self.node.now_ms()) + 1_000;
+        let collected = body::collect(incoming, WHOLE_ANSWER_MAX_BYTES, left_ms).await;
+        let Ok(bytes) = collected else {
+            open.failed();
+            return Err(Failure::Unknown);
+        };
+        if parts.status.is_server_error() {
+            open.failed();
+            if self.call.route.may_repeat()
+                && self.run_count + 1 < self.call.route.attempt_max_count
+            {
+                return Err(Failure::Unknown);
+            }
+        } else {
+            open.succeeded();
+        }
+        if let Some(rest_ms) = rest_ms(&parts.headers) {
+            connection.keep_for(rest_ms);
+        }
+        let mut answer = Response::new(AnswerBody::Whole(Full::new(bytes)));
+        *answer.status_mut() = parts.status;
+        *answer.headers_mut() = passed_headers(&parts.headers, &[]);
+        Ok(answer)
+    }
+
+    /// Makes the refusal of the call.
+    fn refusal(&self, code: ResultCode, detail: &str) -> Refusal {
+        let mut refusal = Refusal::of(code, &self.call.id);
+        refusal.detail = format!("{detail}; offers {}", self.offer_count);
+        refusal.route = Some(Arc::clone(&self.call.route.name));
+        refusal
+    }
+}
+
+/// Reads a worker's load: running, waiting, slots.
+fn said_load(text: &str) -> SaidLoad {
+    let mut counts = text
+        .split(',')
+        .map(|count| count.trim().parse().unwrap_or(0));
+    SaidLoad {
+        running_count: counts.next().unwrap_or(0),
+        waiting_count: counts.next().unwrap_or(0),
+    }
+}
+
+/// Returns how long a connection may rest, in milliseconds; none if it closes.
+fn rest_ms(headers: &HeaderMap) -> Option<u64> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(CONNECTION.as_str()).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let said_s = text("keep-alive").and_then(|value| {
+        let parts = value.split(',');
+        let mut given = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
+        given.next()?.trim().parse::<u64>().ok()
+    });
+    let rest_ms = said_s.map_or(REST_UNSAID_MS, |said_s| {
+        (said_s * 1_000).saturating_sub(REST_MARGIN_MS)
+    });
+    (rest_ms > 0).then_some(rest_ms)
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -0,0 +1,119 @@
+//! A caller's request on its way: route, send, answer.
+//!
+//! [`request`] reads what the caller asks for, [`exchange`] sends it to workers
+//! until there is an answer or an end, [`passing`] hands a stream on as it
+//! comes, and [`refusal`] answers what could not be served.
+
+mod exchange;
+mod open;
+mod passing;
+mod refusal;
+mod request;
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use cranereach_core::codes::ResultCode;
+use cranereach_http::server::Closed;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use slog::info;
+
+use self::passing::BrokenOff;
+use self::passing::Passing;
+use self::refusal::Refusal;
+use self::request::Call;
+use crate::node::Node;
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// Whole.
+    Whole(Full<Bytes>),
+    /// As it comes.
+    Passing(Box<Passing>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
+            Self::Passing(passing) => passing.poll_next(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Passing(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Passing(passing) => passing.size_hint(),
+        }
+    }
+}
+
+/// Answers a caller.
+pub async fn answer(
+    node: Arc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Closed> {
+    let received_ms = node.now_ms();
+    let mut answer = match serve(&node, request, received_ms).await {
+        Ok(answer) => answer,
+        Err(refusal) => refused(&node, received_ms, &refusal),
+    };
+    if node.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(answer)
+}
+
+/// Reads a call and sends it on.
+async fn serve(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    received_ms: u64,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let call = Call::read(node, request, received_ms).await?;
+    exchange::run(node, call).await
+}
+
+/// Answers a refusal, counts and logs it.
+fn refused(node: &Node, received_ms: u64, refusal: &Refusal) -> Response<AnswerBody> {
+    let row = refusal.code.row();
+    let route = refusal.route.as_deref().unwrap_or("");
+    let counter = &node.metrics.requests_total;
+    counter.with_label_values(&[route, row.name]).inc();
+    if refusal.code != ResultCode::NoSuchPath {
+        info!(node.log, "refused"; "request" => refusal.request_id.clone(), "route" => route,
+            "code" => row.number, "name" => row.name, "detail" => refusal.detail.clone(),
+            "took_ms" => node.now_ms().saturating_sub(received_ms),
+            "configuration" => node.configuration_version(),
+            "retry_after_ms" => refusal.retry_after_ms);
+    }
+    refusal.answer(node.adapter.headers.request_id)
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/passing.rs
@@ -0,0 +1,116 @@
+//! A stream on its way to the caller, piece by piece.
+//!
+//! Nothing is buffered: the caller's pace is the worker's. A stream that breaks
+//! off ends its connection, so that it never looks complete.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use bytes::Bytes;
+use cranereach_http::pool::Connection;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use slog::info;
+use thiserror::Error;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use super::open::OpenCall;
+use crate::node::Node;
+
+/// The stream ended before it was whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the stream broke off")]
+pub struct BrokenOff;
+
+/// A connection with the time that it may rest afterwards, if it may.
+type Kept = (Connection<Full<Bytes>>, Option<u64>);
+
+/// A stream that is being passed on.
+#[derive(Debug)]
+pub struct Passing {
+    node: Arc<Node>,
+    id: String,
+    first: Option<Bytes>,
+    incoming: Incoming,
+    connection: Option<Kept>,
+    open: Option<OpenCall>,
+    due: Pin<Box<Sleep>>,
+}
+
+impl Passing {
+    /// Starts to pass a stream on that has begun with `first`.
+    pub fn new(
+        node: &Arc<Node>,
+        id: &str,
+        first: Bytes,
+        incoming: Incoming,
+        connection: Kept,
+        open: OpenCall,
+        due: Instant,
+    ) -> Self {
+        Self {
+            node: Arc::clone(node),
+            id: id.to_owned(),
+            first: Some(first),
+            incoming,
+            connection: Some(connection),
+            open: Some(open),
+            due: Box::pin(tokio::time::sleep_until(due)),
+        }
+    }
+
+    /// Returns what is known of the size.
+    pub fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+
+    /// Passes the next piece on.
+    pub fn poll_next(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let Some(open) = &self.open else {
+            return Poll::Ready(None);
+        };
+        if self.due.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err(self.break_off("deadline"))));
+        }
+        match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
+            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Err(_broken)) => {
+                open.failed();
+                Poll::Ready(Some(Err(self.break_off("worker broke off"))))
+            }
+            None => {
+                open.succeeded();
+                self.open = None;
+                if let Some((connection, Some(rest_ms))) = self.connection.take() {
+                    connection.keep_for(rest_ms);
+                }
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    /// Ends the stream before it is whole.
+    fn break_off(&mut self, why: &str) -> BrokenOff {
+        let worker = self.open.as_ref().map(|open| open.worker().to_string());
+        info!(self.node.log, "stream broken off"; "request" => self.id.clone(),
+            "worker" => worker, "why" => why);
+        let counter = &self.node.metrics.requests_total;
+        counter.with_label_values(&["", "broken_midway"]).inc();
+        self.open = None;
+        self.connection = None;
+        BrokenOff
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/refusal.rs
@@ -0,0 +1,77 @@
+//! Answers that say why a request was not served.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cranereach_core::codes::Repeat;
+use cranereach_core::codes::ResultCode;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use serde_json::json;
+
+use super::AnswerBody;
+
+/// Retry-After of a refusal without a better estimate, in milliseconds.
+pub const RETRY_AFTER_DEFAULT_MS: u64 = 300;
+
+/// A request that gets an error in place of an answer.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// Why.
+    pub code: ResultCode,
+    /// What was tried, for the log.
+    pub detail: String,
+    /// When a repeat is worth it, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Identity of the request, if it has one.
+    pub request_id: String,
+    /// Route, if there is one.
+    pub route: Option<Arc<str>>,
+}
+
+impl Refusal {
+    /// Makes a refusal.
+    pub fn of(code: ResultCode, request_id: &str) -> Self {
+        Self {
+            code,
+            detail: String::new(),
+            retry_after_ms: RETRY_AFTER_DEFAULT_MS,
+            request_id: request_id.to_owned(),
+            route: None,
+        }
+    }
+
+    /// Adds what was tried.
+    #[must_use]
+    pub fn with_detail(mut self, detail: impl Into<String>) -> Self {
+        self.detail = detail.into();
+        self
+    }
+
+    /// Makes the answer.
+    pub fn answer(&self, request_id_header: &'static str) -> Response<AnswerBody> {
+        let row = self.code.row();
+        let error = json!({ "code": row.number, "name": row.name, "message": row.meaning });
+        let text = json!({ "error": error }).to_string();
+        let mut answer = Response::new(AnswerBody::Whole(Full::new(Bytes::from(text))));
+        *answer.status_mut() =
+            StatusCode::from_u16(row.http_status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let headers = answer.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(id) = HeaderValue::from_str(&self.request_id) {
+            headers.insert(HeaderName::from_static(request_id_header), id);
+        }
+        if row.repeat == Repeat::Later {
+            let seconds = format!("{:.2}", self.retry_after_ms as f64 / 1_000.0);
+            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, seconds);
+            }
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -0,0 +1,259 @@
+//! What a caller asks for, read from the head and body of the request.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cranereach_core::codes::ResultCode;
+use cranereach_fleet::configuration::Configuration;
+use cranereach_fleet::configuration::Route;
+use cranereach_fleet::configuration::RouteKind;
+use cranereach_fleet::configuration::Service;
+use cranereach_fleet::prefixes;
+use cranereach_fleet::prefixes::PromptPart;
+use cranereach_http::body;
+use cranereach_http::body::BodyError;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HOST;
+use hyper::header::HeaderMap as Headers;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
+
+use super::refusal::Refusal;
+use crate::node::Node;
+
+/// Headers that concern one connection only.
+const OF_ONE_CONNECTION: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The model that a request names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WantedModel {
+    /// Model.
+    pub name: String,
+    /// Adapter, without the model's name.
+    pub adapter: Option<String>,
+}
+
+/// A request that may be sent to workers.
+#[derive(Debug)]
+pub struct Call {
+    /// Identity, as the caller gave it.
+    pub id: String,
+    /// Configuration that the call is handled by.
+    pub configuration: Arc<Configuration>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Arc<Service>,
+    /// When it was received, in milliseconds.
+    pub received_ms: u64,
+    /// When the final answer is due, in milliseconds.
+    pub end_by_ms: u64,
+    /// Model, if the service holds models.
+    pub model: Option<WantedModel>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt and of the longest answer.
+    pub held_tokens: u32,
+    /// Parts of the prompt.
+    pub parts: Vec<PromptPart>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Call {
+    /// Reads a request whole, and finds its route.
+    pub async fn read(
+        node: &Node,
+        request: Request<Incoming>,
+        received_ms: u64,
+    ) -> Result<Self, Refusal> {
+        let names = &node.adapter.headers;
+        let text = |name: &str| request.headers().get(name)?.to_str().ok();
+        let id = text(names.request_id).unwrap_or_default().to_owned();
+        let configuration = node
+            .configuration()
+            .ok_or_else(|| Refusal::of(ResultCode::ConfigUnknown, &id))?;
+        let host = request
+            .uri()
+            .host()
+            .or_else(|| text("host"))
+            .unwrap_or_default();
+        let route = configuration.route(host, request.uri().path());
+        let route = Arc::clone(route.ok_or_else(|| Refusal::of(ResultCode::NoSuchPath, &id))?);
+        let refuse = |code: ResultCode, detail: &str| {
+            let mut refusal = Refusal::of(code, &id).with_detail(detail);
+            refusal.route = Some(Arc::clone(&route.name));
+            refusal
+        };
+        if id.is_empty() {
+            return Err(refuse(ResultCode::BadRequest, "no identity"));
+        }
+        let service = route
+            .target(rand::random())
+            .and_then(|target| configuration.services.get(target))
+            .cloned()
+            .ok_or_else(|| refuse(ResultCode::NoUpstream, "no such service"))?;
+        let allowed_ms = text(names.deadline_ms).and_then(|text| text.trim().parse::<f64>().ok());
+        let allowed_ms = allowed_ms.map_or(route.timeout_ms, |given_ms| given_ms.max(0.0) as u64);
+        let end_by_ms = received_ms + allowed_ms.min(route.timeout_ms);
+        let model = text(names.model).map(wanted_model);
+        let model = model.filter(|_| service.engine.is_some());
+        let (prompt_tokens, answer_tokens) = text(names.tokens).map_or((0, 0), token_counts);
+        let parts = match (&model, text(names.prompt_parts)) {
+            (Some(_), Some(listed)) => prompt_parts(text(names.model).unwrap_or_default(), listed),
+            _ => Vec::new(),
+        };
+        let (head, incoming) = request.into_parts();
+        let left_ms = end_by_ms.saturating_sub(node.now_ms());
+        let collected = body::collect(incoming, configuration.limits.body_max_bytes, left_ms);
+        let body = collected.await.map_err(|error| match error {
+            BodyError::TooLarge => refuse(ResultCode::BodyTooLarge, "body"),
+            BodyError::TooSlow => refuse(ResultCode::RequestTooSlow, "body"),
+            BodyError::Broken => refuse(ResultCode::CallerLeft, "body"),
+        })?;
+        Ok(Self {
+            id,
+            route,
+            service,
+            received_ms,
+            end_by_ms,
+            model,
+            prompt_tokens,
+            held_tokens: prompt_tokens + answer_tokens,
+            parts,
+            method: head.method,
+            uri: head.uri,
+            headers: passed_headers(&head.headers, names.reserved),
+            body,
+            configuration,
+        })
+    }
+
+    /// Makes the request to one worker.
+    pub fn to_worker(
+        &self,
+        node: &Node,
+        worker: &str,
+        last_event: Option<&str>,
+    ) -> Option<Request<Full<Bytes>>> {
+        let names = &node.adapter.headers;
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(path)
+            .body(Full::new(self.body.clone()))
+            .ok()?;
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        let left_ms = self.end_by_ms.saturating_sub(node.now_ms()).max(1);
+        headers.insert(
+            HeaderName::from_static(names.deadline_ms),
+            HeaderValue::from(left_ms),
+        );
+        headers.insert(
+            HeaderName::from_static(names.expected_worker),
+            HeaderValue::from_str(worker).ok()?,
+        );
+        if self.service.engine.is_some() {
+            headers.insert(
+                HeaderName::from_static(names.priority),
+                HeaderValue::from(u16::from(self.route.priority.min(9))),
+            );
+        }
+        if let Some(last_event) = last_event {
+            headers.insert(
+                HeaderName::from_static(names.last_event),
+                HeaderValue::from_str(last_event).ok()?,
+            );
+        }
+        Some(request)
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == RouteKind::Stream
+    }
+
+    /// Returns the model and adapter that are asked for.
+    pub fn model(&self) -> Option<(&str, Option<&str>)> {
+        let model = self.model.as_ref()?;
+        Some((model.name.as_str(), model.adapter.as_deref()))
+    }
+}
+
+/// Copies the headers that are passed on.
+pub fn passed_headers(headers: &Headers, reserved: &[&str]) -> Headers {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let is_passed = |name: &HeaderName| {
+        let name = name.as_str();
+        !OF_ONE_CONNECTION.contains(&name)
+            && !reserved.contains(&name)
+            && (name == HOST.as_str() || !named.iter().any(|listed| listed == name))
+    };
+    let mut passed = Headers::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        if is_passed(name) {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    if headers.contains_key(TRANSFER_ENCODING) {
+        passed.remove(CONTENT_LENGTH);
+    }
+    passed
+}
+
+/// Splits a model's name from its adapter's.
+fn wanted_model(text: &str) -> WantedModel {
+    let (name, adapter) = match text.trim().split_once('/') {
+        Some((name, adapter)) => (name, Some(adapter.to_owned())),
+        None => (text.trim(), None),
+    };
+    WantedModel {
+        name: name.to_owned(),
+        adapter,
+    }
+}
+
+/// Reads the tokens of the prompt and of the longest answer.
+fn token_counts(text: &str) -> (u32, u32) {
+    let mut counts = text
+        .split(',')
+        .map(|count| count.trim().parse().unwrap_or(0));
+    (counts.next().unwrap_or(0), counts.next().unwrap_or(0))
+}
+
+/// Reads the parts of a prompt, each `ID:TOKENS`.
+fn prompt_parts(model: &str, text: &str) -> Vec<PromptPart> {
+    let parts: Vec<(&str, u32)> = text
+        .split(',')
+        .filter_map(|part| part.trim().split_once(':'))
+        .map(|(id, tokens)| (id, tokens.parse().unwrap_or(0)))
+        .collect();
+    prefixes::chain(model, &parts)
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -0,0 +1,398 @@
+//! Digests to and from peers over UDP, and larger bodies over TCP.
+//!
+//! A digest is complete in itself, so that a lost or doubled one does no harm.
+//! What a digest only names, a configuration or the list of workers, is fetched
+//! over TCP by whoever lacks it.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranereach_fleet::roster::Load;
+use cranereach_fleet::roster::worker_key;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::info;
+use slog::warn;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+
+use crate::adapter::Row;
+use crate::adapter::Rows;
+use crate::node::Node;
+use crate::node::lock;
+use crate::node::pause;
+use crate::peers::DATAGRAM_MAX_BYTES;
+use crate::peers::DemandPart;
+use crate::peers::Digest;
+use crate::peers::LoadPart;
+use crate::peers::VERSION;
+use crate::roster_sync;
+
+/// Rounds after which silent peers are tried again.
+const SLOW_ROUND_EVERY: u64 = 4;
+
+/// Least time between two rounds of digests, in milliseconds.
+const ROUND_LEAST_MS: u64 = 20;
+
+/// Time for a body from a peer, in milliseconds.
+const FETCH_WITHIN_MS: u64 = 1_500;
+
+/// Largest body from a peer, in bytes.
+const FETCH_MAX_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Versions that the own list may lag behind a peer's before it is fetched.
+const ROSTER_LAG_MS: u64 = 1_200;
+
+/// What is asked of a peer over TCP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// The configuration in force.
+    Configuration,
+    /// The list of workers.
+    Workers,
+}
+
+/// The list of workers, as one instance read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct WorkerRows {
+    version: u64,
+    rows: Vec<(String, u64, Vec<u8>)>,
+}
+
+/// Sends digests until the process ends.
+pub async fn send(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let port = node.settings.listen.peers.port();
+    let mut count = 0_u64;
+    loop {
+        let now_ms = node.now_ms();
+        count += 1;
+        let recipients = node
+            .peers()
+            .recipients(now_ms, count.is_multiple_of(SLOW_ROUND_EVERY));
+        if !recipients.is_empty() {
+            let digest = make(&node, now_ms, count);
+            let message = postcard::to_stdvec(&digest).unwrap_or_default();
+            for recipient in recipients {
+                // A lost datagram is made good by the next.
+                let _sent = socket
+                    .send_to(&message, SocketAddr::from((recipient, port)))
+                    .await;
+            }
+        }
+        pause(ROUND_LEAST_MS).await;
+        let every = Duration::from_millis(node.settings.peers.digest_every_ms);
+        // Whoever wants a digest at once ends the wait early.
+        let _waited = tokio::time::timeout(every, node.digest_wanted.notified()).await;
+    }
+}
+
+/// Makes a digest of what this instance knows and does.
+fn make(node: &Node, now_ms: u64, count: u64) -> Digest {
+    let introduced = node.peers().introduced(now_ms);
+    let loads = node.roster().own_loads();
+    let recent = lock(&node.recent_leaving).clone();
+    let announced = node.announced();
+    let adapters = announced
+        .values()
+        .flat_map(|of| of.adapters.clone())
+        .collect();
+    let withheld = announced
+        .values()
+        .flat_map(|of| of.withheld.clone())
+        .collect();
+    let holds = announced
+        .keys()
+        .map(|service| worker_key(service))
+        .collect();
+    drop(announced);
+    Digest {
+        version: VERSION,
+        boot: node.boot,
+        count,
+        is_leaving: node.is_stopping(),
+        configuration_version: node.configuration_version(),
+        roster_version: node.roster_version.load(Ordering::Acquire),
+        holds,
+        introduced,
+        loads: loads.into_iter().map(load_part).collect(),
+        demand: demand_parts(node, now_ms),
+        leaving: recent
+            .into_iter()
+            .map(|(_, key, version)| (key, version))
+            .collect(),
+        adapters,
+        withheld,
+    }
+}
+
+/// Returns a worker's load as peers read it.
+fn load_part((worker, load): (u64, Load)) -> LoadPart {
+    LoadPart {
+        worker,
+        open_count: load.open_count,
+        unread_tokens: load.unread_tokens as u32,
+        held_tokens: load.held_tokens as u32,
+    }
+}
+
+/// Returns the demand seen here.
+fn demand_parts(node: &Node, now_ms: u64) -> Vec<DemandPart> {
+    let mut parts = Vec::new();
+    for (service, demand) in node.demand().iter_mut() {
+        let service = worker_key(service);
+        parts.extend(demand.rates(now_ms).iter().map(|(model, rate)| DemandPart {
+            service,
+            model: *model,
+            tokens_per_s: *rate as f32,
+        }));
+    }
+    parts
+}
+
+/// Receives digests until the process ends.
+pub async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
+            pause(ROUND_LEAST_MS).await;
+            continue;
+        };
+        let digest = postcard::from_bytes::<Digest>(&buffer[..length]);
+        match (digest, sender.ip()) {
+            (Ok(digest), std::net::IpAddr::V4(ip)) if digest.version == VERSION => {
+                take(&node, ip, &digest);
+            }
+            _ => {
+                let counter = &node.metrics.bad_input_total;
+                counter.with_label_values(&["peer"]).inc();
+            }
+        }
+    }
+}
+
+/// Takes a digest.
+fn take(node: &Arc<Node>, sender: Ipv4Addr, digest: &Digest) {
+    let now_ms = node.now_ms();
+    let is_new = {
+        let mut peers = node.peers();
+        let is_new = peers.heard(now_ms, sender, digest);
+        node.metrics
+            .peers_heard
+            .set(peers.instance_count() as i64 - 1);
+        is_new
+    };
+    if !is_new {
+        return;
+    }
+    if digest.configuration_version > node.configuration_version() {
+        tokio::spawn(fetch_configuration(Arc::clone(node), sender));
+    }
+    let has_changed = take_roster(node, now_ms, sender, digest);
+    if has_changed {
+        node.roster_changed.notify_waiters();
+    }
+    if !digest.demand.is_empty() && !node.announced().is_empty() {
+        node.controller_wanted.notify_one();
+    }
+}
+
+/// Takes what a digest says of workers; true if requests may go elsewhere now.
+fn take_roster(node: &Arc<Node>, now_ms: u64, sender: Ipv4Addr, digest: &Digest) -> bool {
+    let loads: Vec<(u64, Load)> = digest
+        .loads
+        .iter()
+        .map(|part| {
+            let load = Load {
+                open_count: part.open_count,
+                unread_tokens: f64::from(part.unread_tokens),
+                held_tokens: f64::from(part.held_tokens),
+            };
+            (part.worker, load)
+        })
+        .collect();
+    let mut roster = node.roster();
+    roster.peer_loads(now_ms, u32::from(sender), &loads);
+    for (key, version) in &digest.leaving {
+        if roster.leaves(*version, *key) {
+            info!(node.log, "worker leaves"; "from" => sender.to_string(), "version" => *version);
+        }
+    }
+    drop(roster);
+    if !digest.holds.is_empty() {
+        apply_orders(node, now_ms, &digest.adapters, &digest.withheld);
+    }
+    fetch_workers_if_behind(node, sender, digest);
+    !digest.adapters.is_empty()
+}
+
+/// Takes what a holder's orders have changed at workers.
+pub fn apply_orders(
+    node: &Node,
+    now_ms: u64,
+    adapters: &[(u64, cranereach_fleet::demand::ModelKey)],
+    withheld: &[(u64, u16)],
+) {
+    let Some(configuration) = node.configuration() else {
+        return;
+    };
+    let mut roster = node.roster();
+    let mut by_worker: std::collections::HashMap<u64, Vec<u16>> = std::collections::HashMap::new();
+    for (worker, model) in withheld {
+        by_worker.entry(*worker).or_default().push(*model);
+    }
+    let name_of = |service: &str, model: u16| {
+        let engine = configuration.services.get(service)?.engine.as_ref()?;
+        let model = engine.models.get(usize::from(model))?;
+        Some(Arc::clone(&model.name))
+    };
+    let ids: Vec<Arc<str>> = roster
+        .workers()
+        .map(|worker| Arc::clone(&worker.record.id))
+        .collect();
+    for id in ids {
+        let Some(worker) = roster.get_mut(&id) else {
+            continue;
+        };
+        let service = Arc::clone(&worker.record.service);
+        let models = by_worker.remove(&worker_key(&id)).unwrap_or_default();
+        let names = models
+            .into_iter()
+            .filter_map(|model| name_of(&service, model));
+        worker.withhold(names.collect());
+    }
+    for (key, (model, adapter)) in adapters {
+        let Some(worker) = roster.by_key_mut(*key) else {
+            continue;
+        };
+        let service = Arc::clone(&worker.record.service);
+        if let Some(name) = name_of(&service, *model) {
+            worker.told_adapter(now_ms, &name, &format!("a{adapter}"));
+        }
+    }
+}
+
+/// Fetches the list of workers from a peer whose list is newer, after a while.
+fn fetch_workers_if_behind(node: &Arc<Node>, sender: Ipv4Addr, digest: &Digest) {
+    if digest.roster_version <= node.roster_version.load(Ordering::Acquire) {
+        return;
+    }
+    let version = digest.roster_version;
+    let node = Arc::clone(node);
+    if node.is_fetching.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    tokio::spawn(async move {
+        // The own read of the store usually catches up first.
+        pause(ROSTER_LAG_MS).await;
+        if node.roster_version.load(Ordering::Acquire) < version {
+            fetch_workers(&node, sender).await;
+        }
+        node.is_fetching.store(false, Ordering::Release);
+    });
+}
+
+/// Fetches the list of workers from a peer.
+async fn fetch_workers(node: &Arc<Node>, peer: Ipv4Addr) {
+    let Ok(body) = fetch(node, peer, Ask::Workers).await else {
+        return;
+    };
+    let Ok(listed) = postcard::from_bytes::<WorkerRows>(&body) else {
+        return;
+    };
+    if listed.version <= node.roster_version.load(Ordering::Acquire) {
+        return;
+    }
+    info!(node.log, "workers from a peer"; "peer" => peer.to_string(), "version" => listed.version);
+    let rows = listed.rows.into_iter().map(|(key, version, value)| Row {
+        key,
+        value,
+        version,
+        is_gone: false,
+    });
+    let rows = Rows {
+        rows: rows.collect(),
+        version: listed.version,
+        has_more: false,
+    };
+    roster_sync::take(node, rows, true);
+}
+
+/// Fetches the configuration in force at a peer.
+async fn fetch_configuration(node: Arc<Node>, peer: Ipv4Addr) {
+    match fetch(&node, peer, Ask::Configuration).await {
+        Ok(body) if !body.is_empty() => {
+            if let Err(error) = node.offer_configuration(&body, "peer") {
+                warn!(node.log, "configuration not understood";
+                    "peer" => peer.to_string(), "error" => error.to_string());
+            }
+        }
+        // The next digest tries again.
+        Ok(_) | Err(_) => {}
+    }
+}
+
+/// Asks a peer over TCP.
+async fn fetch(node: &Node, peer: Ipv4Addr, ask: Ask) -> io::Result<Bytes> {
+    let port = node.settings.listen.peers.port();
+    let fetching = async {
+        let mut stream = TcpStream::connect(SocketAddr::from((peer, port))).await?;
+        let message = postcard::to_stdvec(&ask).map_err(io::Error::other)?;
+        stream.write_all(&message).await?;
+        let mut body = Vec::new();
+        stream.take(FETCH_MAX_BYTES).read_to_end(&mut body).await?;
+        Ok(Bytes::from(body))
+    };
+    let within = Duration::from_millis(FETCH_WITHIN_MS);
+    tokio::time::timeout(within, fetching)
+        .await
+        .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Answers what peers ask over TCP, until the process ends.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _peer)) = listener.accept().await else {
+            pause(ROUND_LEAST_MS).await;
+            continue;
+        };
+        let node = Arc::clone(&node);
+        tokio::spawn(async move {
+            let within = Duration::from_millis(FETCH_WITHIN_MS);
+            // A peer that breaks off asks again.
+            let _answered = tokio::time::timeout(within, answer(&node, stream)).await;
+        });
+    }
+}
+
+/// Answers one question.
+async fn answer(node: &Node, mut stream: TcpStream) -> io::Result<()> {
+    let mut asked = [0; 1];
+    stream.read_exact(&mut asked).await?;
+    let ask: Ask = postcard::from_bytes(&asked).map_err(io::Error::other)?;
+    let body = match ask {
+        Ask::Configuration => lock(&node.configuration_body).clone(),
+        Ask::Workers => Bytes::from(postcard::to_stdvec(&worker_rows(node)).unwrap_or_default()),
+    };
+    stream.write_all(&body).await?;
+    stream.shutdown().await
+}
+
+/// Returns the list of workers as read here.
+fn worker_rows(node: &Node) -> WorkerRows {
+    let kept = lock(&node.worker_rows);
+    let rows = kept
+        .iter()
+        .map(|(key, (version, value))| (key.clone(), *version, value.clone()));
+    WorkerRows {
+        version: node.roster_version.load(Ordering::Acquire),
+        rows: rows.collect(),
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -0,0 +1,22 @@
+//! Runtime of an instance that serves declared routes: sockets, store, peers.
+//!
+//! [`run`] starts and stops the parts. A caller's request runs through
+//! [`forward`]. Beside that path [`configuration_sync`] and [`roster_sync`]
+//! follow the store, [`gossip`] tells peers what they can't see, and
+//! [`controller`] holds the leases and orders workers. Everything that a
+//! platform names or formats comes in through an [`adapter`].
+
+pub mod adapter;
+pub mod configuration_sync;
+pub mod controller;
+pub mod forward;
+pub mod gossip;
+pub mod log;
+pub mod metrics;
+pub mod node;
+pub mod operators;
+pub mod peers;
+pub mod roster_sync;
+pub mod run;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -0,0 +1,112 @@
+//! Counters, gauges and histograms of an instance.
+
+use prometheus::Encoder;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use prometheus::histogram_opts;
+use prometheus::opts;
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.0, 6.0, 15.0];
+
+/// All metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route and result.
+    pub requests_total: IntCounterVec,
+    /// Time to the first byte, in seconds, by route.
+    pub first_byte_seconds: HistogramVec,
+    /// Requests sent to a further worker, by cause.
+    pub repeats_total: IntCounterVec,
+    /// Store calls by kind and outcome.
+    pub store_calls_total: IntCounterVec,
+    /// Orders by kind and outcome.
+    pub orders_total: IntCounterVec,
+    /// Input that could not be understood, by source.
+    pub bad_input_total: IntCounterVec,
+    /// Version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Whether this instance holds a lease.
+    pub leases_held: IntGauge,
+    /// Requests that are open.
+    pub open_requests: IntGauge,
+    /// Peers heard lately.
+    pub peers_heard: IntGauge,
+    /// Connections made to workers.
+    pub connections_total: IntCounter,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Panics
+    ///
+    /// If two metrics have one name, which a test would see.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntCounterVec::new(opts!(name, help), labels).expect("names are constants");
+            registry
+                .register(Box::new(made.clone()))
+                .expect("names differ");
+            made
+        };
+        let gauge = |name: &str, help: &str| {
+            let made = IntGauge::new(name, help).expect("names are constants");
+            registry
+                .register(Box::new(made.clone()))
+                .expect("names differ");
+            made
+        };
+        let first_byte_seconds = HistogramVec::new(
+            histogram_opts!(
+                "first_byte_seconds",
+                "time from receipt to the first byte of the answer",
+                LATENCY_BOUNDS_S.to_vec()
+            ),
+            &["route"],
+        )
+        .expect("names are constants");
+        registry
+            .register(Box::new(first_byte_seconds.clone()))
+            .expect("names differ");
+        let connections_total = IntCounter::new("connections_total", "connections made to workers")
+            .expect("names are constants");
+        registry
+            .register(Box::new(connections_total.clone()))
+            .expect("names differ");
+        Self {
+            requests_total: counters("requests_total", "requests by result", &["route", "result"]),
+            repeats_total: counters("repeats_total", "sends to a further worker", &["cause"]),
+            store_calls_total: counters("store_calls_total", "store calls", &["kind", "outcome"]),
+            orders_total: counters("orders_total", "orders to workers", &["kind", "outcome"]),
+            bad_input_total: counters("bad_input_total", "input not understood", &["source"]),
+            configuration_version: gauge("configuration_version", "version in force"),
+            leases_held: gauge("leases_held", "leases held here"),
+            open_requests: gauge("open_requests", "requests that are open"),
+            peers_heard: gauge("peers_heard", "peers heard lately"),
+            connections_total,
+            first_byte_seconds,
+            registry,
+        }
+    }
+
+    /// Writes all metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        // A metric that can't be written is left out.
+        let _written = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/node.rs
@@ -0,0 +1,266 @@
+//! What all parts of an instance share.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cranereach_fleet::configuration::Configuration;
+use cranereach_fleet::configuration::Service;
+use cranereach_fleet::demand::Demand;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::retry_window::RetryWindow;
+use cranereach_fleet::roster::Roster;
+use cranereach_http::pool::Pool;
+use http_body_util::Full;
+use slog::Logger;
+use slog::info;
+use tokio::sync::Notify;
+
+use crate::adapter;
+use crate::adapter::Adapter;
+use crate::adapter::FormatError;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::store::Store;
+
+/// Time after which unconfirmed bytes break a worker's connection, in milliseconds.
+const WORKER_SILENCE_MAX_MS: u64 = 1_200;
+
+/// Adapter that settings name, or the reason why there is none.
+pub type Pools = HashMap<Arc<str>, Arc<Pool<Full<Bytes>>>>;
+
+/// What an instance learned from the store about its orders, for peers.
+#[derive(Clone, Debug, Default)]
+pub struct Announced {
+    /// Adapters that were loaded: worker key, model and adapter.
+    pub adapters: Vec<(u64, ModelKey)>,
+    /// Models that are being unloaded: worker key, model.
+    pub withheld: Vec<(u64, u16)>,
+}
+
+/// What all parts share.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// The platform's adapter.
+    pub adapter: &'static Adapter,
+    /// Logger.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// The platform's store.
+    pub store: Store,
+    /// Number of this start.
+    pub boot: u64,
+    /// Wakes whoever waits for a worker that holds something.
+    pub roster_changed: Notify,
+    /// Wakes the sender of digests.
+    pub digest_wanted: Notify,
+    /// Wakes the controller.
+    pub controller_wanted: Notify,
+    /// Rows of the list as read, for peers whose reads fail.
+    pub worker_rows: Mutex<HashMap<String, (u64, Vec<u8>)>>,
+    /// Newest version of the store that the list was read at.
+    pub roster_version: AtomicU64,
+    /// Workers read as leaving or gone: when, key, version.
+    pub recent_leaving: Mutex<Vec<(u64, u64, u64)>>,
+    /// Body of the configuration in force.
+    pub configuration_body: Mutex<Bytes>,
+    configuration: Mutex<Option<Arc<Configuration>>>,
+    roster: Mutex<Roster>,
+    demand: Mutex<HashMap<Arc<str>, Demand>>,
+    peers: Mutex<Peers>,
+    announced: Mutex<HashMap<Arc<str>, Announced>>,
+    retries: Mutex<HashMap<Arc<str>, RetryWindow>>,
+    pools: Mutex<Pools>,
+    /// Whether the list of workers is being fetched from a peer.
+    pub is_fetching: AtomicBool,
+    is_stopping: AtomicBool,
+    started: Instant,
+}
+
+/// Locks a mutex, also after a panic elsewhere.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Waits.
+pub async fn pause(pause_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
+impl Node {
+    /// Makes the shared part of an instance; none if there is no such adapter.
+    pub fn new(settings: Settings, log: Logger) -> Option<Self> {
+        let adapter = adapter::find(&settings.platform.adapter)?;
+        let own_ip = match settings.listen.peers.ip() {
+            std::net::IpAddr::V4(ip) => ip,
+            std::net::IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+        };
+        let seeds = settings.peers.seeds.iter();
+        let seeds = seeds.filter_map(|seed| seed.split(':').next()?.parse().ok());
+        Some(Self {
+            adapter,
+            log,
+            metrics: Metrics::new(),
+            store: Store::new(&settings.platform.store, adapter),
+            boot: rand::random(),
+            roster_changed: Notify::new(),
+            digest_wanted: Notify::new(),
+            controller_wanted: Notify::new(),
+            worker_rows: Mutex::default(),
+            roster_version: AtomicU64::new(0),
+            recent_leaving: Mutex::default(),
+            configuration_body: Mutex::default(),
+            configuration: Mutex::default(),
+            roster: Mutex::default(),
+            demand: Mutex::default(),
+            peers: Mutex::new(Peers::new(own_ip, seeds.collect())),
+            announced: Mutex::default(),
+            retries: Mutex::default(),
+            pools: Mutex::default(),
+            is_fetching: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            started: Instant::now(),
+            settings,
+        })
+    }
+
+    /// Returns now, in milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Returns the instant of a time in milliseconds.
+    pub fn instant(&self, at_ms: u64) -> tokio::time::Instant {
+        (self.started + Duration::from_millis(at_ms)).into()
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        lock(&self.configuration).clone()
+    }
+
+    /// Returns the version in force; zero if none is known.
+    pub fn configuration_version(&self) -> u64 {
+        lock(&self.configuration)
+            .as_ref()
+            .map_or(0, |known| known.version)
+    }
+
+    /// Puts a configuration in force, unless it is not newer than the one that is.
+    pub fn offer_configuration(&self, body: &Bytes, from: &str) -> Result<bool, FormatError> {
+        let offered = (self.adapter.parse_configuration)(body)?;
+        let mut configuration = lock(&self.configuration);
+        if configuration
+            .as_ref()
+            .is_some_and(|known| known.version >= offered.version)
+        {
+            return Ok(false);
+        }
+        info!(self.log, "configuration in force";
+            "version" => offered.version, "from" => from, "routes" => offered.route_count());
+        self.metrics
+            .configuration_version
+            .set(offered.version as i64);
+        *configuration = Some(Arc::new(offered));
+        drop(configuration);
+        *lock(&self.configuration_body) = body.clone();
+        self.digest_wanted.notify_one();
+        Ok(true)
+    }
+
+    /// Returns a service of the configuration in force.
+    pub fn service(&self, name: &str) -> Option<Arc<Service>> {
+        self.configuration()?.services.get(name).cloned()
+    }
+
+    /// Returns what is known of workers.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    /// Returns what is known of peers.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
+    }
+
+    /// Returns the demand seen here, by service.
+    pub fn demand(&self) -> MutexGuard<'_, HashMap<Arc<str>, Demand>> {
+        lock(&self.demand)
+    }
+
+    /// Returns what this instance's orders did, by service.
+    pub fn announced(&self) -> MutexGuard<'_, HashMap<Arc<str>, Announced>> {
+        lock(&self.announced)
+    }
+
+    /// Notes a request to a service in the bound of repeats.
+    pub fn note_request(&self, service: &Arc<str>) {
+        let now_ms = self.now_ms();
+        let bounds = self.settings.bounds;
+        let mut retries = lock(&self.retries);
+        let window = retries.entry(Arc::clone(service)).or_insert_with(|| {
+            RetryWindow::new(
+                bounds.retry_ratio,
+                bounds.retry_allowance_count,
+                (bounds.retry_window_s * 1_000.0) as u64,
+            )
+        });
+        window.request(now_ms);
+    }
+
+    /// Spends one repeat towards a service, if the bound allows it.
+    pub fn spend_repeat(&self, service: &str) -> bool {
+        let now_ms = self.now_ms();
+        let instance_count = self.peers().instance_count();
+        let mut retries = lock(&self.retries);
+        let window = retries.get_mut(service);
+        window.is_some_and(|window| window.spend(now_ms, instance_count))
+    }
+
+    /// Returns the connections to a worker.
+    pub fn pool(&self, worker: &Arc<str>, address: &str) -> Arc<Pool<Full<Bytes>>> {
+        let mut pools = lock(&self.pools);
+        let pool = pools.entry(Arc::clone(worker)).or_insert_with(|| {
+            Arc::new(Pool::new(address).with_silence_max_ms(WORKER_SILENCE_MAX_MS))
+        });
+        Arc::clone(pool)
+    }
+
+    /// Forgets the connections to workers that are gone.
+    pub fn forget_pools(&self, gone: &[Arc<str>]) {
+        let mut pools = lock(&self.pools);
+        for worker in gone {
+            pools.remove(worker);
+        }
+    }
+
+    /// Whether a stop was asked for.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Asks for a stop.
+    pub fn ask_stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+        self.digest_wanted.notify_one();
+        self.controller_wanted.notify_one();
+    }
+
+    /// Whether the platform should send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.configuration_version() > 0
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -0,0 +1,210 @@
+//! What is known of the other instances, and the messages between them.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use cranereach_fleet::demand::ModelKey;
+use rand::seq::IteratorRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Version of the messages; others are dropped.
+pub const VERSION: u8 = 1;
+
+/// Largest datagram that is taken, in bytes.
+pub const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
+
+/// Time after which a silent peer no longer counts as heard, in milliseconds.
+pub const HEARD_WITHIN_MS: u64 = 1_500;
+
+/// Time for which a silent peer is still sent digests, in milliseconds.
+const SENT_WITHIN_MS: u64 = 15_000;
+
+/// Peers that one round of digests goes to at most, beside the holders.
+const FAN_OUT_COUNT: usize = 12;
+
+/// Peers that are remembered at most.
+const PEER_MAX_COUNT: usize = 96;
+
+/// Addresses that one digest introduces at most.
+const INTRODUCED_COUNT: usize = 8;
+
+/// Load of the sender at one worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadPart {
+    /// Key of the worker.
+    pub worker: u64,
+    /// Requests that have not ended.
+    pub open_count: u32,
+    /// Prompt tokens that are probably not read yet.
+    pub unread_tokens: u32,
+    /// Tokens that the requests may come to hold.
+    pub held_tokens: u32,
+}
+
+/// Demand at the sender for one model or adapter.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DemandPart {
+    /// Key of the service.
+    pub service: u64,
+    /// Model and adapter.
+    pub model: ModelKey,
+    /// Tokens per second.
+    pub tokens_per_s: f32,
+}
+
+/// What an instance tells its peers, some times a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Version of the message.
+    pub version: u8,
+    /// Number of the sender's start.
+    pub boot: u64,
+    /// Grows with each digest of a start.
+    pub count: u64,
+    /// Whether the sender is stopping.
+    pub is_leaving: bool,
+    /// Version of the configuration in force there.
+    pub configuration_version: u64,
+    /// Version of the store that its list of workers is from.
+    pub roster_version: u64,
+    /// Keys of the services whose lease it holds.
+    pub holds: Vec<u64>,
+    /// Addresses of other instances.
+    pub introduced: Vec<Ipv4Addr>,
+    /// Its load at workers.
+    pub loads: Vec<LoadPart>,
+    /// Its demand.
+    pub demand: Vec<DemandPart>,
+    /// Workers that were read as leaving or gone: key, version.
+    pub leaving: Vec<(u64, u64)>,
+    /// Adapters that it has loaded: worker, model and adapter.
+    pub adapters: Vec<(u64, ModelKey)>,
+    /// Models that it unloads: worker, model.
+    pub withheld: Vec<(u64, u16)>,
+}
+
+/// One peer.
+#[derive(Clone, Debug, Default)]
+pub struct Peer {
+    /// When it was heard last, in milliseconds; none if never.
+    pub heard_at_ms: Option<u64>,
+    /// When it became known, in milliseconds.
+    pub known_at_ms: u64,
+    /// Its last digest.
+    pub last: Digest,
+}
+
+/// All peers.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own_ip: Ipv4Addr,
+    seeds: Vec<Ipv4Addr>,
+    known: HashMap<Ipv4Addr, Peer>,
+    heard_count: usize,
+}
+
+impl Peers {
+    /// Makes the list from the seeds.
+    pub fn new(own_ip: Ipv4Addr, seeds: Vec<Ipv4Addr>) -> Self {
+        let seeds: Vec<Ipv4Addr> = seeds.into_iter().filter(|seed| *seed != own_ip).collect();
+        let known = seeds.iter().map(|seed| (*seed, Peer::default())).collect();
+        Self {
+            own_ip,
+            seeds,
+            known,
+            heard_count: 0,
+        }
+    }
+
+    /// Returns this instance's address.
+    pub fn own_ip(&self) -> Ipv4Addr {
+        self.own_ip
+    }
+
+    /// Counts the instances heard lately, this one included.
+    pub fn instance_count(&self) -> usize {
+        self.heard_count + 1
+    }
+
+    /// Takes a digest; false if it is an old one.
+    pub fn heard(&mut self, now_ms: u64, sender: Ipv4Addr, digest: &Digest) -> bool {
+        if sender == self.own_ip {
+            return false;
+        }
+        self.introduce(now_ms, sender);
+        for address in &digest.introduced {
+            self.introduce(now_ms, *address);
+        }
+        let Some(peer) = self.known.get_mut(&sender) else {
+            return false;
+        };
+        let is_old = peer.last.boot == digest.boot && peer.last.count >= digest.count;
+        if peer.heard_at_ms.is_some() && is_old {
+            return false;
+        }
+        peer.heard_at_ms = Some(now_ms);
+        peer.last = digest.clone();
+        self.heard_count = self.heard_peers(now_ms).count();
+        true
+    }
+
+    /// Lists the peers heard lately that aren't stopping.
+    pub fn heard_peers(&self, now_ms: u64) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
+        self.known.iter().filter(move |(_, peer)| {
+            let is_heard = peer
+                .heard_at_ms
+                .is_some_and(|at_ms| now_ms < at_ms + HEARD_WITHIN_MS);
+            is_heard && !peer.last.is_leaving
+        })
+    }
+
+    /// Whether some peer is heard to hold a lease.
+    pub fn hears_holder(&self, now_ms: u64, service: u64) -> bool {
+        let mut heard = self.heard_peers(now_ms);
+        heard.any(|(_, peer)| peer.last.holds.contains(&service))
+    }
+
+    /// Chooses whom the next digest goes to.
+    pub fn recipients(&mut self, now_ms: u64, is_slow_round: bool) -> Vec<Ipv4Addr> {
+        let seeds = self.seeds.clone();
+        self.known.retain(|address, peer| {
+            let at_ms = peer.heard_at_ms.unwrap_or(peer.known_at_ms);
+            now_ms < at_ms + SENT_WITHIN_MS || seeds.contains(address)
+        });
+        self.heard_count = self.heard_peers(now_ms).count();
+        // Silent ones are tried less often.
+        let is_due = |peer: &Peer| {
+            let is_heard = peer
+                .heard_at_ms
+                .is_some_and(|at_ms| now_ms < at_ms + HEARD_WITHIN_MS);
+            is_heard || is_slow_round
+        };
+        let (holders, others): (Vec<_>, Vec<_>) = self
+            .known
+            .iter()
+            .filter(|(_, peer)| is_due(peer))
+            .partition(|(_, peer)| !peer.last.holds.is_empty());
+        let mut chosen: Vec<Ipv4Addr> = holders.into_iter().map(|(address, _)| *address).collect();
+        let sampled = others.into_iter().map(|(address, _)| *address);
+        chosen.extend(sampled.sample(&mut rand::rng(), FAN_OUT_COUNT));
+        chosen
+    }
+
+    /// Chooses addresses to introduce.
+    pub fn introduced(&self, now_ms: u64) -> Vec<Ipv4Addr> {
+        let heard = self.heard_peers(now_ms).map(|(address, _)| *address);
+        heard.sample(&mut rand::rng(), INTRODUCED_COUNT)
+    }
+
+    /// Remembers an address.
+    fn introduce(&mut self, now_ms: u64, address: Ipv4Addr) {
+        if address == self.own_ip || self.known.len() >= PEER_MAX_COUNT {
+            return;
+        }
+        self.known.entry(address).or_insert_with(|| Peer {
+            known_at_ms: now_ms,
+            ..Peer::default()
+        });
+    }
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/run.rs
@@ -0,0 +1,189 @@
+//! An instance put together: start, planned stop, end.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cranereach_http::server;
+use cranereach_http::server::ServeOptions;
+use slog::info;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+
+use crate::configuration_sync;
+use crate::controller;
+use crate::forward;
+use crate::gossip;
+use crate::log;
+use crate::node::Node;
+use crate::node::pause;
+use crate::operators;
+use crate::roster_sync;
+use crate::settings::Settings;
+
+/// Time for which a stopping instance still accepts, in milliseconds.
+///
+/// The platform asks each second and takes an instance out after two misses.
+const ACCEPT_FOR_MS: u64 = 2_400;
+
+/// Time between the end of a planned stop and the kill, in milliseconds.
+const END_BEFORE_KILL_MS: u64 = 500;
+
+/// Time that a kept connection of a caller may rest, in milliseconds.
+///
+/// Longer than any limit that callers are told, so that none meets our close.
+const CALLER_REST_MS: u64 = 90_000;
+
+/// Largest head of a request that is read, in bytes.
+const HEADER_MAX_BYTES: usize = 64 * 1024;
+
+/// Time between two looks at a stop, in milliseconds.
+const LOOK_EVERY_MS: u64 = 50;
+
+/// Why an instance could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address could not be listened on.
+    #[error("can't listen on {address} ({key}): {source}")]
+    Listen {
+        /// Key in settings.
+        key: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The adapter isn't known.
+    #[error("platform.adapter: {0:?} isn't known")]
+    Adapter(String),
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Gateway {
+    node: Arc<Node>,
+    addresses: Addresses,
+    stopping: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    tasks: JoinSet<()>,
+}
+
+/// Addresses that an instance listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Question whether it is ready.
+    pub ready: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+}
+
+impl Gateway {
+    /// Starts an instance.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let listen = settings.listen.clone();
+        let callers = bind("listen.callers", listen.callers).await?;
+        let ready = bind("listen.ready", listen.ready).await?;
+        let metrics = bind("listen.metrics", listen.metrics).await?;
+        let bodies = bind("listen.peers", listen.peers).await?;
+        let digests = UdpSocket::bind(listen.peers).await;
+        let digests = digests.map_err(|source| StartError::Listen {
+            key: "listen.peers",
+            address: listen.peers,
+            source,
+        })?;
+        let addresses = Addresses {
+            callers: callers.local_addr().unwrap_or(listen.callers),
+            ready: ready.local_addr().unwrap_or(listen.ready),
+            metrics: metrics.local_addr().unwrap_or(listen.metrics),
+        };
+        let adapter = settings.platform.adapter.clone();
+        let log = log::make(&settings.instance.id, settings.log.is_silent);
+        let node = Node::new(settings, log).ok_or(StartError::Adapter(adapter))?;
+        let node = Arc::new(node);
+        let (stopping, stop) = watch::channel(false);
+        let mut tasks = JoinSet::new();
+        for listener in [ready, metrics] {
+            let asked = Arc::clone(&node);
+            let options = ServeOptions::default();
+            tasks.spawn(server::serve(
+                listener,
+                options,
+                stop.clone(),
+                move |request| operators::answer(Arc::clone(&asked), request),
+            ));
+        }
+        let socket = Arc::new(digests);
+        tasks.spawn(gossip::receive(Arc::clone(&node), Arc::clone(&socket)));
+        tasks.spawn(gossip::send(Arc::clone(&node), socket));
+        tasks.spawn(gossip::serve(Arc::clone(&node), bodies));
+        tasks.spawn(configuration_sync::run(Arc::clone(&node)));
+        tasks.spawn(roster_sync::run(Arc::clone(&node)));
+        tasks.spawn(controller::run(Arc::clone(&node)));
+        let called = Arc::clone(&node);
+        let options = ServeOptions {
+            header_within_ms: CALLER_REST_MS,
+            header_max_bytes: HEADER_MAX_BYTES,
+        };
+        let serving = server::serve(callers, options, stop, move |request| {
+            forward::answer(Arc::clone(&called), request)
+        });
+        info!(node.log, "started"; "callers" => addresses.callers.to_string(),
+            "zone" => node.settings.instance.failure_domain.clone(), "boot" => node.boot);
+        Ok(Self {
+            node,
+            addresses,
+            stopping,
+            serving: tokio::spawn(serving),
+            tasks,
+        })
+    }
+
+    /// Returns what all parts share.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Returns the addresses that the instance listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops as planned: unready first, then finishes what is in flight.
+    pub async fn drain(mut self) {
+        let node = Arc::clone(&self.node);
+        let begun_ms = node.now_ms();
+        let grace_ms = (node.settings.bounds.grace_s * 1_000.0) as u64;
+        let end_by_ms = begun_ms + grace_ms.saturating_sub(END_BEFORE_KILL_MS);
+        node.ask_stop();
+        info!(node.log, "stopping"; "open" => node.metrics.open_requests.get());
+        pause(ACCEPT_FOR_MS.min(grace_ms / 3)).await;
+        self.stopping.send_replace(true);
+        while !self.serving.is_finished() && node.now_ms() < end_by_ms {
+            pause(LOOK_EVERY_MS).await;
+        }
+        info!(node.log, "stopped"; "open" => node.metrics.open_requests.get());
+        self.tasks.shutdown().await;
+    }
+
+    /// Ends at once, as a crash would.
+    pub async fn kill(mut self) {
+        self.serving.abort();
+        self.tasks.shutdown().await;
+    }
+}
+
+/// Listens on an address.
+async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| StartError::Listen {
+        key,
+        address,
+        source,
+    })
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/store.rs
@@ -0,0 +1,126 @@
+//! Calls to the platform's store, each with a deadline.
+
+use bytes::Bytes;
+use cranereach_http::client::Answer;
+use cranereach_http::client::CallError;
+use cranereach_http::client::JsonClient;
+use thiserror::Error;
+
+use crate::adapter::Adapter;
+use crate::adapter::FormatError;
+use crate::adapter::ReadAnswer;
+use crate::adapter::RowName;
+use crate::adapter::Rows;
+use crate::adapter::WriteAnswer;
+
+/// Time for an answer beyond what was asked to wait, in milliseconds.
+const ANSWER_WITHIN_MS: u64 = 900;
+
+/// Pages that one read takes at most.
+const PAGE_MAX_COUNT: usize = 64;
+
+/// How a call to the store failed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// Nothing was done.
+    #[error("nothing was done: {0}")]
+    NotDone(String),
+    /// It may have been done, or may be done later.
+    #[error("may have been done: {0}")]
+    Unknown(String),
+    /// The history that was asked for is gone.
+    #[error("the history is gone")]
+    HistoryGone,
+}
+
+impl From<CallError> for StoreError {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::NotSent { .. } => Self::NotDone(error.to_string()),
+            CallError::Unanswered { .. } | CallError::Garbled { .. } => {
+                Self::Unknown(error.to_string())
+            }
+        }
+    }
+}
+
+impl From<FormatError> for StoreError {
+    fn from(error: FormatError) -> Self {
+        Self::Unknown(error.to_string())
+    }
+}
+
+/// Client of the store.
+#[derive(Debug)]
+pub struct Store {
+    client: JsonClient,
+    adapter: &'static Adapter,
+}
+
+impl Store {
+    /// Makes a client for `ip:port`.
+    pub fn new(address: &str, adapter: &'static Adapter) -> Self {
+        Self {
+            client: JsonClient::new(address),
+            adapter,
+        }
+    }
+
+    /// Reads a whole table.
+    pub async fn read(&self, table: &str) -> Result<Rows, StoreError> {
+        let mut all = Rows::default();
+        for _page in 0..PAGE_MAX_COUNT {
+            let from = all
+                .rows
+                .last()
+                .map_or(String::new(), |row| format!("{}\u{1}", row.key));
+            let path = (self.adapter.store.read_path)(table, &from);
+            let answer = self.client.get(&path, ANSWER_WITHIN_MS).await?;
+            let page = self.rows(&answer)?;
+            if all.rows.is_empty() {
+                all.version = page.version;
+            }
+            all.rows.extend(page.rows);
+            if !page.has_more {
+                return Ok(all);
+            }
+        }
+        Ok(all)
+    }
+
+    /// Waits for changes of a table after a version.
+    pub async fn watch(&self, table: &str, after: u64, wait_ms: u64) -> Result<Rows, StoreError> {
+        let path = (self.adapter.store.watch_path)(table, after, wait_ms);
+        let answer = self.client.get(&path, wait_ms + ANSWER_WITHIN_MS).await?;
+        self.rows(&answer)
+    }
+
+    /// Writes a row if it still has a version; zero stands for no row.
+    pub async fn write(
+        &self,
+        row: &RowName,
+        expected_version: u64,
+        value: &[u8],
+    ) -> Result<WriteAnswer, StoreError> {
+        let body = (self.adapter.store.encode_write)(row, expected_version, value);
+        let path = self.adapter.store.write_path;
+        let answer = self
+            .client
+            .post_bytes(path, Bytes::from(body), ANSWER_WITHIN_MS)
+            .await?;
+        let parsed = (self.adapter.store.parse_write)(answer.status, &answer.body)?;
+        match parsed {
+            WriteAnswer::Refused(status) => Err(StoreError::NotDone(format!("status {status}"))),
+            WriteAnswer::Done(_) | WriteAnswer::Conflict => Ok(parsed),
+        }
+    }
+
+    /// Reads the rows of an answer.
+    fn rows(&self, answer: &Answer) -> Result<Rows, StoreError> {
+        match (self.adapter.store.parse_read)(answer.status, &answer.body)? {
+            ReadAnswer::Rows(rows) => Ok(rows),
+            ReadAnswer::HistoryGone => Err(StoreError::HistoryGone),
+            ReadAnswer::Refused(status) => Err(StoreError::NotDone(format!("status {status}"))),
+        }
+    }
+}
--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -61,6 +61,7 @@
 pub struct JsonClient {
     pool: Pool<Full<Bytes>>,
     token: Option<String>,
+    header: Option<(&'static str, String)>,
 }
 
 impl JsonClient {
@@ -69,9 +70,17 @@
         Self {
             pool: Pool::new(address),
             token: None,
+            header: None,
         }
     }
 
+    /// Adds a header to each call.
+    #[must_use]
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        self.header = Some((name, value.to_owned()));
+        self
+    }
+
     /// Adds a bearer token to each call.
     #[must_use]
     pub fn with_token(mut self, token: &str) -> Self {
@@ -102,6 +111,16 @@
             .await
     }
 
+    /// Sends bytes by POST.
+    pub async fn post_bytes(
+        &self,
+        path: &str,
+        bytes: Bytes,
+        within_ms: u64,
+    ) -> Result<Answer, CallError> {
+        self.call(Method::POST, path, bytes, within_ms).await
+    }
+
     /// Sends bytes.
     pub async fn put(&self, path: &str, bytes: Bytes, within_ms: u64) -> Result<Answer, CallError> {
         self.call(Method::PUT, path, bytes, within_ms).await
@@ -180,6 +199,9 @@
         if let Some(token) = &self.token {
             builder = builder.header(AUTHORIZATION, format!("Bearer {token}"));
         }
+        if let Some((name, value)) = &self.header {
+            builder = builder.header(*name, value);
+        }
         builder
             .body(Full::new(bytes))
             .map_err(|error| self.garbled(0, &error.to_string()))
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
 
 use hyper::Request;
 use hyper::Response;
@@ -14,6 +16,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
 
@@ -45,10 +48,21 @@
     Handshake(#[from] hyper::Error),
 }
 
+/// A connection that rests.
+struct Idle<B> {
+    sender: SendRequest<B>,
+    /// Until when it may be used again; none for as long as it is open.
+    until: Option<Instant>,
+}
+
+/// Connections that rest, the one used last at the end.
+type IdleList<B> = Arc<Mutex<Vec<Idle<B>>>>;
+
 /// Pool of connections to one address.
 pub struct Pool<B> {
     address: String,
-    idle: Arc<Mutex<Vec<SendRequest<B>>>>,
+    idle: IdleList<B>,
+    silence_max_ms: Option<u64>,
 }
 
 impl<B> std::fmt::Debug for Pool<B> {
@@ -62,7 +76,7 @@
 /// A connection taken from the pool.
 pub struct Connection<B> {
     sender: SendRequest<B>,
-    home: Arc<Mutex<Vec<SendRequest<B>>>>,
+    home: IdleList<B>,
     is_reused: bool,
 }
 
@@ -85,9 +99,17 @@
         Self {
             address: address.to_owned(),
             idle: Arc::default(),
+            silence_max_ms: None,
         }
     }
 
+    /// Breaks a connection whose peer hasn't confirmed sent bytes for so long.
+    #[must_use]
+    pub fn with_silence_max_ms(mut self, silence_max_ms: u64) -> Self {
+        self.silence_max_ms = Some(silence_max_ms);
+        self
+    }
+
     /// Returns the address.
     pub fn address(&self) -> &str {
         &self.address
@@ -109,6 +131,11 @@
     pub async fn make(&self) -> Result<Connection<B>, ConnectError> {
         let stream = TcpStream::connect(&self.address).await?;
         stream.set_nodelay(true)?;
+        if let Some(silence_max_ms) = self.silence_max_ms {
+            let silence_max = Duration::from_millis(silence_max_ms);
+            // Where the system lacks the option, deadlines alone end the wait.
+            let _set = SockRef::from(&stream).set_tcp_user_timeout(Some(silence_max));
+        }
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_MAX_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
@@ -126,9 +153,11 @@
     /// Removes a kept connection that is still good.
     fn pop_idle(&self) -> Option<SendRequest<B>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        let now = Instant::now();
+        while let Some(rested) = idle.pop() {
+            let is_fresh = rested.until.is_none_or(|until| now < until);
+            if is_fresh && rested.sender.is_ready() {
+                return Some(rested.sender);
             }
         }
         None
@@ -157,12 +186,28 @@
 
     /// Keeps the connection for another request; call it after a whole answer.
     pub fn keep(self) {
+        self.keep_until(None);
+    }
+
+    /// Keeps the connection for another request within `rest_max_ms`.
+    pub fn keep_for(self, rest_max_ms: u64) {
+        let until = Instant::now() + Duration::from_millis(rest_max_ms);
+        self.keep_until(Some(until));
+    }
+
+    /// Keeps the connection for another request until a time.
+    fn keep_until(self, until: Option<Instant>) {
         if self.sender.is_closed() {
             return;
         }
         let mut idle = self.home.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        idle.retain(|rested| rested.until.is_none_or(|until| now < until));
         if idle.len() < IDLE_MAX_COUNT {
-            idle.push(self.sender);
+            idle.push(Idle {
+                sender: self.sender,
+                until,
+            });
         }
     }
 }
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,71 @@
+//! `gateway`: runs an instance that serves declared routes on a platform.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use super::serve::wait_for_stop;
+use crate::exit::Exit;
+use cranereach_gateway::run::Gateway;
+use cranereach_gateway::settings::Settings;
+// Linked for the adapter that it registers.
+use cranereach_platform as _;
+
+/// Variable that names the settings file, where no option does.
+const SETTINGS_VARIABLE: &str = "CRANEREACH_CONFIG";
+
+/// Options of `gateway`.
+#[derive(Debug, Options)]
+pub struct GatewayArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "settings file; CRANEREACH_CONFIG names it otherwise",
+        meta = "FILE"
+    )]
+    settings: Option<PathBuf>,
+}
+
+/// Runs the instance.
+pub fn execute(options: &GatewayArguments) -> Exit {
+    let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(path) = options.settings.clone().or(named) else {
+        eprintln!("no settings file: give --settings or set {SETTINGS_VARIABLE}");
+        return Exit::Settings;
+    };
+    let settings = match Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return Exit::Settings;
+        }
+    };
+    super::block_on_one_core(run(settings))
+}
+
+/// Starts, and stops as planned on the first signal.
+async fn run(settings: Settings) -> Exit {
+    let gateway = match Gateway::start(settings).await {
+        Ok(gateway) => gateway,
+        Err(error) => {
+            eprintln!("{error}");
+            return Exit::Settings;
+        }
+    };
+    // A change of the settings file takes effect with the next start.
+    let reload = signal(SignalKind::hangup());
+    if let Ok(mut reload) = reload {
+        tokio::spawn(async move { while reload.recv().await.is_some() {} });
+    }
+    wait_for_stop().await;
+    // Further signals are taken and change nothing.
+    tokio::spawn(async {
+        loop {
+            wait_for_stop().await;
+        }
+    });
+    gateway.drain().await;
+    Exit::Done
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod demo;
 mod folder;
+mod gateway;
 mod measure;
 mod plan;
 mod pull;
@@ -37,6 +38,8 @@
     Demo(demo::DemoArguments),
     #[options(help = "run an entry instance")]
     Serve(serve::ServeArguments),
+    #[options(help = "run an instance that serves declared routes on a platform")]
+    Gateway(gateway::GatewayArguments),
     #[options(help = "check declarations and settings, without a network")]
     Check(check::CheckArguments),
     #[options(help = "show what applying a folder would change")]
@@ -62,6 +65,7 @@
     match &arguments.command {
         Some(Command::Demo(options)) => demo::execute(options),
         Some(Command::Serve(options)) => serve::execute(options),
+        Some(Command::Gateway(options)) => gateway::execute(options),
         Some(Command::Check(options)) => check::execute(options),
         Some(Command::Plan(options)) => plan::execute(options),
         Some(Command::Apply(options)) => apply::execute(options),
@@ -92,6 +96,20 @@
     runtime.expect("the system gives threads").block_on(future)
 }
 
+/// Runs a future on a runtime of one core.
+///
+/// # Panics
+///
+/// If the system can't give the process what a runtime needs.
+fn block_on_one_core<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime
+        .expect("the system gives a runtime")
+        .block_on(future)
+}
+
 /// Prints a value as one line of JSON.
 fn print_json<T: serde::Serialize>(value: &T) {
     println!("{}", serde_json::to_string(value).unwrap_or_default());
