Orders: the sequence of a worker comes from its report, not from its row

Ruled out: the plan and the lease (a trial printed both). Rows now give what is held, reports give the sequence; a row that shows an order as done makes a report due, which decides. The plan waits until the list has filled.

--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -32,12 +32,12 @@
 /// First look at an unload, in milliseconds.
 const UNLOAD_LOOK_MS: u64 = 350;
 
-/// A worker's state at one sequence, from its row or a report.
+/// A worker's state at one sequence, from a report.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerState {
     /// Orders that it has taken.
     pub sequence: u64,
-    /// Whether an order is under way; a row doesn't say.
+    /// Whether an order is under way.
     pub is_busy: bool,
     /// What it holds.
     pub places: Vec<Place>,
@@ -109,8 +109,8 @@
     pub id: &'a Arc<str>,
     /// Version of the row.
     pub version: u64,
-    /// What it says.
-    pub state: WorkerState,
+    /// What it holds; a row doesn't say at which sequence.
+    pub places: Vec<Place>,
     /// Models that it loads cheaply.
     pub copies: Vec<u16>,
     /// Whether it takes requests.
@@ -130,31 +130,31 @@
 
     /// Takes a worker's row.
     pub fn row(&mut self, now_ms: u64, row: WorkerRow<'_>) {
-        let state = row.state;
-        let entry = self.entries.entry(Arc::clone(row.id)).or_insert_with(|| {
-            // A worker that never took an order can't have one under way.
-            let phase = if state.sequence == 0 {
-                Phase::Free
-            } else {
-                Phase::Unknown { ask_at_ms: now_ms }
-            };
-            Entry {
-                sequence: state.sequence,
-                places: state.places.clone(),
+        let entry = self
+            .entries
+            .entry(Arc::clone(row.id))
+            .or_insert_with(|| Entry {
+                sequence: 0,
+                places: row.places.clone(),
                 copies: Vec::new(),
                 is_serving: true,
-                phase,
+                phase: Phase::Unknown { ask_at_ms: now_ms },
                 open: None,
                 row_version: 0,
-            }
-        });
+            });
         entry.copies = row.copies;
         entry.is_serving = row.is_serving;
         if entry.row_version >= row.version {
             return;
         }
         entry.row_version = row.version;
-        entry.take_row(now_ms, state);
+        let is_done = entry
+            .open
+            .is_some_and(|open| is_done(open.order, &row.places));
+        if let (Phase::Busy { .. }, true) = (entry.phase, is_done) {
+            // The row may be older than the order: a report says for certain.
+            entry.phase = Phase::Busy { look_at_ms: now_ms };
+        }
     }
 
     /// Takes a report.
@@ -331,31 +331,6 @@
 }
 
 impl Entry {
-    /// Takes what a newer row says of the state.
-    fn take_row(&mut self, now_ms: u64, state: WorkerState) {
-        if state.sequence > self.sequence {
-            let is_own = self
-                .open
-                .is_some_and(|open| state.sequence == open.expected_sequence + 1);
-            if !is_own && self.phase != Phase::Waiting {
-                self.phase = Phase::Unknown { ask_at_ms: now_ms };
-            }
-            return;
-        }
-        if state.sequence < self.sequence {
-            return;
-        }
-        match (self.phase, self.open.map(|open| open.order)) {
-            (Phase::Free, _) => self.places = state.places,
-            (Phase::Busy { .. }, Some(order)) if is_done(order, &state.places) => {
-                self.places = state.places;
-                self.open = None;
-                self.phase = Phase::Free;
-            }
-            _ => {}
-        }
-    }
-
     /// Counts an order as it will be, memory at its worst.
     fn apply(&mut self, order: Order) {
         match order {
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -61,10 +61,6 @@
     pub slot_count: u32,
     /// Whether it takes no new work.
     pub is_leaving: bool,
-    /// Orders that it has taken.
-    pub sequence: u64,
-    /// Whether an order is under way, if it says so.
-    pub is_busy: bool,
     /// What it holds.
     pub models: Vec<HeldModel>,
     /// Models with a copy in its host memory.
@@ -141,8 +137,8 @@
     pub unread_tokens: u32,
 }
 
-/// Why no worker was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Why no worker was chosen; the one that came closest counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NoWorker {
     /// The service has no worker that takes work.
     None,
@@ -291,7 +287,7 @@
                 continue;
             }
             if let Err(lacks) = worker.has(now_ms, wanted.model) {
-                why = lacks;
+                why = why.max(lacks);
                 continue;
             }
             let (cost, unread_tokens) = worker.cost(now_ms, wanted, engine);
--- a/crates/cranereach-gateway/src/controller/mod.rs
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -38,6 +38,11 @@
 /// Time before the first look, so that peers can be heard, in milliseconds.
 const BEGIN_AFTER_MS: u64 = 400;
 
+/// Time for which no worker may have been new before the plan begins, in milliseconds.
+///
+/// While the list fills, models look missing whose workers aren't on it yet.
+const LIST_STILL_FOR_MS: u64 = 2_000;
+
 /// Loads from the weight store that may begin at once.
 const LOAD_BURST_COUNT: f64 = 2.0;
 
@@ -57,6 +62,8 @@
     loads: TokenBucket,
     was_ordering: bool,
     is_first: bool,
+    still_since_ms: Option<u64>,
+    worker_count: usize,
 }
 
 /// Runs until the process ends.
@@ -124,6 +131,8 @@
             loads: TokenBucket::new(engine.loads_per_s * 0.95, LOAD_BURST_COUNT, node.now_ms()),
             was_ordering: false,
             is_first: true,
+            still_since_ms: None,
+            worker_count: 0,
             service,
         }
     }
@@ -191,10 +200,23 @@
                 sent_count,
             );
         }
-        self.plan(node, engine, sender);
+        if self.is_list_still(node, now_ms) {
+            self.plan(node, engine, sender);
+        }
         self.announce(node);
     }
 
+    /// Whether the list of workers has filled; asked once, at the start.
+    fn is_list_still(&mut self, node: &Node, now_ms: u64) -> bool {
+        let worker_count = node.roster().of_service(&self.service).count();
+        if self.worker_count < worker_count && now_ms < BEGIN_AFTER_MS + 2 * LIST_STILL_FOR_MS {
+            self.still_since_ms = Some(now_ms);
+        }
+        self.worker_count = worker_count;
+        let since_ms = self.still_since_ms.unwrap_or(0);
+        worker_count > 0 && now_ms >= since_ms + LIST_STILL_FOR_MS
+    }
+
     /// Sends what the plan says.
     fn plan(&mut self, node: &Arc<Node>, engine: &Engine, sender: &mut Sender) {
         let now_ms = node.now_ms();
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -7,7 +7,6 @@
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::ledger::WorkerRow;
-use cranereach_fleet::ledger::WorkerState;
 use cranereach_fleet::placement::ModelSize;
 use cranereach_fleet::placement::Place;
 use cranereach_fleet::roster::HeldModel;
@@ -49,11 +48,7 @@
             WorkerRow {
                 id: &record.id,
                 version: worker.version,
-                state: WorkerState {
-                    sequence: record.sequence,
-                    is_busy: record.is_busy,
-                    places: places(engine, &record.models),
-                },
+                places: places(engine, &record.models),
                 copies: copies.filter_map(|name| engine.model_index(name)).collect(),
                 is_serving: !record.is_leaving && !worker.health.is_aside(now_ms),
             },
