--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -1,9 +1,10 @@
 //! Decisions about declared routes and their workers, without I/O or a clock.
 //!
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
-//! is known of every worker and picks one; it builds on [`health`] and
+//! is known of every [`worker`] and picks one; it builds on [`health`] and
 //! [`prefixes`]. [`retry_window`] bounds repeats. [`tenure`] says whether this
-//! instance may order workers, and [`placement`] what it should order.
+//! instance may order workers, [`placement`] what it should order, and [`ledger`] which orders
+//! are open.
 //!
 //! ```
 //! use cranereach_fleet::tenure::Tenure;
@@ -20,3 +21,4 @@
 pub mod retry_window;
 pub mod roster;
 pub mod tenure;
+pub mod worker;
--- /dev/null
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -0,0 +1,284 @@
+//! One worker as this instance sees it: its row, its load, its health.
+//!
+//! Load is what this instance sent, what peers say they sent, and what the
+//! worker says in its answers.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use crate::configuration::Engine;
+use crate::health::Health;
+use crate::prefixes::KeptPrefixes;
+use crate::prefixes::PromptPart;
+use crate::roster::NoWorker;
+
+/// Age up to which a peer's load counts, in milliseconds.
+const PEER_LOAD_WITHIN_MS: u64 = 1_500;
+
+/// Age up to which a worker's own word about its load counts, in milliseconds.
+const SAID_WITHIN_MS: u64 = 400;
+
+/// Time for which a worker that lacks a model isn't asked for it, in milliseconds.
+const MISSING_FOR_MS: u64 = 1_500;
+
+/// Time for which an adapter counts as there after a peer said so, in milliseconds.
+const TOLD_FOR_MS: u64 = 5_000;
+
+/// Tokens that one running request weighs as, when workers are compared.
+const RUNNING_WEIGHS_TOKENS: f64 = 40.0;
+
+/// Tokens that one waiting request weighs as.
+const WAITING_WEIGHS_TOKENS: f64 = 1_500.0;
+
+/// What a worker in another zone weighs more, as tokens.
+const OTHER_ZONE_WEIGHS_TOKENS: f64 = 40.0;
+
+/// A model on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldModel {
+    /// Name.
+    pub name: Arc<str>,
+    /// Adapters of it.
+    pub adapters: Vec<Arc<str>>,
+}
+
+/// What the list says of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerRecord {
+    /// Identity of this start of the worker.
+    pub id: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Address, `ip:port`.
+    pub address: String,
+    /// Failure domain.
+    pub zone: Arc<str>,
+    /// Requests at once.
+    pub slot_count: u32,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+    /// What it holds.
+    pub models: Vec<HeldModel>,
+    /// Models with a copy in its host memory.
+    pub in_memory: Vec<Arc<str>>,
+    /// Models with a copy on its disk.
+    pub on_disk: Vec<Arc<str>>,
+}
+
+/// Requests at one worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests that have not ended.
+    pub open_count: u32,
+    /// Prompt tokens that are probably not read yet.
+    pub unread_tokens: f64,
+    /// Tokens that the requests may come to hold.
+    pub held_tokens: f64,
+}
+
+/// What a worker said of its load in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SaidLoad {
+    /// Requests that run.
+    pub running_count: u32,
+    /// Requests that wait.
+    pub waiting_count: u32,
+}
+
+/// One worker as this instance sees it.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// The list's word.
+    pub record: WorkerRecord,
+    /// Version of that word.
+    pub version: u64,
+    /// Passive health.
+    pub health: Health,
+    pub(crate) own: Load,
+    pub(crate) peers: HashMap<u32, (u64, Load)>,
+    said: Option<(u64, SaidLoad)>,
+    kept: KeptPrefixes,
+    missing_until_ms: HashMap<String, u64>,
+    pub(crate) told_until_ms: HashMap<String, u64>,
+    withheld: HashSet<Arc<str>>,
+}
+
+/// A request that looks for a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model and adapter; none for plain services.
+    pub model: Option<(&'a str, Option<&'a str>)>,
+    /// Parts of the prompt.
+    pub parts: &'a [PromptPart],
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt and of the longest answer.
+    pub held_tokens: u32,
+    /// Own failure domain.
+    pub zone: &'a str,
+    /// Workers that were tried already.
+    pub tried: &'a [Arc<str>],
+}
+
+impl Worker {
+    /// Makes a worker from its first row.
+    pub(crate) fn new(version: u64, record: WorkerRecord) -> Self {
+        Self {
+            record,
+            version,
+            health: Health::default(),
+            own: Load::default(),
+            peers: HashMap::new(),
+            said: None,
+            kept: KeptPrefixes::default(),
+            missing_until_ms: HashMap::new(),
+            told_until_ms: HashMap::new(),
+            withheld: HashSet::new(),
+        }
+    }
+
+    /// Notes a request that is sent to the worker.
+    pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_tokens: u32) {
+        self.own.open_count += 1;
+        self.own.unread_tokens += f64::from(unread_tokens);
+        self.own.held_tokens += f64::from(wanted.held_tokens);
+        self.kept.sent(now_ms, wanted.parts);
+    }
+
+    /// Notes that a request's prompt has been read.
+    pub fn read(&mut self, unread_tokens: u32) {
+        self.own.unread_tokens = (self.own.unread_tokens - f64::from(unread_tokens)).max(0.0);
+    }
+
+    /// Notes that a request has ended.
+    pub fn ended(&mut self, held_tokens: u32) {
+        self.own.open_count = self.own.open_count.saturating_sub(1);
+        self.own.held_tokens = (self.own.held_tokens - f64::from(held_tokens)).max(0.0);
+    }
+
+    /// Takes what the worker said of its load.
+    pub fn said(&mut self, now_ms: u64, said: SaidLoad) {
+        self.said = Some((now_ms, said));
+    }
+
+    /// Notes that the worker refused a model or adapter as not there.
+    pub fn lacks(&mut self, now_ms: u64, model: &str, adapter: Option<&str>) {
+        let name = full_name(model, adapter);
+        self.told_until_ms.remove(&name);
+        self.missing_until_ms.insert(name, now_ms + MISSING_FOR_MS);
+    }
+
+    /// Notes that an adapter was loaded, before the list says so.
+    pub fn told_adapter(&mut self, now_ms: u64, model: &str, adapter: &str) {
+        let name = full_name(model, Some(adapter));
+        self.missing_until_ms.remove(&name);
+        self.told_until_ms.insert(name, now_ms + TOLD_FOR_MS);
+    }
+
+    /// Sets the models that are being unloaded.
+    pub fn withhold(&mut self, models: HashSet<Arc<str>>) {
+        self.withheld = models;
+    }
+
+    /// Returns the load of all instances, as far as known.
+    pub fn load(&self, now_ms: u64) -> Load {
+        let mut all = self.own;
+        for (at_ms, load) in self.peers.values() {
+            if now_ms < at_ms + PEER_LOAD_WITHIN_MS {
+                all.open_count += load.open_count;
+                all.unread_tokens += load.unread_tokens;
+                all.held_tokens += load.held_tokens;
+            }
+        }
+        all
+    }
+
+    /// Whether the worker holds what a request names.
+    pub(crate) fn has(
+        &self,
+        now_ms: u64,
+        model: Option<(&str, Option<&str>)>,
+    ) -> Result<(), NoWorker> {
+        let Some((name, adapter)) = model else {
+            return Ok(());
+        };
+        let held = self
+            .record
+            .models
+            .iter()
+            .find(|held| held.name.as_ref() == name);
+        let held = held.ok_or(NoWorker::NoModel)?;
+        if self.withheld.contains(name) || self.is_missing(now_ms, name, None) {
+            return Err(NoWorker::NoModel);
+        }
+        let Some(adapter) = adapter else {
+            return Ok(());
+        };
+        let is_listed = held.adapters.iter().any(|known| known.as_ref() == adapter);
+        let told_until_ms = self.told_until_ms.get(&full_name(name, Some(adapter)));
+        let is_there = is_listed || told_until_ms.is_some_and(|until_ms| now_ms < *until_ms);
+        if is_there && !self.is_missing(now_ms, name, Some(adapter)) {
+            Ok(())
+        } else {
+            Err(NoWorker::NoAdapter)
+        }
+    }
+
+    /// Whether the worker lately refused something as not there.
+    fn is_missing(&self, now_ms: u64, model: &str, adapter: Option<&str>) -> bool {
+        if self.missing_until_ms.is_empty() {
+            return false;
+        }
+        let until_ms = self.missing_until_ms.get(&full_name(model, adapter));
+        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
+    /// Weighs sending a request here, in tokens to be read before it begins.
+    pub(crate) fn cost(
+        &self,
+        now_ms: u64,
+        wanted: &Wanted<'_>,
+        engine: Option<&Engine>,
+    ) -> (f64, u32) {
+        let load = self.load(now_ms);
+        let said = self
+            .said
+            .filter(|(at_ms, _)| now_ms < at_ms + SAID_WITHIN_MS);
+        let said = said.map_or((0, 0), |(_, said)| (said.running_count, said.waiting_count));
+        let open_count = load.open_count.max(said.0 + said.1);
+        let kept_tokens = self
+            .kept
+            .kept_tokens(wanted.parts)
+            .min(wanted.prompt_tokens);
+        let unread_tokens = wanted.prompt_tokens - kept_tokens;
+        let mut cost = if let Some(engine) = engine {
+            let mut cost = load.unread_tokens + f64::from(unread_tokens);
+            cost += f64::from(open_count) * RUNNING_WEIGHS_TOKENS;
+            cost += f64::from(said.1) * WAITING_WEIGHS_TOKENS;
+            let room_tokens = engine.kv_tokens as f64 * 0.9;
+            cost + (load.held_tokens + f64::from(wanted.held_tokens) - room_tokens).max(0.0)
+        } else {
+            let slots = f64::from(self.record.slot_count.max(1));
+            f64::from(open_count + said.1) / slots * 1_000.0
+        };
+        if self.record.zone.as_ref() != wanted.zone {
+            cost += OTHER_ZONE_WEIGHS_TOKENS;
+        }
+        cost *= 1.0 + 6.0 * self.health.failed_share();
+        if self.health.is_aside(now_ms) {
+            cost = cost * 20.0 + 100_000.0;
+        }
+        if wanted.tried.contains(&self.record.id) {
+            cost = cost * 20.0 + 400_000.0;
+        }
+        (cost, unread_tokens)
+    }
+}
+
+/// Joins a model's and an adapter's name.
+fn full_name(model: &str, adapter: Option<&str>) -> String {
+    adapter.map_or_else(|| model.to_owned(), |adapter| format!("{model}/{adapter}"))
+}
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -1,10 +1,11 @@
 //! What a platform's adapter provides: names, formats and calls, nothing that decides.
 
-use cranereach_fleet::configuration::Configuration;
-use cranereach_fleet::roster::HeldModel;
-use cranereach_fleet::roster::WorkerRecord;
 use thiserror::Error;
 
+use cranereach_fleet::configuration::Configuration;
+use cranereach_fleet::worker::HeldModel;
+use cranereach_fleet::worker::WorkerRecord;
+
 /// Something from the platform that can't be understood.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("{what}: {detail}")]
--- a/crates/cranereach-gateway/src/controller/lease.rs
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -2,16 +2,16 @@
 
 use std::sync::Arc;
 
-use cranereach_fleet::roster::worker_key;
-use cranereach_fleet::tenure::LeaseRow;
-use cranereach_fleet::tenure::Step;
-use cranereach_fleet::tenure::Tenure;
 use slog::info;
 
 use crate::adapter::RowName;
 use crate::adapter::WriteAnswer;
 use crate::node::Node;
 use crate::store::StoreError;
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::tenure::LeaseRow;
+use cranereach_fleet::tenure::Step;
+use cranereach_fleet::tenure::Tenure;
 
 /// Table of the leases.
 const TABLE: &str = "cranereach_leases";
--- a/crates/cranereach-gateway/src/controller/mod.rs
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -12,12 +12,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranereach_core::token_bucket::TokenBucket;
-use cranereach_fleet::configuration::Engine;
-use cranereach_fleet::ledger::Ledger;
-use cranereach_fleet::placement::Plan;
-use cranereach_fleet::roster::worker_key;
-use cranereach_fleet::tenure::Tenure;
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -28,6 +22,13 @@
 use crate::node::Announced;
 use crate::node::Node;
 use crate::node::pause;
+use cranereach_core::token_bucket::TokenBucket;
+use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::ledger::Ledger;
+use cranereach_fleet::placement::Plan;
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::tenure::Tenure;
 
 /// Time between two looks, in milliseconds.
 const LOOK_EVERY_MS: u64 = 100;
@@ -247,22 +248,10 @@
 
     /// Tells peers, and this instance's own roster, what the orders changed.
     fn announce(&self, node: &Node) {
-        let mut announced = Announced::default();
-        {
-            let roster = node.roster();
-            let adapters = self.ledger.adapters();
-            let told = adapters.filter(|(id, (_, adapter))| {
-                let listed = roster.get(id).is_some_and(|worker| {
-                    let mut held = worker.record.models.iter().flat_map(|held| &held.adapters);
-                    held.any(|name| name.trim_start_matches('a') == adapter.to_string())
-                });
-                !listed
-            });
-            announced.adapters = told
-                .map(|(id, key)| (worker_key(id), key))
-                .take(TOLD_ADAPTER_MAX_COUNT)
-                .collect();
-        }
+        let mut announced = Announced {
+            adapters: self.unlisted_adapters(node),
+            withheld: Vec::new(),
+        };
         let going = self.ledger.going();
         announced.withheld = going.map(|(id, model)| (worker_key(id), model)).collect();
         let now_ms = node.now_ms();
@@ -279,4 +268,20 @@
             node.digest_wanted.notify_one();
         }
     }
+
+    /// Lists the adapters that were loaded and aren't on the list yet.
+    fn unlisted_adapters(&self, node: &Node) -> Vec<(u64, ModelKey)> {
+        let roster = node.roster();
+        let unlisted = self.ledger.adapters().filter(|(id, (_, adapter))| {
+            let is_listed = roster.get(id).is_some_and(|worker| {
+                let mut held = worker.record.models.iter().flat_map(|held| &held.adapters);
+                held.any(|name| view::adapter_number(name) == Some(*adapter))
+            });
+            !is_listed
+        });
+        unlisted
+            .map(|(id, key)| (worker_key(id), key))
+            .take(TOLD_ADAPTER_MAX_COUNT)
+            .collect()
+    }
 }
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -4,14 +4,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cranereach_fleet::configuration::Engine;
-use cranereach_fleet::ledger::OpenOrder;
-use cranereach_fleet::ledger::OrderEnd;
-use cranereach_fleet::ledger::WorkerState;
-use cranereach_fleet::placement::Order;
-use cranereach_fleet::tenure::Tenure;
-use cranereach_http::client::CallError;
-use cranereach_http::client::JsonClient;
 use slog::info;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -21,6 +13,14 @@
 use crate::adapter::WorkerOrder;
 use crate::adapter::WorkerReport;
 use crate::node::Node;
+use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::ledger::OpenOrder;
+use cranereach_fleet::ledger::OrderEnd;
+use cranereach_fleet::ledger::WorkerState;
+use cranereach_fleet::placement::Order;
+use cranereach_fleet::tenure::Tenure;
+use cranereach_http::client::CallError;
+use cranereach_http::client::JsonClient;
 
 /// Time for the answer to an order or a question, in milliseconds.
 const ANSWER_WITHIN_MS: u64 = 600;
@@ -145,8 +145,10 @@
 /// Returns the model that an order is about.
 fn model_of(order: Order) -> u16 {
     match order {
-        Order::Load(model) | Order::Unload(model) => model,
-        Order::LoadAdapter((model, _)) | Order::UnloadAdapter((model, _)) => model,
+        Order::Load(model)
+        | Order::Unload(model)
+        | Order::LoadAdapter((model, _))
+        | Order::UnloadAdapter((model, _)) => model,
     }
 }
 
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -7,32 +7,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use cranereach_core::codes::ResultCode;
-use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::roster::Choice;
-use cranereach_fleet::roster::NoWorker;
-use cranereach_fleet::roster::SaidLoad;
-use cranereach_fleet::roster::Wanted;
-use cranereach_http::body;
-use cranereach_http::pool::Connection;
-use cranereach_http::pool::SendError;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::header::CONNECTION;
 use slog::info;
 
 use super::AnswerBody;
+use super::head::Failure;
+use super::head::Head;
+use super::head::check_head;
+use super::head::rest_ms;
 use super::open::OpenCall;
 use super::passing::Passing;
 use super::refusal::Refusal;
 use super::request::Call;
 use super::request::passed_headers;
 use crate::node::Node;
+use cranereach_core::codes::ResultCode;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::roster::Choice;
+use cranereach_fleet::roster::NoWorker;
+use cranereach_fleet::worker::Wanted;
+use cranereach_http::body;
+use cranereach_http::pool::SendError;
 
 /// Largest answer that is kept whole before it is passed on, in bytes.
 const WHOLE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
@@ -49,25 +47,6 @@
 /// Longest pause between two looks for a worker, in milliseconds.
 const LOOK_EVERY_MS: u64 = 40;
 
-/// Time that an idle connection is used again for, where the worker says none.
-const REST_UNSAID_MS: u64 = 300;
-
-/// Time before a worker's own limit from which a connection isn't used again.
-const REST_MARGIN_MS: u64 = 150;
-
-/// How one offer to one worker failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Failure {
-    /// It never left: no connection, or the connection closed before.
-    NotSent,
-    /// The worker says that it did not run it.
-    NotRun,
-    /// The worker does not hold the model, or is another one.
-    NotThere,
-    /// It may have run.
-    Unknown,
-}
-
 /// A call on its way.
 struct Exchange<'a> {
     node: &'a Arc<Node>,
@@ -79,16 +58,6 @@
     may_run_now: bool,
 }
 
-/// The head of a worker's answer with all that belongs to it.
-pub struct Head {
-    /// The answer.
-    pub answer: Response<Incoming>,
-    /// The connection that it came on.
-    pub connection: Connection<Full<Bytes>>,
-    /// The count of the call at the worker.
-    pub open: OpenCall,
-}
-
 /// Runs a call to its answer or refusal, both in time.
 pub async fn run(node: &Arc<Node>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
     node.note_request(&call.service.name);
@@ -300,7 +269,7 @@
                 return Err(Failure::Unknown);
             }
         };
-        self.check_head(&open, &answer)?;
+        check_head(node, self.call, &open, &answer)?;
         Ok(Head {
             answer,
             connection,
@@ -308,49 +277,6 @@
         })
     }
 
-    /// Checks that the answer is to this call and that something ran.
-    fn check_head(&self, open: &OpenCall, answer: &Response<Incoming>) -> Result<(), Failure> {
-        let names = &self.node.adapter.headers;
-        let headers = answer.headers();
-        let now_ms = self.node.now_ms();
-        let is_ours = headers
-            .get(names.request_id)
-            .is_none_or(|id| id.as_bytes() == self.call.id.as_bytes());
-        let is_named = headers.contains_key(names.request_id);
-        let status = answer.status();
-        let is_not_run =
-            headers.contains_key(names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
-        if !is_ours || (!is_named && !is_not_run) {
-            self.node
-                .metrics
-                .bad_input_total
-                .with_label_values(&["answer"])
-                .inc();
-            open.failed();
-            return Err(Failure::Unknown);
-        }
-        if let Some(worker) = self.node.roster().get_mut(open.worker()) {
-            if let Some(said) = headers
-                .get(names.load)
-                .and_then(|value| value.to_str().ok())
-            {
-                worker.said(now_ms, said_load(said));
-            }
-            if status == StatusCode::MISDIRECTED_REQUEST
-                && let Some((model, adapter)) = self.call.model()
-            {
-                worker.lacks(now_ms, model, adapter);
-            }
-        }
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            return Err(Failure::NotThere);
-        }
-        if is_not_run {
-            return Err(Failure::NotRun);
-        }
-        Ok(())
-    }
-
     /// Waits for the first piece, so that a stream that never began can be repeated.
     async fn begin_stream(&self, head: Head) -> Result<Response<AnswerBody>, Failure> {
         let Head {
@@ -423,31 +349,3 @@
         refusal
     }
 }
-
-/// Reads a worker's load: running, waiting, slots.
-fn said_load(text: &str) -> SaidLoad {
-    let mut counts = text
-        .split(',')
-        .map(|count| count.trim().parse().unwrap_or(0));
-    SaidLoad {
-        running_count: counts.next().unwrap_or(0),
-        waiting_count: counts.next().unwrap_or(0),
-    }
-}
-
-/// Returns how long a connection may rest, in milliseconds; none if it closes.
-fn rest_ms(headers: &HeaderMap) -> Option<u64> {
-    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    if text(CONNECTION.as_str()).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
-        return None;
-    }
-    let said_s = text("keep-alive").and_then(|value| {
-        let parts = value.split(',');
-        let mut given = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
-        given.next()?.trim().parse::<u64>().ok()
-    });
-    let rest_ms = said_s.map_or(REST_UNSAID_MS, |said_s| {
-        (said_s * 1_000).saturating_sub(REST_MARGIN_MS)
-    });
-    (rest_ms > 0).then_some(rest_ms)
-}
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/head.rs
@@ -0,0 +1,119 @@
+//! The head of a worker's answer: whose it is, what ran, how long it may rest.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+
+use super::open::OpenCall;
+use super::request::Call;
+use crate::node::Node;
+use cranereach_fleet::worker::SaidLoad;
+use cranereach_http::pool::Connection;
+
+/// Time that an idle connection is used again for, where the worker says none.
+const REST_UNSAID_MS: u64 = 300;
+
+/// Time before a worker's own limit from which a connection isn't used again.
+const REST_MARGIN_MS: u64 = 150;
+
+/// How one offer to one worker failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It never left: no connection, or the connection closed before.
+    NotSent,
+    /// The worker says that it did not run it.
+    NotRun,
+    /// The worker does not hold the model, or is another one.
+    NotThere,
+    /// It may have run.
+    Unknown,
+}
+
+/// The head of a worker's answer with all that belongs to it.
+pub struct Head {
+    /// The answer.
+    pub answer: Response<Incoming>,
+    /// The connection that it came on.
+    pub connection: Connection<Full<Bytes>>,
+    /// The count of the call at the worker.
+    pub open: OpenCall,
+}
+
+/// Checks that the answer is to this call and that something ran.
+pub fn check_head(
+    node: &Node,
+    call: &Call,
+    open: &OpenCall,
+    answer: &Response<Incoming>,
+) -> Result<(), Failure> {
+    let names = &node.adapter.headers;
+    let headers = answer.headers();
+    let now_ms = node.now_ms();
+    let is_ours = headers
+        .get(names.request_id)
+        .is_none_or(|id| id.as_bytes() == call.id.as_bytes());
+    let is_named = headers.contains_key(names.request_id);
+    let status = answer.status();
+    let is_not_run =
+        headers.contains_key(names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
+    if !is_ours || (!is_named && !is_not_run) {
+        node.metrics
+            .bad_input_total
+            .with_label_values(&["answer"])
+            .inc();
+        open.failed();
+        return Err(Failure::Unknown);
+    }
+    if let Some(worker) = node.roster().get_mut(open.worker()) {
+        if let Some(said) = headers
+            .get(names.load)
+            .and_then(|value| value.to_str().ok())
+        {
+            worker.said(now_ms, said_load(said));
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST
+            && let Some((model, adapter)) = call.model()
+        {
+            worker.lacks(now_ms, model, adapter);
+        }
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failure::NotThere);
+    }
+    if is_not_run {
+        return Err(Failure::NotRun);
+    }
+    Ok(())
+}
+
+/// Reads a worker's load: running, waiting, slots.
+fn said_load(text: &str) -> SaidLoad {
+    let mut counts = text
+        .split(',')
+        .map(|count| count.trim().parse().unwrap_or(0));
+    SaidLoad {
+        running_count: counts.next().unwrap_or(0),
+        waiting_count: counts.next().unwrap_or(0),
+    }
+}
+
+/// Returns how long a connection may rest, in milliseconds; none if it closes.
+pub fn rest_ms(headers: &HeaderMap) -> Option<u64> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(CONNECTION.as_str()).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let said_s = text("keep-alive").and_then(|value| {
+        let parts = value.split(',');
+        let mut given = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
+        given.next()?.trim().parse::<u64>().ok()
+    });
+    let rest_ms = said_s.map_or(REST_UNSAID_MS, |said_s| {
+        (said_s * 1_000).saturating_sub(REST_MARGIN_MS)
+    });
+    (rest_ms > 0).then_some(rest_ms)
+}
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -1,10 +1,12 @@
 //! A caller's request on its way: route, send, answer.
 //!
 //! [`request`] reads what the caller asks for, [`exchange`] sends it to workers
-//! until there is an answer or an end, [`passing`] hands a stream on as it
+//! until there is an answer or an end, [`head`] checks an answer's head,
+//! [`passing`] hands a stream on as it
 //! comes, and [`refusal`] answers what could not be served.
 
 mod exchange;
+mod head;
 mod open;
 mod passing;
 mod refusal;
@@ -16,8 +18,6 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use cranereach_core::codes::ResultCode;
-use cranereach_http::server::Closed;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -34,6 +34,8 @@
 use self::refusal::Refusal;
 use self::request::Call;
 use crate::node::Node;
+use cranereach_core::codes::ResultCode;
+use cranereach_http::server::Closed;
 
 /// Body of an answer to a caller.
 #[derive(Debug)]
@@ -70,7 +72,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => body.size_hint(),
-            Self::Passing(passing) => passing.size_hint(),
+            Self::Passing(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/cranereach-gateway/src/forward/open.rs
+++ b/crates/cranereach-gateway/src/forward/open.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use cranereach_fleet::roster::Choice;
-use cranereach_fleet::roster::Wanted;
-
 use crate::node::Node;
+use cranereach_fleet::roster::Choice;
+use cranereach_fleet::worker::Wanted;
 
 /// Counts a request at a worker; its end is counted when this is dropped.
 #[derive(Debug)]
--- a/crates/cranereach-gateway/src/forward/passing.rs
+++ b/crates/cranereach-gateway/src/forward/passing.rs
@@ -10,12 +10,10 @@
 use std::task::ready;
 
 use bytes::Bytes;
-use cranereach_http::pool::Connection;
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::body::SizeHint;
 use slog::info;
 use thiserror::Error;
 use tokio::time::Instant;
@@ -23,6 +21,7 @@
 
 use super::open::OpenCall;
 use crate::node::Node;
+use cranereach_http::pool::Connection;
 
 /// The stream ended before it was whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -66,11 +65,6 @@
         }
     }
 
-    /// Returns what is known of the size.
-    pub fn size_hint(&self) -> SizeHint {
-        SizeHint::default()
-    }
-
     /// Passes the next piece on.
     pub fn poll_next(
         &mut self,
--- a/crates/cranereach-gateway/src/forward/refusal.rs
+++ b/crates/cranereach-gateway/src/forward/refusal.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cranereach_core::codes::Repeat;
-use cranereach_core::codes::ResultCode;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
@@ -15,6 +13,8 @@
 use serde_json::json;
 
 use super::AnswerBody;
+use cranereach_core::codes::Repeat;
+use cranereach_core::codes::ResultCode;
 
 /// Retry-After of a refusal without a better estimate, in milliseconds.
 pub const RETRY_AFTER_DEFAULT_MS: u64 = 300;
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -3,15 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cranereach_core::codes::ResultCode;
-use cranereach_fleet::configuration::Configuration;
-use cranereach_fleet::configuration::Route;
-use cranereach_fleet::configuration::RouteKind;
-use cranereach_fleet::configuration::Service;
-use cranereach_fleet::prefixes;
-use cranereach_fleet::prefixes::PromptPart;
-use cranereach_http::body;
-use cranereach_http::body::BodyError;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -28,6 +19,14 @@
 
 use super::refusal::Refusal;
 use crate::node::Node;
+use cranereach_core::codes::ResultCode;
+use cranereach_fleet::configuration::Route;
+use cranereach_fleet::configuration::RouteKind;
+use cranereach_fleet::configuration::Service;
+use cranereach_fleet::prefixes;
+use cranereach_fleet::prefixes::PromptPart;
+use cranereach_http::body;
+use cranereach_http::body::BodyError;
 
 /// Headers that concern one connection only.
 const OF_ONE_CONNECTION: [&str; 9] = [
@@ -56,8 +55,6 @@
 pub struct Call {
     /// Identity, as the caller gave it.
     pub id: String,
-    /// Configuration that the call is handled by.
-    pub configuration: Arc<Configuration>,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that it goes to.
@@ -145,7 +142,6 @@
             uri: head.uri,
             headers: passed_headers(&head.headers, names.reserved),
             body,
-            configuration,
         })
     }
 
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -1,31 +1,19 @@
-//! Digests to and from peers over UDP, and larger bodies over TCP.
+//! Digests to and from peers over UDP.
 //!
 //! A digest is complete in itself, so that a lost or doubled one does no harm.
-//! What a digest only names, a configuration or the list of workers, is fetched
-//! over TCP by whoever lacks it.
+//! What a digest only names is fetched by [`crate::bodies`].
 
-use std::io;
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use cranereach_fleet::roster::Load;
-use cranereach_fleet::roster::worker_key;
-use serde::Deserialize;
-use serde::Serialize;
 use slog::info;
-use slog::warn;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 
-use crate::adapter::Row;
-use crate::adapter::Rows;
+use crate::bodies;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
@@ -34,7 +22,9 @@
 use crate::peers::Digest;
 use crate::peers::LoadPart;
 use crate::peers::VERSION;
-use crate::roster_sync;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::worker::Load;
 
 /// Rounds after which silent peers are tried again.
 const SLOW_ROUND_EVERY: u64 = 4;
@@ -42,31 +32,6 @@
 /// Least time between two rounds of digests, in milliseconds.
 const ROUND_LEAST_MS: u64 = 20;
 
-/// Time for a body from a peer, in milliseconds.
-const FETCH_WITHIN_MS: u64 = 1_500;
-
-/// Largest body from a peer, in bytes.
-const FETCH_MAX_BYTES: u64 = 16 * 1024 * 1024;
-
-/// Versions that the own list may lag behind a peer's before it is fetched.
-const ROSTER_LAG_MS: u64 = 1_200;
-
-/// What is asked of a peer over TCP.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Ask {
-    /// The configuration in force.
-    Configuration,
-    /// The list of workers.
-    Workers,
-}
-
-/// The list of workers, as one instance read it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct WorkerRows {
-    version: u64,
-    rows: Vec<(String, u64, Vec<u8>)>,
-}
-
 /// Sends digests until the process ends.
 pub async fn send(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let port = node.settings.listen.peers.port();
@@ -193,7 +158,7 @@
         return;
     }
     if digest.configuration_version > node.configuration_version() {
-        tokio::spawn(fetch_configuration(Arc::clone(node), sender));
+        tokio::spawn(bodies::fetch_configuration(Arc::clone(node), sender));
     }
     let has_changed = take_roster(node, now_ms, sender, digest);
     if has_changed {
@@ -229,7 +194,7 @@
     if !digest.holds.is_empty() {
         apply_orders(node, now_ms, &digest.adapters, &digest.withheld);
     }
-    fetch_workers_if_behind(node, sender, digest);
+    bodies::fetch_workers_if_behind(node, sender, digest);
     !digest.adapters.is_empty()
 }
 
@@ -237,14 +202,14 @@
 pub fn apply_orders(
     node: &Node,
     now_ms: u64,
-    adapters: &[(u64, cranereach_fleet::demand::ModelKey)],
+    adapters: &[(u64, ModelKey)],
     withheld: &[(u64, u16)],
 ) {
     let Some(configuration) = node.configuration() else {
         return;
     };
     let mut roster = node.roster();
-    let mut by_worker: std::collections::HashMap<u64, Vec<u16>> = std::collections::HashMap::new();
+    let mut by_worker: HashMap<u64, Vec<u16>> = HashMap::new();
     for (worker, model) in withheld {
         by_worker.entry(*worker).or_default().push(*model);
     }
@@ -278,121 +243,3 @@
         }
     }
 }
-
-/// Fetches the list of workers from a peer whose list is newer, after a while.
-fn fetch_workers_if_behind(node: &Arc<Node>, sender: Ipv4Addr, digest: &Digest) {
-    if digest.roster_version <= node.roster_version.load(Ordering::Acquire) {
-        return;
-    }
-    let version = digest.roster_version;
-    let node = Arc::clone(node);
-    if node.is_fetching.swap(true, Ordering::AcqRel) {
-        return;
-    }
-    tokio::spawn(async move {
-        // The own read of the store usually catches up first.
-        pause(ROSTER_LAG_MS).await;
-        if node.roster_version.load(Ordering::Acquire) < version {
-            fetch_workers(&node, sender).await;
-        }
-        node.is_fetching.store(false, Ordering::Release);
-    });
-}
-
-/// Fetches the list of workers from a peer.
-async fn fetch_workers(node: &Arc<Node>, peer: Ipv4Addr) {
-    let Ok(body) = fetch(node, peer, Ask::Workers).await else {
-        return;
-    };
-    let Ok(listed) = postcard::from_bytes::<WorkerRows>(&body) else {
-        return;
-    };
-    if listed.version <= node.roster_version.load(Ordering::Acquire) {
-        return;
-    }
-    info!(node.log, "workers from a peer"; "peer" => peer.to_string(), "version" => listed.version);
-    let rows = listed.rows.into_iter().map(|(key, version, value)| Row {
-        key,
-        value,
-        version,
-        is_gone: false,
-    });
-    let rows = Rows {
-        rows: rows.collect(),
-        version: listed.version,
-        has_more: false,
-    };
-    roster_sync::take(node, rows, true);
-}
-
-/// Fetches the configuration in force at a peer.
-async fn fetch_configuration(node: Arc<Node>, peer: Ipv4Addr) {
-    match fetch(&node, peer, Ask::Configuration).await {
-        Ok(body) if !body.is_empty() => {
-            if let Err(error) = node.offer_configuration(&body, "peer") {
-                warn!(node.log, "configuration not understood";
-                    "peer" => peer.to_string(), "error" => error.to_string());
-            }
-        }
-        // The next digest tries again.
-        Ok(_) | Err(_) => {}
-    }
-}
-
-/// Asks a peer over TCP.
-async fn fetch(node: &Node, peer: Ipv4Addr, ask: Ask) -> io::Result<Bytes> {
-    let port = node.settings.listen.peers.port();
-    let fetching = async {
-        let mut stream = TcpStream::connect(SocketAddr::from((peer, port))).await?;
-        let message = postcard::to_stdvec(&ask).map_err(io::Error::other)?;
-        stream.write_all(&message).await?;
-        let mut body = Vec::new();
-        stream.take(FETCH_MAX_BYTES).read_to_end(&mut body).await?;
-        Ok(Bytes::from(body))
-    };
-    let within = Duration::from_millis(FETCH_WITHIN_MS);
-    tokio::time::timeout(within, fetching)
-        .await
-        .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
-}
-
-/// Answers what peers ask over TCP, until the process ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _peer)) = listener.accept().await else {
-            pause(ROUND_LEAST_MS).await;
-            continue;
-        };
-        let node = Arc::clone(&node);
-        tokio::spawn(async move {
-            let within = Duration::from_millis(FETCH_WITHIN_MS);
-            // A peer that breaks off asks again.
-            let _answered = tokio::time::timeout(within, answer(&node, stream)).await;
-        });
-    }
-}
-
-/// Answers one question.
-async fn answer(node: &Node, mut stream: TcpStream) -> io::Result<()> {
-    let mut asked = [0; 1];
-    stream.read_exact(&mut asked).await?;
-    let ask: Ask = postcard::from_bytes(&asked).map_err(io::Error::other)?;
-    let body = match ask {
-        Ask::Configuration => lock(&node.configuration_body).clone(),
-        Ask::Workers => Bytes::from(postcard::to_stdvec(&worker_rows(node)).unwrap_or_default()),
-    };
-    stream.write_all(&body).await?;
-    stream.shutdown().await
-}
-
-/// Returns the list of workers as read here.
-fn worker_rows(node: &Node) -> WorkerRows {
-    let kept = lock(&node.worker_rows);
-    let rows = kept
-        .iter()
-        .map(|(key, (version, value))| (key.clone(), *version, value.clone()));
-    WorkerRows {
-        version: node.roster_version.load(Ordering::Acquire),
-        rows: rows.collect(),
-    }
-}
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! [`run`] starts and stops the parts. A caller's request runs through
 //! [`forward`]. Beside that path [`configuration_sync`] and [`roster_sync`]
-//! follow the store, [`gossip`] tells peers what they can't see, and
+//! follow the store, [`gossip`] and [`bodies`] tell peers what they can't see, and
 //! [`controller`] holds the leases and orders workers. Everything that a
 //! platform names or formats comes in through an [`adapter`].
 
 pub mod adapter;
+pub mod bodies;
 pub mod configuration_sync;
 pub mod controller;
 pub mod forward;
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -13,13 +13,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use cranereach_fleet::configuration::Configuration;
-use cranereach_fleet::configuration::Service;
-use cranereach_fleet::demand::Demand;
-use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::retry_window::RetryWindow;
-use cranereach_fleet::roster::Roster;
-use cranereach_http::pool::Pool;
 use http_body_util::Full;
 use slog::Logger;
 use slog::info;
@@ -32,6 +25,13 @@
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::store::Store;
+use cranereach_fleet::configuration::Configuration;
+use cranereach_fleet::configuration::Service;
+use cranereach_fleet::demand::Demand;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::retry_window::RetryWindow;
+use cranereach_fleet::roster::Roster;
+use cranereach_http::pool::Pool;
 
 /// Time after which unconfirmed bytes break a worker's connection, in milliseconds.
 const WORKER_SILENCE_MAX_MS: u64 = 1_200;
--- a/crates/cranereach-gateway/src/operators.rs
+++ b/crates/cranereach-gateway/src/operators.rs
@@ -1,9 +1,9 @@
 //! The question whether this instance is ready, and its metrics.
 
-use std::sync::Arc;
+use std::future::Ready;
+use std::future::ready;
 
 use bytes::Bytes;
-use cranereach_http::server::Closed;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -11,15 +11,16 @@
 use hyper::body::Incoming;
 
 use crate::node::Node;
+use cranereach_http::server::Closed;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers either question; anything else is not found.
-pub async fn answer(
-    node: Arc<Node>,
-    request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Closed> {
+pub fn answer(
+    node: &Node,
+    request: &Request<Incoming>,
+) -> Ready<Result<Response<Full<Bytes>>, Closed>> {
     let path = request.uri().path();
     let (status, text) = if path == node.adapter.ready_path {
         let status = if node.is_ready() {
@@ -35,5 +36,5 @@
     };
     let mut answer = Response::new(Full::new(Bytes::from(text)));
     *answer.status_mut() = status;
-    Ok(answer)
+    ready(Ok(answer))
 }
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use cranereach_fleet::demand::ModelKey;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
+use cranereach_fleet::demand::ModelKey;
+
 /// Version of the messages; others are dropped.
 pub const VERSION: u8 = 1;
 
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use cranereach_fleet::roster::worker_key;
 use slog::info;
 use slog::warn;
 
@@ -15,6 +14,8 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::store::StoreError;
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::worker::WorkerRecord;
 
 /// Time that the store is asked to wait for changes, in milliseconds.
 const WAIT_MS: u64 = 1_500;
@@ -45,7 +46,7 @@
                 failure_count = 0;
                 let is_whole = after.is_none();
                 after = Some(rows.version.max(after.unwrap_or(0)));
-                take(&node, rows, is_whole);
+                take(&node, &rows, is_whole);
                 let spent_ms = node.now_ms() - begun_ms;
                 pause(READ_EVERY_MS.saturating_sub(spent_ms)).await;
             }
@@ -63,7 +64,7 @@
 }
 
 /// Takes rows of the list, all of them or those that changed.
-pub fn take(node: &Node, rows: Rows, is_whole: bool) {
+pub fn take(node: &Node, rows: &Rows, is_whole: bool) {
     let mut known = Vec::new();
     let mut gone = Vec::new();
     {
@@ -149,7 +150,7 @@
 }
 
 /// Reads a worker's row; one that can't be understood is counted and passed over.
-fn parse(node: &Node, row: &Row) -> Option<cranereach_fleet::roster::WorkerRecord> {
+fn parse(node: &Node, row: &Row) -> Option<WorkerRecord> {
     let parsed = (node.adapter.parse_worker)(&row.key, &row.value);
     parsed
         .inspect_err(|error| {
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cranereach_http::server;
-use cranereach_http::server::ServeOptions;
 use slog::info;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -14,6 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
+use crate::bodies;
 use crate::configuration_sync;
 use crate::controller;
 use crate::forward;
@@ -24,6 +23,8 @@
 use crate::operators;
 use crate::roster_sync;
 use crate::settings::Settings;
+use cranereach_http::server;
+use cranereach_http::server::ServeOptions;
 
 /// Time for which a stopping instance still accepts, in milliseconds.
 ///
@@ -115,13 +116,13 @@
                 listener,
                 options,
                 stop.clone(),
-                move |request| operators::answer(Arc::clone(&asked), request),
+                move |request| operators::answer(&asked, &request),
             ));
         }
         let socket = Arc::new(digests);
         tasks.spawn(gossip::receive(Arc::clone(&node), Arc::clone(&socket)));
         tasks.spawn(gossip::send(Arc::clone(&node), socket));
-        tasks.spawn(gossip::serve(Arc::clone(&node), bodies));
+        tasks.spawn(bodies::serve(Arc::clone(&node), bodies));
         tasks.spawn(configuration_sync::run(Arc::clone(&node)));
         tasks.spawn(roster_sync::run(Arc::clone(&node)));
         tasks.spawn(controller::run(Arc::clone(&node)));
--- a/crates/cranereach-gateway/src/settings.rs
+++ b/crates/cranereach-gateway/src/settings.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use cranereach_wire::jsonc;
-use cranereach_wire::jsonc::FileError;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
 use crate::adapter;
+use cranereach_wire::jsonc;
+use cranereach_wire::jsonc::FileError;
 
 /// All settings of one process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/cranereach-gateway/src/store.rs
+++ b/crates/cranereach-gateway/src/store.rs
@@ -1,9 +1,6 @@
 //! Calls to the platform's store, each with a deadline.
 
 use bytes::Bytes;
-use cranereach_http::client::Answer;
-use cranereach_http::client::CallError;
-use cranereach_http::client::JsonClient;
 use thiserror::Error;
 
 use crate::adapter::Adapter;
@@ -12,6 +9,9 @@
 use crate::adapter::RowName;
 use crate::adapter::Rows;
 use crate::adapter::WriteAnswer;
+use cranereach_http::client::Answer;
+use cranereach_http::client::CallError;
+use cranereach_http::client::JsonClient;
 
 /// Time for an answer beyond what was asked to wait, in milliseconds.
 const ANSWER_WITHIN_MS: u64 = 900;
