Placement: an unload waits for a ready replica; copies first where requests wait

A replica being loaded counted as one, so the only ready one was unloaded; and a missing model was loaded from the store (9 s) where another worker had a copy (1-2 s). Ruled out: adapters (127) and dead workers.

--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -336,6 +336,7 @@
         match order {
             Order::Load(model) => self.places.push(Place {
                 model,
+                is_coming: true,
                 ..Place::default()
             }),
             Order::Unload(model) => {
--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -19,6 +19,12 @@
 /// Demand that models behind the busy ones are given, as a share of a busy one's.
 const AHEAD_SHARE: f64 = 0.35;
 
+/// Price of a load from the weight store, as a share of the whole demand.
+const NO_COPY: f64 = 0.1;
+
+/// The same price where no worker holds the model.
+const NO_COPY_URGENT: f64 = 10.0;
+
 /// Models behind the busy ones that are given demand ahead of time.
 const AHEAD_COUNT: usize = 2;
 
@@ -45,6 +51,8 @@
     pub adapters: Vec<u16>,
     /// Whether it is being unloaded.
     pub is_going: bool,
+    /// Whether it is still being loaded.
+    pub is_coming: bool,
 }
 
 /// A worker as the plan sees it.
@@ -204,12 +212,17 @@
             }
             for place in &worker.places {
                 let other = usize::from(place.model);
-                if self.replica_count(other) < 2 {
+                if place.is_coming || self.ready_count(other) < 2 {
                     continue;
                 }
                 let loss = self.loss(other, by_model);
-                let copy_bonus = if has_copy(worker, model) { 0.5 } else { 1.0 };
-                let weighed = loss * copy_bonus + 1e-3 * self.worker_demand(worker, by_model);
+                let mut weighed = loss;
+                if !has_copy(worker, model) {
+                    let is_urgent = self.ready_count(model) == 0;
+                    let price = if is_urgent { NO_COPY_URGENT } else { NO_COPY };
+                    weighed += price * by_model.iter().sum::<f64>();
+                }
+                weighed += 1e-3 * self.worker_demand(worker, by_model);
                 if loss < limit && best.as_ref().is_none_or(|(least, _)| weighed < *least) {
                     let planned = Planned {
                         worker: index,
@@ -247,7 +260,8 @@
             all.filter(|(_, worker)| worker.is_serving)
                 .filter_map(|(index, worker)| {
                     let place = worker.places.iter().find(|place| place.model == model)?;
-                    (!place.is_going).then_some((index, worker, place))
+                    let is_ready = !place.is_going && !place.is_coming;
+                    is_ready.then_some((index, worker, place))
                 })
         };
         if holders().any(|(_, _, place)| place.adapters.contains(&adapter)) {
@@ -282,6 +296,18 @@
         (rate_of(&least) * SWAP_GAIN < rate_of(&key)).then_some(least)
     }
 
+    /// Counts the workers that serve a model now.
+    fn ready_count(&self, model: usize) -> usize {
+        let serving = self.workers.iter().filter(|worker| worker.is_serving);
+        let ready = serving.filter(|worker| {
+            let mut places = worker.places.iter();
+            places.any(|place| {
+                usize::from(place.model) == model && !place.is_going && !place.is_coming
+            })
+        });
+        ready.count()
+    }
+
     /// Counts the workers that serve a model or load it.
     fn replica_count(&self, model: usize) -> usize {
         let serving = self.workers.iter().filter(|worker| worker.is_serving);
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -29,6 +29,7 @@
                 model: engine.model_index(&held.name)?,
                 adapters: adapters.filter_map(|name| adapter_number(name)).collect(),
                 is_going: false,
+                is_coming: false,
             })
         })
         .collect()
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -96,6 +96,7 @@
     counter
         .with_label_values(&[&call.route.name, result_name])
         .inc();
+    note_late(node, &call);
     let took_s = node.now_ms().saturating_sub(call.received_ms) as f64 / 1_000.0;
     let seconds = &node.metrics.first_byte_seconds;
     seconds
@@ -104,6 +105,17 @@
     result
 }
 
+/// Logs an answer that begins later than the route aims at.
+fn note_late(node: &Node, call: &Call) {
+    let took_ms = node.now_ms().saturating_sub(call.received_ms);
+    if took_ms <= call.route.aim_ms {
+        return;
+    }
+    info!(node.log, "late"; "request" => call.id.clone(), "route" => call.route.name.as_ref(),
+        "model" => call.model().map(|(model, _)| model.to_owned()), "took_ms" => took_ms,
+        "prompt_tokens" => call.prompt_tokens);
+}
+
 /// Notes what the call asks for, so that it is loaded where that is needed.
 fn note_demand(node: &Node, call: &Call) {
     let Some(key) = model_key(call) else { return };
@@ -172,7 +184,7 @@
                     NoWorker::None => ResultCode::NoUpstream,
                     NoWorker::NoModel | NoWorker::NoAdapter => ResultCode::NotResident,
                 };
-                let mut refusal = self.refusal(code, &format!("{why:?}"));
+                let mut refusal = self.refusal(code, &format!("{why:?} {:?}", call.model()));
                 if why == NoWorker::NoModel {
                     refusal.retry_after_ms = 1_500;
                 }
