Placement by what is served badly, in workers' time; cold models make way

Now demand is workers' time at a pace learned per model, an order's gain is what it takes off the demand served badly, and a cold model may leave altogether.

--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -1,8 +1,8 @@
 //! Decisions about declared routes and their workers, without I/O or a clock.
 //!
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
-//! is known of every [`worker`] and picks one; it builds on [`health`] and
-//! [`prefixes`]. [`retry_window`] bounds repeats. [`tenure`] says whether this
+//! is known of every [`worker`] and picks one; it builds on [`health`], [`pace`]
+//! and [`prefixes`]. [`retry_window`] bounds repeats. [`tenure`] says whether this
 //! instance may order workers, [`placement`] what it should order, and [`ledger`] which orders
 //! are open.
 //!
@@ -16,6 +16,7 @@
 pub mod demand;
 pub mod health;
 pub mod ledger;
+pub mod pace;
 pub mod placement;
 pub mod prefixes;
 pub mod retry_window;
--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -1,10 +1,13 @@
 //! What each worker should hold: which load or unload comes next.
 //!
-//! Every model keeps a replica somewhere; the other places follow demand. One
-//! more replica of a model with demand `d` and `r` replicas takes `d / (r (r+1))`
-//! off each of them; a place changes hands only where that is clearly more than
-//! what the model that makes way loses. Models that stand right behind the busy
-//! ones in the declared list get a part of their demand ahead of time.
+//! A model with demand `d` (workers' time asked for, per second) on `r` workers
+//! uses the share `u = d / r` of each. What is served badly is taken as `d u^2`
+//! while `u` is below one, and as `d (2 u - 1)` above, where queues grow; a model
+//! that no worker holds has all of its demand served badly, several times over.
+//! Each order is the one that takes most off the sum, less what a model that
+//! makes way adds to it, and less what the time of the load costs. Models that
+//! stand right behind the busy ones in the declared list get a part of their
+//! demand ahead of time.
 
 use std::collections::HashMap;
 
@@ -13,17 +16,26 @@
 /// How much more a swap must bring than it costs.
 const SWAP_GAIN: f64 = 1.6;
 
-/// Least gain of a load, as a share of the whole demand.
-const LEAST_GAIN_SHARE: f64 = 0.02;
+/// Least gain of an order, in milliseconds of workers' time per second.
+const LEAST_GAIN_MS: f64 = 25.0;
 
-/// Demand that models behind the busy ones are given, as a share of a busy one's.
-const AHEAD_SHARE: f64 = 0.35;
+/// How much worse it is to have no worker than to have one that is full.
+const MISSING_WEIGHT: f64 = 3.0;
+
+/// Time for which a gain is counted, in seconds.
+const HORIZON_S: f64 = 14.0;
 
-/// Price of a load from the weight store, as a share of the whole demand.
-const NO_COPY: f64 = 0.1;
+/// Time of a load from a copy that the worker has, in seconds.
+const COPY_LOAD_S: f64 = 2.0;
 
-/// The same price where no worker holds the model.
-const NO_COPY_URGENT: f64 = 10.0;
+/// Workers' time that one worker gives, in milliseconds per second.
+const WORKER_MS: f64 = 1_000.0;
+
+/// What the demand already on a worker weighs against an order for it.
+const BUSY_WEIGHT: f64 = 0.25;
+
+/// Demand that models behind the busy ones are given, as a share of a busy one's.
+const AHEAD_SHARE: f64 = 0.35;
 
 /// Models behind the busy ones that are given demand ahead of time.
 const AHEAD_COUNT: usize = 2;
@@ -40,6 +52,8 @@
     pub adapter_mb: f64,
     /// Adapters that it has.
     pub adapter_count: u16,
+    /// Time of a load from the weight store, in seconds.
+    pub load_s: f64,
 }
 
 /// A model on a worker.
@@ -101,19 +115,21 @@
     pub weights_mb: f64,
     /// Adapters that one worker holds at most.
     pub adapter_slot_count: usize,
-    /// Demand in tokens per second.
+    /// Demand, in milliseconds of workers' time per second.
     pub demand: &'a HashMap<ModelKey, f64>,
     /// Workers.
     pub workers: &'a [WorkerView],
 }
 
 impl Plan<'_> {
-    /// Returns the most urgent order that can be sent now.
+    /// Returns the order that brings most of those that can be sent now.
     pub fn next(&self, may_load_from_store: bool) -> Option<Planned> {
         let by_model = self.expected_demand();
-        self.missing_model(&by_model, may_load_from_store)
-            .or_else(|| self.missing_adapter())
-            .or_else(|| self.more_replicas(&by_model, may_load_from_store))
+        let replicas: Vec<usize> = (0..self.models.len())
+            .map(|model| self.replica_count(model))
+            .collect();
+        self.missing_adapter()
+            .or_else(|| self.best(&by_model, &replicas, may_load_from_store))
     }
 
     /// Returns the demand per model, with what is expected to come.
@@ -138,104 +154,91 @@
         by_model
     }
 
-    /// Finds a place for the most wanted model that no worker holds.
-    fn missing_model(&self, by_model: &[f64], may_load_from_store: bool) -> Option<Planned> {
-        let mut missing: Vec<usize> = (0..self.models.len())
-            .filter(|model| self.replica_count(*model) == 0)
-            .collect();
-        missing.sort_by(|left, right| by_model[*right].total_cmp(&by_model[*left]));
-        let placed = missing
-            .iter()
-            .find_map(|model| self.load(*model, by_model, may_load_from_store));
-        placed.or_else(|| {
-            let model = missing.first()?;
-            self.make_room(*model, by_model, f64::INFINITY)
-        })
-    }
-
-    /// Finds the replica that brings most, and the place for it.
-    fn more_replicas(&self, by_model: &[f64], may_load_from_store: bool) -> Option<Planned> {
-        let least_gain = LEAST_GAIN_SHARE * by_model.iter().sum::<f64>();
-        let mut wanted: Vec<(f64, usize)> = (0..self.models.len())
-            .map(|model| (self.gain(model, by_model), model))
-            .filter(|(gain, _)| *gain > least_gain)
+    /// Finds the load, or the unload that makes room for one, that brings most.
+    fn best(
+        &self,
+        by_model: &[f64],
+        replicas: &[usize],
+        may_load_from_store: bool,
+    ) -> Option<Planned> {
+        let wanted: Vec<(usize, f64)> = (0..self.models.len())
+            .map(|model| (model, self.gain(model, by_model, replicas)))
+            .filter(|(_, gain)| *gain > LEAST_GAIN_MS)
             .collect();
-        wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
-        let placed = wanted
-            .iter()
-            .find_map(|(_, model)| self.load(*model, by_model, may_load_from_store));
-        placed.or_else(|| {
-            let (gain, model) = wanted.first()?;
-            if !may_load_from_store {
-                return None;
-            }
-            self.make_room(*model, by_model, *gain / SWAP_GAIN)
-        })
-    }
-
-    /// Orders a load where there is room for it: least loaded, copies first.
-    fn load(&self, model: usize, by_model: &[f64], may_load_from_store: bool) -> Option<Planned> {
-        let fitting = self.workers.iter().enumerate().filter(|(_, worker)| {
-            worker.is_free
-                && worker.is_serving
-                && !holds(worker, model)
-                && self.used_mb(worker) + self.models[model].weights_mb <= self.weights_mb
-                && (may_load_from_store || has_copy(worker, model))
-        });
-        let best = fitting.min_by(|(_, left), (_, right)| {
-            let left = self.cost_of(left, model, by_model);
-            left.total_cmp(&self.cost_of(right, model, by_model))
-        });
-        best.map(|(worker, view)| Planned {
-            worker,
-            order: Order::Load(model as u16),
-            is_from_store: !has_copy(view, model),
-        })
-    }
-
-    /// Orders the unload that costs least, if that is below a limit.
-    fn make_room(&self, model: usize, by_model: &[f64], limit: f64) -> Option<Planned> {
-        // One swap at a time on a worker, and few at once over all of them.
-        let is_going = |worker: &WorkerView| worker.places.iter().any(|place| place.is_going);
         let going_count = self
             .workers
             .iter()
             .filter(|worker| is_going(worker))
             .count();
-        if going_count * 6 > self.workers.len() {
-            return None;
-        }
+        let may_swap = going_count < (self.workers.len() / 3).max(2);
         let mut best: Option<(f64, Planned)> = None;
         for (index, worker) in self.workers.iter().enumerate() {
-            if !worker.is_free || !worker.is_serving || holds(worker, model) || is_going(worker) {
+            if !worker.is_free || !worker.is_serving || is_going(worker) {
                 continue;
             }
-            for place in &worker.places {
-                let other = usize::from(place.model);
-                if place.is_coming || self.ready_count(other) < 2 {
+            let busy = BUSY_WEIGHT * self.worker_demand(worker, by_model, replicas);
+            let used_mb = self.used_mb(worker);
+            for (model, gain) in &wanted {
+                let is_copy = has_copy(worker, *model);
+                if holds(worker, *model) || !(is_copy || may_load_from_store) {
                     continue;
                 }
-                let loss = self.loss(other, by_model);
-                let mut weighed = loss;
-                if !has_copy(worker, model) {
-                    let is_urgent = self.ready_count(model) == 0;
-                    let price = if is_urgent { NO_COPY_URGENT } else { NO_COPY };
-                    weighed += price * by_model.iter().sum::<f64>();
-                }
-                weighed += 1e-3 * self.worker_demand(worker, by_model);
-                if loss < limit && best.as_ref().is_none_or(|(least, _)| weighed < *least) {
+                let gain = self.gain_in_time(*model, *gain, is_copy);
+                let has_room = used_mb + self.models[*model].weights_mb <= self.weights_mb;
+                let found = if has_room {
+                    Some((gain - busy, Order::Load(*model as u16)))
+                } else if may_swap {
+                    let cheapest = self.cheapest(worker, by_model, replicas);
+                    cheapest
+                        .map(|(loss, model)| (gain / SWAP_GAIN - loss - busy, Order::Unload(model)))
+                } else {
+                    None
+                };
+                let Some((net, order)) = found.filter(|(net, _)| *net > LEAST_GAIN_MS) else {
+                    continue;
+                };
+                if best.as_ref().is_none_or(|(most, _)| net > *most) {
+                    let is_from_store = matches!(order, Order::Load(_)) && !is_copy;
                     let planned = Planned {
                         worker: index,
-                        order: Order::Unload(place.model),
-                        is_from_store: false,
+                        order,
+                        is_from_store,
                     };
-                    best = Some((weighed, planned));
+                    best = Some((net, planned));
                 }
             }
         }
         best.map(|(_, planned)| planned)
     }
 
+    /// Returns the part of a gain that is left when a load has been done.
+    fn gain_in_time(&self, model: usize, gain: f64, is_copy: bool) -> f64 {
+        let load_s = if is_copy {
+            COPY_LOAD_S
+        } else {
+            self.models[model].load_s
+        };
+        gain * ((HORIZON_S - load_s) / HORIZON_S).max(0.1)
+    }
+
+    /// Finds the model on a worker whose unload costs least.
+    fn cheapest(
+        &self,
+        worker: &WorkerView,
+        by_model: &[f64],
+        replicas: &[usize],
+    ) -> Option<(f64, u16)> {
+        let ready = worker.places.iter().filter(|place| !place.is_coming);
+        let losses = ready.map(|place| {
+            let model = usize::from(place.model);
+            // A replica that is still loading serves nobody yet.
+            let count = self.ready_count(model).min(replicas[model]);
+            let after = badly_served(by_model[model], count.saturating_sub(1));
+            (after - badly_served(by_model[model], count), place.model)
+        });
+        losses.min_by(|left, right| left.0.total_cmp(&right.0))
+    }
+
     /// Finds the most wanted adapter that too few workers hold.
     fn missing_adapter(&self) -> Option<Planned> {
         let mut wanted: Vec<(ModelKey, f64)> = self
@@ -320,39 +323,22 @@
     }
 
     /// Returns what one more replica of a model brings.
-    fn gain(&self, model: usize, by_model: &[f64]) -> f64 {
-        let replicas = self.replica_count(model).max(1) as f64;
-        by_model[model] / (replicas * (replicas + 1.0))
-    }
-
-    /// Returns what one replica less of a model costs.
-    fn loss(&self, model: usize, by_model: &[f64]) -> f64 {
-        let replicas = self.replica_count(model) as f64;
-        by_model[model] / (replicas * (replicas - 1.0)).max(f64::MIN_POSITIVE)
+    fn gain(&self, model: usize, by_model: &[f64], replicas: &[usize]) -> f64 {
+        let demand = by_model[model];
+        badly_served(demand, replicas[model]) - badly_served(demand, replicas[model] + 1)
     }
 
     /// Returns the demand that falls on a worker.
-    fn worker_demand(&self, worker: &WorkerView, by_model: &[f64]) -> f64 {
+    fn worker_demand(&self, worker: &WorkerView, by_model: &[f64], replicas: &[usize]) -> f64 {
         let places = worker.places.iter().filter(|place| !place.is_going);
         places
             .map(|place| {
                 let model = usize::from(place.model);
-                by_model[model] / self.replica_count(model).max(1) as f64
+                by_model[model] / replicas[model].max(1) as f64
             })
             .sum()
     }
 
-    /// Weighs a worker as the place of a load.
-    fn cost_of(&self, worker: &WorkerView, model: usize, by_model: &[f64]) -> f64 {
-        let total: f64 = by_model.iter().sum();
-        let copy = if has_copy(worker, model) {
-            0.0
-        } else {
-            0.1 * total
-        };
-        self.worker_demand(worker, by_model) + copy
-    }
-
     /// Returns the memory that counts as used, in megabytes.
     fn used_mb(&self, worker: &WorkerView) -> f64 {
         let places = worker.places.iter();
@@ -365,6 +351,24 @@
     }
 }
 
+/// Returns how much of a demand is served badly by a number of replicas.
+fn badly_served(demand: f64, replica_count: usize) -> f64 {
+    if replica_count == 0 {
+        return MISSING_WEIGHT * demand;
+    }
+    let share = demand / replica_count as f64 / WORKER_MS;
+    if share < 1.0 {
+        demand * share * share
+    } else {
+        demand * (2.0 * share - 1.0)
+    }
+}
+
+/// Whether a worker is unloading a model.
+fn is_going(worker: &WorkerView) -> bool {
+    worker.places.iter().any(|place| place.is_going)
+}
+
 /// Whether a worker holds a model in any state.
 fn holds(worker: &WorkerView, model: usize) -> bool {
     let mut places = worker.places.iter();
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -16,8 +16,11 @@
 use crate::worker::Worker;
 use crate::worker::WorkerRecord;
 
+/// Reading time ahead of a request below which it counts as the first.
+const FIRST_BELOW_MS: f64 = 1.0;
+
 /// A worker that was chosen.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
     /// Its identity.
     pub id: Arc<str>,
@@ -25,6 +28,8 @@
     pub address: String,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u32,
+    /// Whether it has, as far as known, no other prompt to read before.
+    pub is_first: bool,
 }
 
 /// Why no worker was chosen; the one that came closest counts.
@@ -192,6 +197,7 @@
             id: Arc::clone(&worker.record.id),
             address: worker.record.address.clone(),
             unread_tokens,
+            is_first: worker.load(now_ms).unread_ms < FIRST_BELOW_MS,
         })
     }
 
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -25,14 +25,14 @@
 /// Time for which an adapter counts as there after a peer said so, in milliseconds.
 const TOLD_FOR_MS: u64 = 5_000;
 
-/// Tokens that one running request weighs as, when workers are compared.
-const RUNNING_WEIGHS_TOKENS: f64 = 40.0;
+/// Time that one running request weighs as, when workers are compared.
+const RUNNING_WEIGHS_MS: f64 = 2.0;
 
-/// Tokens that one waiting request weighs as.
-const WAITING_WEIGHS_TOKENS: f64 = 1_500.0;
+/// Time that one waiting request weighs as.
+const WAITING_WEIGHS_MS: f64 = 75.0;
 
-/// What a worker in another zone weighs more, as tokens.
-const OTHER_ZONE_WEIGHS_TOKENS: f64 = 40.0;
+/// Time that a worker in another zone weighs more.
+const OTHER_ZONE_WEIGHS_MS: f64 = 2.0;
 
 /// A model on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,8 +71,8 @@
 pub struct Load {
     /// Requests that have not ended.
     pub open_count: u32,
-    /// Prompt tokens that are probably not read yet.
-    pub unread_tokens: f64,
+    /// Time that reading the prompts that aren't read yet takes, in milliseconds.
+    pub unread_ms: f64,
     /// Tokens that the requests may come to hold.
     pub held_tokens: f64,
 }
@@ -115,6 +115,8 @@
     pub parts: &'a [PromptPart],
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Time to read one token of the prompt, in milliseconds.
+    pub token_ms: f64,
     /// Tokens of the prompt and of the longest answer.
     pub held_tokens: u32,
     /// Own failure domain.
@@ -141,16 +143,16 @@
     }
 
     /// Notes a request that is sent to the worker.
-    pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_tokens: u32) {
+    pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_ms: f64) {
         self.own.open_count += 1;
-        self.own.unread_tokens += f64::from(unread_tokens);
+        self.own.unread_ms += unread_ms;
         self.own.held_tokens += f64::from(wanted.held_tokens);
         self.kept.sent(now_ms, wanted.parts);
     }
 
     /// Notes that a request's prompt has been read.
-    pub fn read(&mut self, unread_tokens: u32) {
-        self.own.unread_tokens = (self.own.unread_tokens - f64::from(unread_tokens)).max(0.0);
+    pub fn read(&mut self, unread_ms: f64) {
+        self.own.unread_ms = (self.own.unread_ms - unread_ms).max(0.0);
     }
 
     /// Notes that a request has ended.
@@ -189,7 +191,7 @@
         for (at_ms, load) in self.peers.values() {
             if now_ms < at_ms + PEER_LOAD_WITHIN_MS {
                 all.open_count += load.open_count;
-                all.unread_tokens += load.unread_tokens;
+                all.unread_ms += load.unread_ms;
                 all.held_tokens += load.held_tokens;
             }
         }
@@ -236,7 +238,8 @@
         until_ms.is_some_and(|until_ms| now_ms < *until_ms)
     }
 
-    /// Weighs sending a request here, in tokens to be read before it begins.
+    /// Weighs sending a request here, in milliseconds until it begins; and the
+    /// tokens that the worker would have to read.
     pub(crate) fn cost(
         &self,
         now_ms: u64,
@@ -255,17 +258,18 @@
             .min(wanted.prompt_tokens);
         let unread_tokens = wanted.prompt_tokens - kept_tokens;
         let mut cost = if let Some(engine) = engine {
-            let mut cost = load.unread_tokens + f64::from(unread_tokens);
-            cost += f64::from(open_count) * RUNNING_WEIGHS_TOKENS;
-            cost += f64::from(said.1) * WAITING_WEIGHS_TOKENS;
+            let mut cost = load.unread_ms + f64::from(unread_tokens) * wanted.token_ms;
+            cost += f64::from(open_count) * RUNNING_WEIGHS_MS;
+            cost += f64::from(said.1) * WAITING_WEIGHS_MS;
             let room_tokens = engine.kv_tokens as f64 * 0.9;
-            cost + (load.held_tokens + f64::from(wanted.held_tokens) - room_tokens).max(0.0)
+            let over = load.held_tokens + f64::from(wanted.held_tokens) - room_tokens;
+            cost + over.max(0.0) * wanted.token_ms
         } else {
             let slots = f64::from(self.record.slot_count.max(1));
-            f64::from(open_count + said.1) / slots * 1_000.0
+            f64::from(open_count + said.1) / slots * 50.0
         };
         if self.record.zone.as_ref() != wanted.zone {
-            cost += OTHER_ZONE_WEIGHS_TOKENS;
+            cost += OTHER_ZONE_WEIGHS_MS;
         }
         cost *= 1.0 + 6.0 * self.health.failed_share();
         if self.health.is_aside(now_ms) {
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -64,6 +64,7 @@
             weights_mb: model.weights_mb,
             adapter_mb: model.adapter_mb,
             adapter_count: model.adapter_count,
+            load_s: model.load_s,
         })
         .collect()
 }
@@ -78,7 +79,7 @@
     let peers = node.peers();
     for (_, peer) in peers.heard_peers(now_ms) {
         for part in peer.last.demand.iter().filter(|part| part.service == key) {
-            *all.entry(part.model).or_default() += f64::from(part.tokens_per_s);
+            *all.entry(part.model).or_default() += f64::from(part.work_ms_per_s);
         }
     }
     all
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -42,7 +42,7 @@
 const OFFER_MAX_COUNT: usize = 5;
 
 /// Share of the aim for which a call waits for its model or adapter.
-const WAIT_SHARE: f64 = 0.2;
+const WAIT_SHARE: f64 = 0.22;
 
 /// Longest pause between two looks for a worker, in milliseconds.
 const LOOK_EVERY_MS: u64 = 40;
@@ -120,9 +120,16 @@
 fn note_demand(node: &Node, call: &Call) {
     let Some(key) = model_key(call) else { return };
     let now_ms = node.now_ms();
+    let work_ms = f64::from(call.held_tokens.max(1)) * token_ms(node, call);
     let mut demand = node.demand();
     let of_service = demand.entry(Arc::clone(&call.service.name)).or_default();
-    of_service.asked(now_ms, key, f64::from(call.held_tokens.max(1)));
+    of_service.asked(now_ms, key, work_ms);
+}
+
+/// Returns the time to read one token of the call's model, in milliseconds.
+fn token_ms(node: &Node, call: &Call) -> f64 {
+    let model = call.model();
+    model.map_or(0.0, |(model, _)| node.paces().token_ms(model))
 }
 
 /// Returns the place of the model and adapter that a call names.
@@ -202,6 +209,7 @@
             model: self.call.model(),
             parts: &self.call.parts,
             prompt_tokens: self.call.prompt_tokens,
+            token_ms: token_ms(self.node, self.call),
             held_tokens: self.call.held_tokens,
             zone: &self.node.settings.instance.failure_domain,
             tried: &self.tried,
--- a/crates/cranereach-gateway/src/forward/open.rs
+++ b/crates/cranereach-gateway/src/forward/open.rs
@@ -1,6 +1,7 @@
 //! A request that is open at a worker, counted until it is dropped.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use crate::node::Node;
 use cranereach_fleet::roster::Choice;
@@ -11,34 +12,61 @@
 pub struct OpenCall {
     node: Arc<Node>,
     worker: Arc<str>,
-    unread_tokens: Option<u32>,
+    unread: Option<Unread>,
     held_tokens: u32,
 }
 
+/// A prompt that the worker is believed to read.
+#[derive(Debug)]
+struct Unread {
+    model: Option<String>,
+    tokens: u32,
+    reading_ms: f64,
+    is_first: bool,
+    begun: Instant,
+}
+
 impl OpenCall {
     /// Notes that a request is being sent.
     pub fn begin(node: &Arc<Node>, choice: &Choice, wanted: &Wanted<'_>) -> Self {
         let now_ms = node.now_ms();
+        let reading_ms = f64::from(choice.unread_tokens) * wanted.token_ms;
         if let Some(worker) = node.roster().get_mut(&choice.id) {
-            worker.began(now_ms, wanted, choice.unread_tokens);
+            worker.began(now_ms, wanted, reading_ms);
         }
         node.metrics.open_requests.inc();
         Self {
             node: Arc::clone(node),
             worker: Arc::clone(&choice.id),
-            unread_tokens: Some(choice.unread_tokens),
+            unread: Some(Unread {
+                model: wanted.model.map(|(model, _)| model.to_owned()),
+                tokens: choice.unread_tokens,
+                reading_ms,
+                is_first: choice.is_first,
+                begun: Instant::now(),
+            }),
             held_tokens: wanted.held_tokens,
         }
     }
 
     /// Notes that the prompt has been read: the answer has begun.
     pub fn read(&mut self) {
-        let Some(unread_tokens) = self.unread_tokens.take() else {
+        let Some(unread) = self.forget_unread() else {
             return;
         };
+        if let (true, Some(model)) = (unread.is_first, unread.model) {
+            let took_ms = unread.begun.elapsed().as_secs_f64() * 1_000.0;
+            self.node.paces().learn(&model, unread.tokens, took_ms);
+        }
+    }
+
+    /// Counts the prompt as no longer to be read.
+    fn forget_unread(&mut self) -> Option<Unread> {
+        let unread = self.unread.take()?;
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
-            worker.read(unread_tokens);
+            worker.read(unread.reading_ms);
         }
+        Some(unread)
     }
 
     /// Notes a whole answer.
@@ -65,7 +93,7 @@
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.read();
+        self.forget_unread();
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
             worker.ended(self.held_tokens);
         }
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -103,7 +103,7 @@
     LoadPart {
         worker,
         open_count: load.open_count,
-        unread_tokens: load.unread_tokens as u32,
+        unread_ms: load.unread_ms as u32,
         held_tokens: load.held_tokens as u32,
     }
 }
@@ -116,7 +116,7 @@
         parts.extend(demand.rates(now_ms).iter().map(|(model, rate)| DemandPart {
             service,
             model: *model,
-            tokens_per_s: *rate as f32,
+            work_ms_per_s: *rate as f32,
         }));
     }
     parts
@@ -177,7 +177,7 @@
         .map(|part| {
             let load = Load {
                 open_count: part.open_count,
-                unread_tokens: f64::from(part.unread_tokens),
+                unread_ms: f64::from(part.unread_ms),
                 held_tokens: f64::from(part.held_tokens),
             };
             (part.worker, load)
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -29,6 +29,7 @@
 use cranereach_fleet::configuration::Service;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::pace::Paces;
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
 use cranereach_http::pool::Pool;
@@ -79,6 +80,7 @@
     pub configuration_body: Mutex<Bytes>,
     configuration: Mutex<Option<Arc<Configuration>>>,
     roster: Mutex<Roster>,
+    paces: Mutex<Paces>,
     demand: Mutex<HashMap<Arc<str>, Demand>>,
     peers: Mutex<Peers>,
     announced: Mutex<HashMap<Arc<str>, Announced>>,
@@ -125,6 +127,7 @@
             configuration_body: Mutex::default(),
             configuration: Mutex::default(),
             roster: Mutex::default(),
+            paces: Mutex::default(),
             demand: Mutex::default(),
             peers: Mutex::new(Peers::new(own_ip, seeds.collect())),
             announced: Mutex::default(),
@@ -191,6 +194,11 @@
         lock(&self.roster)
     }
 
+    /// Returns how fast workers read prompts.
+    pub fn paces(&self) -> MutexGuard<'_, Paces> {
+        lock(&self.paces)
+    }
+
     /// Returns what is known of peers.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         lock(&self.peers)
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -37,8 +37,8 @@
     pub worker: u64,
     /// Requests that have not ended.
     pub open_count: u32,
-    /// Prompt tokens that are probably not read yet.
-    pub unread_tokens: u32,
+    /// Time to read the prompts that aren't read yet, in milliseconds.
+    pub unread_ms: u32,
     /// Tokens that the requests may come to hold.
     pub held_tokens: u32,
 }
@@ -50,8 +50,8 @@
     pub service: u64,
     /// Model and adapter.
     pub model: ModelKey,
-    /// Tokens per second.
-    pub tokens_per_s: f32,
+    /// Workers' time asked for, in milliseconds per second.
+    pub work_ms_per_s: f32,
 }
 
 /// What an instance tells its peers, some times a second.
