--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -20,7 +20,7 @@
 const LEAST_GAIN_MS: f64 = 25.0;
 
 /// How much worse it is to have no worker than to have one that is full.
-const MISSING_WEIGHT: f64 = 3.0;
+const MISSING_WEIGHT: f64 = 8.0;
 
 /// Time for which a gain is counted, in seconds.
 const HORIZON_S: f64 = 14.0;
