--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -35,13 +35,13 @@
 const BUSY_WEIGHT: f64 = 0.25;
 
 /// Demand that models behind the busy ones are given, as a share of a busy one's.
-const AHEAD_SHARE: f64 = 0.35;
+const AHEAD_SHARE: f64 = 0.6;
 
 /// Models behind the busy ones that are given demand ahead of time.
-const AHEAD_COUNT: usize = 2;
+const AHEAD_COUNT: usize = 3;
 
 /// Share of the demand from which a model counts as busy.
-const BUSY_SHARE: f64 = 0.06;
+const BUSY_SHARE: f64 = 0.1;
 
 /// What the plan needs to know of a model.
 #[derive(Clone, Copy, Debug, PartialEq)]
