--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -5,9 +5,9 @@
 //! while `u` is below one, and as `d (2 u - 1)` above, where queues grow; a model
 //! that no worker holds has all of its demand served badly, several times over.
 //! Each order is the one that takes most off the sum, less what a model that
-//! makes way adds to it, and less what the time of the load costs. Models that
-//! stand right behind the busy ones in the declared list get a part of their
-//! demand ahead of time.
+//! makes way adds to it, and less what the time of the load costs. Demand moves
+//! on along the declared list: the models right behind a busy one get a part of
+//! its demand ahead of time.
 
 use std::collections::HashMap;
 
@@ -34,10 +34,10 @@
 /// What the demand already on a worker weighs against an order for it.
 const BUSY_WEIGHT: f64 = 0.25;
 
-/// Demand that models behind the busy ones are given, as a share of a busy one's.
+/// Demand that models behind a busy one are given, as a share of its own.
 const AHEAD_SHARE: f64 = 0.6;
 
-/// Models behind the busy ones that are given demand ahead of time.
+/// Models behind a busy one that are given demand ahead of time.
 const AHEAD_COUNT: usize = 3;
 
 /// Share of the demand from which a model counts as busy.
@@ -141,17 +141,18 @@
             }
         }
         let total: f64 = by_model.iter().sum();
-        let busy: Vec<usize> = (0..by_model.len())
-            .filter(|model| total > 0.0 && by_model[*model] >= BUSY_SHARE * total)
-            .collect();
-        let Some(last) = busy.last().copied() else {
-            return by_model;
-        };
-        let ahead = AHEAD_SHARE * total / busy.len() as f64;
-        for model in last + 1..(last + 1 + AHEAD_COUNT).min(by_model.len()) {
-            by_model[model] = by_model[model].max(ahead);
+        let is_busy = |demand: f64| total > 0.0 && demand >= BUSY_SHARE * total;
+        let mut expected = by_model.clone();
+        for (model, demand) in by_model
+            .iter()
+            .enumerate()
+            .filter(|(_, own)| is_busy(**own))
+        {
+            for next in expected.iter_mut().skip(model + 1).take(AHEAD_COUNT) {
+                *next = next.max(AHEAD_SHARE * demand);
+            }
         }
-        by_model
+        expected
     }
 
     /// Finds the load, or the unload that makes room for one, that brings most.
