--- /dev/null
+++ b/crates/cranereach-fleet/tests/placing.rs
@@ -0,0 +1,147 @@
+//! What the plan orders: tables of small fleets.
+
+use std::collections::HashMap;
+
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::placement::ModelSize;
+use cranereach_fleet::placement::Order;
+use cranereach_fleet::placement::Place;
+use cranereach_fleet::placement::Plan;
+use cranereach_fleet::placement::Planned;
+use cranereach_fleet::placement::WorkerView;
+
+fn place(model: u16) -> Place {
+    Place {
+        model,
+        ..Place::default()
+    }
+}
+
+fn coming(model: u16) -> Place {
+    Place {
+        model,
+        is_coming: true,
+        ..Place::default()
+    }
+}
+
+fn worker(places: &[Place]) -> WorkerView {
+    WorkerView {
+        places: places.to_vec(),
+        is_free: true,
+        is_serving: true,
+        copies: Vec::new(),
+    }
+}
+
+/// Plans for models of 100 MB with one adapter each, on workers of 210 MB.
+fn next(workers: &[WorkerView], demand: &[(ModelKey, f64)], may_load: bool) -> Option<Planned> {
+    let models = vec![
+        ModelSize {
+            weights_mb: 100.0,
+            adapter_mb: 1.0,
+            adapter_count: 4,
+            load_s: 8.0,
+        };
+        8
+    ];
+    let demand: HashMap<ModelKey, f64> = demand.iter().copied().collect();
+    let plan = Plan {
+        models: &models,
+        weights_mb: 210.0,
+        adapter_slot_count: 2,
+        demand: &demand,
+        workers,
+    };
+    plan.next(may_load)
+}
+
+#[test]
+fn a_model_that_nobody_holds_is_loaded_where_there_is_room() {
+    let workers = [worker(&[place(0), place(1)]), worker(&[place(0)])];
+    let planned = next(&workers, &[((3, 0), 100.0)], true).unwrap();
+    assert_eq!((planned.worker, planned.order), (1, Order::Load(3)));
+    assert!(planned.is_from_store);
+    assert_eq!(
+        next(&workers, &[((3, 0), 100.0)], false),
+        None,
+        "no load is allowed"
+    );
+}
+
+#[test]
+fn a_copy_goes_before_the_weight_store() {
+    let mut with_copy = worker(&[place(0)]);
+    with_copy.copies = vec![3];
+    let workers = [worker(&[]), with_copy];
+    let planned = next(&workers, &[((3, 0), 500.0)], false).unwrap();
+    assert_eq!((planned.worker, planned.order), (1, Order::Load(3)));
+    assert!(!planned.is_from_store);
+}
+
+#[test]
+fn a_busy_model_spreads_and_a_cold_one_makes_way() {
+    let workers = [worker(&[place(0), place(1)]), worker(&[place(2), place(3)])];
+    let demand = [((0, 0), 4_000.0), ((2, 0), 500.0), ((3, 0), 1.0)];
+    let planned = next(&workers, &demand, true).unwrap();
+    assert_eq!((planned.worker, planned.order), (1, Order::Unload(3)));
+}
+
+#[test]
+fn the_last_ready_replica_stays_while_another_loads() {
+    // Found on a day of high load: the one ready replica was unloaded because
+    // a second one, seconds from being ready, counted as much.
+    let workers = [
+        worker(&[place(0), place(1)]),
+        worker(&[coming(0), place(2)]),
+        worker(&[place(3), place(4)]),
+    ];
+    let demand = [((0, 0), 900.0), ((1, 0), 900.0), ((5, 0), 3_000.0)];
+    let planned = next(&workers, &demand, true).unwrap();
+    assert_ne!(planned.order, Order::Unload(0));
+    assert_ne!(planned.order, Order::Unload(1));
+}
+
+#[test]
+fn without_demand_nothing_moves() {
+    let workers = [worker(&[place(0), place(1)]), worker(&[place(2)])];
+    assert_eq!(next(&workers, &[], true), None);
+}
+
+#[test]
+fn an_adapter_goes_to_a_ready_replica_with_a_free_slot() {
+    let full = Place {
+        model: 0,
+        adapters: vec![1, 2],
+        ..Place::default()
+    };
+    let workers = [
+        worker(&[full.clone()]),
+        worker(&[coming(0)]),
+        worker(&[place(0)]),
+    ];
+    let planned = next(&workers, &[((0, 3), 10.0)], true).unwrap();
+    assert_eq!(
+        (planned.worker, planned.order),
+        (2, Order::LoadAdapter((0, 3)))
+    );
+    // Where all slots are taken, the least wanted makes way.
+    let demand = [((0, 3), 10.0), ((0, 1), 9.0), ((0, 2), 0.1)];
+    let planned = next(&[worker(&[full])], &demand, true).unwrap();
+    assert_eq!(planned.order, Order::UnloadAdapter((0, 2)));
+}
+
+#[test]
+fn an_adapter_that_the_model_lacks_is_never_ordered() {
+    let workers = [worker(&[place(0)])];
+    assert_eq!(next(&workers, &[((0, 9), 10.0)], false), None);
+}
+
+#[test]
+fn workers_that_are_busy_or_leave_get_no_order() {
+    let mut busy = worker(&[]);
+    busy.is_free = false;
+    let mut leaving = worker(&[]);
+    leaving.is_serving = false;
+    assert_eq!(next(&[busy, leaving], &[((1, 0), 900.0)], true), None);
+}
--- /dev/null
+++ b/crates/cranereach-fleet/tests/repeats.rs
@@ -0,0 +1,41 @@
+//! The bound of repeats over all instances together.
+
+use cranereach_fleet::retry_window::RetryWindow;
+use proptest::prelude::ProptestConfig;
+use proptest::proptest;
+
+const RATIO: f64 = 0.2;
+const ALLOWANCE: f64 = 52.0;
+const WINDOW_MS: u64 = 10_000;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+    #[test]
+    fn all_instances_stay_within_the_bound_in_every_window(
+        events in proptest::collection::vec((0_usize..4, 0_u64..400, 0_u8..3), 1..600)
+    ) {
+        let mut windows = vec![RetryWindow::new(RATIO, ALLOWANCE, WINDOW_MS); 4];
+        let mut now_ms = 0;
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (instance, pause_ms, kind) in events {
+            now_ms += pause_ms;
+            if kind == 0 {
+                windows[instance].request(now_ms);
+                requests.push(now_ms);
+            } else if windows[instance].spend(now_ms, 4) {
+                repeats.push(now_ms);
+            }
+        }
+        for end_ms in repeats.iter().copied() {
+            let from_ms = end_ms.saturating_sub(WINDOW_MS);
+            let within = |times: &[u64], from_ms: u64| {
+                times.iter().filter(|at_ms| (from_ms..=end_ms).contains(at_ms)).count() as f64
+            };
+            // Requests count in the window or the one before it.
+            let asked = within(&requests, from_ms.saturating_sub(WINDOW_MS));
+            let allowed = RATIO * asked + ALLOWANCE;
+            assert!(within(&repeats, from_ms) <= allowed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -0,0 +1,192 @@
+//! The list of workers and the choice of one.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use cranereach_fleet::prefixes::chain;
+use cranereach_fleet::roster::NoWorker;
+use cranereach_fleet::roster::Roster;
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::worker::HeldModel;
+use cranereach_fleet::worker::Load;
+use cranereach_fleet::worker::Wanted;
+use cranereach_fleet::worker::WorkerRecord;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn record(id: &str, models: &[(&str, &[&str])]) -> WorkerRecord {
+    WorkerRecord {
+        id: Arc::from(id),
+        service: Arc::from("s"),
+        address: format!("{id}:1"),
+        zone: Arc::from("z"),
+        slot_count: 8,
+        is_leaving: false,
+        models: models
+            .iter()
+            .map(|(name, adapters)| HeldModel {
+                name: Arc::from(*name),
+                adapters: adapters.iter().map(|adapter| Arc::from(*adapter)).collect(),
+            })
+            .collect(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn wanted<'a>(model: Option<(&'a str, Option<&'a str>)>) -> Wanted<'a> {
+    Wanted {
+        service: "s",
+        model,
+        parts: &[],
+        prompt_tokens: 1_000,
+        token_ms: 0.05,
+        held_tokens: 1_100,
+        zone: "z",
+        tried: &[],
+    }
+}
+
+fn choose(roster: &Roster, now_ms: u64, wanted: &Wanted<'_>) -> Result<String, NoWorker> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let choice = roster.choose(now_ms, wanted, None, &mut rng);
+    choice.map(|choice| choice.id.to_string())
+}
+
+#[test]
+fn the_newest_row_wins_whoever_brings_it() {
+    let mut roster = Roster::default();
+    assert!(roster.put(5, record("a", &[])));
+    let mut leaving = record("a", &[]);
+    leaving.is_leaving = true;
+    assert!(
+        !roster.put(4, leaving.clone()),
+        "an older row changes nothing"
+    );
+    assert!(roster.put(6, leaving));
+    assert!(!roster.remove(5, "a"), "an older end changes nothing");
+    assert!(roster.remove(7, "a"));
+    assert!(
+        !roster.put(7, record("a", &[])),
+        "the end was at that version"
+    );
+    assert!(roster.put(8, record("a", &[])), "it is listed again");
+}
+
+#[test]
+fn a_list_that_is_behind_removes_nothing_newer() {
+    let mut roster = Roster::default();
+    roster.put(5, record("old", &[]));
+    roster.put(9, record("new", &[]));
+    let gone = roster.replace(7, Vec::new());
+    assert_eq!(gone, [Arc::from("old")]);
+    assert!(roster.get("new").is_some());
+}
+
+#[test]
+fn a_worker_that_a_peer_saw_leave_gets_nothing() {
+    let mut roster = Roster::default();
+    roster.put(5, record("a", &[]));
+    assert!(!roster.leaves(5, worker_key("a")), "the own row is as new");
+    assert!(roster.leaves(6, worker_key("a")));
+    assert_eq!(choose(&roster, 0, &wanted(None)), Err(NoWorker::None));
+    // A newer row that says it is ready counts again.
+    roster.put(7, record("a", &[]));
+    assert_eq!(choose(&roster, 0, &wanted(None)).as_deref(), Ok("a"));
+}
+
+#[test]
+fn a_request_goes_where_its_model_and_adapter_are() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[("m1", &[])]));
+    roster.put(2, record("b", &[("m2", &["a1"])]));
+    let table = [
+        (Some(("m1", None)), Ok("a")),
+        (Some(("m2", None)), Ok("b")),
+        (Some(("m2", Some("a1"))), Ok("b")),
+        (Some(("m2", Some("a2"))), Err(NoWorker::NoAdapter)),
+        (Some(("m1", Some("a1"))), Err(NoWorker::NoAdapter)),
+        (Some(("m3", None)), Err(NoWorker::NoModel)),
+    ];
+    for (model, expected) in table {
+        let chosen = choose(&roster, 0, &wanted(model));
+        assert_eq!(chosen.as_deref().map_err(|why| *why), expected, "{model:?}");
+    }
+    roster.get_mut("b").unwrap().told_adapter(0, "m2", "a2");
+    assert_eq!(
+        choose(&roster, 1, &wanted(Some(("m2", Some("a2"))))).as_deref(),
+        Ok("b")
+    );
+    roster.get_mut("b").unwrap().lacks(2, "m2", Some("a2"));
+    assert_matches!(
+        choose(&roster, 3, &wanted(Some(("m2", Some("a2"))))),
+        Err(NoWorker::NoAdapter)
+    );
+    roster
+        .get_mut("b")
+        .unwrap()
+        .withhold([Arc::from("m2")].into());
+    assert_matches!(
+        choose(&roster, 4, &wanted(Some(("m2", None)))),
+        Err(NoWorker::NoModel)
+    );
+}
+
+#[test]
+fn load_here_and_at_peers_sends_requests_elsewhere() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[("m", &[])]));
+    roster.put(2, record("b", &[("m", &[])]));
+    let request = wanted(Some(("m", None)));
+    roster.get_mut("a").unwrap().began(0, &request, 50.0);
+    assert_eq!(choose(&roster, 0, &request).as_deref(), Ok("b"));
+    let load = Load {
+        open_count: 30,
+        unread_ms: 900.0,
+        held_tokens: 9_000.0,
+    };
+    roster.peer_loads(0, 7, &[(worker_key("b"), load)]);
+    assert_eq!(choose(&roster, 1, &request).as_deref(), Ok("a"));
+    // A peer that has fallen silent no longer counts, nor one that names nothing.
+    assert_eq!(choose(&roster, 10_000, &request).as_deref(), Ok("b"));
+    roster.peer_loads(2, 7, &[]);
+    assert_eq!(choose(&roster, 3, &request).as_deref(), Ok("b"));
+    let worker = roster.get_mut("a").unwrap();
+    worker.read(50.0);
+    worker.ended(1_100);
+    assert_eq!(worker.load(4), Load::default());
+}
+
+#[test]
+fn a_failing_worker_is_left_alone_and_tried_again() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[]));
+    roster.put(2, record("b", &[]));
+    for now_ms in 0..3 {
+        roster.get_mut("a").unwrap().health.failed(now_ms);
+    }
+    assert!(roster.get("a").unwrap().health.is_aside(100));
+    assert_eq!(choose(&roster, 100, &wanted(None)).as_deref(), Ok("b"));
+    assert!(!roster.get("a").unwrap().health.is_aside(20_000));
+    // Alone, it is better than none.
+    roster.remove(3, "b");
+    assert_eq!(choose(&roster, 100, &wanted(None)).as_deref(), Ok("a"));
+}
+
+#[test]
+fn a_prompt_goes_where_its_parts_were_read() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[("m", &[])]));
+    roster.put(2, record("b", &[("m", &[])]));
+    let parts = chain("m", &[("shared", 600), ("own", 400)]);
+    let mut request = wanted(Some(("m", None)));
+    request.parts = &parts;
+    let worker = roster.get_mut("b").unwrap();
+    worker.began(0, &request, 50.0);
+    worker.read(50.0);
+    worker.ended(1_100);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let choice = roster.choose(1, &request, None, &mut rng).unwrap();
+    assert_eq!((choice.id.as_ref(), choice.unread_tokens), ("b", 0));
+    assert!(choice.is_first);
+}
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -21,7 +21,7 @@
 const WAIT_MS: u64 = 1_500;
 
 /// Least time between two reads, in milliseconds.
-const READ_EVERY_MS: u64 = 450;
+const READ_EVERY_MS: u64 = 900;
 
 /// Time for which peers are told of a worker that leaves, in milliseconds.
 const TOLD_FOR_MS: u64 = 4_000;
