--- a/crates/cranereach-fleet/tests/placing.rs
+++ b/crates/cranereach-fleet/tests/placing.rs
@@ -81,8 +81,8 @@
 
 #[test]
 fn a_busy_model_spreads_and_a_cold_one_makes_way() {
-    let workers = [worker(&[place(0), place(1)]), worker(&[place(2), place(3)])];
-    let demand = [((0, 0), 4_000.0), ((2, 0), 500.0), ((3, 0), 1.0)];
+    let workers = [worker(&[place(7), place(1)]), worker(&[place(2), place(3)])];
+    let demand = [((7, 0), 4_000.0), ((2, 0), 400.0), ((3, 0), 1.0)];
     let planned = next(&workers, &demand, true).unwrap();
     assert_eq!((planned.worker, planned.order), (1, Order::Unload(3)));
 }
@@ -92,14 +92,18 @@
     // Found on a day of high load: the one ready replica was unloaded because
     // a second one, seconds from being ready, counted as much.
     let workers = [
-        worker(&[place(0), place(1)]),
-        worker(&[coming(0), place(2)]),
+        worker(&[place(7), place(1)]),
+        worker(&[coming(7), place(2)]),
         worker(&[place(3), place(4)]),
     ];
-    let demand = [((0, 0), 900.0), ((1, 0), 900.0), ((5, 0), 3_000.0)];
-    let planned = next(&workers, &demand, true).unwrap();
-    assert_ne!(planned.order, Order::Unload(0));
-    assert_ne!(planned.order, Order::Unload(1));
+    let mut demand: Vec<_> = [1, 2, 3, 4, 7].map(|model| ((model, 0), 900.0)).to_vec();
+    demand.push(((0, 0), 3_000.0));
+    assert_eq!(next(&workers, &demand, true), None);
+    // Once it is ready, one of the two may go.
+    let mut loaded = workers;
+    loaded[1].places[0].is_coming = false;
+    let planned = next(&loaded, &demand, true).unwrap();
+    assert_eq!(planned.order, Order::Unload(7));
 }
 
 #[test]
