--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
 //! is known of every [`worker`] and picks one; it builds on [`health`], [`pace`]
 //! and [`prefixes`]. [`retry_window`] bounds repeats. [`tenure`] says whether this
-//! instance may order workers, [`placement`] what it should order, and [`ledger`] which orders
+//! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
 //! are open.
 //!
 //! ```
@@ -19,6 +19,7 @@
 pub mod pace;
 pub mod placement;
 pub mod prefixes;
+pub mod pressure;
 pub mod retry_window;
 pub mod roster;
 pub mod tenure;
--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -1,17 +1,13 @@
 //! What each worker should hold: which load or unload comes next.
 //!
-//! A model with demand `d` (workers' time asked for, per second) on `r` workers
-//! uses the share `u = d / r` of each. What is served badly is taken as `d u^2`
-//! while `u` is below one, and as `d (2 u - 1)` above, where queues grow; a model
-//! that no worker holds has all of its demand served badly, several times over.
-//! Each order is the one that takes most off the sum, less what a model that
-//! makes way adds to it, and less what the time of the load costs. Demand moves
-//! on along the declared list: the models right behind a busy one get a part of
-//! its demand ahead of time.
+//! Each order is the one that takes most off what is served badly, as
+//! [`crate::pressure`] sees it, less what a model that makes way adds, and less
+//! what the time of the load costs.
 
 use std::collections::HashMap;
 
 use crate::demand::ModelKey;
+use crate::pressure::Pressure;
 
 /// How much more a swap must bring than it costs.
 const SWAP_GAIN: f64 = 1.6;
@@ -19,30 +15,15 @@
 /// Least gain of an order, in milliseconds of workers' time per second.
 const LEAST_GAIN_MS: f64 = 25.0;
 
-/// How much worse it is to have no worker than to have one that is full.
-const MISSING_WEIGHT: f64 = 8.0;
-
 /// Time for which a gain is counted, in seconds.
 const HORIZON_S: f64 = 14.0;
 
 /// Time of a load from a copy that the worker has, in seconds.
 const COPY_LOAD_S: f64 = 2.0;
 
-/// Workers' time that one worker gives, in milliseconds per second.
-const WORKER_MS: f64 = 1_000.0;
-
 /// What the demand already on a worker weighs against an order for it.
 const BUSY_WEIGHT: f64 = 0.25;
 
-/// Demand that models behind a busy one are given, as a share of its own.
-const AHEAD_SHARE: f64 = 0.6;
-
-/// Models behind a busy one that are given demand ahead of time.
-const AHEAD_COUNT: usize = 3;
-
-/// Share of the demand from which a model counts as busy.
-const BUSY_SHARE: f64 = 0.1;
-
 /// What the plan needs to know of a model.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ModelSize {
@@ -124,46 +105,15 @@
 impl Plan<'_> {
     /// Returns the order that brings most of those that can be sent now.
     pub fn next(&self, may_load_from_store: bool) -> Option<Planned> {
-        let by_model = self.expected_demand();
-        let replicas: Vec<usize> = (0..self.models.len())
-            .map(|model| self.replica_count(model))
-            .collect();
+        let pressure = Pressure::of(self.models.len(), self.demand, self.workers);
         self.missing_adapter()
-            .or_else(|| self.best(&by_model, &replicas, may_load_from_store))
-    }
-
-    /// Returns the demand per model, with what is expected to come.
-    pub fn expected_demand(&self) -> Vec<f64> {
-        let mut by_model = vec![0.0; self.models.len()];
-        for ((model, _adapter), rate) in self.demand {
-            if let Some(sum) = by_model.get_mut(usize::from(*model)) {
-                *sum += rate;
-            }
-        }
-        let total: f64 = by_model.iter().sum();
-        let is_busy = |demand: f64| total > 0.0 && demand >= BUSY_SHARE * total;
-        let mut expected = by_model.clone();
-        for (model, demand) in by_model
-            .iter()
-            .enumerate()
-            .filter(|(_, own)| is_busy(**own))
-        {
-            for next in expected.iter_mut().skip(model + 1).take(AHEAD_COUNT) {
-                *next = next.max(AHEAD_SHARE * demand);
-            }
-        }
-        expected
+            .or_else(|| self.best(&pressure, may_load_from_store))
     }
 
     /// Finds the load, or the unload that makes room for one, that brings most.
-    fn best(
-        &self,
-        by_model: &[f64],
-        replicas: &[usize],
-        may_load_from_store: bool,
-    ) -> Option<Planned> {
+    fn best(&self, pressure: &Pressure, may_load_from_store: bool) -> Option<Planned> {
         let wanted: Vec<(usize, f64)> = (0..self.models.len())
-            .map(|model| (model, self.gain(model, by_model, replicas)))
+            .map(|model| (model, pressure.gain(model)))
             .filter(|(_, gain)| *gain > LEAST_GAIN_MS)
             .collect();
         let going_count = self
@@ -177,7 +127,7 @@
             if !worker.is_free || !worker.is_serving || is_going(worker) {
                 continue;
             }
-            let busy = BUSY_WEIGHT * self.worker_demand(worker, by_model, replicas);
+            let busy = BUSY_WEIGHT * pressure.on_worker(worker);
             let used_mb = self.used_mb(worker);
             for (model, gain) in &wanted {
                 let is_copy = has_copy(worker, *model);
@@ -189,7 +139,7 @@
                 let found = if has_room {
                     Some((gain - busy, Order::Load(*model as u16)))
                 } else if may_swap {
-                    let cheapest = self.cheapest(worker, by_model, replicas);
+                    let cheapest = self.cheapest(worker, pressure);
                     cheapest
                         .map(|(loss, model)| (gain / SWAP_GAIN - loss - busy, Order::Unload(model)))
                 } else {
@@ -223,19 +173,12 @@
     }
 
     /// Finds the model on a worker whose unload costs least.
-    fn cheapest(
-        &self,
-        worker: &WorkerView,
-        by_model: &[f64],
-        replicas: &[usize],
-    ) -> Option<(f64, u16)> {
+    fn cheapest(&self, worker: &WorkerView, pressure: &Pressure) -> Option<(f64, u16)> {
         let ready = worker.places.iter().filter(|place| !place.is_coming);
         let losses = ready.map(|place| {
             let model = usize::from(place.model);
             // A replica that is still loading serves nobody yet.
-            let count = self.ready_count(model).min(replicas[model]);
-            let after = badly_served(by_model[model], count.saturating_sub(1));
-            (after - badly_served(by_model[model], count), place.model)
+            (pressure.loss(model, self.ready_count(model)), place.model)
         });
         losses.min_by(|left, right| left.0.total_cmp(&right.0))
     }
@@ -312,34 +255,6 @@
         ready.count()
     }
 
-    /// Counts the workers that serve a model or load it.
-    fn replica_count(&self, model: usize) -> usize {
-        let serving = self.workers.iter().filter(|worker| worker.is_serving);
-        serving
-            .filter(|worker| {
-                let mut places = worker.places.iter();
-                places.any(|place| usize::from(place.model) == model && !place.is_going)
-            })
-            .count()
-    }
-
-    /// Returns what one more replica of a model brings.
-    fn gain(&self, model: usize, by_model: &[f64], replicas: &[usize]) -> f64 {
-        let demand = by_model[model];
-        badly_served(demand, replicas[model]) - badly_served(demand, replicas[model] + 1)
-    }
-
-    /// Returns the demand that falls on a worker.
-    fn worker_demand(&self, worker: &WorkerView, by_model: &[f64], replicas: &[usize]) -> f64 {
-        let places = worker.places.iter().filter(|place| !place.is_going);
-        places
-            .map(|place| {
-                let model = usize::from(place.model);
-                by_model[model] / replicas[model].max(1) as f64
-            })
-            .sum()
-    }
-
     /// Returns the memory that counts as used, in megabytes.
     fn used_mb(&self, worker: &WorkerView) -> f64 {
         let places = worker.places.iter();
@@ -352,19 +267,6 @@
     }
 }
 
-/// Returns how much of a demand is served badly by a number of replicas.
-fn badly_served(demand: f64, replica_count: usize) -> f64 {
-    if replica_count == 0 {
-        return MISSING_WEIGHT * demand;
-    }
-    let share = demand / replica_count as f64 / WORKER_MS;
-    if share < 1.0 {
-        demand * share * share
-    } else {
-        demand * (2.0 * share - 1.0)
-    }
-}
-
 /// Whether a worker is unloading a model.
 fn is_going(worker: &WorkerView) -> bool {
     worker.places.iter().any(|place| place.is_going)
--- a/crates/cranereach-fleet/tests/lease.rs
+++ b/crates/cranereach-fleet/tests/lease.rs
@@ -3,13 +3,14 @@
 //! A world of machines and one row runs in random order. What must hold: two
 //! machines never order within the pause, and tokens only grow.
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use cranereach_fleet::tenure::LeaseRow;
 use cranereach_fleet::tenure::Step;
 use cranereach_fleet::tenure::TERM_MS;
 use cranereach_fleet::tenure::Tenure;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 const PAUSE_MS: u64 = 3_000;
 const MACHINE_COUNT: usize = 4;
@@ -134,22 +135,14 @@
                 continue;
             };
             if let Some((other, at_ms, other_token)) = last_order {
-                if other != machine {
-                    hand_overs += 1;
-                    assert!(
-                        now_ms > at_ms + PAUSE_MS,
-                        "seed {seed}: turns within the pause at {now_ms}"
-                    );
-                    assert!(
-                        token > other_token,
-                        "seed {seed}: token {token} after {other_token}"
-                    );
-                } else {
-                    assert!(
-                        token >= other_token,
-                        "seed {seed}: token {token} after {other_token}"
-                    );
-                }
+                let is_same = other == machine;
+                hand_overs += u32::from(!is_same);
+                assert!(
+                    is_same || now_ms > at_ms + PAUSE_MS,
+                    "seed {seed}: turns within the pause at {now_ms}"
+                );
+                let grows = token > other_token || (is_same && token == other_token);
+                assert!(grows, "seed {seed}: token {token} after {other_token}");
             }
             last_order = Some((machine, now_ms, token));
         }
--- a/crates/cranereach-fleet/tests/orders.rs
+++ b/crates/cranereach-fleet/tests/orders.rs
@@ -6,6 +6,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::ledger::OpenOrder;
@@ -16,9 +20,6 @@
 use cranereach_fleet::placement::Order;
 use cranereach_fleet::placement::Place;
 use cranereach_fleet::placement::Plan;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 const WORKER_COUNT: usize = 4;
 const MODEL_COUNT: usize = 9;
--- a/crates/cranereach-fleet/tests/placing.rs
+++ b/crates/cranereach-fleet/tests/placing.rs
@@ -120,7 +120,7 @@
         ..Place::default()
     };
     let workers = [
-        worker(&[full.clone()]),
+        worker(std::slice::from_ref(&full)),
         worker(&[coming(0)]),
         worker(&[place(0)]),
     ];
--- a/crates/cranereach-fleet/tests/repeats.rs
+++ b/crates/cranereach-fleet/tests/repeats.rs
@@ -1,9 +1,10 @@
 //! The bound of repeats over all instances together.
 
-use cranereach_fleet::retry_window::RetryWindow;
 use proptest::prelude::ProptestConfig;
 use proptest::proptest;
 
+use cranereach_fleet::retry_window::RetryWindow;
+
 const RATIO: f64 = 0.2;
 const ALLOWANCE: f64 = 52.0;
 const WINDOW_MS: u64 = 10_000;
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::prefixes::chain;
 use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
@@ -11,8 +15,6 @@
 use cranereach_fleet::worker::Load;
 use cranereach_fleet::worker::Wanted;
 use cranereach_fleet::worker::WorkerRecord;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 fn record(id: &str, models: &[(&str, &[&str])]) -> WorkerRecord {
     WorkerRecord {
@@ -186,7 +188,15 @@
     worker.read(50.0);
     worker.ended(1_100);
     let mut rng = SmallRng::seed_from_u64(3);
-    let choice = roster.choose(1, &request, None, &mut rng).unwrap();
+    let engine = Engine {
+        slot_count: 8,
+        kv_tokens: 100_000,
+        weights_mb: 100.0,
+        adapter_slot_count: 0,
+        loads_per_s: 1.0,
+        models: Vec::new(),
+    };
+    let choice = roster.choose(1, &request, Some(&engine), &mut rng).unwrap();
     assert_eq!((choice.id.as_ref(), choice.unread_tokens), ("b", 0));
     assert!(choice.is_first);
 }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -8,6 +8,7 @@
 use crate::exit::Exit;
 use cranereach_core::snapshot::KeyHash;
 use cranereach_entry::settings::Settings;
+use cranereach_gateway::settings::Settings as GatewaySettings;
 
 /// Options of `check`.
 #[derive(Debug, Options)]
@@ -18,6 +19,8 @@
     folder: Option<PathBuf>,
     #[options(help = "settings file to check", meta = "FILE")]
     settings: Option<PathBuf>,
+    #[options(help = "settings file of a gateway to check", meta = "FILE")]
+    gateway_settings: Option<PathBuf>,
     #[options(help = "print the hash of a bearer key, for key_hashes", meta = "KEY")]
     hash_key: Option<String>,
     #[options(help = "print JSON")]
@@ -30,7 +33,8 @@
         println!("{}", blake3::Hash::from_bytes(KeyHash::of(key).0).to_hex());
         return Exit::Done;
     }
-    if options.folder.is_none() && options.settings.is_none() {
+    let has_settings = options.settings.is_some() || options.gateway_settings.is_some();
+    if options.folder.is_none() && !has_settings {
         eprintln!("{}", CheckArguments::usage());
         return Exit::Usage;
     }
@@ -40,6 +44,12 @@
         eprintln!("{error}");
         return Exit::Settings;
     }
+    if let Some(path) = &options.gateway_settings
+        && let Err(error) = GatewaySettings::read(path)
+    {
+        eprintln!("{error}");
+        return Exit::Settings;
+    }
     let Some(path) = &options.folder else {
         return Exit::Done;
     };
--- /dev/null
+++ b/tests/testsuite/gateway_settings.rs
@@ -0,0 +1,97 @@
+//! Settings of a gateway: the sample, the template, and what is said of faults.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+/// Returns a path from the project's root.
+fn root(path: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(path)
+}
+
+/// Checks a settings file.
+fn check(path: &Path) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_cranereach"))
+        .arg("check")
+        .arg("--gateway-settings")
+        .arg(path)
+        .output()
+        .unwrap()
+}
+
+/// Writes a settings file of its own for a test and checks it.
+fn check_text(name: &str, text: &str) -> Output {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("{name}.jsonc"));
+    fs::write(&path, text).unwrap();
+    check(&path)
+}
+
+/// Fills the template as the platform does, with figures of a test.
+fn filled() -> String {
+    let template = fs::read_to_string(root("deploy/settings.jsonc")).unwrap();
+    let gaps = [
+        ("{{nodeName|json}}", "\"edge-1\""),
+        ("{{zone|json}}", "\"a\""),
+        ("{{listen.frontend|json}}", "\"127.0.0.1:1\""),
+        ("{{listen.ready|json}}", "\"127.0.0.1:2\""),
+        ("{{ip}}", "127.0.0.1"),
+        ("{{internalPortRange.0}}", "3"),
+        ("{{internalPortRange.1}}", "4"),
+        ("{{platform.address|json}}", "\"127.0.0.1:5\""),
+        ("{{seedNodes|json}}", "[\"127.0.0.1:6\"]"),
+        ("{{bounds.graceS}}", "8.0"),
+        ("{{bounds.leaseMs}}", "3000"),
+        ("{{bounds.retryBudgetRatio}}", "0.2"),
+        ("{{bounds.retryBudgetAllowance}}", "52"),
+        ("{{bounds.budgetWindowS}}", "10"),
+    ];
+    let mut text = template;
+    for (gap, value) in gaps {
+        assert!(text.contains(gap), "the template has {gap}");
+        text = text.replace(gap, value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    text
+}
+
+#[test]
+fn the_sample_and_the_filled_template_are_accepted() {
+    let sample = check(&root("docs/settings.gateway.sample.jsonc"));
+    assert!(sample.status.success(), "{sample:?}");
+    let template = check_text("filled", &filled());
+    assert!(template.status.success(), "{template:?}");
+}
+
+#[test]
+fn faults_name_file_line_and_valid_choices() {
+    let table = [
+        ("\"failure_domain\"", "\"failure_domian\"", "failure_domian"),
+        ("\"users\"", "\"usres\"", "users"),
+        ("3000", "\"soon\"", "filled"),
+        ("\"127.0.0.1:1\"", "\"nowhere\"", "filled"),
+        ("{", "[", "filled"),
+    ];
+    for (number, (from, to, said)) in table.into_iter().enumerate() {
+        let text = filled().replacen(from, to, 1);
+        let output = check_text(&format!("filled-fault-{number}"), &text);
+        assert_eq!(output.status.code(), Some(3), "{to}");
+        let error = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(error.lines().count(), 1, "{error}");
+        assert!(error.contains(said), "{to}: {error}");
+        assert!(error.contains("filled-fault-"), "{error}");
+    }
+}
+
+#[test]
+fn a_gateway_without_usable_settings_says_why_and_ends() {
+    let output = Command::new(env!("CARGO_BIN_EXE_cranereach"))
+        .arg("gateway")
+        .env_remove("CRANEREACH_CONFIG")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("--settings"));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod docs;
 mod fixture;
 mod frozen;
+mod gateway_settings;
 mod harness;
 mod memory;
 mod overload;
