--- a/crates/cranereach-fleet/tests/orders.rs
+++ b/crates/cranereach-fleet/tests/orders.rs
@@ -42,7 +42,7 @@
 
 fn sizes() -> Vec<ModelSize> {
     let size = |model: usize| ModelSize {
-        weights_mb: if model % 2 == 0 { 65.0 } else { 72.0 },
+        weights_mb: if model.is_multiple_of(2) { 65.0 } else { 72.0 },
         adapter_mb: 2.0,
         adapter_count: 6,
         load_s: 1.0,
