--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -15,10 +15,10 @@
 use crate::placement::WorkerView;
 
 /// Time after which an order without an answer is sent again, in milliseconds.
-const RESEND_AFTER_MS: u64 = 300;
+const RESEND_AFTER_MS: u64 = 40;
 
 /// Times that an order is sent before a report is asked for.
-const SEND_MAX_COUNT: u32 = 3;
+const SEND_MAX_COUNT: u32 = 6;
 
 /// Time for which a worker that failed is left alone, in milliseconds.
 const ASIDE_FOR_MS: u64 = 1_000;
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -22,8 +22,11 @@
 use cranereach_http::client::CallError;
 use cranereach_http::client::JsonClient;
 
-/// Time for the answer to an order or a question, in milliseconds.
-const ANSWER_WITHIN_MS: u64 = 600;
+/// Time for the answer to an order, in milliseconds; sending it again is safe.
+const ORDER_WITHIN_MS: u64 = 250;
+
+/// Time for a report, in milliseconds.
+const REPORT_WITHIN_MS: u64 = 600;
 
 /// How an order or a question ended.
 #[derive(Clone, Debug)]
@@ -189,7 +192,7 @@
     let format = &node.adapter.engine;
     let body = Bytes::from((format.encode_order)(&order));
     let answer = client
-        .post_bytes(format.order_path, body, ANSWER_WITHIN_MS)
+        .post_bytes(format.order_path, body, ORDER_WITHIN_MS)
         .await;
     let end = match answer {
         Ok(answer) => match (format.parse_order)(answer.status) {
@@ -215,7 +218,7 @@
 async fn report(node: &Node, client: &JsonClient, service: &str) -> Option<WorkerState> {
     let format = &node.adapter.engine;
     let answer = client
-        .get(format.report_path, ANSWER_WITHIN_MS)
+        .get(format.report_path, REPORT_WITHIN_MS)
         .await
         .ok()?;
     if answer.status != 200 {
