--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -20,7 +20,7 @@
 const FIRST_BELOW_MS: f64 = 1.0;
 
 /// A worker that was chosen.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     /// Its identity.
     pub id: Arc<str>,
@@ -30,6 +30,8 @@
     pub unread_tokens: u32,
     /// Whether it has, as far as known, no other prompt to read before.
     pub is_first: bool,
+    /// Time until it will have read the prompt, in milliseconds, as predicted.
+    pub begins_in_ms: f64,
 }
 
 /// Why no worker was chosen; the one that came closest counts.
@@ -193,11 +195,14 @@
             }
         }
         let (_, worker, unread_tokens) = best.ok_or(why)?;
+        let load = worker.load(now_ms);
+        let queued_ms = load.ahead_ms(wanted.rank);
         Ok(Choice {
             id: Arc::clone(&worker.record.id),
             address: worker.record.address.clone(),
             unread_tokens,
-            is_first: worker.load(now_ms).unread_ms < FIRST_BELOW_MS,
+            is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS,
+            begins_in_ms: queued_ms + f64::from(unread_tokens) * wanted.token_ms,
         })
     }
 
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -34,6 +34,9 @@
 /// Time that a worker in another zone weighs more.
 const OTHER_ZONE_WEIGHS_MS: f64 = 2.0;
 
+/// Ranks of urgency that are told apart; all lower ones count as the last.
+pub const RANK_COUNT: usize = 3;
+
 /// A model on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldModel {
@@ -71,12 +74,21 @@
 pub struct Load {
     /// Requests that have not ended.
     pub open_count: u32,
-    /// Time that reading the prompts that aren't read yet takes, in milliseconds.
-    pub unread_ms: f64,
+    /// Time that reading the prompts that aren't read yet takes, in milliseconds,
+    /// by rank: workers begin the more urgent ones first.
+    pub unread_ms: [f64; RANK_COUNT],
     /// Tokens that the requests may come to hold.
     pub held_tokens: f64,
 }
 
+impl Load {
+    /// Returns the reading time of what a worker begins before a request of a rank.
+    pub fn ahead_ms(&self, rank: usize) -> f64 {
+        let last = rank.min(RANK_COUNT - 1);
+        self.unread_ms[..=last].iter().sum()
+    }
+}
+
 /// What a worker said of its load in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SaidLoad {
@@ -117,6 +129,8 @@
     pub prompt_tokens: u32,
     /// Time to read one token of the prompt, in milliseconds.
     pub token_ms: f64,
+    /// Rank of urgency, zero first.
+    pub rank: usize,
     /// Tokens of the prompt and of the longest answer.
     pub held_tokens: u32,
     /// Own failure domain.
@@ -145,14 +159,15 @@
     /// Notes a request that is sent to the worker.
     pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_ms: f64) {
         self.own.open_count += 1;
-        self.own.unread_ms += unread_ms;
+        self.own.unread_ms[wanted.rank.min(RANK_COUNT - 1)] += unread_ms;
         self.own.held_tokens += f64::from(wanted.held_tokens);
         self.kept.sent(now_ms, wanted.parts);
     }
 
     /// Notes that a request's prompt has been read.
-    pub fn read(&mut self, unread_ms: f64) {
-        self.own.unread_ms = (self.own.unread_ms - unread_ms).max(0.0);
+    pub fn read(&mut self, rank: usize, unread_ms: f64) {
+        let own_ms = &mut self.own.unread_ms[rank.min(RANK_COUNT - 1)];
+        *own_ms = (*own_ms - unread_ms).max(0.0);
     }
 
     /// Notes that a request has ended.
@@ -191,7 +206,9 @@
         for (at_ms, load) in self.peers.values() {
             if now_ms < at_ms + PEER_LOAD_WITHIN_MS {
                 all.open_count += load.open_count;
-                all.unread_ms += load.unread_ms;
+                for (sum_ms, peer_ms) in all.unread_ms.iter_mut().zip(load.unread_ms) {
+                    *sum_ms += peer_ms;
+                }
                 all.held_tokens += load.held_tokens;
             }
         }
@@ -258,7 +275,7 @@
             .min(wanted.prompt_tokens);
         let unread_tokens = wanted.prompt_tokens - kept_tokens;
         let mut cost = if let Some(engine) = engine {
-            let mut cost = load.unread_ms + f64::from(unread_tokens) * wanted.token_ms;
+            let mut cost = load.ahead_ms(wanted.rank) + f64::from(unread_tokens) * wanted.token_ms;
             cost += f64::from(open_count) * RUNNING_WEIGHS_MS;
             cost += f64::from(said.1) * WAITING_WEIGHS_MS;
             let room_tokens = engine.kv_tokens as f64 * 0.9;
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -43,6 +43,7 @@
         parts: &[],
         prompt_tokens: 1_000,
         token_ms: 0.05,
+        rank: 1,
         held_tokens: 1_100,
         zone: "z",
         tried: &[],
@@ -144,7 +145,7 @@
     assert_eq!(choose(&roster, 0, &request).as_deref(), Ok("b"));
     let load = Load {
         open_count: 30,
-        unread_ms: 900.0,
+        unread_ms: [0.0, 900.0, 0.0],
         held_tokens: 9_000.0,
     };
     roster.peer_loads(0, 7, &[(worker_key("b"), load)]);
@@ -154,7 +155,7 @@
     roster.peer_loads(2, 7, &[]);
     assert_eq!(choose(&roster, 3, &request).as_deref(), Ok("b"));
     let worker = roster.get_mut("a").unwrap();
-    worker.read(50.0);
+    worker.read(1, 50.0);
     worker.ended(1_100);
     assert_eq!(worker.load(4), Load::default());
 }
@@ -185,7 +186,7 @@
     request.parts = &parts;
     let worker = roster.get_mut("b").unwrap();
     worker.began(0, &request, 50.0);
-    worker.read(50.0);
+    worker.read(1, 50.0);
     worker.ended(1_100);
     let mut rng = SmallRng::seed_from_u64(3);
     let engine = Engine {
@@ -200,3 +201,21 @@
     assert_eq!((choice.id.as_ref(), choice.unread_tokens), ("b", 0));
     assert!(choice.is_first);
 }
+
+#[test]
+fn an_urgent_request_waits_for_urgent_ones_alone() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[("m", &[])]));
+    let mut request = wanted(Some(("m", None)));
+    request.rank = 2;
+    roster.get_mut("a").unwrap().began(0, &request, 400.0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut begins_in_ms = |rank: usize| {
+        let request = Wanted { rank, ..request };
+        let choice = roster.choose(0, &request, None, &mut rng).unwrap();
+        choice.begins_in_ms
+    };
+    assert!(begins_in_ms(0) < 100.0);
+    assert!(begins_in_ms(2) > 400.0);
+    assert!(begins_in_ms(7) > 400.0, "lower ranks count as the last");
+}
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -44,6 +44,9 @@
 /// Share of the aim for which a call waits for its model or adapter.
 const WAIT_SHARE: f64 = 0.22;
 
+/// Share of the aim up to which a call is offered, by the time predicted until it begins.
+const LATE_SHARE: f64 = 1.3;
+
 /// Longest pause between two looks for a worker, in milliseconds.
 const LOOK_EVERY_MS: u64 = 40;
 
@@ -177,7 +180,7 @@
                 .roster()
                 .choose(now_ms, &wanted, engine, &mut rand::rng());
             let why = match chosen {
-                Ok(choice) => return Ok(choice),
+                Ok(choice) => return self.admit(choice),
                 Err(why) => why,
             };
             if !has_asked {
@@ -202,6 +205,18 @@
         }
     }
 
+    /// Refuses a call that would begin so late that coming back is better.
+    fn admit(&self, choice: Choice) -> Result<Choice, Refusal> {
+        let aim_ms = self.call.route.aim_ms as f64;
+        if choice.begins_in_ms <= aim_ms * LATE_SHARE || self.may_have_run {
+            return Ok(choice);
+        }
+        let detail = format!("begins in {:.0} ms", choice.begins_in_ms);
+        let mut refusal = self.refusal(ResultCode::DeadlineUnreachable, &detail);
+        refusal.retry_after_ms = (choice.begins_in_ms - aim_ms / 2.0) as u64;
+        Err(refusal)
+    }
+
     /// Returns what the call wants of a worker.
     fn wanted(&self) -> Wanted<'_> {
         Wanted {
@@ -210,6 +225,7 @@
             parts: &self.call.parts,
             prompt_tokens: self.call.prompt_tokens,
             token_ms: token_ms(self.node, self.call),
+            rank: usize::from(self.call.route.priority),
             held_tokens: self.call.held_tokens,
             zone: &self.node.settings.instance.failure_domain,
             tried: &self.tried,
--- a/crates/cranereach-gateway/src/forward/open.rs
+++ b/crates/cranereach-gateway/src/forward/open.rs
@@ -22,6 +22,7 @@
     model: Option<String>,
     tokens: u32,
     reading_ms: f64,
+    rank: usize,
     is_first: bool,
     begun: Instant,
 }
@@ -42,6 +43,7 @@
                 model: wanted.model.map(|(model, _)| model.to_owned()),
                 tokens: choice.unread_tokens,
                 reading_ms,
+                rank: wanted.rank,
                 is_first: choice.is_first,
                 begun: Instant::now(),
             }),
@@ -64,7 +66,7 @@
     fn forget_unread(&mut self) -> Option<Unread> {
         let unread = self.unread.take()?;
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
-            worker.read(unread.reading_ms);
+            worker.read(unread.rank, unread.reading_ms);
         }
         Some(unread)
     }
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::worker::RANK_COUNT;
 
 /// Version of the messages; others are dropped.
 pub const VERSION: u8 = 1;
@@ -37,8 +38,8 @@
     pub worker: u64,
     /// Requests that have not ended.
     pub open_count: u32,
-    /// Time to read the prompts that aren't read yet, in milliseconds.
-    pub unread_ms: u32,
+    /// Time to read the prompts that aren't read yet, in milliseconds by rank.
+    pub unread_ms: [u32; RANK_COUNT],
     /// Tokens that the requests may come to hold.
     pub held_tokens: u32,
 }
