Holders say that their term is over; shorter terms; every model keeps a little demand

Its holder is cut from the store for 7 s while demand moves on; nobody ordered for 5.4 s after its term, since the successor waited for a term that was over, and the models that came next had been unloaded for gains of next to nothing. Ruled out: load (p50 of 66 ms meanwhile). The digest names the row version under which a holder no longer orders; only another write would let it, and that changes the version. Test: lease::the_holders_word_that_its_term_is_over_saves_the_term and the lease world.

--- a/crates/cranereach-fleet/src/pressure.rs
+++ b/crates/cranereach-fleet/src/pressure.rs
@@ -24,6 +24,15 @@
 /// Models behind a busy one that are given demand ahead of time.
 const AHEAD_COUNT: usize = 3;
 
+/// Models further behind a busy one that are given a little demand.
+const FURTHER_COUNT: usize = 5;
+
+/// That little demand, as a share of the busy model's own.
+const FURTHER_SHARE: f64 = 0.03;
+
+/// Demand that every model is given, as a share of all demand.
+const LEAST_SHARE: f64 = 0.002;
+
 /// Share of the demand from which a model counts as busy.
 const BUSY_SHARE: f64 = 0.1;
 
@@ -86,7 +95,8 @@
     }
     let total: f64 = by_model.iter().sum();
     let is_busy = |demand: f64| total > 0.0 && demand >= BUSY_SHARE * total;
-    let mut expected = by_model.clone();
+    let least = LEAST_SHARE * total;
+    let mut expected: Vec<f64> = by_model.iter().map(|own| own.max(least)).collect();
     for (model, demand) in by_model
         .iter()
         .enumerate()
@@ -95,6 +105,10 @@
         for next in expected.iter_mut().skip(model + 1).take(AHEAD_COUNT) {
             *next = next.max(AHEAD_SHARE * demand);
         }
+        let further = expected.iter_mut().skip(model + 1 + AHEAD_COUNT);
+        for next in further.take(FURTHER_COUNT) {
+            *next = next.max(FURTHER_SHARE * demand);
+        }
     }
     expected
 }
--- a/crates/cranereach-fleet/src/tenure.rs
+++ b/crates/cranereach-fleet/src/tenure.rs
@@ -9,13 +9,13 @@
 use serde::Serialize;
 
 /// Length of a term, in milliseconds.
-pub const TERM_MS: u64 = 2_000;
+pub const TERM_MS: u64 = 1_500;
 
 /// Time between two renewals, in milliseconds.
-pub const RENEW_EVERY_MS: u64 = 650;
+pub const RENEW_EVERY_MS: u64 = 500;
 
 /// Time added to what a successor waits, in milliseconds.
-pub const MARGIN_MS: u64 = 350;
+pub const MARGIN_MS: u64 = 300;
 
 /// Content of the lease row.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +48,8 @@
     version: u64,
     row: Option<LeaseRow>,
     first_seen_at_ms: u64,
+    /// When its holder was heard to say that it no longer orders under it.
+    ended_at_ms: Option<u64>,
 }
 
 /// The lease as held.
@@ -116,7 +118,11 @@
         let Some(seen) = &self.seen else {
             return Step::Read;
         };
-        if now_ms < seen.first_seen_at_ms + self.wait_ms(seen.row.as_ref()) {
+        let whole_ms = seen.first_seen_at_ms + self.wait_ms(seen.row.as_ref());
+        let ended_ms = seen
+            .ended_at_ms
+            .map(|at_ms| at_ms + self.pause_ms + MARGIN_MS);
+        if now_ms < ended_ms.map_or(whole_ms, |ended_ms| whole_ms.min(ended_ms)) {
             return Step::Wait;
         }
         Step::Write {
@@ -140,9 +146,25 @@
             version,
             row,
             first_seen_at_ms: now_ms,
+            ended_at_ms: None,
         });
     }
 
+    /// Returns the version under which this instance held the lease and, its term
+    /// over, orders no more; only another write would let it.
+    pub fn ended_version(&self, now_ms: u64) -> Option<u64> {
+        self.held
+            .filter(|held| now_ms >= held.until_ms)
+            .map(|held| held.version)
+    }
+
+    /// Takes the holder's word that it no longer orders under a version.
+    pub fn heard_ended(&mut self, now_ms: u64, version: u64) {
+        if let Some(seen) = self.seen.as_mut().filter(|seen| seen.version == version) {
+            seen.ended_at_ms.get_or_insert(now_ms);
+        }
+    }
+
     /// Takes a write that was done; `sent_at_ms` is from before it was sent.
     pub fn written(&mut self, sent_at_ms: u64, version: u64) {
         let token = self.held.map_or(version, |held| held.token);
--- a/crates/cranereach-fleet/tests/lease.rs
+++ b/crates/cranereach-fleet/tests/lease.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 
 use cranereach_fleet::tenure::LeaseRow;
+use cranereach_fleet::tenure::MARGIN_MS;
 use cranereach_fleet::tenure::Step;
 use cranereach_fleet::tenure::TERM_MS;
 use cranereach_fleet::tenure::Tenure;
@@ -79,6 +80,7 @@
         .collect();
     let mut frozen_until_ms = [0_u64; MACHINE_COUNT];
     let mut hears = [false; MACHINE_COUNT];
+    let mut said_ended: Vec<(u64, u64)> = Vec::new();
     let mut last_order: Option<(usize, u64, u64)> = None;
     let mut hand_overs = 0;
     for step in 0..STEP_COUNT {
@@ -104,6 +106,16 @@
             if rng.random_range(0..400) == 0 {
                 hears[machine] = rng.random_bool(0.3);
             }
+            if let Some(version) = tenure.ended_version(now_ms) {
+                // Said once and heard by all, maybe long after.
+                said_ended.push((now_ms + rng.random_range(0..5_000), version));
+            }
+            said_ended.retain(|(at_ms, _)| now_ms < at_ms + 3_000);
+            for (at_ms, version) in &said_ended {
+                if now_ms >= *at_ms {
+                    tenure.heard_ended(now_ms, *version);
+                }
+            }
             match tenure.step(now_ms, hears[machine]) {
                 Step::Wait => {}
                 Step::Read => {
@@ -206,6 +218,30 @@
     }
 }
 
+#[test]
+fn the_holders_word_that_its_term_is_over_saves_the_term() {
+    let mut tenure = Tenure::new("b", PAUSE_MS);
+    let held = LeaseRow {
+        holder: "a".to_owned(),
+        ..LeaseRow::default()
+    };
+    tenure.read(0, 5, Some(held));
+    tenure.heard_ended(10, 4);
+    assert_eq!(
+        tenure.step(PAUSE_MS + 500, false),
+        Step::Wait,
+        "another version"
+    );
+    tenure.heard_ended(20, 5);
+    tenure.heard_ended(900, 5);
+    let due_ms = 20 + PAUSE_MS + MARGIN_MS;
+    assert_eq!(tenure.step(due_ms - 1, false), Step::Wait);
+    let write = Step::Write {
+        expected_version: 5,
+    };
+    assert_eq!(tenure.step(due_ms, false), write);
+}
+
 #[test]
 fn who_hears_the_holder_leaves_the_row_alone() {
     let mut tenure = Tenure::new("b", PAUSE_MS);
--- a/crates/cranereach-gateway/src/controller/lease.rs
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -7,6 +7,7 @@
 use crate::adapter::RowName;
 use crate::adapter::WriteAnswer;
 use crate::node::Node;
+use crate::node::lock;
 use crate::store::StoreError;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::tenure::LeaseRow;
@@ -42,6 +43,10 @@
     if is_heard {
         candidacy.due_since_ms = None;
     }
+    tell_ended(node, tenure, now_ms, key);
+    for version in node.peers().ended_versions(now_ms, key) {
+        tenure.heard_ended(now_ms, version);
+    }
     if now_ms < candidacy.call_after_ms {
         return;
     }
@@ -58,6 +63,19 @@
     }
 }
 
+/// Tells peers whether this instance's term is over.
+fn tell_ended(node: &Node, tenure: &Tenure, now_ms: u64, service: u64) {
+    let mut ended = lock(&node.ended_leases);
+    let before = match tenure.ended_version(now_ms) {
+        Some(version) => ended.insert(service, version) == Some(version),
+        None => ended.remove(&service).is_none(),
+    };
+    drop(ended);
+    if !before {
+        node.digest_wanted.notify_one();
+    }
+}
+
 /// Returns how many instances go before this one.
 fn rank(node: &Node, now_ms: u64, service: u64) -> u64 {
     let peers = node.peers();
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -86,6 +86,7 @@
         configuration_version: node.configuration_version(),
         roster_version: node.roster_version.load(Ordering::Acquire),
         holds,
+        ended: lock(&node.ended_leases).clone().into_iter().collect(),
         introduced,
         loads: loads.into_iter().map(load_part).collect(),
         demand: demand_parts(node, now_ms),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -86,6 +86,8 @@
     announced: Mutex<HashMap<Arc<str>, Announced>>,
     retries: Mutex<HashMap<Arc<str>, RetryWindow>>,
     pools: Mutex<Pools>,
+    /// Leases whose term is over here: key of the service, version of the row.
+    pub ended_leases: Mutex<HashMap<u64, u64>>,
     /// Whether the list of workers is being fetched from a peer.
     pub is_fetching: AtomicBool,
     is_stopping: AtomicBool,
@@ -133,6 +135,7 @@
             announced: Mutex::default(),
             retries: Mutex::default(),
             pools: Mutex::default(),
+            ended_leases: Mutex::default(),
             is_fetching: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             started: Instant::now(),
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -72,6 +72,8 @@
     pub roster_version: u64,
     /// Keys of the services whose lease it holds.
     pub holds: Vec<u64>,
+    /// Leases whose term is over here: key of the service, version of the row.
+    pub ended: Vec<(u64, u64)>,
     /// Addresses of other instances.
     pub introduced: Vec<Ipv4Addr>,
     /// Its load at workers.
@@ -167,6 +169,14 @@
         heard.any(|(_, peer)| peer.last.holds.contains(&service))
     }
 
+    /// Lists the versions under which peers say that they no longer order.
+    pub fn ended_versions(&self, now_ms: u64, service: u64) -> Vec<u64> {
+        let heard = self.heard_peers(now_ms);
+        let ended = heard.flat_map(|(_, peer)| &peer.last.ended);
+        let of_service = ended.filter(|(of, _)| *of == service);
+        of_service.map(|(_, version)| *version).collect()
+    }
+
     /// Chooses whom the next digest goes to.
     pub fn recipients(&mut self, now_ms: u64, is_slow_round: bool) -> Vec<Ipv4Addr> {
         let seeds = self.seeds.clone();
