Fewer calls to the store: longer waits among peers, a pace from the drain bound; leaving passed on

An instance that hears three peers waits 6 s for the configuration (versions travel with digests); the list's pace is 0.45 of the drain bound; what a peer says of a leaving worker is passed on, so that a sample of peers is enough.

--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -14,6 +14,12 @@
 /// Time that the store is asked to wait for changes, in milliseconds.
 const WAIT_MS: u64 = 2_000;
 
+/// The same where peers are heard, who tell of versions, too.
+const WAIT_AMONG_PEERS_MS: u64 = 6_000;
+
+/// Instances, this one included, from which the longer wait is used.
+const AMONG_PEERS_COUNT: usize = 4;
+
 /// First pause after a failed call, in milliseconds.
 const PAUSE_FIRST_MS: u64 = 60;
 
@@ -28,7 +34,7 @@
     loop {
         let read = match after {
             None => node.store.read(table).await,
-            Some(version) => node.store.watch(table, version, WAIT_MS).await,
+            Some(version) => node.store.watch(table, version, wait_ms(&node)).await,
         };
         note_call(&node, "configuration", &read);
         match read {
@@ -56,6 +62,15 @@
     }
 }
 
+/// Returns the time that the store is asked to wait, in milliseconds.
+fn wait_ms(node: &Node) -> u64 {
+    if node.peers().instance_count() >= AMONG_PEERS_COUNT {
+        WAIT_AMONG_PEERS_MS
+    } else {
+        WAIT_MS
+    }
+}
+
 /// Returns the pause after a number of failures in a row, spread by chance.
 pub fn backoff_ms(failure_count: u32) -> u64 {
     let doubled = PAUSE_FIRST_MS << failure_count.min(4);
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -22,6 +22,7 @@
 use crate::peers::Digest;
 use crate::peers::LoadPart;
 use crate::peers::VERSION;
+use crate::roster_sync;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::Load;
@@ -186,12 +187,16 @@
         .collect();
     let mut roster = node.roster();
     roster.peer_loads(now_ms, u32::from(sender), &loads);
-    for (key, version) in &digest.leaving {
-        if roster.leaves(*version, *key) {
-            info!(node.log, "worker leaves"; "from" => sender.to_string(), "version" => *version);
-        }
-    }
+    let heard = digest.leaving.iter();
+    let new: Vec<(u64, u64)> = heard
+        .filter(|(key, version)| roster.leaves(*version, *key))
+        .copied()
+        .collect();
     drop(roster);
+    for (key, version) in new {
+        info!(node.log, "worker leaves"; "from" => sender.to_string(), "version" => version);
+        roster_sync::pass_leaving_on(node, key, version);
+    }
     if !digest.holds.is_empty() {
         apply_orders(node, now_ms, &digest.adapters, &digest.withheld);
     }
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -20,8 +20,8 @@
 /// Time that the store is asked to wait for changes, in milliseconds.
 const WAIT_MS: u64 = 1_500;
 
-/// Least time between two reads, in milliseconds.
-const READ_EVERY_MS: u64 = 900;
+/// Least time between two reads, as a share of the time to leave a worker alone.
+const READ_EVERY_SHARE: f64 = 0.45;
 
 /// Time for which peers are told of a worker that leaves, in milliseconds.
 const TOLD_FOR_MS: u64 = 4_000;
@@ -29,6 +29,7 @@
 /// Runs until the process ends.
 pub async fn run(node: Arc<Node>) {
     let table = node.adapter.store.workers;
+    let every_ms = (node.settings.bounds.drain_ms as f64 * READ_EVERY_SHARE) as u64;
     let mut after = None;
     let mut failure_count = 0_u32;
     loop {
@@ -48,7 +49,7 @@
                 after = Some(rows.version.max(after.unwrap_or(0)));
                 take(&node, &rows, is_whole);
                 let spent_ms = node.now_ms() - begun_ms;
-                pause(READ_EVERY_MS.saturating_sub(spent_ms)).await;
+                pause(every_ms.saturating_sub(spent_ms)).await;
             }
             Err(error) => {
                 if error == StoreError::HistoryGone {
@@ -127,6 +128,11 @@
     node.controller_wanted.notify_one();
 }
 
+/// Passes on that a worker leaves, as a peer has told.
+pub fn pass_leaving_on(node: &Node, key: u64, version: u64) {
+    note_leaving(node, node.now_ms(), &[(version, key)], version, &[]);
+}
+
 /// Remembers who leaves or is gone, so that peers are told.
 fn note_leaving(
     node: &Node,
--- a/crates/cranereach-gateway/src/settings.rs
+++ b/crates/cranereach-gateway/src/settings.rs
@@ -90,6 +90,8 @@
 pub struct BoundSettings {
     /// Time from the first stop signal to the kill, in seconds.
     pub grace_s: f64,
+    /// Time within which a leaving worker must get no more work, in milliseconds.
+    pub drain_ms: u64,
     /// Time between the orders of two holders, in milliseconds.
     pub lease_ms: u64,
     /// Repeats per request.
@@ -104,6 +106,7 @@
     fn default() -> Self {
         Self {
             grace_s: 8.0,
+            drain_ms: 2_000,
             lease_ms: 3_000,
             retry_ratio: 0.1,
             retry_allowance_count: 10.0,
--- a/tests/testsuite/gateway_settings.rs
+++ b/tests/testsuite/gateway_settings.rs
@@ -43,6 +43,7 @@
         ("{{platform.address|json}}", "\"127.0.0.1:5\""),
         ("{{seedNodes|json}}", "[\"127.0.0.1:6\"]"),
         ("{{bounds.graceS}}", "8.0"),
+        ("{{bounds.drainMs}}", "2000"),
         ("{{bounds.leaseMs}}", "3000"),
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.retryBudgetAllowance}}", "52"),
