--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod demo;
+mod explain;
 mod folder;
 mod gateway;
 mod measure;
@@ -52,6 +53,8 @@
     Status(status::StatusArguments),
     #[options(help = "measure the decisions under a scenario's load and faults")]
     Measure(measure::MeasureArguments),
+    #[options(help = "tell a failed request's story from logs of gateways")]
+    Explain(explain::ExplainArguments),
     #[options(help = "run a stand-in of the platform, an engine or a plain service")]
     StandIn(stand_in::StandInArguments),
 }
@@ -67,6 +70,7 @@
         Some(Command::Serve(options)) => serve::execute(options),
         Some(Command::Gateway(options)) => gateway::execute(options),
         Some(Command::Check(options)) => check::execute(options),
+        Some(Command::Explain(options)) => explain::execute(options),
         Some(Command::Plan(options)) => plan::execute(options),
         Some(Command::Apply(options)) => apply::execute(options),
         Some(Command::Pull(options)) => pull::execute(options),
--- /dev/null
+++ b/tests/testsuite/explain.rs
@@ -0,0 +1,61 @@
+//! The story of a failed request, from logs of several instances.
+
+use std::fs;
+use std::path::Path;
+use std::process::Command;
+use std::process::Output;
+
+/// Runs `explain` on a log of its own.
+fn explain(name: &str, text: &str, arguments: &[&str]) -> Output {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_cranereach"))
+        .arg("explain")
+        .args(arguments)
+        .arg(path)
+        .output()
+        .unwrap()
+}
+
+const LOG: &str = r#"
+  2.1 edge-1 {"msg":"refused","level":"INFO","ts":"2026-01-01T00:00:02Z","instance":"edge-1","request":"r1","name":"outcome_unknown","detail":"no whole answer; offers 1"}
+{"msg":"offer failed","level":"INFO","ts":"2026-01-01T00:00:01Z","instance":"edge-1","request":"r1","worker":"w1","failure":"Unknown"}
+{"msg":"refused","level":"INFO","ts":"2026-01-01T00:00:03Z","instance":"edge-2","request":"r2","name":"not_resident"}
+{"msg":"lease","level":"INFO","ts":"2026-01-01T00:00:03Z","instance":"edge-2","held":true}
+{"msg":"cut off
+"#;
+
+#[test]
+fn a_story_is_told_in_order() {
+    let output = explain("story.log", LOG, &["--request", "r1"]);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(
+        lines[1].contains("offer failed") && lines[1].contains("worker=w1"),
+        "{text}"
+    );
+    assert!(lines[2].contains("name=outcome_unknown"), "{text}");
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert!(error.contains("1 lines were passed over"), "{error}");
+}
+
+#[test]
+fn causes_are_counted() {
+    let output = explain("summary.log", LOG, &[]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("1 refused: not_resident"), "{text}");
+    assert!(text.contains("1 offer failed: Unknown"), "{text}");
+}
+
+#[test]
+fn a_missing_request_or_file_is_said() {
+    let output = explain("missing.log", LOG, &["--request", "r9"]);
+    assert_eq!(output.status.code(), Some(1));
+    let output = Command::new(env!("CARGO_BIN_EXE_cranereach"))
+        .args(["explain", "/nonexistent/log"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod configuration;
 mod docs;
+mod explain;
 mod fixture;
 mod frozen;
 mod gateway_settings;
