Ends of workers are remembered up to a bound

Found on reading: the roster kept every worker that ever left. Test: roster::ends_of_workers_do_not_pile_up.

--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -16,6 +16,9 @@
 use crate::worker::Worker;
 use crate::worker::WorkerRecord;
 
+/// Ends of rows that are remembered at most, so that no older row brings one back.
+const GONE_MAX_COUNT: usize = 2_048;
+
 /// Reading time ahead of a request below which it counts as the first.
 const FIRST_BELOW_MS: f64 = 1.0;
 
@@ -98,6 +101,9 @@
             return false;
         }
         self.gone_at_version.insert(Arc::from(id), version);
+        if self.gone_at_version.len() > GONE_MAX_COUNT {
+            self.forget_older_ends();
+        }
         let Some(gone) = self.workers.remove(id) else {
             return false;
         };
@@ -108,6 +114,19 @@
         true
     }
 
+    /// Forgets the older half of the ends of rows.
+    fn forget_older_ends(&mut self) {
+        let mut versions: Vec<u64> = self.gone_at_version.values().copied().collect();
+        let middle = versions.len() / 2;
+        let (_, &mut limit, _) = versions.select_nth_unstable(middle);
+        self.gone_at_version.retain(|_, version| *version > limit);
+    }
+
+    /// Counts the ends of rows that are remembered.
+    pub fn remembered_end_count(&self) -> usize {
+        self.gone_at_version.len()
+    }
+
     /// Takes a whole list as of a version: whatever isn't on it is gone.
     pub fn replace(&mut self, version: u64, rows: Vec<(u64, WorkerRecord)>) -> Vec<Arc<str>> {
         let listed: HashSet<Arc<str>> = rows.iter().map(|(_, row)| Arc::clone(&row.id)).collect();
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -76,6 +76,19 @@
     assert!(roster.put(8, record("a", &[])), "it is listed again");
 }
 
+#[test]
+fn ends_of_workers_do_not_pile_up() {
+    let mut roster = Roster::default();
+    for version in 1..10_000_u64 {
+        roster.remove(version, &format!("w{version}"));
+    }
+    assert!(roster.remembered_end_count() <= 2_048);
+    assert!(
+        !roster.put(9_990, record("w9999", &[])),
+        "the newest are kept"
+    );
+}
+
 #[test]
 fn a_list_that_is_behind_removes_nothing_newer() {
     let mut roster = Roster::default();
--- a/scenarios/days/play.py
+++ b/scenarios/days/play.py
@@ -161,7 +161,7 @@
         return f"{name:42} not played: {(done.stdout + done.stderr).strip().splitlines()[-1:]}"
     told = json.loads(report.read_text())
     marks = [f"{key}: {told[key]}" for key in ("breaks", "fault", "short") if told.get(key)]
-    figures = " ".join(f"{key} {told[key]:.3f}" for key in ("value", "worth", "served") if isinstance(told.get(key), float))
+    figures = " ".join(f"{key} {told[key]:.3f}" for key in ("G", "served", "refused", "failed") if isinstance(told.get(key), float))
     return f"{name:42} {figures} {' | '.join(marks)[:400]}"
 
 
