--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -37,10 +37,10 @@
 /// Time after which unconfirmed bytes break a worker's connection, in milliseconds.
 const WORKER_SILENCE_MAX_MS: u64 = 1_200;
 
-/// Adapter that settings name, or the reason why there is none.
+/// Connections to each worker, by its identity.
 pub type Pools = HashMap<Arc<str>, Arc<Pool<Full<Bytes>>>>;
 
-/// What an instance learned from the store about its orders, for peers.
+/// What this instance's orders have changed at workers, for peers.
 #[derive(Clone, Debug, Default)]
 pub struct Announced {
     /// Adapters that were loaded: worker key, model and adapter.
