--- a/crates/cranereach-fleet/tests/orders.rs
+++ b/crates/cranereach-fleet/tests/orders.rs
@@ -277,8 +277,8 @@
     );
 }
 
-#[test]
-fn a_worker_gets_no_order_before_a_report() {
+/// A ledger that has seen the row of one empty worker and nothing else.
+fn ledger_of_one() -> (Arc<str>, Ledger) {
     let id: Arc<str> = Arc::from("w");
     let mut ledger = Ledger::default();
     let row = WorkerRow {
@@ -289,6 +289,12 @@
         is_serving: true,
     };
     ledger.row(0, row);
+    (id, ledger)
+}
+
+#[test]
+fn a_worker_gets_no_order_before_a_report() {
+    let (id, mut ledger) = ledger_of_one();
     assert_eq!(ledger.begin(&id, Order::Load(0)), None);
     assert_eq!(ledger.reports_due(0), [Arc::clone(&id)]);
     ledger.reported(
@@ -310,16 +316,7 @@
 
 #[test]
 fn an_order_without_an_answer_is_sent_again_as_it_was() {
-    let id: Arc<str> = Arc::from("w");
-    let mut ledger = Ledger::default();
-    let row = WorkerRow {
-        id: &id,
-        version: 1,
-        places: Vec::new(),
-        copies: Vec::new(),
-        is_serving: true,
-    };
-    ledger.row(0, row);
+    let (id, mut ledger) = ledger_of_one();
     ledger.reports_due(0);
     ledger.reported(0, &id, Some(WorkerState::default()));
     let open = ledger.begin(&id, Order::Load(3)).unwrap();
