One instance reads the list of workers for all; lease and configuration told on by peers

- fleet::list_sync: each instance knows the version up to which its list is complete and since when.
It reads only when that grows old; how old depends on a rank that all work out alike.
Whoever reads tells changed rows (packed, flate2) to all known peers; in large fleets they are passed on.
Nothing is agreed on.
- A holder that others hear counts as heard, by the age of that; one that says it holds no more is believed at once.
The row is read by rank, too.
- Waits for the configuration last 25 s, 2 s on three instances; the end of an outage ends them.
- Bounds that a deployment doesn't name keep their defaults in the template.

Ruled out: rows in every digest (720 KB/s a machine), plain rows (12 KB were exceeded at each shift of models: everybody read), one agreed reader.

--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
 //! is known of every [`worker`] and picks one; it builds on [`health`], [`pace`]
-//! and [`prefixes`]. [`retry_window`] bounds repeats. [`tenure`] says whether this
+//! and [`prefixes`]. [`list_sync`] says who reads the list of workers and when.
+//! [`retry_window`] bounds repeats. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
 //! are open.
 //!
@@ -16,6 +17,7 @@
 pub mod demand;
 pub mod health;
 pub mod ledger;
+pub mod list_sync;
 pub mod pace;
 pub mod placement;
 pub mod prefixes;
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -79,6 +79,7 @@
             }
             let has_changed = known.record != record;
             known.version = version;
+            known.lapsed = None;
             known.told_until_ms.clear();
             known.record = record;
             return has_changed;
@@ -133,18 +134,47 @@
         for (row_version, row) in rows {
             self.put(row_version, row);
         }
-        let gone: Vec<Arc<str>> = self
-            .workers
-            .values()
-            .filter(|worker| !listed.contains(&worker.record.id) && worker.version <= version)
-            .map(|worker| Arc::clone(&worker.record.id))
-            .collect();
+        let gone = self.unlisted(version, &listed);
         for id in &gone {
             self.remove(version, id);
         }
         gone
     }
 
+    /// Lists the workers that a whole list as of a version does not name.
+    pub fn unlisted(&self, version: u64, listed: &HashSet<Arc<str>>) -> Vec<Arc<str>> {
+        let known = self.workers.values();
+        known
+            .filter(|worker| !listed.contains(&worker.record.id) && worker.version <= version)
+            .map(|worker| Arc::clone(&worker.record.id))
+            .collect()
+    }
+
+    /// Takes the end of a row that may only have lapsed: the worker stays until
+    /// a time unless it was leaving. Returns whether it stays.
+    pub fn lapse(&mut self, version: u64, id: &str, until_ms: u64) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return false;
+        };
+        if worker.version > version || worker.record.is_leaving {
+            return false;
+        }
+        worker.lapsed.get_or_insert((version, until_ms));
+        true
+    }
+
+    /// Lists the workers whose rows lapsed and did not come back in time, with
+    /// the versions at which they lapsed.
+    pub fn lapsed(&self, now_ms: u64) -> Vec<(u64, Arc<str>)> {
+        let known = self.workers.values();
+        known
+            .filter_map(|worker| {
+                let (version, until_ms) = worker.lapsed?;
+                (now_ms >= until_ms).then(|| (version, Arc::clone(&worker.record.id)))
+            })
+            .collect()
+    }
+
     /// Marks a worker as leaving because a peer has read so.
     pub fn leaves(&mut self, version: u64, key: u64) -> bool {
         let Some(worker) = self
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -107,6 +107,8 @@
     pub version: u64,
     /// Passive health.
     pub health: Health,
+    /// When the worker counts as gone unless a new row comes: version, time.
+    pub lapsed: Option<(u64, u64)>,
     pub(crate) own: Load,
     pub(crate) peers: HashMap<u32, (u64, Load)>,
     said: Option<(u64, SaidLoad)>,
@@ -146,6 +148,7 @@
             record,
             version,
             health: Health::default(),
+            lapsed: None,
             own: Load::default(),
             peers: HashMap::new(),
             said: None,
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -99,6 +99,29 @@
     assert!(roster.get("new").is_some());
 }
 
+#[test]
+fn a_worker_whose_row_lapsed_serves_until_it_is_due_back() {
+    let mut roster = Roster::default();
+    roster.put(5, record("back", &[]));
+    roster.put(5, record("lost", &[]));
+    let mut leaving = record("leaving", &[]);
+    leaving.is_leaving = true;
+    roster.put(5, leaving);
+    assert!(roster.lapse(8, "back", 1_000));
+    assert!(roster.lapse(8, "lost", 1_000));
+    assert!(!roster.lapse(8, "leaving", 1_000), "its end was announced");
+    assert!(
+        !roster.lapse(4, "back", 1_000),
+        "an older end changes nothing"
+    );
+    assert_matches!(choose(&roster, 500, &wanted(None)), Ok(_));
+    roster.put(9, record("back", &[]));
+    // A later word of the same end gives no more time.
+    assert!(roster.lapse(8, "lost", 2_000));
+    assert!(roster.lapsed(999).is_empty());
+    assert_eq!(roster.lapsed(1_000), [(8, Arc::from("lost"))]);
+}
+
 #[test]
 fn a_worker_that_a_peer_saw_leave_gets_nothing() {
     let mut roster = Roster::default();
--- a/crates/cranereach-gateway/src/bodies.rs
+++ b/crates/cranereach-gateway/src/bodies.rs
@@ -37,6 +37,13 @@
 /// Versions that the own list may lag behind a peer's before it is fetched.
 const ROSTER_LAG_MS: u64 = 1_200;
 
+/// Part of the bound of configurations after which a newer one is fetched from a
+/// peer while the own wait for it is open: one in so many.
+const FETCH_AFTER_PART: u64 = 4;
+
+/// The same, for the time over which instances without the store spread theirs.
+const FETCH_SPREAD_PART: u64 = 8;
+
 /// What is asked of a peer over TCP.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
@@ -50,15 +57,16 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct WorkerRows {
     version: u64,
+    age_ms: u64,
     rows: Vec<(String, u64, Vec<u8>)>,
 }
 
 /// Fetches the list of workers from a peer whose list is newer, after a while.
 pub fn fetch_workers_if_behind(node: &Arc<Node>, sender: Ipv4Addr, digest: &Digest) {
-    if digest.roster_version <= node.roster_version.load(Ordering::Acquire) {
+    if digest.list_version <= node.list_version() {
         return;
     }
-    let version = digest.roster_version;
+    let version = digest.list_version;
     let node = Arc::clone(node);
     if node.is_fetching.swap(true, Ordering::AcqRel) {
         return;
@@ -66,7 +74,7 @@
     tokio::spawn(async move {
         // The own read of the store usually catches up first.
         pause(ROSTER_LAG_MS).await;
-        if node.roster_version.load(Ordering::Acquire) < version {
+        if node.list_version() < version {
             fetch_workers(&node, sender).await;
         }
         node.is_fetching.store(false, Ordering::Release);
@@ -81,7 +89,7 @@
     let Ok(listed) = postcard::from_bytes::<WorkerRows>(&body) else {
         return;
     };
-    if listed.version <= node.roster_version.load(Ordering::Acquire) {
+    if listed.version <= node.list_version() {
         return;
     }
     info!(node.log, "workers from a peer"; "peer" => peer.to_string(), "version" => listed.version);
@@ -96,12 +104,39 @@
         version: listed.version,
         has_more: false,
     };
-    roster_sync::take(node, &rows, true);
+    let now_ms = node.now_ms();
+    roster_sync::take_whole(node, now_ms.saturating_sub(listed.age_ms), &rows);
+}
+
+/// Fetches the configuration in force at a peer, unless the own wait for it is
+/// answered first: bodies are large, and all instances hear of a change at once.
+pub fn fetch_configuration_if_behind(node: &Arc<Node>, peer: Ipv4Addr, version: u64) {
+    if version <= node.configuration_version() {
+        return;
+    }
+    if node.is_fetching_configuration.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let bound_ms = node.settings.bounds.configuration_ms;
+    let wait_ms = if node.is_store_lost.load(Ordering::Acquire) {
+        rand::random_range(0..=bound_ms / FETCH_SPREAD_PART)
+    } else {
+        bound_ms / FETCH_AFTER_PART
+    };
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        pause(wait_ms).await;
+        if node.configuration_version() < version {
+            fetch_configuration(&node, peer).await;
+        }
+        node.is_fetching_configuration
+            .store(false, Ordering::Release);
+    });
 }
 
 /// Fetches the configuration in force at a peer.
-pub async fn fetch_configuration(node: Arc<Node>, peer: Ipv4Addr) {
-    match fetch(&node, peer, Ask::Configuration).await {
+async fn fetch_configuration(node: &Node, peer: Ipv4Addr) {
+    match fetch(node, peer, Ask::Configuration).await {
         Ok(body) if !body.is_empty() => {
             if let Err(error) = node.offer_configuration(&body, "peer") {
                 warn!(node.log, "configuration not understood";
@@ -165,8 +200,10 @@
     let rows = kept
         .iter()
         .map(|(key, (version, value))| (key.clone(), *version, value.clone()));
+    let list = lock(&node.list);
     WorkerRows {
-        version: node.roster_version.load(Ordering::Acquire),
+        version: list.version(),
+        age_ms: list.age_ms(node.now_ms()).unwrap_or(u64::MAX),
         rows: rows.collect(),
     }
 }
--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration in the store; peers tell of versions, too.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use slog::info;
@@ -14,11 +15,15 @@
 /// Time that the store is asked to wait for changes, in milliseconds.
 const WAIT_MS: u64 = 2_000;
 
-/// The same where peers are heard, who tell of versions, too.
-const WAIT_AMONG_PEERS_MS: u64 = 6_000;
+/// The same for instances that peers watch for, in milliseconds.
+const WAIT_AMONG_PEERS_MS: u64 = 25_000;
 
-/// Instances, this one included, from which the longer wait is used.
-const AMONG_PEERS_COUNT: usize = 4;
+/// Instances that watch with the shorter wait, so that a wait that nobody will
+/// answer any more, as after an outage, ends soon on some.
+const WATCHING_COUNT: u64 = 3;
+
+/// Purpose that instances are ranked for.
+const PURPOSE: &str = "configuration";
 
 /// First pause after a failed call, in milliseconds.
 const PAUSE_FIRST_MS: u64 = 60;
@@ -34,9 +39,16 @@
     loop {
         let read = match after {
             None => node.store.read(table).await,
-            Some(version) => node.store.watch(table, version, wait_ms(&node)).await,
+            Some(version) => {
+                let watch = node.store.watch(table, version, wait_ms(&node));
+                tokio::select! {
+                    read = watch => read,
+                    _wanted = node.configuration_wanted.notified() => continue,
+                }
+            }
         };
         note_call(&node, "configuration", &read);
+        node.is_store_lost.store(read.is_err(), Ordering::Release);
         match read {
             Ok(rows) => {
                 after = Some(rows.version.max(after.unwrap_or(0)));
@@ -64,10 +76,10 @@
 
 /// Returns the time that the store is asked to wait, in milliseconds.
 fn wait_ms(node: &Node) -> u64 {
-    if node.peers().instance_count() >= AMONG_PEERS_COUNT {
-        WAIT_AMONG_PEERS_MS
-    } else {
+    if node.peers().rank(node.now_ms(), PURPOSE) < WATCHING_COUNT {
         WAIT_MS
+    } else {
+        WAIT_AMONG_PEERS_MS
     }
 }
 
--- a/crates/cranereach-gateway/src/controller/lease.rs
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -50,15 +50,20 @@
     if now_ms < candidacy.call_after_ms {
         return;
     }
-    match tenure.step(now_ms, is_heard) {
+    let step = tenure.step(now_ms, is_heard);
+    if !tenure.is_holder() && step != Step::Wait {
+        // Whoever comes first reads first, and so may write first.
+        let since_ms = *candidacy.due_since_ms.get_or_insert(now_ms);
+        let rank = node.peers().rank(now_ms, &key.to_string());
+        if now_ms < since_ms + rank * TURN_MS {
+            return;
+        }
+    }
+    match step {
         Step::Wait => {}
         Step::Read => read(node, tenure, candidacy, service).await,
         Step::Write { expected_version } => {
-            let since_ms = *candidacy.due_since_ms.get_or_insert(now_ms);
-            let is_renewal = tenure.is_holder();
-            if is_renewal || now_ms >= since_ms + rank(node, now_ms, key) * TURN_MS {
-                write(node, tenure, candidacy, service, expected_version).await;
-            }
+            write(node, tenure, candidacy, service, expected_version).await;
         }
     }
 }
@@ -76,17 +81,6 @@
     }
 }
 
-/// Returns how many instances go before this one.
-fn rank(node: &Node, now_ms: u64, service: u64) -> u64 {
-    let peers = node.peers();
-    let weight = |ip: std::net::Ipv4Addr| worker_key(&format!("{service}/{ip}"));
-    let own = weight(peers.own_ip());
-    let before = peers
-        .heard_peers(now_ms)
-        .filter(|(ip, _)| weight(**ip) > own);
-    before.count() as u64
-}
-
 /// Returns the name of a service's lease row.
 fn row_name(service: &str) -> RowName {
     RowName {
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 //! What a digest only names is fetched by [`crate::bodies`].
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,15 +19,24 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::peers::DATAGRAM_MAX_BYTES;
+use crate::peers::Datagram;
 use crate::peers::DemandPart;
 use crate::peers::Digest;
+use crate::peers::ListMessage;
 use crate::peers::LoadPart;
+use crate::peers::Message;
+use crate::peers::MessageRow;
 use crate::peers::VERSION;
+use crate::peers::pack_rows;
 use crate::roster_sync;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::list_sync::ListPart;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::Load;
 
+/// Largest packed rows that one message carries, in bytes.
+const LIST_MAX_BYTES: usize = DATAGRAM_MAX_BYTES - 1_024;
+
 /// Rounds after which silent peers are tried again.
 const SLOW_ROUND_EVERY: u64 = 4;
 
@@ -44,8 +54,8 @@
             .peers()
             .recipients(now_ms, count.is_multiple_of(SLOW_ROUND_EVERY));
         if !recipients.is_empty() {
-            let digest = make(&node, now_ms, count);
-            let message = postcard::to_stdvec(&digest).unwrap_or_default();
+            let digest = Box::new(make(&node, now_ms, count));
+            let message = encode(Message::Digest(digest));
             for recipient in recipients {
                 // A lost datagram is made good by the next.
                 let _sent = socket
@@ -60,9 +70,62 @@
     }
 }
 
+/// Tells changes of the list of workers whenever there are some, until the
+/// process ends.
+pub async fn send_list(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let port = node.settings.listen.peers.port();
+    loop {
+        node.list_told.notified().await;
+        let told = lock(&node.list).part(node.now_ms()).map(list_message);
+        let Some(changes) = told else { continue };
+        let message = encode(Message::List(changes));
+        let has_read = node.has_read_list.swap(false, Ordering::AcqRel);
+        let recipients = node.peers().list_recipients(has_read);
+        for recipient in recipients {
+            // A lost datagram is made good by the next.
+            let _sent = socket
+                .send_to(&message, SocketAddr::from((recipient, port)))
+                .await;
+        }
+    }
+}
+
+/// Makes the message of changes of the list.
+fn list_message(part: ListPart<'_>) -> ListMessage {
+    let rows = part.rows.into_iter();
+    let rows: Vec<MessageRow> = rows
+        .map(|row| (row.key.clone(), row.version, row.value.clone()))
+        .collect();
+    let packed_rows = pack_rows(&rows);
+    let fits = packed_rows.len() <= LIST_MAX_BYTES;
+    ListMessage {
+        // Without rows it still says that there is something newer.
+        from_version: if fits {
+            part.from_version
+        } else {
+            part.version
+        },
+        version: part.version,
+        age_ms: part.age_ms,
+        packed_rows: if fits { packed_rows } else { pack_rows(&[]) },
+    }
+}
+
+/// Writes a datagram.
+fn encode(message: Message) -> Vec<u8> {
+    let datagram = Datagram {
+        version: VERSION,
+        message,
+    };
+    postcard::to_stdvec(&datagram).unwrap_or_default()
+}
+
 /// Makes a digest of what this instance knows and does.
 fn make(node: &Node, now_ms: u64, count: u64) -> Digest {
-    let introduced = node.peers().introduced(now_ms);
+    let peers = node.peers();
+    let introduced = peers.introduced(now_ms);
+    let held = peers.held(now_ms);
+    drop(peers);
     let loads = node.roster().own_loads();
     let recent = lock(&node.recent_leaving).clone();
     let announced = node.announced();
@@ -79,14 +142,18 @@
         .map(|service| worker_key(service))
         .collect();
     drop(announced);
+    let list = lock(&node.list);
+    let (list_version, list_age_ms) = (list.version(), list.age_ms(now_ms));
+    drop(list);
     Digest {
-        version: VERSION,
         boot: node.boot,
         count,
         is_leaving: node.is_stopping(),
         configuration_version: node.configuration_version(),
-        roster_version: node.roster_version.load(Ordering::Acquire),
+        list_version,
+        list_age_ms: list_age_ms.unwrap_or(u64::MAX),
         holds,
+        held,
         ended: lock(&node.ended_leases).clone().into_iter().collect(),
         introduced,
         loads: loads.into_iter().map(load_part).collect(),
@@ -132,10 +199,13 @@
             pause(ROUND_LEAST_MS).await;
             continue;
         };
-        let digest = postcard::from_bytes::<Digest>(&buffer[..length]);
-        match (digest, sender.ip()) {
-            (Ok(digest), std::net::IpAddr::V4(ip)) if digest.version == VERSION => {
-                take(&node, ip, &digest);
+        let datagram = postcard::from_bytes::<Datagram>(&buffer[..length]);
+        match (datagram, sender.ip()) {
+            (Ok(datagram), IpAddr::V4(ip)) if datagram.version == VERSION => {
+                match datagram.message {
+                    Message::Digest(digest) => take(&node, ip, &digest),
+                    Message::List(changes) => roster_sync::take_message(&node, ip, changes),
+                }
             }
             _ => {
                 let counter = &node.metrics.bad_input_total;
@@ -159,9 +229,7 @@
     if !is_new {
         return;
     }
-    if digest.configuration_version > node.configuration_version() {
-        tokio::spawn(bodies::fetch_configuration(Arc::clone(node), sender));
-    }
+    bodies::fetch_configuration_if_behind(node, sender, digest.configuration_version);
     let has_changed = take_roster(node, now_ms, sender, digest);
     if has_changed {
         node.roster_changed.notify_waiters();
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -7,7 +7,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +28,7 @@
 use cranereach_fleet::configuration::Service;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::list_sync::ListSync;
 use cranereach_fleet::pace::Paces;
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
@@ -72,8 +72,12 @@
     pub controller_wanted: Notify,
     /// Rows of the list as read, for peers whose reads fail.
     pub worker_rows: Mutex<HashMap<String, (u64, Vec<u8>)>>,
-    /// Newest version of the store that the list was read at.
-    pub roster_version: AtomicU64,
+    /// How fresh the list of workers is.
+    pub list: Mutex<ListSync>,
+    /// Wakes the sender of changes of the list.
+    pub list_told: Notify,
+    /// Whether those changes were read here, so that everybody is to be told.
+    pub has_read_list: AtomicBool,
     /// Workers read as leaving or gone: when, key, version.
     pub recent_leaving: Mutex<Vec<(u64, u64, u64)>>,
     /// Body of the configuration in force.
@@ -90,6 +94,12 @@
     pub ended_leases: Mutex<HashMap<u64, u64>>,
     /// Whether the list of workers is being fetched from a peer.
     pub is_fetching: AtomicBool,
+    /// Whether a configuration is being fetched from a peer.
+    pub is_fetching_configuration: AtomicBool,
+    /// Whether the last read of the configuration failed.
+    pub is_store_lost: AtomicBool,
+    /// Ends a wait for the configuration that may never be answered.
+    pub configuration_wanted: Notify,
     is_stopping: AtomicBool,
     started: Instant,
 }
@@ -124,7 +134,9 @@
             digest_wanted: Notify::new(),
             controller_wanted: Notify::new(),
             worker_rows: Mutex::default(),
-            roster_version: AtomicU64::new(0),
+            list: Mutex::new(ListSync::new(settings.bounds.drain_ms)),
+            list_told: Notify::new(),
+            has_read_list: AtomicBool::new(false),
             recent_leaving: Mutex::default(),
             configuration_body: Mutex::default(),
             configuration: Mutex::default(),
@@ -137,6 +149,9 @@
             pools: Mutex::default(),
             ended_leases: Mutex::default(),
             is_fetching: AtomicBool::new(false),
+            is_fetching_configuration: AtomicBool::new(false),
+            is_store_lost: AtomicBool::new(false),
+            configuration_wanted: Notify::new(),
             is_stopping: AtomicBool::new(false),
             started: Instant::now(),
             settings,
@@ -207,6 +222,11 @@
         lock(&self.peers)
     }
 
+    /// Returns the version of the store that the list of workers is complete at.
+    pub fn list_version(&self) -> u64 {
+        lock(&self.list).version()
+    }
+
     /// Returns the demand seen here, by service.
     pub fn demand(&self) -> MutexGuard<'_, HashMap<Arc<str>, Demand>> {
         lock(&self.demand)
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -1,21 +1,30 @@
 //! What is known of the other instances, and the messages between them.
 
 use std::collections::HashMap;
+use std::io::Read;
+use std::io::Write;
 use std::net::Ipv4Addr;
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::RANK_COUNT;
 
 /// Version of the messages; others are dropped.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// Largest datagram that is taken, in bytes.
 pub const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
 
+/// Largest content of packed rows that is taken, in bytes.
+const UNPACKED_MAX_BYTES: u64 = 512 * 1024;
+
 /// Time after which a silent peer no longer counts as heard, in milliseconds.
 pub const HEARD_WITHIN_MS: u64 = 1_500;
 
@@ -28,6 +37,12 @@
 /// Peers that are remembered at most.
 const PEER_MAX_COUNT: usize = 96;
 
+/// Peers that changes of the list are passed on to.
+const PASSED_ON_COUNT: usize = 2;
+
+/// Known peers from which on whoever is told of changes passes them on.
+const LARGE_FROM_COUNT: usize = PEER_MAX_COUNT / 2;
+
 /// Addresses that one digest introduces at most.
 const INTRODUCED_COUNT: usize = 8;
 
@@ -55,11 +70,62 @@
     pub work_ms_per_s: f32,
 }
 
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// Version of the message.
+    pub version: u8,
+    /// The message.
+    pub message: Message,
+}
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// What the sender knows and does.
+    Digest(Box<Digest>),
+    /// What has changed on the list of workers.
+    List(ListMessage),
+}
+
+/// Changes of the list of workers, from whoever has just read them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListMessage {
+    /// Version of the store from which on the changes are complete.
+    pub from_version: u64,
+    /// Version of the store that the list is complete at.
+    pub version: u64,
+    /// Time for which that version has been known to hold, in milliseconds.
+    pub age_ms: u64,
+    /// The changed rows, packed.
+    pub packed_rows: Vec<u8>,
+}
+
+/// A changed row: key, version, and content unless the row is gone.
+pub type MessageRow = (String, u64, Option<Vec<u8>>);
+
+/// Packs changed rows: they repeat the same words, and reach everybody.
+pub fn pack_rows(rows: &[MessageRow]) -> Vec<u8> {
+    let plain = postcard::to_stdvec(rows).unwrap_or_default();
+    let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
+    // Writing to memory doesn't fail.
+    let _written = packed.write_all(&plain);
+    packed.finish().unwrap_or_default()
+}
+
+/// Unpacks changed rows; none if they can't be understood or are too large.
+pub fn unpack_rows(packed: &[u8]) -> Option<Vec<MessageRow>> {
+    let mut plain = Vec::new();
+    let unpacked = DeflateDecoder::new(packed)
+        .take(UNPACKED_MAX_BYTES)
+        .read_to_end(&mut plain);
+    unpacked.ok()?;
+    postcard::from_bytes(&plain).ok()
+}
+
 /// What an instance tells its peers, some times a second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
-    /// Version of the message.
-    pub version: u8,
     /// Number of the sender's start.
     pub boot: u64,
     /// Grows with each digest of a start.
@@ -68,10 +134,16 @@
     pub is_leaving: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
-    /// Version of the store that its list of workers is from.
-    pub roster_version: u64,
+    /// Version of the store that its list of workers is complete at.
+    pub list_version: u64,
+    /// Time for which that version has been known to hold, in milliseconds.
+    pub list_age_ms: u64,
     /// Keys of the services whose lease it holds.
     pub holds: Vec<u64>,
+    /// Services whose lease some instance was heard to hold, by the sender or by
+    /// others who told it: key, and for how long that hasn't been heard, in
+    /// milliseconds.
+    pub held: Vec<(u64, u64)>,
     /// Leases whose term is over here: key of the service, version of the row.
     pub ended: Vec<(u64, u64)>,
     /// Addresses of other instances.
@@ -106,6 +178,10 @@
     seeds: Vec<Ipv4Addr>,
     known: HashMap<Ipv4Addr, Peer>,
     heard_count: usize,
+    /// When the holder of each lease was heard last, by anybody, in milliseconds.
+    held_at_ms: HashMap<u64, u64>,
+    /// When a holder itself was heard to hold a lease no more, in milliseconds.
+    released_at_ms: HashMap<u64, u64>,
 }
 
 impl Peers {
@@ -118,6 +194,8 @@
             seeds,
             known,
             heard_count: 0,
+            held_at_ms: HashMap::new(),
+            released_at_ms: HashMap::new(),
         }
     }
 
@@ -147,8 +225,17 @@
         if peer.heard_at_ms.is_some() && is_old {
             return false;
         }
+        let released = peer.last.holds.iter();
+        let released: Vec<u64> = released
+            .filter(|service| digest.is_leaving || !digest.holds.contains(service))
+            .copied()
+            .collect();
         peer.heard_at_ms = Some(now_ms);
         peer.last = digest.clone();
+        for service in released {
+            self.released_at_ms.insert(service, now_ms);
+        }
+        self.note_held(now_ms, digest);
         self.heard_count = self.heard_peers(now_ms).count();
         true
     }
@@ -163,10 +250,34 @@
         })
     }
 
-    /// Whether some peer is heard to hold a lease.
+    /// Notes which leases are held.
+    fn note_held(&mut self, now_ms: u64, digest: &Digest) {
+        let own = digest.holds.iter().filter(|_| !digest.is_leaving);
+        let own = own.map(|service| (*service, 0));
+        for (service, age_ms) in own.chain(digest.held.iter().copied()) {
+            let at_ms = now_ms.saturating_sub(age_ms);
+            let known_ms = self.held_at_ms.entry(service).or_default();
+            *known_ms = at_ms.max(*known_ms);
+        }
+    }
+
+    /// Lists the leases that are heard to be held, and for how long that hasn't
+    /// been heard, in milliseconds.
+    pub fn held(&self, now_ms: u64) -> Vec<(u64, u64)> {
+        let ages = self.held_at_ms.iter();
+        ages.map(|(service, at_ms)| (*service, now_ms.saturating_sub(*at_ms)))
+            .filter(|(_, age_ms)| *age_ms < HEARD_WITHIN_MS)
+            .filter(|(service, age_ms)| {
+                let released_ms = self.released_at_ms.get(service).copied();
+                // What others told was heard before the holder said otherwise.
+                released_ms.is_none_or(|released_ms| now_ms - age_ms > released_ms)
+            })
+            .collect()
+    }
+
+    /// Whether some peer is heard to hold a lease, directly or through others.
     pub fn hears_holder(&self, now_ms: u64, service: u64) -> bool {
-        let mut heard = self.heard_peers(now_ms);
-        heard.any(|(_, peer)| peer.last.holds.contains(&service))
+        self.held(now_ms).iter().any(|(held, _)| *held == service)
     }
 
     /// Lists the versions under which peers say that they no longer order.
@@ -177,6 +288,35 @@
         of_service.map(|(_, version)| *version).collect()
     }
 
+    /// Counts the instances heard lately that come before this one in an order
+    /// of their own for each purpose.
+    pub fn rank(&self, now_ms: u64, purpose: &str) -> u64 {
+        let weight = |ip: Ipv4Addr| worker_key(&format!("{purpose}/{ip}"));
+        let own = weight(self.own_ip);
+        let before = self
+            .heard_peers(now_ms)
+            .filter(|(ip, _)| weight(**ip) > own);
+        before.count() as u64
+    }
+
+    /// Whether there may be more instances than one of them knows.
+    pub fn is_large(&self) -> bool {
+        self.known.len() >= LARGE_FROM_COUNT
+    }
+
+    /// Chooses whom changes of the list of workers go to.
+    ///
+    /// Whoever has read them tells all known peers; whoever passes them on tells
+    /// a few, for those whom the reader doesn't know.
+    pub fn list_recipients(&self, has_read: bool) -> Vec<Ipv4Addr> {
+        let known = self.known.keys().copied();
+        if has_read {
+            known.collect()
+        } else {
+            known.sample(&mut rand::rng(), PASSED_ON_COUNT)
+        }
+    }
+
     /// Chooses whom the next digest goes to.
     pub fn recipients(&mut self, now_ms: u64, is_slow_round: bool) -> Vec<Ipv4Addr> {
         let seeds = self.seeds.clone();
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -1,5 +1,12 @@
-//! Follows the list of workers in the store, at a pace.
+//! Keeps the list of workers: own reads of the store, and what peers tell.
+//!
+//! [`ListSync`] says when this instance has to read. What a read changes goes to
+//! all peers at once, so that in calm times one instance reads for all.
+//!
+//! [`ListSync`]: cranereach_fleet::list_sync::ListSync
 
+use std::collections::HashSet;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -13,30 +20,49 @@
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
+use crate::peers::ListMessage;
+use crate::peers::unpack_rows;
 use crate::store::StoreError;
+use cranereach_fleet::list_sync::ChangedRow;
+use cranereach_fleet::list_sync::Verdict;
+use cranereach_fleet::roster::Roster;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::WorkerRecord;
 
 /// Time that the store is asked to wait for changes, in milliseconds.
-const WAIT_MS: u64 = 1_500;
+///
+/// It isn't: an answer says how the list stands when it is asked for.
+const WAIT_MS: u64 = 0;
 
-/// Least time between two reads, as a share of the time to leave a worker alone.
-const READ_EVERY_SHARE: f64 = 0.45;
+/// Longest pause between two looks whether a read is due, in milliseconds.
+const LOOK_EVERY_MS: u64 = 50;
+
+/// Time by which a pause may last longer before the process counts as stalled,
+/// in milliseconds.
+const STALLED_FROM_MS: u64 = 500;
+
+/// Time added to the age of what a peer tells, in milliseconds.
+const TRANSIT_MS: u64 = 20;
 
 /// Time for which peers are told of a worker that leaves, in milliseconds.
 const TOLD_FOR_MS: u64 = 4_000;
 
+/// Purpose that instances are ranked for.
+const PURPOSE: &str = "list of workers";
+
 /// Runs until the process ends.
 pub async fn run(node: Arc<Node>) {
     let table = node.adapter.store.workers;
-    let every_ms = (node.settings.bounds.drain_ms as f64 * READ_EVERY_SHARE) as u64;
-    let mut after = None;
+    let mut is_whole = true;
     let mut failure_count = 0_u32;
     loop {
+        until_due(&node).await;
         let begun_ms = node.now_ms();
-        let read = match after {
-            None => node.store.read(table).await,
-            Some(version) => node.store.watch(table, version, WAIT_MS).await,
+        let version = node.list_version();
+        let read = if is_whole {
+            node.store.read(table).await
+        } else {
+            node.store.watch(table, version, WAIT_MS).await
         };
         note_call(&node, "workers", &read);
         match read {
@@ -45,15 +71,18 @@
                     info!(node.log, "store regained"; "for" => "workers", "failures" => failure_count);
                 }
                 failure_count = 0;
-                let is_whole = after.is_none();
-                after = Some(rows.version.max(after.unwrap_or(0)));
-                take(&node, &rows, is_whole);
-                let spent_ms = node.now_ms() - begun_ms;
-                pause(every_ms.saturating_sub(spent_ms)).await;
+                if is_whole {
+                    take_whole(&node, begun_ms, &rows);
+                } else {
+                    take_changes(&node, begun_ms, rows.version, &rows.rows);
+                }
+                is_whole = false;
+                node.has_read_list.store(true, Ordering::Release);
+                node.list_told.notify_one();
             }
             Err(error) => {
                 if error == StoreError::HistoryGone {
-                    after = None;
+                    is_whole = true;
                 } else if failure_count == 0 {
                     warn!(node.log, "store lost"; "for" => "workers", "error" => error.to_string());
                 }
@@ -64,65 +93,209 @@
     }
 }
 
-/// Takes rows of the list, all of them or those that changed.
-pub fn take(node: &Node, rows: &Rows, is_whole: bool) {
-    let mut known = Vec::new();
-    let mut gone = Vec::new();
-    {
-        let mut kept = lock(&node.worker_rows);
-        if is_whole {
-            kept.clear();
+/// Waits until this instance has to read the list; drops what has lapsed meanwhile.
+async fn until_due(node: &Node) {
+    loop {
+        let now_ms = node.now_ms();
+        drop_lapsed(node, now_ms);
+        let rank = node.peers().rank(now_ms, PURPOSE);
+        let due_ms = lock(&node.list).read_due_at_ms(rank);
+        if now_ms >= due_ms {
+            return;
         }
-        for row in &rows.rows {
-            if row.is_gone {
-                kept.remove(&row.key);
-                gone.push((row.version, row.key.clone()));
-            } else {
-                kept.insert(row.key.clone(), (row.version, row.value.clone()));
-            }
+        let pause_ms = LOOK_EVERY_MS.min(due_ms - now_ms);
+        pause(pause_ms).await;
+        if node.now_ms() > now_ms + pause_ms + STALLED_FROM_MS {
+            // What waited in the socket meanwhile looks fresher than it is.
+            lock(&node.list).distrust();
         }
     }
-    for row in rows.rows.iter().filter(|row| !row.is_gone) {
-        if let Some(record) = parse(node, row) {
-            known.push((row.version, record));
+}
+
+/// Takes changes that a peer tells, and passes on what is new.
+pub fn take_message(node: &Node, sender: Ipv4Addr, message: ListMessage) {
+    let ListMessage {
+        from_version,
+        version,
+        age_ms,
+        packed_rows,
+    } = message;
+    let known_version = node.list_version();
+    let verdict = lock(&node.list).judge(from_version, version);
+    match verdict {
+        Verdict::Old => return,
+        Verdict::Gap => {
+            info!(node.log, "changes of the list missing"; "peer" => sender.to_string(),
+                "known_version" => known_version, "from_version" => from_version);
+            return;
         }
+        Verdict::Applies => {}
     }
-    let now_ms = node.now_ms();
-    let leaving: Vec<(u64, u64)> = known
+    let Some(rows) = unpack_rows(&packed_rows) else {
+        let counter = &node.metrics.bad_input_total;
+        counter.with_label_values(&["peer"]).inc();
+        return;
+    };
+    let true_at_ms = node.now_ms().saturating_sub(age_ms + TRANSIT_MS);
+    let rows = rows.into_iter().map(|(key, row_version, value)| Row {
+        key,
+        version: row_version,
+        is_gone: value.is_none(),
+        value: value.unwrap_or_default(),
+    });
+    let rows: Vec<Row> = rows.collect();
+    take_changes(node, true_at_ms, version, &rows);
+    if version > known_version && node.peers().is_large() {
+        node.list_told.notify_one();
+    }
+}
+
+/// Takes the whole list as it was at a time.
+pub fn take_whole(node: &Node, true_at_ms: u64, rows: &Rows) {
+    let listed: HashSet<Arc<str>> = rows
+        .rows
         .iter()
-        .filter(|(_, record)| record.is_leaving)
-        .map(|(version, record)| (*version, worker_key(&record.id)))
+        .map(|row| Arc::from(row.key.as_str()))
         .collect();
+    let unlisted = node.roster().unlisted(rows.version, &listed);
+    let gone = unlisted.iter().map(|id| Row {
+        key: id.to_string(),
+        version: rows.version,
+        is_gone: true,
+        value: Vec::new(),
+    });
+    let all: Vec<Row> = rows.rows.iter().cloned().chain(gone).collect();
+    take_changes(node, true_at_ms, rows.version, &all);
+}
+
+/// Takes changed rows, complete at a version that was the newest at a time.
+fn take_changes(node: &Node, true_at_ms: u64, version: u64, rows: &[Row]) {
+    let now_ms = node.now_ms();
+    let mut list = lock(&node.list);
+    let is_regained = list.ends_outage(true_at_ms);
+    let lapse_until_ms = list.lapse_until_ms(now_ms, true_at_ms);
+    drop(list);
+    if is_regained {
+        // The wait for the configuration may have died with the outage.
+        node.configuration_wanted.notify_one();
+    }
+    keep_rows(node, rows);
+    let mut changes = Changes::default();
     let mut roster = node.roster();
-    let mut ended = Vec::new();
-    if is_whole {
-        ended = roster.replace(rows.version, known);
-    } else {
-        for (version, record) in known {
-            let id = Arc::clone(&record.id);
-            let is_new = roster.get(&id).is_none();
-            let was_leaving = roster
-                .get(&id)
-                .is_some_and(|worker| worker.record.is_leaving);
-            if is_new || was_leaving != record.is_leaving {
-                info!(node.log, "worker listed"; "worker" => id.as_ref(), "version" => version,
-                    "leaving" => record.is_leaving, "address" => record.address.clone());
+    for row in rows {
+        if row.is_gone {
+            changes.end(&mut roster, row, lapse_until_ms);
+        } else if let Some(record) = parse(node, row) {
+            changes.put(node, &mut roster, row, record);
+        }
+    }
+    drop(roster);
+    for row in changes.rows.iter().filter(|row| row.value.is_none()) {
+        info!(node.log, "worker gone"; "worker" => &row.key, "version" => row.version,
+            "lapsed_until_ms" => lapse_until_ms);
+    }
+    note_leaving(node, now_ms, &changes.leaving);
+    node.forget_pools(&changes.ended);
+    let has_changed = !changes.rows.is_empty();
+    lock(&node.list).advance(true_at_ms, version, changes.rows);
+    if has_changed {
+        node.roster_changed.notify_waiters();
+        node.controller_wanted.notify_one();
+    }
+}
+
+/// What rows change on the list.
+#[derive(Debug, Default)]
+struct Changes {
+    /// Rows that say something new.
+    rows: Vec<ChangedRow>,
+    /// Workers that leave or are gone: version, key.
+    leaving: Vec<(u64, u64)>,
+    /// Workers that are gone.
+    ended: Vec<Arc<str>>,
+}
+
+impl Changes {
+    /// Takes the row of a worker.
+    fn put(&mut self, node: &Node, roster: &mut Roster, row: &Row, record: WorkerRecord) {
+        let before = roster.get(&record.id);
+        let is_known = before.is_some_and(|worker| worker.record.is_leaving == record.is_leaving);
+        if !is_known {
+            info!(node.log, "worker listed"; "worker" => &row.key, "version" => row.version,
+                "leaving" => record.is_leaving, "address" => &record.address);
+        }
+        if record.is_leaving {
+            self.leaving.push((row.version, worker_key(&record.id)));
+        }
+        if roster.put(row.version, record) {
+            self.rows.push(ChangedRow {
+                key: row.key.clone(),
+                version: row.version,
+                value: Some(row.value.clone()),
+            });
+        }
+    }
+
+    /// Takes the end of a row.
+    fn end(&mut self, roster: &mut Roster, row: &Row, lapse_until_ms: Option<u64>) {
+        let known = roster.get(&row.key);
+        let was_lapsed = known.is_some_and(|worker| worker.lapsed.is_some());
+        if lapse_until_ms.is_some_and(|until_ms| roster.lapse(row.version, &row.key, until_ms)) {
+            if !was_lapsed {
+                self.rows.push(gone_row(row));
             }
-            roster.put(version, record);
+            return;
+        }
+        if roster.remove(row.version, &row.key) {
+            self.rows.push(gone_row(row));
+            self.leaving.push((row.version, worker_key(&row.key)));
+            self.ended.push(Arc::from(row.key.as_str()));
         }
     }
-    for (version, id) in gone {
-        if roster.remove(version, &id) {
-            ended.push(Arc::from(id.as_str()));
+}
+
+/// Makes the change of a row that is gone.
+fn gone_row(row: &Row) -> ChangedRow {
+    ChangedRow {
+        key: row.key.clone(),
+        version: row.version,
+        value: None,
+    }
+}
+
+/// Keeps rows as read, for peers that need the whole list.
+fn keep_rows(node: &Node, rows: &[Row]) {
+    let mut kept = lock(&node.worker_rows);
+    for row in rows {
+        if kept
+            .get(&row.key)
+            .is_some_and(|(version, _)| *version > row.version)
+        {
+            continue;
+        }
+        if row.is_gone {
+            kept.remove(&row.key);
+        } else {
+            kept.insert(row.key.clone(), (row.version, row.value.clone()));
         }
     }
+}
+
+/// Drops workers whose rows lapsed during an outage and did not come back.
+fn drop_lapsed(node: &Node, now_ms: u64) {
+    let mut roster = node.roster();
+    let lapsed = roster.lapsed(now_ms);
+    if lapsed.is_empty() {
+        return;
+    }
+    for (version, id) in &lapsed {
+        roster.remove(*version, id);
+    }
     drop(roster);
-    node.roster_version
-        .fetch_max(rows.version, Ordering::AcqRel);
+    let ended: Vec<Arc<str>> = lapsed.into_iter().map(|(_, id)| id).collect();
     for id in &ended {
-        info!(node.log, "worker gone"; "worker" => id.as_ref(), "version" => rows.version);
+        info!(node.log, "worker lapsed"; "worker" => id.as_ref());
     }
-    note_leaving(node, now_ms, &leaving, rows.version, &ended);
     node.forget_pools(&ended);
     node.roster_changed.notify_waiters();
     node.controller_wanted.notify_one();
@@ -130,26 +303,19 @@
 
 /// Passes on that a worker leaves, as a peer has told.
 pub fn pass_leaving_on(node: &Node, key: u64, version: u64) {
-    note_leaving(node, node.now_ms(), &[(version, key)], version, &[]);
+    note_leaving(node, node.now_ms(), &[(version, key)]);
 }
 
 /// Remembers who leaves or is gone, so that peers are told.
-fn note_leaving(
-    node: &Node,
-    now_ms: u64,
-    leaving: &[(u64, u64)],
-    version: u64,
-    ended: &[Arc<str>],
-) {
+fn note_leaving(node: &Node, now_ms: u64, leaving: &[(u64, u64)]) {
     let mut recent = lock(&node.recent_leaving);
     recent.retain(|(at_ms, ..)| now_ms < at_ms + TOLD_FOR_MS);
     let before = recent.len();
-    for (row_version, key) in leaving {
+    for (version, key) in leaving {
         if !recent.iter().any(|(_, known, _)| known == key) {
-            recent.push((now_ms, *key, *row_version));
+            recent.push((now_ms, *key, *version));
         }
     }
-    recent.extend(ended.iter().map(|id| (now_ms, worker_key(id), version)));
     if recent.len() > before {
         node.digest_wanted.notify_one();
     }
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -121,6 +121,7 @@
         }
         let socket = Arc::new(digests);
         tasks.spawn(gossip::receive(Arc::clone(&node), Arc::clone(&socket)));
+        tasks.spawn(gossip::send_list(Arc::clone(&node), Arc::clone(&socket)));
         tasks.spawn(gossip::send(Arc::clone(&node), socket));
         tasks.spawn(bodies::serve(Arc::clone(&node), bodies));
         tasks.spawn(configuration_sync::run(Arc::clone(&node)));
--- a/crates/cranereach-gateway/src/settings.rs
+++ b/crates/cranereach-gateway/src/settings.rs
@@ -92,6 +92,9 @@
     pub grace_s: f64,
     /// Time within which a leaving worker must get no more work, in milliseconds.
     pub drain_ms: u64,
+    /// Time within which a change of the configuration must be in force, in
+    /// milliseconds.
+    pub configuration_ms: u64,
     /// Time between the orders of two holders, in milliseconds.
     pub lease_ms: u64,
     /// Repeats per request.
@@ -107,6 +110,7 @@
         Self {
             grace_s: 8.0,
             drain_ms: 2_000,
+            configuration_ms: 2_000,
             lease_ms: 3_000,
             retry_ratio: 0.1,
             retry_allowance_count: 10.0,
--- /dev/null
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -0,0 +1,121 @@
+//! What an instance takes from its peers' messages.
+
+use std::net::Ipv4Addr;
+
+use assert_matches::assert_matches;
+
+use cranereach_gateway::peers::Digest;
+use cranereach_gateway::peers::HEARD_WITHIN_MS;
+use cranereach_gateway::peers::MessageRow;
+use cranereach_gateway::peers::Peers;
+use cranereach_gateway::peers::pack_rows;
+use cranereach_gateway::peers::unpack_rows;
+
+/// A service's key.
+const SERVICE: u64 = 7;
+
+fn ip(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn digest(count: u64) -> Digest {
+    Digest {
+        boot: 1,
+        count,
+        ..Digest::default()
+    }
+}
+
+fn holder(count: u64) -> Digest {
+    Digest {
+        holds: vec![SERVICE],
+        ..digest(count)
+    }
+}
+
+fn told(count: u64, age_ms: u64) -> Digest {
+    Digest {
+        held: vec![(SERVICE, age_ms)],
+        ..digest(count)
+    }
+}
+
+#[test]
+fn a_holder_that_only_others_hear_counts_until_its_word_is_old() {
+    let mut peers = Peers::new(ip(1), vec![]);
+    assert!(!peers.hears_holder(0, SERVICE));
+    peers.heard(1_000, ip(2), &told(1, 400));
+    assert!(peers.hears_holder(1_000, SERVICE));
+    assert_eq!(peers.held(1_100), [(SERVICE, 500)]);
+    // Telling it again makes it no younger.
+    peers.heard(1_800, ip(3), &told(1, 1_200));
+    let end_ms = 600 + HEARD_WITHIN_MS;
+    assert!(peers.hears_holder(end_ms - 1, SERVICE));
+    assert!(!peers.hears_holder(end_ms, SERVICE));
+}
+
+#[test]
+fn a_holder_that_gives_up_is_believed_at_once() {
+    for given_up in [
+        digest(2),
+        Digest {
+            is_leaving: true,
+            ..holder(2)
+        },
+    ] {
+        let mut peers = Peers::new(ip(1), vec![]);
+        peers.heard(1_000, ip(2), &holder(1));
+        assert!(peers.hears_holder(1_100, SERVICE));
+        peers.heard(1_200, ip(2), &given_up);
+        assert!(!peers.hears_holder(1_200, SERVICE));
+        // What others heard before that counts no more.
+        peers.heard(1_300, ip(3), &told(1, 300));
+        assert!(!peers.hears_holder(1_300, SERVICE));
+        peers.heard(1_400, ip(3), &holder(2));
+        assert!(peers.hears_holder(1_400, SERVICE), "a successor");
+    }
+}
+
+#[test]
+fn instances_agree_on_their_ranks() {
+    let addresses: Vec<Ipv4Addr> = (1..=9).map(ip).collect();
+    let mut ranks: Vec<u64> = addresses
+        .iter()
+        .map(|own| {
+            let mut peers = Peers::new(*own, vec![]);
+            for peer in &addresses {
+                peers.heard(0, *peer, &digest(1));
+            }
+            peers.rank(0, "purpose")
+        })
+        .collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..9).collect::<Vec<u64>>());
+}
+
+#[test]
+fn whoever_reads_tells_all_and_whoever_passes_on_a_few() {
+    let mut peers = Peers::new(ip(1), vec![]);
+    for peer in 2..=60 {
+        peers.heard(0, ip(peer), &digest(1));
+    }
+    assert!(peers.is_large());
+    assert_eq!(peers.list_recipients(true).len(), 59);
+    let few = peers.list_recipients(false).len();
+    assert!((1..=4).contains(&few), "{few}");
+}
+
+#[test]
+fn rows_survive_packing_and_nonsense_is_refused() {
+    let rows: Vec<MessageRow> = (0..200)
+        .map(|row| (format!("w-{row}"), row, Some(vec![b'x'; 500])))
+        .chain([("gone".to_owned(), 7, None)])
+        .collect();
+    let packed = pack_rows(&rows);
+    assert!(packed.len() < 8_000, "{}", packed.len());
+    assert_eq!(unpack_rows(&packed), Some(rows));
+    assert_matches!(unpack_rows(b"nonsense"), None);
+    assert_matches!(unpack_rows(&packed[..packed.len() / 2]), None);
+    let endless: Vec<MessageRow> = vec![("w".to_owned(), 1, Some(vec![0; 2_000_000]))];
+    assert_matches!(unpack_rows(&pack_rows(&endless)), None);
+}
--- a/tests/testsuite/gateway_settings.rs
+++ b/tests/testsuite/gateway_settings.rs
@@ -29,6 +29,17 @@
     check(&path)
 }
 
+/// Bounds that a deployment may leave out.
+const BOUNDS: [&str; 7] = [
+    "graceS",
+    "drainMs",
+    "configurationMs",
+    "leaseMs",
+    "retryBudgetRatio",
+    "retryBudgetAllowance",
+    "budgetWindowS",
+];
+
 /// Fills the template as the platform does, with figures of a test.
 fn filled() -> String {
     let template = fs::read_to_string(root("deploy/settings.jsonc")).unwrap();
@@ -44,6 +55,7 @@
         ("{{seedNodes|json}}", "[\"127.0.0.1:6\"]"),
         ("{{bounds.graceS}}", "8.0"),
         ("{{bounds.drainMs}}", "2000"),
+        ("{{bounds.configurationMs}}", "2000"),
         ("{{bounds.leaseMs}}", "3000"),
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.retryBudgetAllowance}}", "52"),
@@ -54,6 +66,15 @@
         assert!(text.contains(gap), "the template has {gap}");
         text = text.replace(gap, value);
     }
+    for bound in BOUNDS {
+        for mark in [
+            format!("{{{{#bounds.{bound}}}}}"),
+            format!("{{{{/bounds.{bound}}}}}"),
+        ] {
+            assert!(text.contains(&mark), "the template has {mark}");
+            text = text.replace(&mark, "");
+        }
+    }
     assert!(!text.contains("{{"), "{text}");
     text
 }
@@ -66,6 +87,17 @@
     assert!(template.status.success(), "{template:?}");
 }
 
+#[test]
+fn bounds_that_a_deployment_does_not_name_keep_their_defaults() {
+    let text: Vec<String> = filled()
+        .lines()
+        .filter(|line| !line.contains("_ms\"") && !line.contains("retry_"))
+        .map(str::to_owned)
+        .collect();
+    let output = check_text("filled-few-bounds", &text.join("\n"));
+    assert!(output.status.success(), "{output:?}");
+}
+
 #[test]
 fn faults_name_file_line_and_valid_choices() {
     let table = [
