Demand goes to holders alone; longer pauses where others try; a later return to models whose workers are down

- Digests name the holder that was heard, so that everybody sends it its demand, also whom the holder doesn't reach itself; other digests leave it out.
- After failed calls, instances that others try for pause six times as long.
- Where all holders of a model were tried in vain, callers come back after 1.5 s, not 0.3 s: their workers are down for seconds.

--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -31,6 +31,9 @@
 /// Longest pause after failed calls, in milliseconds.
 const PAUSE_MAX_MS: u64 = 500;
 
+/// How much longer instances pause after failed calls that peers watch for.
+const PAUSE_AMONG_PEERS_FACTOR: u64 = 6;
+
 /// Runs until the process ends.
 pub async fn run(node: Arc<Node>) {
     let (table, key) = node.adapter.store.configuration;
@@ -67,7 +70,7 @@
                 } else if failure_count == 0 {
                     warn!(node.log, "store lost"; "for" => "configuration", "error" => error.to_string());
                 }
-                pause(backoff_ms(failure_count)).await;
+                pause(backoff_ms(failure_count, !is_watching(&node))).await;
                 failure_count += 1;
             }
         }
@@ -76,17 +79,29 @@
 
 /// Returns the time that the store is asked to wait, in milliseconds.
 fn wait_ms(node: &Node) -> u64 {
-    if node.peers().rank(node.now_ms(), PURPOSE) < WATCHING_COUNT {
+    if is_watching(node) {
         WAIT_MS
     } else {
         WAIT_AMONG_PEERS_MS
     }
 }
 
+/// Whether this instance is one of those that watch for all.
+fn is_watching(node: &Node) -> bool {
+    node.peers().rank(node.now_ms(), PURPOSE) < WATCHING_COUNT
+}
+
 /// Returns the pause after a number of failures in a row, spread by chance.
-pub fn backoff_ms(failure_count: u32) -> u64 {
+///
+/// It is longer where others try, too, and tell what they learn.
+pub fn backoff_ms(failure_count: u32, do_others_try: bool) -> u64 {
     let doubled = PAUSE_FIRST_MS << failure_count.min(4);
-    let longest = doubled.min(PAUSE_MAX_MS);
+    let factor = if do_others_try {
+        PAUSE_AMONG_PEERS_FACTOR
+    } else {
+        1
+    };
+    let longest = doubled.min(PAUSE_MAX_MS) * factor;
     longest / 2 + rand::random_range(0..=longest / 2)
 }
 
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -153,7 +153,9 @@
             let choice = self.choose().await?;
             let before = self.tried.iter().filter(|tried| **tried == choice.id);
             if before.count() >= SAME_WORKER_MAX_COUNT {
-                return Err(self.refusal(self.end_code(), "nobody else left"));
+                let mut refusal = self.refusal(self.end_code(), "nobody else left");
+                refusal.retry_after_ms = 1_500;
+                return Err(refusal);
             }
             self.offer_count += 1;
             self.tried.push(Arc::clone(&choice.id));
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 //! What a digest only names is fetched by [`crate::bodies`].
 
 use std::collections::HashMap;
+use std::mem;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -50,18 +51,17 @@
     loop {
         let now_ms = node.now_ms();
         count += 1;
-        let recipients = node
-            .peers()
-            .recipients(now_ms, count.is_multiple_of(SLOW_ROUND_EVERY));
-        if !recipients.is_empty() {
-            let digest = Box::new(make(&node, now_ms, count));
-            let message = encode(Message::Digest(digest));
-            for recipient in recipients {
-                // A lost datagram is made good by the next.
-                let _sent = socket
-                    .send_to(&message, SocketAddr::from((recipient, port)))
-                    .await;
-            }
+        let is_slow_round = count.is_multiple_of(SLOW_ROUND_EVERY);
+        let (holders, others) = node.peers().recipients(now_ms, is_slow_round);
+        let mut digest = make(&node, now_ms, count);
+        // Only holders plan by demand.
+        let demand = mem::take(&mut digest.demand);
+        let for_others = Message::Digest(Box::new(digest.clone()));
+        send_to(&socket, port, for_others, &others).await;
+        if !holders.is_empty() {
+            digest.demand = demand;
+            let for_holders = Message::Digest(Box::new(digest));
+            send_to(&socket, port, for_holders, &holders).await;
         }
         pause(ROUND_LEAST_MS).await;
         let every = Duration::from_millis(node.settings.peers.digest_every_ms);
@@ -78,15 +78,20 @@
         node.list_told.notified().await;
         let told = lock(&node.list).part(node.now_ms()).map(list_message);
         let Some(changes) = told else { continue };
-        let message = encode(Message::List(changes));
         let has_read = node.has_read_list.swap(false, Ordering::AcqRel);
         let recipients = node.peers().list_recipients(has_read);
-        for recipient in recipients {
-            // A lost datagram is made good by the next.
-            let _sent = socket
-                .send_to(&message, SocketAddr::from((recipient, port)))
-                .await;
-        }
+        send_to(&socket, port, Message::List(changes), &recipients).await;
+    }
+}
+
+/// Sends a message to some peers.
+async fn send_to(socket: &UdpSocket, port: u16, message: Message, recipients: &[Ipv4Addr]) {
+    let datagram = encode(message);
+    for recipient in recipients {
+        // A lost datagram is made good by the next.
+        let _sent = socket
+            .send_to(&datagram, SocketAddr::from((*recipient, port)))
+            .await;
     }
 }
 
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -123,6 +123,17 @@
     postcard::from_bytes(&plain).ok()
 }
 
+/// A lease that some instance was heard to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldLease {
+    /// Key of the service.
+    pub service: u64,
+    /// Who holds it.
+    pub holder: Ipv4Addr,
+    /// Time for which it hasn't been heard, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What an instance tells its peers, some times a second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -140,10 +151,8 @@
     pub list_age_ms: u64,
     /// Keys of the services whose lease it holds.
     pub holds: Vec<u64>,
-    /// Services whose lease some instance was heard to hold, by the sender or by
-    /// others who told it: key, and for how long that hasn't been heard, in
-    /// milliseconds.
-    pub held: Vec<(u64, u64)>,
+    /// Leases that the sender, or others who told it, heard to be held.
+    pub held: Vec<HeldLease>,
     /// Leases whose term is over here: key of the service, version of the row.
     pub ended: Vec<(u64, u64)>,
     /// Addresses of other instances.
@@ -178,8 +187,8 @@
     seeds: Vec<Ipv4Addr>,
     known: HashMap<Ipv4Addr, Peer>,
     heard_count: usize,
-    /// When the holder of each lease was heard last, by anybody, in milliseconds.
-    held_at_ms: HashMap<u64, u64>,
+    /// Who holds each lease, and when it was heard last, by anybody, in milliseconds.
+    holders: HashMap<u64, (Ipv4Addr, u64)>,
     /// When a holder itself was heard to hold a lease no more, in milliseconds.
     released_at_ms: HashMap<u64, u64>,
 }
@@ -194,7 +203,7 @@
             seeds,
             known,
             heard_count: 0,
-            held_at_ms: HashMap::new(),
+            holders: HashMap::new(),
             released_at_ms: HashMap::new(),
         }
     }
@@ -235,7 +244,7 @@
         for service in released {
             self.released_at_ms.insert(service, now_ms);
         }
-        self.note_held(now_ms, digest);
+        self.note_held(now_ms, sender, digest);
         self.heard_count = self.heard_peers(now_ms).count();
         true
     }
@@ -251,33 +260,45 @@
     }
 
     /// Notes which leases are held.
-    fn note_held(&mut self, now_ms: u64, digest: &Digest) {
+    fn note_held(&mut self, now_ms: u64, sender: Ipv4Addr, digest: &Digest) {
         let own = digest.holds.iter().filter(|_| !digest.is_leaving);
-        let own = own.map(|service| (*service, 0));
-        for (service, age_ms) in own.chain(digest.held.iter().copied()) {
-            let at_ms = now_ms.saturating_sub(age_ms);
-            let known_ms = self.held_at_ms.entry(service).or_default();
-            *known_ms = at_ms.max(*known_ms);
+        let own = own.map(|service| HeldLease {
+            service: *service,
+            holder: sender,
+            age_ms: 0,
+        });
+        for held in own.chain(digest.held.iter().copied()) {
+            let at_ms = now_ms.saturating_sub(held.age_ms);
+            let known = self.holders.entry(held.service);
+            let known = known.or_insert((held.holder, at_ms));
+            if at_ms > known.1 {
+                *known = (held.holder, at_ms);
+            }
         }
     }
 
-    /// Lists the leases that are heard to be held, and for how long that hasn't
-    /// been heard, in milliseconds.
-    pub fn held(&self, now_ms: u64) -> Vec<(u64, u64)> {
-        let ages = self.held_at_ms.iter();
-        ages.map(|(service, at_ms)| (*service, now_ms.saturating_sub(*at_ms)))
-            .filter(|(_, age_ms)| *age_ms < HEARD_WITHIN_MS)
-            .filter(|(service, age_ms)| {
-                let released_ms = self.released_at_ms.get(service).copied();
-                // What others told was heard before the holder said otherwise.
-                released_ms.is_none_or(|released_ms| now_ms - age_ms > released_ms)
+    /// Lists the leases that are heard to be held.
+    pub fn held(&self, now_ms: u64) -> Vec<HeldLease> {
+        let known = self.holders.iter();
+        let recent = known.filter(|(service, (_, at_ms))| {
+            let released_ms = self.released_at_ms.get(service).copied();
+            // What others told was heard before the holder said otherwise.
+            let is_held = released_ms.is_none_or(|released_ms| *at_ms > released_ms);
+            is_held && now_ms < at_ms + HEARD_WITHIN_MS
+        });
+        recent
+            .map(|(service, (holder, at_ms))| HeldLease {
+                service: *service,
+                holder: *holder,
+                age_ms: now_ms.saturating_sub(*at_ms),
             })
             .collect()
     }
 
     /// Whether some peer is heard to hold a lease, directly or through others.
     pub fn hears_holder(&self, now_ms: u64, service: u64) -> bool {
-        self.held(now_ms).iter().any(|(held, _)| *held == service)
+        let held = self.held(now_ms);
+        held.iter().any(|held| held.service == service)
     }
 
     /// Lists the versions under which peers say that they no longer order.
@@ -317,8 +338,12 @@
         }
     }
 
-    /// Chooses whom the next digest goes to.
-    pub fn recipients(&mut self, now_ms: u64, is_slow_round: bool) -> Vec<Ipv4Addr> {
+    /// Chooses whom the next digest goes to: holders of leases, and some others.
+    pub fn recipients(
+        &mut self,
+        now_ms: u64,
+        is_slow_round: bool,
+    ) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
         let seeds = self.seeds.clone();
         self.known.retain(|address, peer| {
             let at_ms = peer.heard_at_ms.unwrap_or(peer.known_at_ms);
@@ -332,15 +357,17 @@
                 .is_some_and(|at_ms| now_ms < at_ms + HEARD_WITHIN_MS);
             is_heard || is_slow_round
         };
-        let (holders, others): (Vec<_>, Vec<_>) = self
+        let mut holders: Vec<Ipv4Addr> = self.held(now_ms).iter().map(|held| held.holder).collect();
+        holders.retain(|holder| *holder != self.own_ip);
+        holders.sort_unstable();
+        holders.dedup();
+        let others = self
             .known
             .iter()
-            .filter(|(_, peer)| is_due(peer))
-            .partition(|(_, peer)| !peer.last.holds.is_empty());
-        let mut chosen: Vec<Ipv4Addr> = holders.into_iter().map(|(address, _)| *address).collect();
-        let sampled = others.into_iter().map(|(address, _)| *address);
-        chosen.extend(sampled.sample(&mut rand::rng(), FAN_OUT_COUNT));
-        chosen
+            .filter(|(address, peer)| is_due(peer) && !holders.contains(address))
+            .map(|(address, _)| *address);
+        let others = others.sample(&mut rand::rng(), FAN_OUT_COUNT);
+        (holders, others)
     }
 
     /// Chooses addresses to introduce.
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -47,6 +47,9 @@
 /// Time for which peers are told of a worker that leaves, in milliseconds.
 const TOLD_FOR_MS: u64 = 4_000;
 
+/// Instances that try again soon after a failed read, so that others need not.
+const TRYING_COUNT: u64 = 4;
+
 /// Purpose that instances are ranked for.
 const PURPOSE: &str = "list of workers";
 
@@ -86,7 +89,8 @@
                 } else if failure_count == 0 {
                     warn!(node.log, "store lost"; "for" => "workers", "error" => error.to_string());
                 }
-                pause(backoff_ms(failure_count)).await;
+                let rank = node.peers().rank(node.now_ms(), PURPOSE);
+                pause(backoff_ms(failure_count, rank >= TRYING_COUNT)).await;
                 failure_count += 1;
             }
         }
--- a/crates/cranereach-gateway/tests/peers.rs
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -6,6 +6,7 @@
 
 use cranereach_gateway::peers::Digest;
 use cranereach_gateway::peers::HEARD_WITHIN_MS;
+use cranereach_gateway::peers::HeldLease;
 use cranereach_gateway::peers::MessageRow;
 use cranereach_gateway::peers::Peers;
 use cranereach_gateway::peers::pack_rows;
@@ -33,9 +34,17 @@
     }
 }
 
+fn held(age_ms: u64) -> HeldLease {
+    HeldLease {
+        service: SERVICE,
+        holder: ip(9),
+        age_ms,
+    }
+}
+
 fn told(count: u64, age_ms: u64) -> Digest {
     Digest {
-        held: vec![(SERVICE, age_ms)],
+        held: vec![held(age_ms)],
         ..digest(count)
     }
 }
@@ -46,7 +55,9 @@
     assert!(!peers.hears_holder(0, SERVICE));
     peers.heard(1_000, ip(2), &told(1, 400));
     assert!(peers.hears_holder(1_000, SERVICE));
-    assert_eq!(peers.held(1_100), [(SERVICE, 500)]);
+    assert_eq!(peers.held(1_100), [held(500)]);
+    // What it asks for goes to that holder, whom it never heard.
+    assert_eq!(peers.recipients(1_100, true).0, [ip(9)]);
     // Telling it again makes it no younger.
     peers.heard(1_800, ip(3), &told(1, 1_200));
     let end_ms = 600 + HEARD_WITHIN_MS;
