Connecting has a limit of its own in calls to JSON interfaces

Cause: a wait for the configuration hung for 6.9 s more after a cut, since making its connection had no limit but the wait's; with waits of 25 s that matters more. The test fills the queue of a listener: before, the call ended at its own limit of 20 s as unanswered; now within 1 s as not sent.

--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -20,6 +20,10 @@
 /// Largest answer of a JSON interface, in bytes.
 const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
 
+/// Time to connect, in milliseconds: whoever waits long for an answer does not
+/// wait as long for a connection that nobody takes.
+const CONNECT_WITHIN_MS: u64 = 1_000;
+
 /// How a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum CallError {
@@ -163,7 +167,10 @@
             address: self.address().to_owned(),
         };
         loop {
-            let mut connection = self.pool.take().await.map_err(|_refused| not_sent())?;
+            let within = Duration::from_millis(CONNECT_WITHIN_MS);
+            let taken = tokio::time::timeout(within, self.pool.take()).await;
+            let taken = taken.map_err(|_elapsed| not_sent())?;
+            let mut connection = taken.map_err(|_refused| not_sent())?;
             let head = match connection.send(request).await {
                 Ok(head) => head,
                 Err(SendError::Unsent(unsent)) if connection.is_reused() => {
