Digests go to the whole own failure domain; whole lists only to whom the store is lost

Cause: at 90 machines each instance heard 58 % of the others within the 1.5 s that a load counts, so requests met prompts that nobody had told of.

Demand goes to holders in each round only up to 64 known peers.
- A peer's loads are taken without a look at all workers.
- The fixed part of the bound of repeats is shared by all known instances, not only those heard lately.
- A gauge for the age of the list.

--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -54,6 +54,9 @@
     workers: HashMap<Arc<str>, Worker>,
     by_service: HashMap<Arc<str>, Vec<Arc<str>>>,
     by_key: HashMap<u64, Arc<str>>,
+    /// Workers that each peer last told a load of, so that its next word is taken
+    /// without a look at all workers.
+    loaded_by_peer: HashMap<u32, Vec<u64>>,
     gone_at_version: HashMap<Arc<str>, u64>,
 }
 
@@ -268,13 +271,20 @@
 
     /// Takes all loads of one peer; what it doesn't name it has none of.
     pub fn peer_loads(&mut self, now_ms: u64, peer: u32, loads: &[(u64, Load)]) {
-        for worker in self.workers.values_mut() {
-            worker.peers.remove(&peer);
+        let before = self.loaded_by_peer.remove(&peer).unwrap_or_default();
+        for key in before {
+            if let Some(worker) = self.by_key_mut(key) {
+                worker.peers.remove(&peer);
+            }
         }
         for (key, load) in loads {
             if let Some(worker) = self.by_key_mut(*key) {
                 worker.peers.insert(peer, (now_ms, *load));
             }
         }
+        if !loads.is_empty() {
+            let keys = loads.iter().map(|(key, _)| *key);
+            self.loaded_by_peer.insert(peer, keys.collect());
+        }
     }
 }
--- a/crates/cranereach-gateway/src/bodies.rs
+++ b/crates/cranereach-gateway/src/bodies.rs
@@ -63,7 +63,9 @@
 
 /// Fetches the list of workers from a peer whose list is newer, after a while.
 pub fn fetch_workers_if_behind(node: &Arc<Node>, sender: Ipv4Addr, digest: &Digest) {
-    if digest.list_version <= node.list_version() {
+    // Whoever reads the store itself has no need of the whole list.
+    let is_lost = node.is_list_lost.load(Ordering::Acquire);
+    if !is_lost || digest.list_version <= node.list_version() {
         return;
     }
     let version = digest.list_version;
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -58,7 +58,8 @@
         let demand = mem::take(&mut digest.demand);
         let for_others = Message::Digest(Box::new(digest.clone()));
         send_to(&socket, port, for_others, &others).await;
-        if !holders.is_empty() {
+        let demand_every = node.peers().demand_every();
+        if count.is_multiple_of(demand_every) && !holders.is_empty() {
             digest.demand = demand;
             let for_holders = Message::Digest(Box::new(digest));
             send_to(&socket, port, for_holders, &holders).await;
@@ -130,6 +131,7 @@
     let peers = node.peers();
     let introduced = peers.introduced(now_ms);
     let held = peers.held(now_ms);
+    let domain = peers.own_domain();
     drop(peers);
     let loads = node.roster().own_loads();
     let recent = lock(&node.recent_leaving).clone();
@@ -152,6 +154,7 @@
     drop(list);
     Digest {
         boot: node.boot,
+        domain,
         count,
         is_leaving: node.is_stopping(),
         configuration_version: node.configuration_version(),
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub bad_input_total: IntCounterVec,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// Time for which the list of workers may have been out of date, in milliseconds.
+    pub list_age_ms: IntGauge,
     /// Whether this instance holds a lease.
     pub leases_held: IntGauge,
     /// Requests that are open.
@@ -87,6 +89,7 @@
             orders_total: counters("orders_total", "orders to workers", &["kind", "outcome"]),
             bad_input_total: counters("bad_input_total", "input not understood", &["source"]),
             configuration_version: gauge("configuration_version", "version in force"),
+            list_age_ms: gauge("list_age_ms", "age of the list of workers"),
             leases_held: gauge("leases_held", "leases held here"),
             open_requests: gauge("open_requests", "requests that are open"),
             peers_heard: gauge("peers_heard", "peers heard lately"),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -96,6 +96,8 @@
     pub is_fetching: AtomicBool,
     /// Whether a configuration is being fetched from a peer.
     pub is_fetching_configuration: AtomicBool,
+    /// Whether the last own read of the list of workers failed.
+    pub is_list_lost: AtomicBool,
     /// Whether the last read of the configuration failed.
     pub is_store_lost: AtomicBool,
     /// Ends a wait for the configuration that may never be answered.
@@ -143,13 +145,18 @@
             roster: Mutex::default(),
             paces: Mutex::default(),
             demand: Mutex::default(),
-            peers: Mutex::new(Peers::new(own_ip, seeds.collect())),
+            peers: Mutex::new(Peers::new(
+                own_ip,
+                &settings.instance.failure_domain,
+                seeds.collect(),
+            )),
             announced: Mutex::default(),
             retries: Mutex::default(),
             pools: Mutex::default(),
             ended_leases: Mutex::default(),
             is_fetching: AtomicBool::new(false),
             is_fetching_configuration: AtomicBool::new(false),
+            is_list_lost: AtomicBool::new(false),
             is_store_lost: AtomicBool::new(false),
             configuration_wanted: Notify::new(),
             is_stopping: AtomicBool::new(false),
@@ -255,7 +262,7 @@
     /// Spends one repeat towards a service, if the bound allows it.
     pub fn spend_repeat(&self, service: &str) -> bool {
         let now_ms = self.now_ms();
-        let instance_count = self.peers().instance_count();
+        let instance_count = self.peers().known_count();
         let mut retries = lock(&self.retries);
         let window = retries.get_mut(service);
         window.is_some_and(|window| window.spend(now_ms, instance_count))
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -31,8 +31,17 @@
 /// Time for which a silent peer is still sent digests, in milliseconds.
 const SENT_WITHIN_MS: u64 = 15_000;
 
-/// Peers that one round of digests goes to at most, beside the holders.
-const FAN_OUT_COUNT: usize = 12;
+/// Peers of other failure domains that one round of digests goes to at most.
+const FAN_OUT_COUNT: usize = 8;
+
+/// Peers of the own failure domain that one round of digests goes to at most.
+///
+/// More than of the others: bytes within a domain are cheap, and loads that are
+/// known in full spread requests better.
+const OWN_DOMAIN_FAN_OUT_COUNT: usize = 40;
+
+/// Known peers up to which all of them tell their demand in each round.
+const DEMAND_EACH_ROUND_COUNT: usize = 32;
 
 /// Peers that are remembered at most.
 const PEER_MAX_COUNT: usize = 96;
@@ -139,6 +148,8 @@
 pub struct Digest {
     /// Number of the sender's start.
     pub boot: u64,
+    /// Key of the sender's failure domain.
+    pub domain: u64,
     /// Grows with each digest of a start.
     pub count: u64,
     /// Whether the sender is stopping.
@@ -184,6 +195,7 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     own_ip: Ipv4Addr,
+    own_domain: u64,
     seeds: Vec<Ipv4Addr>,
     known: HashMap<Ipv4Addr, Peer>,
     heard_count: usize,
@@ -195,11 +207,12 @@
 
 impl Peers {
     /// Makes the list from the seeds.
-    pub fn new(own_ip: Ipv4Addr, seeds: Vec<Ipv4Addr>) -> Self {
+    pub fn new(own_ip: Ipv4Addr, own_domain: &str, seeds: Vec<Ipv4Addr>) -> Self {
         let seeds: Vec<Ipv4Addr> = seeds.into_iter().filter(|seed| *seed != own_ip).collect();
         let known = seeds.iter().map(|seed| (*seed, Peer::default())).collect();
         Self {
             own_ip,
+            own_domain: worker_key(own_domain),
             seeds,
             known,
             heard_count: 0,
@@ -208,6 +221,11 @@
         }
     }
 
+    /// Returns the key of this instance's failure domain.
+    pub fn own_domain(&self) -> u64 {
+        self.own_domain
+    }
+
     /// Returns this instance's address.
     pub fn own_ip(&self) -> Ipv4Addr {
         self.own_ip
@@ -218,6 +236,12 @@
         self.heard_count + 1
     }
 
+    /// Counts the instances known of, this one included and those that fell
+    /// silent lately: in a large fleet not all are heard within a short time.
+    pub fn known_count(&self) -> usize {
+        self.known.len() + 1
+    }
+
     /// Takes a digest; false if it is an old one.
     pub fn heard(&mut self, now_ms: u64, sender: Ipv4Addr, digest: &Digest) -> bool {
         if sender == self.own_ip {
@@ -338,6 +362,12 @@
         }
     }
 
+    /// Returns in which rounds demand is told, one in so many: a holder hears it
+    /// from every instance.
+    pub fn demand_every(&self) -> u64 {
+        (self.known.len() / DEMAND_EACH_ROUND_COUNT).max(1) as u64
+    }
+
     /// Chooses whom the next digest goes to: holders of leases, and some others.
     pub fn recipients(
         &mut self,
@@ -361,12 +391,17 @@
         holders.retain(|holder| *holder != self.own_ip);
         holders.sort_unstable();
         holders.dedup();
-        let others = self
+        let (near, far): (Vec<_>, Vec<_>) = self
             .known
             .iter()
             .filter(|(address, peer)| is_due(peer) && !holders.contains(address))
-            .map(|(address, _)| *address);
-        let others = others.sample(&mut rand::rng(), FAN_OUT_COUNT);
+            .partition(|(_, peer)| peer.last.domain == self.own_domain);
+        let mut rng = rand::rng();
+        let address_of = |(address, _): (&Ipv4Addr, &Peer)| *address;
+        let near = near.into_iter().map(address_of);
+        let mut others = near.sample(&mut rng, OWN_DOMAIN_FAN_OUT_COUNT);
+        let far = far.into_iter().map(address_of);
+        others.extend(far.sample(&mut rng, FAN_OUT_COUNT));
         (holders, others)
     }
 
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -68,6 +68,7 @@
             node.store.watch(table, version, WAIT_MS).await
         };
         note_call(&node, "workers", &read);
+        node.is_list_lost.store(read.is_err(), Ordering::Release);
         match read {
             Ok(rows) => {
                 if failure_count > 0 {
@@ -102,8 +103,7 @@
     loop {
         let now_ms = node.now_ms();
         drop_lapsed(node, now_ms);
-        let rank = node.peers().rank(now_ms, PURPOSE);
-        let due_ms = lock(&node.list).read_due_at_ms(rank);
+        let due_ms = due_at_ms(node, now_ms);
         if now_ms >= due_ms {
             return;
         }
@@ -116,6 +116,15 @@
     }
 }
 
+/// Returns when this instance has to read the list, and notes how old it is.
+fn due_at_ms(node: &Node, now_ms: u64) -> u64 {
+    let rank = node.peers().rank(now_ms, PURPOSE);
+    let list = lock(&node.list);
+    let age_ms = list.age_ms(now_ms).unwrap_or(now_ms);
+    node.metrics.list_age_ms.set(age_ms as i64);
+    list.read_due_at_ms(rank)
+}
+
 /// Takes changes that a peer tells, and passes on what is new.
 pub fn take_message(node: &Node, sender: Ipv4Addr, message: ListMessage) {
     let ListMessage {
--- a/crates/cranereach-gateway/tests/peers.rs
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -51,7 +51,7 @@
 
 #[test]
 fn a_holder_that_only_others_hear_counts_until_its_word_is_old() {
-    let mut peers = Peers::new(ip(1), vec![]);
+    let mut peers = Peers::new(ip(1), "z1", vec![]);
     assert!(!peers.hears_holder(0, SERVICE));
     peers.heard(1_000, ip(2), &told(1, 400));
     assert!(peers.hears_holder(1_000, SERVICE));
@@ -74,7 +74,7 @@
             ..holder(2)
         },
     ] {
-        let mut peers = Peers::new(ip(1), vec![]);
+        let mut peers = Peers::new(ip(1), "z1", vec![]);
         peers.heard(1_000, ip(2), &holder(1));
         assert!(peers.hears_holder(1_100, SERVICE));
         peers.heard(1_200, ip(2), &given_up);
@@ -93,7 +93,7 @@
     let mut ranks: Vec<u64> = addresses
         .iter()
         .map(|own| {
-            let mut peers = Peers::new(*own, vec![]);
+            let mut peers = Peers::new(*own, "z1", vec![]);
             for peer in &addresses {
                 peers.heard(0, *peer, &digest(1));
             }
@@ -106,16 +106,39 @@
 
 #[test]
 fn whoever_reads_tells_all_and_whoever_passes_on_a_few() {
-    let mut peers = Peers::new(ip(1), vec![]);
+    let mut peers = Peers::new(ip(1), "z1", vec![]);
     for peer in 2..=60 {
         peers.heard(0, ip(peer), &digest(1));
     }
     assert!(peers.is_large());
+    // Shares of a common bound are by all that are known, heard lately or not.
+    assert_eq!(peers.known_count(), 60);
+    assert_eq!(peers.heard_peers(HEARD_WITHIN_MS).count(), 0);
+    assert_eq!(peers.known_count(), 60);
     assert_eq!(peers.list_recipients(true).len(), 59);
     let few = peers.list_recipients(false).len();
     assert!((1..=4).contains(&few), "{few}");
 }
 
+#[test]
+fn digests_go_to_the_own_domain_first_and_to_a_bounded_number() {
+    let mut peers = Peers::new(ip(1), "z1", vec![]);
+    let own_domain = peers.own_domain();
+    for peer in 2..=90 {
+        let is_near = peer % 3 == 0;
+        let heard = Digest {
+            domain: if is_near { own_domain } else { 1 },
+            ..digest(1)
+        };
+        peers.heard(0, ip(peer), &heard);
+    }
+    let (holders, others) = peers.recipients(10, false);
+    assert!(holders.is_empty());
+    let near_count = others.iter().filter(|peer| peer.octets()[3] % 3 == 0);
+    assert_eq!(near_count.count(), 30, "all of the own domain");
+    assert!(others.len() > 30 && others.len() <= 48, "{}", others.len());
+}
+
 #[test]
 fn rows_survive_packing_and_nonsense_is_refused() {
     let rows: Vec<MessageRow> = (0..200)
