--- a/crates/cranereach-fleet/src/list_sync.rs
+++ b/crates/cranereach-fleet/src/list_sync.rs
@@ -11,6 +11,9 @@
 
 use std::collections::VecDeque;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Age at which the first in rank reads, as a share of the bound.
 const FIRST_READ_SHARE: f64 = 0.4;
 
@@ -33,7 +36,7 @@
 const BACK_WITHIN_MS: u64 = 2_300;
 
 /// A changed row, as it is passed on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangedRow {
     /// Key.
     pub key: String,
--- a/crates/cranereach-gateway/src/bodies.rs
+++ b/crates/cranereach-gateway/src/bodies.rs
@@ -19,10 +19,10 @@
 
 use crate::adapter::Row;
 use crate::adapter::Rows;
+use crate::messages::Digest;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
-use crate::peers::Digest;
 use crate::roster_sync;
 
 /// Time after a failed accept, in milliseconds.
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -16,19 +16,18 @@
 use tokio::net::UdpSocket;
 
 use crate::bodies;
+use crate::messages::DATAGRAM_MAX_BYTES;
+use crate::messages::Datagram;
+use crate::messages::DemandPart;
+use crate::messages::Digest;
+use crate::messages::ListMessage;
+use crate::messages::LoadPart;
+use crate::messages::Message;
+use crate::messages::VERSION;
+use crate::messages::pack_rows;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
-use crate::peers::DATAGRAM_MAX_BYTES;
-use crate::peers::Datagram;
-use crate::peers::DemandPart;
-use crate::peers::Digest;
-use crate::peers::ListMessage;
-use crate::peers::LoadPart;
-use crate::peers::Message;
-use crate::peers::MessageRow;
-use crate::peers::VERSION;
-use crate::peers::pack_rows;
 use crate::roster_sync;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::list_sync::ListPart;
@@ -77,8 +76,11 @@
     let port = node.settings.listen.peers.port();
     loop {
         node.list_told.notified().await;
-        let told = lock(&node.list).part(node.now_ms()).map(list_message);
-        let Some(changes) = told else { continue };
+        let part = lock(&node.list)
+            .part(node.now_ms())
+            .as_ref()
+            .map(list_message);
+        let Some(changes) = part else { continue };
         let has_read = node.has_read_list.swap(false, Ordering::AcqRel);
         let recipients = node.peers().list_recipients(has_read);
         send_to(&socket, port, Message::List(changes), &recipients).await;
@@ -97,12 +99,8 @@
 }
 
 /// Makes the message of changes of the list.
-fn list_message(part: ListPart<'_>) -> ListMessage {
-    let rows = part.rows.into_iter();
-    let rows: Vec<MessageRow> = rows
-        .map(|row| (row.key.clone(), row.version, row.value.clone()))
-        .collect();
-    let packed_rows = pack_rows(&rows);
+fn list_message(part: &ListPart<'_>) -> ListMessage {
+    let packed_rows = pack_rows(&part.rows);
     let fits = packed_rows.len() <= LIST_MAX_BYTES;
     ListMessage {
         // Without rows it still says that there is something newer.
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod log;
+pub mod messages;
 pub mod metrics;
 pub mod node;
 pub mod operators;
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -1,29 +1,13 @@
-//! What is known of the other instances, and the messages between them.
+//! What is known of the other instances.
 
 use std::collections::HashMap;
-use std::io::Read;
-use std::io::Write;
 use std::net::Ipv4Addr;
 
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use rand::seq::IteratorRandom;
-use serde::Deserialize;
-use serde::Serialize;
 
-use cranereach_fleet::demand::ModelKey;
+use crate::messages::Digest;
+use crate::messages::HeldLease;
 use cranereach_fleet::roster::worker_key;
-use cranereach_fleet::worker::RANK_COUNT;
-
-/// Version of the messages; others are dropped.
-pub const VERSION: u8 = 2;
-
-/// Largest datagram that is taken, in bytes.
-pub const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
-
-/// Largest content of packed rows that is taken, in bytes.
-const UNPACKED_MAX_BYTES: u64 = 512 * 1024;
 
 /// Time after which a silent peer no longer counts as heard, in milliseconds.
 pub const HEARD_WITHIN_MS: u64 = 1_500;
@@ -40,8 +24,9 @@
 /// known in full spread requests better.
 const OWN_DOMAIN_FAN_OUT_COUNT: usize = 40;
 
-/// Known peers up to which all of them tell their demand in each round.
-const DEMAND_EACH_ROUND_COUNT: usize = 32;
+/// Known peers whose demand a holder hears within one round: with more of them,
+/// each tells it in one round of several.
+const DEMAND_A_ROUND_COUNT: usize = 32;
 
 /// Peers that are remembered at most.
 const PEER_MAX_COUNT: usize = 96;
@@ -55,131 +40,6 @@
 /// Addresses that one digest introduces at most.
 const INTRODUCED_COUNT: usize = 8;
 
-/// Load of the sender at one worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadPart {
-    /// Key of the worker.
-    pub worker: u64,
-    /// Requests that have not ended.
-    pub open_count: u32,
-    /// Time to read the prompts that aren't read yet, in milliseconds by rank.
-    pub unread_ms: [u32; RANK_COUNT],
-    /// Tokens that the requests may come to hold.
-    pub held_tokens: u32,
-}
-
-/// Demand at the sender for one model or adapter.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct DemandPart {
-    /// Key of the service.
-    pub service: u64,
-    /// Model and adapter.
-    pub model: ModelKey,
-    /// Workers' time asked for, in milliseconds per second.
-    pub work_ms_per_s: f32,
-}
-
-/// A datagram.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Datagram {
-    /// Version of the message.
-    pub version: u8,
-    /// The message.
-    pub message: Message,
-}
-
-/// What a datagram says.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// What the sender knows and does.
-    Digest(Box<Digest>),
-    /// What has changed on the list of workers.
-    List(ListMessage),
-}
-
-/// Changes of the list of workers, from whoever has just read them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListMessage {
-    /// Version of the store from which on the changes are complete.
-    pub from_version: u64,
-    /// Version of the store that the list is complete at.
-    pub version: u64,
-    /// Time for which that version has been known to hold, in milliseconds.
-    pub age_ms: u64,
-    /// The changed rows, packed.
-    pub packed_rows: Vec<u8>,
-}
-
-/// A changed row: key, version, and content unless the row is gone.
-pub type MessageRow = (String, u64, Option<Vec<u8>>);
-
-/// Packs changed rows: they repeat the same words, and reach everybody.
-pub fn pack_rows(rows: &[MessageRow]) -> Vec<u8> {
-    let plain = postcard::to_stdvec(rows).unwrap_or_default();
-    let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
-    // Writing to memory doesn't fail.
-    let _written = packed.write_all(&plain);
-    packed.finish().unwrap_or_default()
-}
-
-/// Unpacks changed rows; none if they can't be understood or are too large.
-pub fn unpack_rows(packed: &[u8]) -> Option<Vec<MessageRow>> {
-    let mut plain = Vec::new();
-    let unpacked = DeflateDecoder::new(packed)
-        .take(UNPACKED_MAX_BYTES)
-        .read_to_end(&mut plain);
-    unpacked.ok()?;
-    postcard::from_bytes(&plain).ok()
-}
-
-/// A lease that some instance was heard to hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldLease {
-    /// Key of the service.
-    pub service: u64,
-    /// Who holds it.
-    pub holder: Ipv4Addr,
-    /// Time for which it hasn't been heard, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// What an instance tells its peers, some times a second.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Digest {
-    /// Number of the sender's start.
-    pub boot: u64,
-    /// Key of the sender's failure domain.
-    pub domain: u64,
-    /// Grows with each digest of a start.
-    pub count: u64,
-    /// Whether the sender is stopping.
-    pub is_leaving: bool,
-    /// Version of the configuration in force there.
-    pub configuration_version: u64,
-    /// Version of the store that its list of workers is complete at.
-    pub list_version: u64,
-    /// Time for which that version has been known to hold, in milliseconds.
-    pub list_age_ms: u64,
-    /// Keys of the services whose lease it holds.
-    pub holds: Vec<u64>,
-    /// Leases that the sender, or others who told it, heard to be held.
-    pub held: Vec<HeldLease>,
-    /// Leases whose term is over here: key of the service, version of the row.
-    pub ended: Vec<(u64, u64)>,
-    /// Addresses of other instances.
-    pub introduced: Vec<Ipv4Addr>,
-    /// Its load at workers.
-    pub loads: Vec<LoadPart>,
-    /// Its demand.
-    pub demand: Vec<DemandPart>,
-    /// Workers that were read as leaving or gone: key, version.
-    pub leaving: Vec<(u64, u64)>,
-    /// Adapters that it has loaded: worker, model and adapter.
-    pub adapters: Vec<(u64, ModelKey)>,
-    /// Models that it unloads: worker, model.
-    pub withheld: Vec<(u64, u16)>,
-}
-
 /// One peer.
 #[derive(Clone, Debug, Default)]
 pub struct Peer {
@@ -365,7 +225,7 @@
     /// Returns in which rounds demand is told, one in so many: a holder hears it
     /// from every instance.
     pub fn demand_every(&self) -> u64 {
-        (self.known.len() / DEMAND_EACH_ROUND_COUNT).max(1) as u64
+        (self.known.len() / DEMAND_A_ROUND_COUNT).max(1) as u64
     }
 
     /// Chooses whom the next digest goes to: holders of leases, and some others.
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -17,11 +17,11 @@
 use crate::adapter::Rows;
 use crate::configuration_sync::backoff_ms;
 use crate::configuration_sync::note_call;
+use crate::messages::ListMessage;
+use crate::messages::unpack_rows;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
-use crate::peers::ListMessage;
-use crate::peers::unpack_rows;
 use crate::store::StoreError;
 use cranereach_fleet::list_sync::ChangedRow;
 use cranereach_fleet::list_sync::Verdict;
@@ -150,11 +150,11 @@
         return;
     };
     let true_at_ms = node.now_ms().saturating_sub(age_ms + TRANSIT_MS);
-    let rows = rows.into_iter().map(|(key, row_version, value)| Row {
-        key,
-        version: row_version,
-        is_gone: value.is_none(),
-        value: value.unwrap_or_default(),
+    let rows = rows.into_iter().map(|row| Row {
+        key: row.key,
+        version: row.version,
+        is_gone: row.value.is_none(),
+        value: row.value.unwrap_or_default(),
     });
     let rows: Vec<Row> = rows.collect();
     take_changes(node, true_at_ms, version, &rows);
--- a/crates/cranereach-gateway/tests/peers.rs
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -4,13 +4,13 @@
 
 use assert_matches::assert_matches;
 
-use cranereach_gateway::peers::Digest;
+use cranereach_fleet::list_sync::ChangedRow;
+use cranereach_gateway::messages::Digest;
+use cranereach_gateway::messages::HeldLease;
+use cranereach_gateway::messages::pack_rows;
+use cranereach_gateway::messages::unpack_rows;
 use cranereach_gateway::peers::HEARD_WITHIN_MS;
-use cranereach_gateway::peers::HeldLease;
-use cranereach_gateway::peers::MessageRow;
 use cranereach_gateway::peers::Peers;
-use cranereach_gateway::peers::pack_rows;
-use cranereach_gateway::peers::unpack_rows;
 
 /// A service's key.
 const SERVICE: u64 = 7;
@@ -141,15 +141,21 @@
 
 #[test]
 fn rows_survive_packing_and_nonsense_is_refused() {
-    let rows: Vec<MessageRow> = (0..200)
-        .map(|row| (format!("w-{row}"), row, Some(vec![b'x'; 500])))
-        .chain([("gone".to_owned(), 7, None)])
+    let changed = |key: &str, value: Option<Vec<u8>>| ChangedRow {
+        key: key.to_owned(),
+        version: 7,
+        value,
+    };
+    let mut rows: Vec<ChangedRow> = (0..200)
+        .map(|row| changed(&format!("w-{row}"), Some(vec![b'x'; 500])))
         .collect();
-    let packed = pack_rows(&rows);
+    rows.push(changed("gone", None));
+    let borrowed: Vec<&ChangedRow> = rows.iter().collect();
+    let packed = pack_rows(&borrowed);
     assert!(packed.len() < 8_000, "{}", packed.len());
     assert_eq!(unpack_rows(&packed), Some(rows));
     assert_matches!(unpack_rows(b"nonsense"), None);
     assert_matches!(unpack_rows(&packed[..packed.len() / 2]), None);
-    let endless: Vec<MessageRow> = vec![("w".to_owned(), 1, Some(vec![0; 2_000_000]))];
-    assert_matches!(unpack_rows(&pack_rows(&endless)), None);
+    let endless = changed("w", Some(vec![0; 2_000_000]));
+    assert_matches!(unpack_rows(&pack_rows(&[&endless])), None);
 }
