--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -76,11 +76,11 @@
     let port = node.settings.listen.peers.port();
     loop {
         node.list_told.notified().await;
-        let part = lock(&node.list)
+        let changes = lock(&node.list)
             .part(node.now_ms())
             .as_ref()
             .map(list_message);
-        let Some(changes) = part else { continue };
+        let Some(changes) = changes else { continue };
         let has_read = node.has_read_list.swap(false, Ordering::AcqRel);
         let recipients = node.peers().list_recipients(has_read);
         send_to(&socket, port, Message::List(changes), &recipients).await;
