Another failure domain weighs 15 ms, not 2, in the choice of a worker

Bytes between zones are dear, most of them are now requests and answers, and 15 ms is little beside any aim.

--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -32,7 +32,7 @@
 const WAITING_WEIGHS_MS: f64 = 75.0;
 
 /// Time that a worker in another zone weighs more.
-const OTHER_ZONE_WEIGHS_MS: f64 = 2.0;
+const OTHER_ZONE_WEIGHS_MS: f64 = 15.0;
 
 /// Ranks of urgency that are told apart; all lower ones count as the last.
 pub const RANK_COUNT: usize = 3;
