--- a/crates/cranereach-fleet/src/list_sync.rs
+++ b/crates/cranereach-fleet/src/list_sync.rs
@@ -26,6 +26,9 @@
 /// Reads whose changes are passed on together, so that a lost message does no harm.
 const STEP_MAX_COUNT: usize = 3;
 
+/// Time added to the age that a peer tells, in milliseconds.
+const TRANSIT_MS: u64 = 20;
+
 /// Size of the rows of one read up to which they are passed on, in bytes.
 const PART_MAX_BYTES: usize = 128 * 1_024;
 
@@ -84,6 +87,18 @@
     Gap,
 }
 
+/// Returns when news was true that a peer told with its age, in milliseconds.
+///
+/// ```
+/// use cranereach_fleet::list_sync::told_at_ms;
+///
+/// assert!(told_at_ms(5_000, 300) < 4_700);
+/// assert_eq!(told_at_ms(5_000, u64::MAX), 0);
+/// ```
+pub fn told_at_ms(now_ms: u64, age_ms: u64) -> u64 {
+    now_ms.saturating_sub(age_ms.saturating_add(TRANSIT_MS))
+}
+
 /// The state of one instance's list of workers.
 ///
 /// ```
--- a/crates/cranereach-gateway/src/bodies.rs
+++ b/crates/cranereach-gateway/src/bodies.rs
@@ -24,6 +24,7 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::roster_sync;
+use cranereach_fleet::list_sync::told_at_ms;
 
 /// Time after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 20;
@@ -106,8 +107,8 @@
         version: listed.version,
         has_more: false,
     };
-    let now_ms = node.now_ms();
-    roster_sync::take_whole(node, now_ms.saturating_sub(listed.age_ms), &rows);
+    let true_at_ms = told_at_ms(node.now_ms(), listed.age_ms);
+    roster_sync::take_whole(node, true_at_ms, &rows);
 }
 
 /// Fetches the configuration in force at a peer, unless the own wait for it is
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -20,6 +20,7 @@
 use super::head::rest_ms;
 use super::open::OpenCall;
 use super::passing::Passing;
+use super::refusal::MODEL_BACK_AFTER_MS;
 use super::refusal::Refusal;
 use super::request::Call;
 use super::request::passed_headers;
@@ -154,7 +155,7 @@
             let before = self.tried.iter().filter(|tried| **tried == choice.id);
             if before.count() >= SAME_WORKER_MAX_COUNT {
                 let mut refusal = self.refusal(self.end_code(), "nobody else left");
-                refusal.retry_after_ms = 1_500;
+                refusal.retry_after_ms = MODEL_BACK_AFTER_MS;
                 return Err(refusal);
             }
             self.offer_count += 1;
@@ -203,7 +204,7 @@
                 };
                 let mut refusal = self.refusal(code, &format!("{why:?} {:?}", call.model()));
                 if why == NoWorker::NoModel {
-                    refusal.retry_after_ms = 1_500;
+                    refusal.retry_after_ms = MODEL_BACK_AFTER_MS;
                 }
                 return Err(refusal);
             }
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -147,17 +147,13 @@
         .map(|service| worker_key(service))
         .collect();
     drop(announced);
-    let list = lock(&node.list);
-    let (list_version, list_age_ms) = (list.version(), list.age_ms(now_ms));
-    drop(list);
     Digest {
         boot: node.boot,
         domain,
         count,
         is_leaving: node.is_stopping(),
         configuration_version: node.configuration_version(),
-        list_version,
-        list_age_ms: list_age_ms.unwrap_or(u64::MAX),
+        list_version: node.list_version(),
         holds,
         held,
         ended: lock(&node.ended_leases).clone().into_iter().collect(),
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -125,8 +125,6 @@
     pub configuration_version: u64,
     /// Version of the store that its list of workers is complete at.
     pub list_version: u64,
-    /// Time for which that version has been known to hold, in milliseconds.
-    pub list_age_ms: u64,
     /// Keys of the services whose lease it holds.
     pub holds: Vec<u64>,
     /// Leases that the sender, or others who told it, heard to be held.
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -25,13 +25,13 @@
 use crate::store::StoreError;
 use cranereach_fleet::list_sync::ChangedRow;
 use cranereach_fleet::list_sync::Verdict;
+use cranereach_fleet::list_sync::told_at_ms;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::WorkerRecord;
 
-/// Time that the store is asked to wait for changes, in milliseconds.
-///
-/// It isn't: an answer says how the list stands when it is asked for.
+/// Time that the store is asked to wait for changes, in milliseconds: none, so
+/// that each answer says how the list stands when it is asked for.
 const WAIT_MS: u64 = 0;
 
 /// Longest pause between two looks whether a read is due, in milliseconds.
@@ -41,9 +41,6 @@
 /// in milliseconds.
 const STALLED_FROM_MS: u64 = 500;
 
-/// Time added to the age of what a peer tells, in milliseconds.
-const TRANSIT_MS: u64 = 20;
-
 /// Time for which peers are told of a worker that leaves, in milliseconds.
 const TOLD_FOR_MS: u64 = 4_000;
 
@@ -149,7 +146,7 @@
         counter.with_label_values(&["peer"]).inc();
         return;
     };
-    let true_at_ms = node.now_ms().saturating_sub(age_ms + TRANSIT_MS);
+    let true_at_ms = told_at_ms(node.now_ms(), age_ms);
     let rows = rows.into_iter().map(|row| Row {
         key: row.key,
         version: row.version,
