A whole list is told as a difference of two versions, changes with every end

Cause: requests reached a worker 2,020 to 3,008 ms after the store took its end (DRAIN). An instance that starts knows nothing, so the first whole list that it reads named no ends, yet it was told to peers as all changes since version 0; they advanced past the end of a row without taking it, and asked only for what came later. By reading, three more of the kind: a whole list after lost history lacks rows that came and went in between; a reader told only those rows that changed something for itself; a late row from before a worker left undid what a peer had told of its leaving.

Ruled out: the age of the list (a reader was at work all the time), the pace of digests (nobody ever logged the end).

Change: the rows, their version and what is told stand in one type (listing), which keeps the store's rows at one version. A part says whether it holds every change or the difference of two lists; the latter fits only its first version.

--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
 //! is known of every [`worker`] and picks one; it builds on [`health`], [`pace`]
-//! and [`prefixes`]. [`list_sync`] says who reads the list of workers and when.
+//! and [`prefixes`]. [`list_sync`] says who reads the list of workers and when,
+//! [`listing`] keeps its rows and what peers are told of them.
 //! [`retry_window`] bounds repeats. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
 //! are open.
@@ -18,6 +19,7 @@
 pub mod health;
 pub mod ledger;
 pub mod list_sync;
+pub mod listing;
 pub mod pace;
 pub mod placement;
 pub mod prefixes;
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -4,7 +4,6 @@
 //! that the table gave it, whoever passes it on.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use rand::Rng;
@@ -68,7 +67,7 @@
 
 impl Roster {
     /// Takes a row of the list; an older one than known changes nothing.
-    pub fn put(&mut self, version: u64, record: WorkerRecord) -> bool {
+    pub fn put(&mut self, version: u64, mut record: WorkerRecord) -> bool {
         if self
             .gone_at_version
             .get(&record.id)
@@ -80,6 +79,8 @@
             if known.version >= version {
                 return false;
             }
+            // A peer may know already that a later row says so.
+            record.is_leaving |= known.leaves_at_version > version;
             let has_changed = known.record != record;
             known.version = version;
             known.lapsed = None;
@@ -131,28 +132,6 @@
         self.gone_at_version.len()
     }
 
-    /// Takes a whole list as of a version: whatever isn't on it is gone.
-    pub fn replace(&mut self, version: u64, rows: Vec<(u64, WorkerRecord)>) -> Vec<Arc<str>> {
-        let listed: HashSet<Arc<str>> = rows.iter().map(|(_, row)| Arc::clone(&row.id)).collect();
-        for (row_version, row) in rows {
-            self.put(row_version, row);
-        }
-        let gone = self.unlisted(version, &listed);
-        for id in &gone {
-            self.remove(version, id);
-        }
-        gone
-    }
-
-    /// Lists the workers that a whole list as of a version does not name.
-    pub fn unlisted(&self, version: u64, listed: &HashSet<Arc<str>>) -> Vec<Arc<str>> {
-        let known = self.workers.values();
-        known
-            .filter(|worker| !listed.contains(&worker.record.id) && worker.version <= version)
-            .map(|worker| Arc::clone(&worker.record.id))
-            .collect()
-    }
-
     /// Takes the end of a row that may only have lapsed: the worker stays until
     /// a time unless it was leaving. Returns whether it stays.
     pub fn lapse(&mut self, version: u64, id: &str, until_ms: u64) -> bool {
@@ -191,6 +170,7 @@
             return false;
         }
         worker.record.is_leaving = true;
+        worker.leaves_at_version = version;
         true
     }
 
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -109,6 +109,8 @@
     pub health: Health,
     /// When the worker counts as gone unless a new row comes: version, time.
     pub lapsed: Option<(u64, u64)>,
+    /// Version of the row that says that it leaves, as a peer has told.
+    pub(crate) leaves_at_version: u64,
     pub(crate) own: Load,
     pub(crate) peers: HashMap<u32, (u64, Load)>,
     said: Option<(u64, SaidLoad)>,
@@ -149,6 +151,7 @@
             version,
             health: Health::default(),
             lapsed: None,
+            leaves_at_version: 0,
             own: Load::default(),
             peers: HashMap::new(),
             said: None,
--- a/crates/cranereach-gateway/src/bodies.rs
+++ b/crates/cranereach-gateway/src/bodies.rs
@@ -17,14 +17,13 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use crate::adapter::Row;
-use crate::adapter::Rows;
 use crate::messages::Digest;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
 use crate::roster_sync;
 use cranereach_fleet::list_sync::told_at_ms;
+use cranereach_fleet::listing::ChangedRow;
 
 /// Time after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 20;
@@ -96,19 +95,14 @@
         return;
     }
     info!(node.log, "workers from a peer"; "peer" => peer.to_string(), "version" => listed.version);
-    let rows = listed.rows.into_iter().map(|(key, version, value)| Row {
+    let rows = listed.rows.into_iter();
+    let rows = rows.map(|(key, version, value)| ChangedRow {
         key,
-        value,
         version,
-        is_gone: false,
+        value: Some(value),
     });
-    let rows = Rows {
-        rows: rows.collect(),
-        version: listed.version,
-        has_more: false,
-    };
     let true_at_ms = told_at_ms(node.now_ms(), listed.age_ms);
-    roster_sync::take_whole(node, true_at_ms, &rows);
+    roster_sync::take_whole(node, true_at_ms, listed.version, rows.collect());
 }
 
 /// Fetches the configuration in force at a peer, unless the own wait for it is
@@ -199,14 +193,13 @@
 
 /// Returns the list of workers as read here.
 fn worker_rows(node: &Node) -> WorkerRows {
-    let kept = lock(&node.worker_rows);
-    let rows = kept
-        .iter()
-        .map(|(key, (version, value))| (key.clone(), *version, value.clone()));
-    let list = lock(&node.list);
+    let age_ms = lock(&node.list).age_ms(node.now_ms());
+    let listing = lock(&node.listing);
+    let rows = listing.rows();
+    let rows = rows.map(|(key, version, value)| (key.to_owned(), version, value.to_vec()));
     WorkerRows {
-        version: list.version(),
-        age_ms: list.age_ms(node.now_ms()).unwrap_or(u64::MAX),
+        version: listing.version(),
+        age_ms: age_ms.unwrap_or(u64::MAX),
         rows: rows.collect(),
     }
 }
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -30,7 +30,8 @@
 use crate::node::pause;
 use crate::roster_sync;
 use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::list_sync::ListPart;
+use cranereach_fleet::listing::ListPart;
+use cranereach_fleet::listing::Span;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::Load;
 
@@ -76,11 +77,9 @@
     let port = node.settings.listen.peers.port();
     loop {
         node.list_told.notified().await;
-        let changes = lock(&node.list)
-            .part(node.now_ms())
-            .as_ref()
-            .map(list_message);
-        let Some(changes) = changes else { continue };
+        let Some(changes) = list_changes(&node) else {
+            continue;
+        };
         let has_read = node.has_read_list.swap(false, Ordering::AcqRel);
         let recipients = node.peers().list_recipients(has_read);
         send_to(&socket, port, Message::List(changes), &recipients).await;
@@ -98,8 +97,15 @@
     }
 }
 
+/// Returns the newest changes of the list; none before the first read.
+fn list_changes(node: &Node) -> Option<ListMessage> {
+    let age_ms = lock(&node.list).age_ms(node.now_ms())?;
+    let listing = lock(&node.listing);
+    listing.part().map(|part| list_message(&part, age_ms))
+}
+
 /// Makes the message of changes of the list.
-fn list_message(part: &ListPart<'_>) -> ListMessage {
+fn list_message(part: &ListPart<'_>, age_ms: u64) -> ListMessage {
     let packed_rows = pack_rows(&part.rows);
     let fits = packed_rows.len() <= LIST_MAX_BYTES;
     ListMessage {
@@ -109,8 +115,9 @@
         } else {
             part.version
         },
+        span: if fits { part.span } else { Span::Changes },
         version: part.version,
-        age_ms: part.age_ms,
+        age_ms,
         packed_rows: if fits { packed_rows } else { pack_rows(&[]) },
     }
 }
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -13,11 +13,12 @@
 use serde::Serialize;
 
 use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::list_sync::ChangedRow;
+use cranereach_fleet::listing::ChangedRow;
+use cranereach_fleet::listing::Span;
 use cranereach_fleet::worker::RANK_COUNT;
 
 /// Version of the messages; others are dropped.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 
 /// Largest datagram that is taken, in bytes.
 pub const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
@@ -70,8 +71,10 @@
 /// Changes of the list of workers, from whoever has just read them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListMessage {
-    /// Version of the store from which on the changes are complete.
+    /// Version of the store that the rows begin at.
     pub from_version: u64,
+    /// What the rows are.
+    pub span: Span,
     /// Version of the store that the list is complete at.
     pub version: u64,
     /// Time for which that version has been known to hold, in milliseconds.
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -29,6 +29,7 @@
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::list_sync::ListSync;
+use cranereach_fleet::listing::Listing;
 use cranereach_fleet::pace::Paces;
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
@@ -70,8 +71,8 @@
     pub digest_wanted: Notify,
     /// Wakes the controller.
     pub controller_wanted: Notify,
-    /// Rows of the list as read, for peers whose reads fail.
-    pub worker_rows: Mutex<HashMap<String, (u64, Vec<u8>)>>,
+    /// Rows of the list of workers, and what peers are told of them.
+    pub listing: Mutex<Listing>,
     /// How fresh the list of workers is.
     pub list: Mutex<ListSync>,
     /// Wakes the sender of changes of the list.
@@ -135,7 +136,7 @@
             roster_changed: Notify::new(),
             digest_wanted: Notify::new(),
             controller_wanted: Notify::new(),
-            worker_rows: Mutex::default(),
+            listing: Mutex::default(),
             list: Mutex::new(ListSync::new(settings.bounds.drain_ms)),
             list_told: Notify::new(),
             has_read_list: AtomicBool::new(false),
@@ -231,7 +232,7 @@
 
     /// Returns the version of the store that the list of workers is complete at.
     pub fn list_version(&self) -> u64 {
-        lock(&self.list).version()
+        lock(&self.listing).version()
     }
 
     /// Returns the demand seen here, by service.
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -5,7 +5,6 @@
 //!
 //! [`ListSync`]: cranereach_fleet::list_sync::ListSync
 
-use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,7 +13,6 @@
 use slog::warn;
 
 use crate::adapter::Row;
-use crate::adapter::Rows;
 use crate::configuration_sync::backoff_ms;
 use crate::configuration_sync::note_call;
 use crate::messages::ListMessage;
@@ -23,9 +21,10 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::store::StoreError;
-use cranereach_fleet::list_sync::ChangedRow;
-use cranereach_fleet::list_sync::Verdict;
 use cranereach_fleet::list_sync::told_at_ms;
+use cranereach_fleet::listing::ChangedRow;
+use cranereach_fleet::listing::Span;
+use cranereach_fleet::listing::Verdict;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::WorkerRecord;
@@ -72,10 +71,11 @@
                     info!(node.log, "store regained"; "for" => "workers", "failures" => failure_count);
                 }
                 failure_count = 0;
+                let changed = rows.rows.into_iter().map(changed_row).collect();
                 if is_whole {
-                    take_whole(&node, begun_ms, &rows);
+                    take_whole(&node, begun_ms, rows.version, changed);
                 } else {
-                    take_changes(&node, begun_ms, rows.version, &rows.rows);
+                    take_part(&node, begun_ms, rows.version, Span::Changes, changed);
                 }
                 is_whole = false;
                 node.has_read_list.store(true, Ordering::Release);
@@ -126,12 +126,13 @@
 pub fn take_message(node: &Node, sender: Ipv4Addr, message: ListMessage) {
     let ListMessage {
         from_version,
+        span,
         version,
         age_ms,
         packed_rows,
     } = message;
     let known_version = node.list_version();
-    let verdict = lock(&node.list).judge(from_version, version);
+    let verdict = lock(&node.listing).judge(from_version, version, span);
     match verdict {
         Verdict::Old => return,
         Verdict::Gap => {
@@ -147,87 +148,83 @@
         return;
     };
     let true_at_ms = told_at_ms(node.now_ms(), age_ms);
-    let rows = rows.into_iter().map(|row| Row {
-        key: row.key,
-        version: row.version,
-        is_gone: row.value.is_none(),
-        value: row.value.unwrap_or_default(),
-    });
-    let rows: Vec<Row> = rows.collect();
-    take_changes(node, true_at_ms, version, &rows);
+    take_part(node, true_at_ms, version, span, rows);
     if version > known_version && node.peers().is_large() {
         node.list_told.notify_one();
     }
 }
 
 /// Takes the whole list as it was at a time.
-pub fn take_whole(node: &Node, true_at_ms: u64, rows: &Rows) {
-    let listed: HashSet<Arc<str>> = rows
-        .rows
-        .iter()
-        .map(|row| Arc::from(row.key.as_str()))
-        .collect();
-    let unlisted = node.roster().unlisted(rows.version, &listed);
-    let gone = unlisted.iter().map(|id| Row {
-        key: id.to_string(),
-        version: rows.version,
-        is_gone: true,
-        value: Vec::new(),
-    });
-    let all: Vec<Row> = rows.rows.iter().cloned().chain(gone).collect();
-    take_changes(node, true_at_ms, rows.version, &all);
+pub fn take_whole(node: &Node, true_at_ms: u64, version: u64, listed: Vec<ChangedRow>) {
+    let changed = lock(&node.listing).take_whole(version, listed);
+    apply(node, true_at_ms, &changed);
+}
+
+/// Takes rows that make the list complete as it was at a time.
+fn take_part(node: &Node, true_at_ms: u64, version: u64, span: Span, rows: Vec<ChangedRow>) {
+    let changed = lock(&node.listing).take(version, span, rows);
+    apply(node, true_at_ms, &changed);
 }
 
-/// Takes changed rows, complete at a version that was the newest at a time.
-fn take_changes(node: &Node, true_at_ms: u64, version: u64, rows: &[Row]) {
+/// Brings what is known of workers up to a list that was complete at a time.
+fn apply(node: &Node, true_at_ms: u64, changed: &[ChangedRow]) {
     let now_ms = node.now_ms();
     let mut list = lock(&node.list);
     let is_regained = list.ends_outage(true_at_ms);
     let lapse_until_ms = list.lapse_until_ms(now_ms, true_at_ms);
+    list.confirm(true_at_ms);
     drop(list);
     if is_regained {
         // The wait for the configuration may have died with the outage.
         node.configuration_wanted.notify_one();
     }
-    keep_rows(node, rows);
-    let mut changes = Changes::default();
+    if changed.is_empty() {
+        return;
+    }
+    let mut departures = Departures::default();
     let mut roster = node.roster();
-    for row in rows {
-        if row.is_gone {
-            changes.end(&mut roster, row, lapse_until_ms);
-        } else if let Some(record) = parse(node, row) {
-            changes.put(node, &mut roster, row, record);
+    for row in changed {
+        match &row.value {
+            None => departures.end(&mut roster, row, lapse_until_ms),
+            Some(value) => {
+                if let Some(record) = parse(node, &row.key, value) {
+                    departures.put(node, &mut roster, row, record);
+                }
+            }
         }
     }
     drop(roster);
-    for row in changes.rows.iter().filter(|row| row.value.is_none()) {
+    for row in changed.iter().filter(|row| row.value.is_none()) {
         info!(node.log, "worker gone"; "worker" => &row.key, "version" => row.version,
             "lapsed_until_ms" => lapse_until_ms);
     }
-    note_leaving(node, now_ms, &changes.leaving);
-    node.forget_pools(&changes.ended);
-    let has_changed = !changes.rows.is_empty();
-    lock(&node.list).advance(true_at_ms, version, changes.rows);
-    if has_changed {
-        node.roster_changed.notify_waiters();
-        node.controller_wanted.notify_one();
+    note_leaving(node, now_ms, &departures.leaving);
+    node.forget_pools(&departures.ended);
+    node.roster_changed.notify_waiters();
+    node.controller_wanted.notify_one();
+}
+
+/// Makes a changed row of one that the store answered.
+fn changed_row(row: Row) -> ChangedRow {
+    ChangedRow {
+        key: row.key,
+        version: row.version,
+        value: (!row.is_gone).then_some(row.value),
     }
 }
 
-/// What rows change on the list.
+/// Workers that changed rows say to be leaving or gone.
 #[derive(Debug, Default)]
-struct Changes {
-    /// Rows that say something new.
-    rows: Vec<ChangedRow>,
+struct Departures {
     /// Workers that leave or are gone: version, key.
     leaving: Vec<(u64, u64)>,
     /// Workers that are gone.
     ended: Vec<Arc<str>>,
 }
 
-impl Changes {
+impl Departures {
     /// Takes the row of a worker.
-    fn put(&mut self, node: &Node, roster: &mut Roster, row: &Row, record: WorkerRecord) {
+    fn put(&mut self, node: &Node, roster: &mut Roster, row: &ChangedRow, record: WorkerRecord) {
         let before = roster.get(&record.id);
         let is_known = before.is_some_and(|worker| worker.record.is_leaving == record.is_leaving);
         if !is_known {
@@ -237,60 +234,21 @@
         if record.is_leaving {
             self.leaving.push((row.version, worker_key(&record.id)));
         }
-        if roster.put(row.version, record) {
-            self.rows.push(ChangedRow {
-                key: row.key.clone(),
-                version: row.version,
-                value: Some(row.value.clone()),
-            });
-        }
+        roster.put(row.version, record);
     }
 
     /// Takes the end of a row.
-    fn end(&mut self, roster: &mut Roster, row: &Row, lapse_until_ms: Option<u64>) {
-        let known = roster.get(&row.key);
-        let was_lapsed = known.is_some_and(|worker| worker.lapsed.is_some());
+    fn end(&mut self, roster: &mut Roster, row: &ChangedRow, lapse_until_ms: Option<u64>) {
         if lapse_until_ms.is_some_and(|until_ms| roster.lapse(row.version, &row.key, until_ms)) {
-            if !was_lapsed {
-                self.rows.push(gone_row(row));
-            }
             return;
         }
         if roster.remove(row.version, &row.key) {
-            self.rows.push(gone_row(row));
             self.leaving.push((row.version, worker_key(&row.key)));
             self.ended.push(Arc::from(row.key.as_str()));
         }
     }
 }
 
-/// Makes the change of a row that is gone.
-fn gone_row(row: &Row) -> ChangedRow {
-    ChangedRow {
-        key: row.key.clone(),
-        version: row.version,
-        value: None,
-    }
-}
-
-/// Keeps rows as read, for peers that need the whole list.
-fn keep_rows(node: &Node, rows: &[Row]) {
-    let mut kept = lock(&node.worker_rows);
-    for row in rows {
-        if kept
-            .get(&row.key)
-            .is_some_and(|(version, _)| *version > row.version)
-        {
-            continue;
-        }
-        if row.is_gone {
-            kept.remove(&row.key);
-        } else {
-            kept.insert(row.key.clone(), (row.version, row.value.clone()));
-        }
-    }
-}
-
 /// Drops workers whose rows lapsed during an outage and did not come back.
 fn drop_lapsed(node: &Node, now_ms: u64) {
     let mut roster = node.roster();
@@ -332,8 +290,8 @@
 }
 
 /// Reads a worker's row; one that can't be understood is counted and passed over.
-fn parse(node: &Node, row: &Row) -> Option<WorkerRecord> {
-    let parsed = (node.adapter.parse_worker)(&row.key, &row.value);
+fn parse(node: &Node, key: &str, value: &[u8]) -> Option<WorkerRecord> {
+    let parsed = (node.adapter.parse_worker)(key, value);
     parsed
         .inspect_err(|error| {
             let counter = &node.metrics.bad_input_total;
--- a/crates/cranereach-gateway/tests/peers.rs
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 
-use cranereach_fleet::list_sync::ChangedRow;
+use cranereach_fleet::listing::ChangedRow;
 use cranereach_gateway::messages::Digest;
 use cranereach_gateway::messages::HeldLease;
 use cranereach_gateway::messages::pack_rows;
