One model of a worker's time: slots, stays and reading, in choice, prediction and demand

Hypothesis: requests were admitted with a begin predicted in time and began late, since the wait for a slot of the worker's batch was counted nowhere, and an answer's token weighed as much as a prompt's in the demand. At 16 slots a worker is full long before its reading is.

Change: the load of a worker holds how many requests have not begun, by rank, and for how long all of them are expected to keep a slot; a request waits for the ends of those before it. Stays are learned from whole answers, as a share of the tokens that callers expect (X-Length-Hint, else the most that may come out). The weight of a crowded worker is the time of a slot's turn by how likely a wait is. Demand is reading time plus the stay's share of a slot. Digests carry both.

What is left late has other causes; the placement takes each model's replicas as workers of their own, though three models share one.

--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 
 use crate::configuration::Engine;
+use crate::worker::Estimate;
 use crate::worker::Load;
 use crate::worker::Wanted;
 use crate::worker::Worker;
@@ -18,9 +19,6 @@
 /// Ends of rows that are remembered at most, so that no older row brings one back.
 const GONE_MAX_COUNT: usize = 2_048;
 
-/// Reading time ahead of a request below which it counts as the first.
-const FIRST_BELOW_MS: f64 = 1.0;
-
 /// A worker that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -210,7 +208,7 @@
         rng: &mut R,
     ) -> Result<Choice, NoWorker> {
         let mut why = NoWorker::None;
-        let mut best: Option<(f64, &Worker, u32)> = None;
+        let mut best: Option<(f64, &Worker, Estimate)> = None;
         for worker in self.of_service(wanted.service) {
             if worker.record.is_leaving {
                 continue;
@@ -219,22 +217,20 @@
                 why = why.max(lacks);
                 continue;
             }
-            let (cost, unread_tokens) = worker.cost(now_ms, wanted, engine);
+            let estimate = worker.estimate(now_ms, wanted, engine);
             // A little noise keeps instances with the same view from herding.
-            let cost = cost * (1.0 + 0.05 * rng.random::<f64>()) + rng.random::<f64>();
+            let cost = estimate.cost_ms * (1.0 + 0.05 * rng.random::<f64>()) + rng.random::<f64>();
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, worker, unread_tokens));
+                best = Some((cost, worker, estimate));
             }
         }
-        let (_, worker, unread_tokens) = best.ok_or(why)?;
-        let load = worker.load(now_ms);
-        let queued_ms = load.ahead_ms(wanted.rank);
+        let (_, worker, estimate) = best.ok_or(why)?;
         Ok(Choice {
             id: Arc::clone(&worker.record.id),
             address: worker.record.address.clone(),
-            unread_tokens,
-            is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS,
-            begins_in_ms: queued_ms + f64::from(unread_tokens) * wanted.token_ms,
+            unread_tokens: estimate.unread_tokens,
+            is_first: estimate.is_first,
+            begins_in_ms: estimate.begins_in_ms,
         })
     }
 
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -28,9 +28,12 @@
 /// Time that one running request weighs as, when workers are compared.
 const RUNNING_WEIGHS_MS: f64 = 2.0;
 
-/// Time that one waiting request weighs as.
+/// Time that one waiting request weighs as, where a worker says that some wait.
 const WAITING_WEIGHS_MS: f64 = 75.0;
 
+/// Reading time ahead of a request below which it counts as the first.
+const FIRST_BELOW_MS: f64 = 1.0;
+
 /// Time that a worker in another zone weighs more.
 const OTHER_ZONE_WEIGHS_MS: f64 = 15.0;
 
@@ -74,14 +77,53 @@
 pub struct Load {
     /// Requests that have not ended.
     pub open_count: u32,
+    /// Those of them that have not begun to answer, by rank.
+    pub waiting_count: [u32; RANK_COUNT],
     /// Time that reading the prompts that aren't read yet takes, in milliseconds,
     /// by rank: workers begin the more urgent ones first.
     pub unread_ms: [f64; RANK_COUNT],
+    /// Time for which the requests are expected to keep a slot each, summed up, in
+    /// milliseconds.
+    pub stay_ms: f64,
     /// Tokens that the requests may come to hold.
     pub held_tokens: f64,
 }
 
 impl Load {
+    /// Returns the time until a slot is free for one more request of a rank, in
+    /// milliseconds, if so many run at once.
+    ///
+    /// Those that run, and those that wait and go first, need slots before it. With
+    /// all slots taken, one is free each time that a request of them ends.
+    pub fn slot_wait_ms(&self, rank: usize, slot_count: u32) -> f64 {
+        if slot_count == 0 {
+            return 0.0;
+        }
+        let last = rank.min(RANK_COUNT - 1);
+        let waiting: u32 = self.waiting_count.iter().sum();
+        let goes_first: u32 = self.waiting_count[..=last].iter().sum();
+        let before = self.open_count.saturating_sub(waiting) + goes_first;
+        let ends = (before + 1).saturating_sub(slot_count);
+        f64::from(ends) * self.slot_turn_ms(slot_count)
+    }
+
+    /// Returns the time between two ends of requests while all slots are taken, in
+    /// milliseconds.
+    fn slot_turn_ms(&self, slot_count: u32) -> f64 {
+        let mean_stay_ms = self.stay_ms / f64::from(self.open_count.max(1));
+        mean_stay_ms / f64::from(slot_count.max(1))
+    }
+
+    /// Weighs how near the slots are to being all taken, in milliseconds: the time
+    /// of a turn, by how likely it is that one more request has to wait for one.
+    fn crowding_ms(&self, slot_count: u32) -> f64 {
+        if slot_count == 0 {
+            return 0.0;
+        }
+        let share = (f64::from(self.open_count) / f64::from(slot_count)).min(1.0);
+        self.slot_turn_ms(slot_count) * share * share
+    }
+
     /// Returns the reading time of what a worker begins before a request of a rank.
     pub fn ahead_ms(&self, rank: usize) -> f64 {
         let last = rank.min(RANK_COUNT - 1);
@@ -133,6 +175,8 @@
     pub prompt_tokens: u32,
     /// Time to read one token of the prompt, in milliseconds.
     pub token_ms: f64,
+    /// Time for which its answer is expected to stay, in milliseconds.
+    pub stay_ms: f64,
     /// Rank of urgency, zero first.
     pub rank: usize,
     /// Tokens of the prompt and of the longest answer.
@@ -143,6 +187,19 @@
     pub tried: &'a [Arc<str>],
 }
 
+/// What a worker would make of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Estimate {
+    /// Prompt tokens that it would have to read.
+    pub unread_tokens: u32,
+    /// Time until it will have read the prompt, in milliseconds.
+    pub begins_in_ms: f64,
+    /// Whether, as far as known, no other request has to be read or to end before.
+    pub is_first: bool,
+    /// Weight against sending the request there, in milliseconds.
+    pub cost_ms: f64,
+}
+
 impl Worker {
     /// Makes a worker from its first row.
     pub(crate) fn new(version: u64, record: WorkerRecord) -> Self {
@@ -164,21 +221,28 @@
 
     /// Notes a request that is sent to the worker.
     pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_ms: f64) {
+        let rank = wanted.rank.min(RANK_COUNT - 1);
         self.own.open_count += 1;
-        self.own.unread_ms[wanted.rank.min(RANK_COUNT - 1)] += unread_ms;
+        self.own.waiting_count[rank] += 1;
+        self.own.unread_ms[rank] += unread_ms;
+        self.own.stay_ms += wanted.stay_ms + unread_ms;
         self.own.held_tokens += f64::from(wanted.held_tokens);
         self.kept.sent(now_ms, wanted.parts);
     }
 
     /// Notes that a request's prompt has been read.
     pub fn read(&mut self, rank: usize, unread_ms: f64) {
-        let own_ms = &mut self.own.unread_ms[rank.min(RANK_COUNT - 1)];
+        let rank = rank.min(RANK_COUNT - 1);
+        let own_ms = &mut self.own.unread_ms[rank];
         *own_ms = (*own_ms - unread_ms).max(0.0);
+        let waiting_count = &mut self.own.waiting_count[rank];
+        *waiting_count = waiting_count.saturating_sub(1);
     }
 
-    /// Notes that a request has ended.
-    pub fn ended(&mut self, held_tokens: u32) {
+    /// Notes that a request has ended that was to keep a slot for a time.
+    pub fn ended(&mut self, held_tokens: u32, stay_ms: f64) {
         self.own.open_count = self.own.open_count.saturating_sub(1);
+        self.own.stay_ms = (self.own.stay_ms - stay_ms).max(0.0);
         self.own.held_tokens = (self.own.held_tokens - f64::from(held_tokens)).max(0.0);
     }
 
@@ -212,6 +276,10 @@
         for (at_ms, load) in self.peers.values() {
             if now_ms < at_ms + PEER_LOAD_WITHIN_MS {
                 all.open_count += load.open_count;
+                all.stay_ms += load.stay_ms;
+                for (sum, peer) in all.waiting_count.iter_mut().zip(load.waiting_count) {
+                    *sum += peer;
+                }
                 for (sum_ms, peer_ms) in all.unread_ms.iter_mut().zip(load.unread_ms) {
                     *sum_ms += peer_ms;
                 }
@@ -261,14 +329,13 @@
         until_ms.is_some_and(|until_ms| now_ms < *until_ms)
     }
 
-    /// Weighs sending a request here, in milliseconds until it begins; and the
-    /// tokens that the worker would have to read.
-    pub(crate) fn cost(
+    /// Works out when the worker would begin a request, and weighs sending it there.
+    pub(crate) fn estimate(
         &self,
         now_ms: u64,
         wanted: &Wanted<'_>,
         engine: Option<&Engine>,
-    ) -> (f64, u32) {
+    ) -> Estimate {
         let load = self.load(now_ms);
         let said = self
             .said
@@ -280,28 +347,46 @@
             .kept_tokens(wanted.parts)
             .min(wanted.prompt_tokens);
         let unread_tokens = wanted.prompt_tokens - kept_tokens;
-        let mut cost = if let Some(engine) = engine {
-            let mut cost = load.ahead_ms(wanted.rank) + f64::from(unread_tokens) * wanted.token_ms;
-            cost += f64::from(open_count) * RUNNING_WEIGHS_MS;
-            cost += f64::from(said.1) * WAITING_WEIGHS_MS;
+        let slot_count = engine.map_or(0, |engine| engine.slot_count);
+        let slot_wait_ms = load.slot_wait_ms(wanted.rank, slot_count);
+        // Prompts ahead are read while this one waits for its slot.
+        let queued_ms = load.ahead_ms(wanted.rank).max(slot_wait_ms);
+        let mut estimate = Estimate {
+            unread_tokens,
+            begins_in_ms: queued_ms + f64::from(unread_tokens) * wanted.token_ms,
+            is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS && slot_wait_ms <= 0.0,
+            cost_ms: 0.0,
+        };
+        if let Some(engine) = engine {
             let room_tokens = engine.kv_tokens as f64 * 0.9;
-            let over = load.held_tokens + f64::from(wanted.held_tokens) - room_tokens;
-            cost + over.max(0.0) * wanted.token_ms
+            let over_tokens = load.held_tokens + f64::from(wanted.held_tokens) - room_tokens;
+            estimate.cost_ms = estimate.begins_in_ms
+                + load.crowding_ms(engine.slot_count)
+                + f64::from(open_count) * RUNNING_WEIGHS_MS
+                + f64::from(said.1) * WAITING_WEIGHS_MS
+                + over_tokens.max(0.0) * wanted.token_ms;
         } else {
             let slots = f64::from(self.record.slot_count.max(1));
-            f64::from(open_count + said.1) / slots * 50.0
-        };
+            estimate.cost_ms = f64::from(open_count + said.1) / slots * 50.0;
+        }
+        estimate.cost_ms = self.weigh(now_ms, wanted, estimate.cost_ms);
+        estimate
+    }
+
+    /// Adds to a weight what distance, health and earlier tries speak against.
+    fn weigh(&self, now_ms: u64, wanted: &Wanted<'_>, cost_ms: f64) -> f64 {
+        let mut cost_ms = cost_ms;
         if self.record.zone.as_ref() != wanted.zone {
-            cost += OTHER_ZONE_WEIGHS_MS;
+            cost_ms += OTHER_ZONE_WEIGHS_MS;
         }
-        cost *= 1.0 + 6.0 * self.health.failed_share();
+        cost_ms *= 1.0 + 6.0 * self.health.failed_share();
         if self.health.is_aside(now_ms) {
-            cost = cost * 20.0 + 100_000.0;
+            cost_ms = cost_ms * 20.0 + 100_000.0;
         }
         if wanted.tried.contains(&self.record.id) {
-            cost = cost * 20.0 + 400_000.0;
+            cost_ms = cost_ms * 20.0 + 400_000.0;
         }
-        (cost, unread_tokens)
+        cost_ms
     }
 }
 
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -43,6 +43,7 @@
         parts: &[],
         prompt_tokens: 1_000,
         token_ms: 0.05,
+        stay_ms: 0.0,
         rank: 1,
         held_tokens: 1_100,
         zone: "z",
@@ -50,6 +51,17 @@
     }
 }
 
+fn engine(slot_count: u32) -> Engine {
+    Engine {
+        slot_count,
+        kv_tokens: 100_000,
+        weights_mb: 100.0,
+        adapter_slot_count: 0,
+        loads_per_s: 1.0,
+        models: Vec::new(),
+    }
+}
+
 fn choose(roster: &Roster, now_ms: u64, wanted: &Wanted<'_>) -> Result<String, NoWorker> {
     let mut rng = SmallRng::seed_from_u64(1);
     let choice = roster.choose(now_ms, wanted, None, &mut rng);
@@ -175,6 +187,7 @@
         open_count: 30,
         unread_ms: [0.0, 900.0, 0.0],
         held_tokens: 9_000.0,
+        ..Load::default()
     };
     roster.peer_loads(0, 7, &[(worker_key("b"), load)]);
     assert_eq!(choose(&roster, 1, &request).as_deref(), Ok("a"));
@@ -184,7 +197,7 @@
     assert_eq!(choose(&roster, 3, &request).as_deref(), Ok("b"));
     let worker = roster.get_mut("a").unwrap();
     worker.read(1, 50.0);
-    worker.ended(1_100);
+    worker.ended(1_100, 50.0);
     assert_eq!(worker.load(4), Load::default());
 }
 
@@ -215,21 +228,71 @@
     let worker = roster.get_mut("b").unwrap();
     worker.began(0, &request, 50.0);
     worker.read(1, 50.0);
-    worker.ended(1_100);
+    worker.ended(1_100, 50.0);
     let mut rng = SmallRng::seed_from_u64(3);
-    let engine = Engine {
-        slot_count: 8,
-        kv_tokens: 100_000,
-        weights_mb: 100.0,
-        adapter_slot_count: 0,
-        loads_per_s: 1.0,
-        models: Vec::new(),
-    };
+    let engine = engine(8);
     let choice = roster.choose(1, &request, Some(&engine), &mut rng).unwrap();
     assert_eq!((choice.id.as_ref(), choice.unread_tokens), ("b", 0));
     assert!(choice.is_first);
 }
 
+#[test]
+fn a_request_waits_for_a_slot_where_all_are_taken() {
+    let running = |open_count: u32, waiting_count: [u32; 3]| Load {
+        open_count,
+        waiting_count,
+        stay_ms: f64::from(open_count) * 1_600.0,
+        ..Load::default()
+    };
+    // Sixteen slots, each kept for 1.6 s: one is free every 100 ms.
+    let table = [
+        (running(0, [0; 3]), 0, 0.0),
+        (running(15, [0; 3]), 0, 0.0),
+        (running(16, [0; 3]), 0, 100.0),
+        (running(18, [0, 2, 0]), 0, 100.0),
+        (running(18, [0, 2, 0]), 1, 300.0),
+        (running(18, [0, 2, 0]), 9, 300.0),
+        (running(10, [0, 5, 0]), 1, 0.0),
+    ];
+    for (load, rank, expected_ms) in table {
+        let wait_ms = load.slot_wait_ms(rank, 16);
+        assert!(
+            (wait_ms - expected_ms).abs() < 0.01,
+            "{load:?} {rank}: {wait_ms}"
+        );
+        assert!(load.slot_wait_ms(rank, 0) < 0.01, "slots that aren't known");
+    }
+}
+
+#[test]
+fn a_full_worker_is_left_for_one_with_a_free_slot() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[("m", &[])]));
+    roster.put(2, record("b", &[("m", &[])]));
+    let engine = engine(8);
+    let mut request = wanted(Some(("m", None)));
+    request.stay_ms = 1_000.0;
+    // The other one has more to read, but nobody has to leave first.
+    roster.get_mut("b").unwrap().began(0, &request, 90.0);
+    for _request in 0..8 {
+        let worker = roster.get_mut("a").unwrap();
+        worker.began(0, &request, 0.0);
+        worker.read(1, 0.0);
+    }
+    let mut rng = SmallRng::seed_from_u64(5);
+    let choice = roster.choose(0, &request, Some(&engine), &mut rng).unwrap();
+    assert_eq!(choice.id.as_ref(), "b");
+    assert!(!choice.is_first);
+    // Full to the last slot but one it is still avoided; half full it isn't.
+    for (end_count, expected) in [(1, "b"), (3, "a")] {
+        for _request in 0..end_count {
+            roster.get_mut("a").unwrap().ended(1_100, 1_000.0);
+        }
+        let choice = roster.choose(0, &request, Some(&engine), &mut rng).unwrap();
+        assert_eq!(choice.id.as_ref(), expected);
+    }
+}
+
 #[test]
 fn an_urgent_request_waits_for_urgent_ones_alone() {
     let mut roster = Roster::default();
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -33,6 +33,8 @@
     pub model: &'static str,
     /// Tokens of the prompt and of the longest answer.
     pub tokens: &'static str,
+    /// Tokens that the caller expects to come out.
+    pub expected_tokens: &'static str,
     /// Parts of the prompt.
     pub prompt_parts: &'static str,
     /// Urgency at the worker.
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -127,7 +127,11 @@
 fn note_demand(node: &Node, call: &Call) {
     let Some(key) = model_key(call) else { return };
     let now_ms = node.now_ms();
-    let work_ms = f64::from(call.held_tokens.max(1)) * token_ms(node, call);
+    let engine = call.service.engine.as_ref();
+    let slot_count = engine.map_or(1, |engine| engine.slot_count.max(1));
+    // A worker reads one prompt at a time, and makes answers in all slots at once.
+    let reading_ms = f64::from(call.prompt_tokens.max(1)) * token_ms(node, call);
+    let work_ms = reading_ms + stay_ms(node, call) / f64::from(slot_count);
     let mut demand = node.demand();
     let of_service = demand.entry(Arc::clone(&call.service.name)).or_default();
     of_service.asked(now_ms, key, work_ms);
@@ -139,6 +143,14 @@
     model.map_or(0.0, |(model, _)| node.paces().token_ms(model))
 }
 
+/// Returns for how long the call's answer is expected to stay, in milliseconds.
+fn stay_ms(node: &Node, call: &Call) -> f64 {
+    let model = call.model();
+    model.map_or(0.0, |(model, _)| {
+        node.stays().expected_ms(model, call.answer_tokens)
+    })
+}
+
 /// Returns the place of the model and adapter that a call names.
 fn model_key(call: &Call) -> Option<ModelKey> {
     let (name, adapter) = call.model()?;
@@ -233,6 +245,7 @@
             parts: &self.call.parts,
             prompt_tokens: self.call.prompt_tokens,
             token_ms: token_ms(self.node, self.call),
+            stay_ms: stay_ms(self.node, self.call),
             rank: usize::from(self.call.route.priority),
             held_tokens: self.call.held_tokens,
             zone: &self.node.settings.instance.failure_domain,
@@ -290,7 +303,7 @@
     /// Sends the call to one worker and waits for the head of the answer.
     async fn send(&mut self, choice: &Choice) -> Result<Head, Failure> {
         let node = self.node;
-        let open = OpenCall::begin(node, choice, &self.wanted());
+        let open = OpenCall::begin(node, choice, &self.wanted(), self.call.answer_tokens);
         let pool = node.pool(&choice.id, &choice.address);
         let within = Duration::from_millis(CONNECT_WITHIN_MS);
         let taken = tokio::time::timeout(within, pool.take()).await;
--- a/crates/cranereach-gateway/src/forward/open.rs
+++ b/crates/cranereach-gateway/src/forward/open.rs
@@ -13,13 +13,17 @@
     node: Arc<Node>,
     worker: Arc<str>,
     unread: Option<Unread>,
+    /// When the answer began.
+    answering_since: Option<Instant>,
+    model: Option<String>,
+    answer_tokens: u32,
     held_tokens: u32,
+    stay_ms: f64,
 }
 
 /// A prompt that the worker is believed to read.
 #[derive(Debug)]
 struct Unread {
-    model: Option<String>,
     tokens: u32,
     reading_ms: f64,
     rank: usize,
@@ -29,7 +33,14 @@
 
 impl OpenCall {
     /// Notes that a request is being sent.
-    pub fn begin(node: &Arc<Node>, choice: &Choice, wanted: &Wanted<'_>) -> Self {
+    ///
+    /// `answer_tokens` is what its caller expects to come out.
+    pub fn begin(
+        node: &Arc<Node>,
+        choice: &Choice,
+        wanted: &Wanted<'_>,
+        answer_tokens: u32,
+    ) -> Self {
         let now_ms = node.now_ms();
         let reading_ms = f64::from(choice.unread_tokens) * wanted.token_ms;
         if let Some(worker) = node.roster().get_mut(&choice.id) {
@@ -40,14 +51,17 @@
             node: Arc::clone(node),
             worker: Arc::clone(&choice.id),
             unread: Some(Unread {
-                model: wanted.model.map(|(model, _)| model.to_owned()),
                 tokens: choice.unread_tokens,
                 reading_ms,
                 rank: wanted.rank,
                 is_first: choice.is_first,
                 begun: Instant::now(),
             }),
+            answering_since: None,
+            model: wanted.model.map(|(model, _)| model.to_owned()),
+            answer_tokens,
             held_tokens: wanted.held_tokens,
+            stay_ms: wanted.stay_ms + reading_ms,
         }
     }
 
@@ -56,9 +70,10 @@
         let Some(unread) = self.forget_unread() else {
             return;
         };
-        if let (true, Some(model)) = (unread.is_first, unread.model) {
+        self.answering_since = Some(Instant::now());
+        if let (true, Some(model)) = (unread.is_first, &self.model) {
             let took_ms = unread.begun.elapsed().as_secs_f64() * 1_000.0;
-            self.node.paces().learn(&model, unread.tokens, took_ms);
+            self.node.paces().learn(model, unread.tokens, took_ms);
         }
     }
 
@@ -77,6 +92,11 @@
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
             worker.health.succeeded(now_ms);
         }
+        if let (Some(since), Some(model)) = (self.answering_since, &self.model) {
+            let stayed_ms = since.elapsed().as_secs_f64() * 1_000.0;
+            let mut stays = self.node.stays();
+            stays.learn(model, self.answer_tokens, stayed_ms);
+        }
     }
 
     /// Notes a call that failed after it was sent.
@@ -97,7 +117,7 @@
     fn drop(&mut self) {
         self.forget_unread();
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
-            worker.ended(self.held_tokens);
+            worker.ended(self.held_tokens, self.stay_ms);
         }
         self.node.metrics.open_requests.dec();
     }
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -69,6 +69,8 @@
     pub prompt_tokens: u32,
     /// Tokens of the prompt and of the longest answer.
     pub held_tokens: u32,
+    /// Tokens that the caller expects to come out, at most those of the longest answer.
+    pub answer_tokens: u32,
     /// Parts of the prompt.
     pub parts: Vec<PromptPart>,
     method: Method,
@@ -115,7 +117,10 @@
         let end_by_ms = received_ms + allowed_ms.min(route.timeout_ms);
         let model = text(names.model).map(wanted_model);
         let model = model.filter(|_| service.engine.is_some());
-        let (prompt_tokens, answer_tokens) = text(names.tokens).map_or((0, 0), token_counts);
+        let (prompt_tokens, answer_max_tokens) = text(names.tokens).map_or((0, 0), token_counts);
+        let hinted = text(names.expected_tokens).and_then(expected_tokens);
+        let answer_tokens =
+            hinted.map_or(answer_max_tokens, |hinted| hinted.min(answer_max_tokens));
         let parts = match (&model, text(names.prompt_parts)) {
             (Some(_), Some(listed)) => prompt_parts(text(names.model).unwrap_or_default(), listed),
             _ => Vec::new(),
@@ -136,7 +141,8 @@
             end_by_ms,
             model,
             prompt_tokens,
-            held_tokens: prompt_tokens + answer_tokens,
+            held_tokens: prompt_tokens.saturating_add(answer_max_tokens),
+            answer_tokens,
             parts,
             method: head.method,
             uri: head.uri,
@@ -244,6 +250,12 @@
     (counts.next().unwrap_or(0), counts.next().unwrap_or(0))
 }
 
+/// Reads how many tokens the caller expects to come out; none if that is no number.
+fn expected_tokens(text: &str) -> Option<u32> {
+    let expected: f64 = text.trim().parse().ok()?;
+    (expected.is_finite() && expected > 0.0).then_some(expected as u32)
+}
+
 /// Reads the parts of a prompt, each `ID:TOKENS`.
 fn prompt_parts(model: &str, text: &str) -> Vec<PromptPart> {
     let parts: Vec<(&str, u32)> = text
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -181,6 +181,8 @@
     LoadPart {
         worker,
         open_count: load.open_count,
+        waiting_count: load.waiting_count,
+        stay_ms: load.stay_ms as u32,
         unread_ms: load.unread_ms.map(|unread_ms| unread_ms as u32),
         held_tokens: load.held_tokens as u32,
     }
@@ -256,6 +258,8 @@
         .map(|part| {
             let load = Load {
                 open_count: part.open_count,
+                waiting_count: part.waiting_count,
+                stay_ms: f64::from(part.stay_ms),
                 unread_ms: part.unread_ms.map(f64::from),
                 held_tokens: f64::from(part.held_tokens),
             };
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -33,6 +33,10 @@
     pub worker: u64,
     /// Requests that have not ended.
     pub open_count: u32,
+    /// Those of them that have not begun to answer, by rank.
+    pub waiting_count: [u32; RANK_COUNT],
+    /// Time for which the requests are expected to keep a slot, in milliseconds.
+    pub stay_ms: u32,
     /// Time to read the prompts that aren't read yet, in milliseconds by rank.
     pub unread_ms: [u32; RANK_COUNT],
     /// Tokens that the requests may come to hold.
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -33,6 +33,7 @@
 use cranereach_fleet::pace::Paces;
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
+use cranereach_fleet::stay::Stays;
 use cranereach_http::pool::Pool;
 
 /// Time after which unconfirmed bytes break a worker's connection, in milliseconds.
@@ -86,6 +87,7 @@
     configuration: Mutex<Option<Arc<Configuration>>>,
     roster: Mutex<Roster>,
     paces: Mutex<Paces>,
+    stays: Mutex<Stays>,
     demand: Mutex<HashMap<Arc<str>, Demand>>,
     peers: Mutex<Peers>,
     announced: Mutex<HashMap<Arc<str>, Announced>>,
@@ -145,6 +147,7 @@
             configuration: Mutex::default(),
             roster: Mutex::default(),
             paces: Mutex::default(),
+            stays: Mutex::default(),
             demand: Mutex::default(),
             peers: Mutex::new(Peers::new(
                 own_ip,
@@ -225,6 +228,11 @@
         lock(&self.paces)
     }
 
+    /// Returns how long answers keep a slot.
+    pub fn stays(&self) -> MutexGuard<'_, Stays> {
+        lock(&self.stays)
+    }
+
     /// Returns what is known of peers.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         lock(&self.peers)
