Workers that can't be reached: nobody waits for them, and peers hear of it

The holder of the lease learned of a dead worker by its own requests or by the end of its row, some 4 s later, and only then had its models loaded elsewhere.

Changes: a worker that could not be reached is tried by one request every 800 ms and only where nobody else holds the model; others are refused at once with a time to come back. Digests name the workers that their sender could not reach; two witnesses within 1.5 s count, and what is only heard is not passed on. An ended term is told with its age. A worker's whole 5xx answer is kept while a repeat is hoped for and passed on if none comes; a refusal after a run of unknown outcome no longer says that it has not run.

Also here: placement lays the demand of all models over the workers that they share, in place of whole workers per model.

--- a/crates/cranereach-fleet/src/health.rs
+++ b/crates/cranereach-fleet/src/health.rs
@@ -18,6 +18,14 @@
 /// Time that a worker is put aside for that could not be reached, in milliseconds.
 const UNREACHABLE_FOR_MS: u64 = 2_500;
 
+/// Time for which an own failure to reach a worker is told to peers, in
+/// milliseconds.
+const MISSED_FOR_MS: u64 = 1_500;
+
+/// Time between two tries to reach a worker that could not be reached, in
+/// milliseconds: each one holds a request up for as long as connecting may take.
+const PROBE_EVERY_MS: u64 = 800;
+
 /// Longest time that a worker is put aside for, in milliseconds.
 const ASIDE_MAX_MS: u64 = 5_000;
 
@@ -30,6 +38,9 @@
     failed_in_a_row: u32,
     aside_count: u32,
     aside_until_ms: u64,
+    unreachable_until_ms: u64,
+    probe_at_ms: u64,
+    missed_at_ms: Option<u64>,
 }
 
 impl Health {
@@ -59,12 +70,50 @@
     pub fn unreachable(&mut self, now_ms: u64) {
         self.decay(now_ms);
         self.failed += 1.0;
-        self.aside_until_ms = self.aside_until_ms.max(now_ms + UNREACHABLE_FOR_MS);
+        self.unreachable_until_ms = now_ms + UNREACHABLE_FOR_MS;
+        self.probe_at_ms = now_ms + PROBE_EVERY_MS;
+        self.missed_at_ms = Some(now_ms);
+    }
+
+    /// Whether an own call could not reach the worker lately; what only others say
+    /// isn't passed on.
+    pub fn has_missed(&self, now_ms: u64) -> bool {
+        self.missed_at_ms
+            .is_some_and(|at_ms| now_ms < at_ms + MISSED_FOR_MS)
+    }
+
+    /// Notes that others could not reach the worker.
+    pub fn told_unreachable(&mut self, now_ms: u64) {
+        if !self.is_unreachable(now_ms) {
+            self.probe_at_ms = now_ms;
+        }
+        self.unreachable_until_ms = now_ms + UNREACHABLE_FOR_MS;
+    }
+
+    /// Notes that the worker was reached.
+    pub fn reached(&mut self) {
+        self.unreachable_until_ms = 0;
+        self.missed_at_ms = None;
+    }
+
+    /// Whether the worker could not be reached lately.
+    pub fn is_unreachable(&self, now_ms: u64) -> bool {
+        now_ms < self.unreachable_until_ms
+    }
+
+    /// Whether a call may be sent to the worker, be it to see whether it is back.
+    pub fn may_try(&self, now_ms: u64) -> bool {
+        !self.is_unreachable(now_ms) || now_ms >= self.probe_at_ms
+    }
+
+    /// Notes that a call is sent to the worker.
+    pub fn tried(&mut self, now_ms: u64) {
+        self.probe_at_ms = now_ms + PROBE_EVERY_MS;
     }
 
     /// Whether calls should go elsewhere for now.
     pub fn is_aside(&self, now_ms: u64) -> bool {
-        now_ms < self.aside_until_ms
+        now_ms < self.aside_until_ms || self.is_unreachable(now_ms)
     }
 
     /// Returns the share of failed calls, with a prior of few good ones.
@@ -74,7 +123,7 @@
 
     /// Puts the worker aside, each time for longer.
     fn put_aside(&mut self, now_ms: u64) {
-        if self.is_aside(now_ms) {
+        if now_ms < self.aside_until_ms {
             return;
         }
         let doubled = ASIDE_FIRST_MS << self.aside_count.min(4);
--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -21,9 +21,6 @@
 /// Time of a load from a copy that the worker has, in seconds.
 const COPY_LOAD_S: f64 = 2.0;
 
-/// What the demand already on a worker weighs against an order for it.
-const BUSY_WEIGHT: f64 = 0.25;
-
 /// What the plan needs to know of a model.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ModelSize {
@@ -112,9 +109,8 @@
 
     /// Finds the load, or the unload that makes room for one, that brings most.
     fn best(&self, pressure: &Pressure, may_load_from_store: bool) -> Option<Planned> {
-        let wanted: Vec<(usize, f64)> = (0..self.models.len())
-            .map(|model| (model, pressure.gain(model)))
-            .filter(|(_, gain)| *gain > LEAST_GAIN_MS)
+        let wanted: Vec<usize> = (0..self.models.len())
+            .filter(|model| pressure.most_gain(*model) > LEAST_GAIN_MS)
             .collect();
         let going_count = self
             .workers
@@ -127,21 +123,22 @@
             if !worker.is_free || !worker.is_serving || is_going(worker) {
                 continue;
             }
-            let busy = BUSY_WEIGHT * pressure.on_worker(worker);
             let used_mb = self.used_mb(worker);
-            for (model, gain) in &wanted {
+            let cheapest = cheapest(index, worker, pressure);
+            for model in &wanted {
                 let is_copy = has_copy(worker, *model);
                 if holds(worker, *model) || !(is_copy || may_load_from_store) {
                     continue;
                 }
-                let gain = self.gain_in_time(*model, *gain, is_copy);
                 let has_room = used_mb + self.models[*model].weights_mb <= self.weights_mb;
                 let found = if has_room {
-                    Some((gain - busy, Order::Load(*model as u16)))
-                } else if may_swap {
-                    let cheapest = self.cheapest(worker, pressure);
-                    cheapest
-                        .map(|(loss, model)| (gain / SWAP_GAIN - loss - busy, Order::Unload(model)))
+                    let gain = pressure.gain(*model, index, None);
+                    let gain = self.gain_in_time(*model, gain, is_copy);
+                    Some((gain, Order::Load(*model as u16)))
+                } else if let (true, Some((loss, other))) = (may_swap, cheapest) {
+                    let gain = pressure.gain(*model, index, Some(other));
+                    let gain = self.gain_in_time(*model, gain, is_copy);
+                    Some((gain / SWAP_GAIN - loss, Order::Unload(other)))
                 } else {
                     None
                 };
@@ -172,17 +169,6 @@
         gain * ((HORIZON_S - load_s) / HORIZON_S).max(0.1)
     }
 
-    /// Finds the model on a worker whose unload costs least.
-    fn cheapest(&self, worker: &WorkerView, pressure: &Pressure) -> Option<(f64, u16)> {
-        let ready = worker.places.iter().filter(|place| !place.is_coming);
-        let losses = ready.map(|place| {
-            let model = usize::from(place.model);
-            // A replica that is still loading serves nobody yet.
-            (pressure.loss(model, self.ready_count(model)), place.model)
-        });
-        losses.min_by(|left, right| left.0.total_cmp(&right.0))
-    }
-
     /// Finds the most wanted adapter that too few workers hold.
     fn missing_adapter(&self) -> Option<Planned> {
         let mut wanted: Vec<(ModelKey, f64)> = self
@@ -243,18 +229,6 @@
         (rate_of(&least) * SWAP_GAIN < rate_of(&key)).then_some(least)
     }
 
-    /// Counts the workers that serve a model now.
-    fn ready_count(&self, model: usize) -> usize {
-        let serving = self.workers.iter().filter(|worker| worker.is_serving);
-        let ready = serving.filter(|worker| {
-            let mut places = worker.places.iter();
-            places.any(|place| {
-                usize::from(place.model) == model && !place.is_going && !place.is_coming
-            })
-        });
-        ready.count()
-    }
-
     /// Returns the memory that counts as used, in megabytes.
     fn used_mb(&self, worker: &WorkerView) -> f64 {
         let places = worker.places.iter();
@@ -267,6 +241,13 @@
     }
 }
 
+/// Finds the model on a worker whose unload costs least.
+fn cheapest(index: usize, worker: &WorkerView, pressure: &Pressure) -> Option<(f64, u16)> {
+    let ready = worker.places.iter().filter(|place| !place.is_coming);
+    let losses = ready.map(|place| (pressure.loss(usize::from(place.model), index), place.model));
+    losses.min_by(|left, right| left.0.total_cmp(&right.0))
+}
+
 /// Whether a worker is unloading a model.
 fn is_going(worker: &WorkerView) -> bool {
     worker.places.iter().any(|place| place.is_going)
--- a/crates/cranereach-fleet/src/pressure.rs
+++ b/crates/cranereach-fleet/src/pressure.rs
@@ -1,11 +1,11 @@
-//! How much demand is served badly, per model, and what replicas change.
+//! How much demand is served badly, and what a replica more or less changes.
 //!
-//! A model with demand `d` (workers' time asked for, per second) on `r` workers
-//! uses the share `u = d / r` of each. What is served badly is taken as `d u^2`
-//! while `u` is below one, and as `d (2 u - 1)` above, where queues grow; a model
-//! that no worker holds has all of its demand served badly, several times over.
-//! Demand moves on along the declared list: the models right behind a busy one
-//! get a part of its demand ahead of time.
+//! Several models share a worker, and each model's demand goes to whichever of
+//! its holders has time. So the demand of all models is first laid over the
+//! workers as evenly as what they hold allows. A worker of which the share `u` of
+//! its time is asked for serves `u^3` badly while `u` is below one, and
+//! `u (2 u - 1)` above, where queues grow, up to where nothing more is served; a model that no worker holds has all of
+//! its demand served badly, several times over.
 
 use std::collections::HashMap;
 
@@ -15,9 +15,16 @@
 /// How much worse it is to have no worker than to have one that is full.
 const MISSING_WEIGHT: f64 = 8.0;
 
+/// Share of a worker's time from which all further demand is served equally badly:
+/// below the weight of a model that nobody holds, so that some are served.
+const HOPELESS_FROM: f64 = 1.75;
+
 /// Workers' time that one worker gives, in milliseconds per second.
 const WORKER_MS: f64 = 1_000.0;
 
+/// Times that the demand of each model is laid out anew, given that of the others.
+const SWEEP_COUNT: usize = 6;
+
 /// Demand that models behind a busy one are given, as a share of its own.
 const AHEAD_SHARE: f64 = 0.6;
 
@@ -36,55 +43,155 @@
 /// Share of the demand from which a model counts as busy.
 const BUSY_SHARE: f64 = 0.1;
 
-/// Demand and replicas of all models of one service.
+/// A model on a worker.
+#[derive(Clone, Copy, Debug)]
+struct Holding {
+    /// The worker's place in the view.
+    worker: usize,
+    /// Share of the worker's time that the model's demand takes there.
+    share: f64,
+    /// Whether the model is served there already.
+    is_ready: bool,
+}
+
+/// Demand of all models of one service, laid over the workers.
 #[derive(Clone, Debug)]
 pub struct Pressure {
+    /// Demand by model, in workers.
     demand: Vec<f64>,
-    replicas: Vec<usize>,
+    /// Who holds each model.
+    holdings: Vec<Vec<Holding>>,
+    /// Share of each worker's time that is asked for.
+    levels: Vec<f64>,
 }
 
 impl Pressure {
     /// Works the pressure out from what is asked for and what workers hold.
     pub fn of(model_count: usize, asked: &HashMap<ModelKey, f64>, workers: &[WorkerView]) -> Self {
-        let mut replicas = vec![0; model_count];
-        let serving = workers.iter().filter(|worker| worker.is_serving);
-        let places = serving.flat_map(|worker| &worker.places);
-        for place in places.filter(|place| !place.is_going) {
-            if let Some(count) = replicas.get_mut(usize::from(place.model)) {
-                *count += 1;
+        let mut holdings = vec![Vec::new(); model_count];
+        for (index, worker) in workers.iter().enumerate().filter(|(_, of)| of.is_serving) {
+            for place in worker.places.iter().filter(|place| !place.is_going) {
+                let Some(of_model) = holdings.get_mut(usize::from(place.model)) else {
+                    continue;
+                };
+                of_model.push(Holding {
+                    worker: index,
+                    share: 0.0,
+                    is_ready: !place.is_coming,
+                });
             }
         }
-        Self {
-            demand: expected_demand(model_count, asked),
-            replicas,
+        let demand = expected_demand(model_count, asked);
+        let mut pressure = Self {
+            demand: demand.into_iter().map(|work| work / WORKER_MS).collect(),
+            holdings,
+            levels: vec![0.0; workers.len()],
+        };
+        for _sweep in 0..SWEEP_COUNT {
+            pressure.lay_out();
         }
+        pressure
     }
 
-    /// Returns what one more replica of a model takes off.
-    pub fn gain(&self, model: usize) -> f64 {
-        let demand = self.demand[model];
-        let count = self.replicas[model];
-        badly_served(demand, count) - badly_served(demand, count + 1)
+    /// Returns the most that one more replica of a model could take off, in
+    /// milliseconds of workers' time per second.
+    pub fn most_gain(&self, model: usize) -> f64 {
+        self.gain_at(model, 0.0)
+    }
+
+    /// Returns what a replica of a model on a worker takes off, after another model
+    /// has made way if one is named.
+    pub fn gain(&self, model: usize, worker: usize, made_way: Option<u16>) -> f64 {
+        let freed = made_way.map_or(0.0, |other| self.share(usize::from(other), worker));
+        self.gain_at(model, (self.levels[worker] - freed).max(0.0))
+    }
+
+    /// Returns what one less of a model's ready replicas adds, taken from a worker.
+    pub fn loss(&self, model: usize, worker: usize) -> f64 {
+        let others = self.holdings[model]
+            .iter()
+            .filter(|holding| holding.is_ready && holding.worker != worker);
+        let levels: Vec<f64> = others.map(|other| self.levels[other.worker]).collect();
+        if levels.is_empty() {
+            return MISSING_WEIGHT * self.demand[model] * WORKER_MS;
+        }
+        let share = self.share(model, worker);
+        let filled = fill(&levels, share);
+        let added: f64 = levels
+            .iter()
+            .map(|level| badly_served(level.max(filled)) - badly_served(*level))
+            .sum();
+        let level = self.levels[worker];
+        let relieved = badly_served(level) - badly_served((level - share).max(0.0));
+        (added - relieved) * WORKER_MS
+    }
+
+    /// Returns the share of a worker's time that is asked for.
+    pub fn level(&self, worker: usize) -> f64 {
+        self.levels[worker]
     }
 
-    /// Returns what one less of a model's ready replicas adds.
-    pub fn loss(&self, model: usize, ready_count: usize) -> f64 {
+    /// Returns what a replica takes off on a worker that is busy so far already.
+    fn gain_at(&self, model: usize, level: f64) -> f64 {
         let demand = self.demand[model];
-        badly_served(demand, ready_count.saturating_sub(1)) - badly_served(demand, ready_count)
+        let serving = self.holdings[model].iter();
+        let used = serving.filter(|holding| holding.share > 0.0);
+        let levels: Vec<f64> = used.map(|holding| self.levels[holding.worker]).collect();
+        if levels.is_empty() {
+            let added = badly_served(level + demand) - badly_served(level);
+            return (MISSING_WEIGHT * demand - added).max(0.0) * WORKER_MS;
+        }
+        let count = levels.len() as f64;
+        let before = levels.iter().sum::<f64>() / count;
+        // What moves over evens the levels out.
+        let moved = ((before - level) / (1.0 + 1.0 / count)).clamp(0.0, demand);
+        let relieved = count * (badly_served(before) - badly_served(before - moved / count));
+        let added = badly_served(level + moved) - badly_served(level);
+        (relieved - added) * WORKER_MS
+    }
+
+    /// Returns the share of a worker's time that a model's demand takes there.
+    fn share(&self, model: usize, worker: usize) -> f64 {
+        let mut holdings = self.holdings[model].iter();
+        let found = holdings.find(|holding| holding.worker == worker);
+        found.map_or(0.0, |holding| holding.share)
     }
 
-    /// Returns the demand that falls on a worker.
-    pub fn on_worker(&self, worker: &WorkerView) -> f64 {
-        let places = worker.places.iter().filter(|place| !place.is_going);
-        places
-            .map(|place| {
-                let model = usize::from(place.model);
-                self.demand[model] / self.replicas[model].max(1) as f64
-            })
-            .sum()
+    /// Lays the demand of each model over its holders, given that of the others.
+    fn lay_out(&mut self) {
+        for (holdings, demand) in self.holdings.iter_mut().zip(&self.demand) {
+            for holding in &*holdings {
+                self.levels[holding.worker] -= holding.share;
+            }
+            let levels: Vec<f64> = holdings
+                .iter()
+                .map(|holding| self.levels[holding.worker])
+                .collect();
+            let filled = fill(&levels, *demand);
+            for (holding, level) in holdings.iter_mut().zip(levels) {
+                holding.share = (filled - level).max(0.0);
+                self.levels[holding.worker] += holding.share;
+            }
+        }
     }
 }
 
+/// Returns the level up to which an amount fills vessels that are filled already
+/// up to levels of their own.
+fn fill(levels: &[f64], amount: f64) -> f64 {
+    let mut sorted = levels.to_vec();
+    sorted.sort_unstable_by(f64::total_cmp);
+    let mut sum = 0.0;
+    for (index, level) in sorted.iter().enumerate() {
+        sum += level;
+        let filled = (sum + amount) / (index + 1) as f64;
+        if sorted.get(index + 1).is_none_or(|next| filled <= *next) {
+            return filled;
+        }
+    }
+    0.0
+}
+
 /// Returns the demand per model, with what is expected to come.
 fn expected_demand(model_count: usize, asked: &HashMap<ModelKey, f64>) -> Vec<f64> {
     let mut by_model = vec![0.0; model_count];
@@ -113,15 +220,14 @@
     expected
 }
 
-/// Returns how much of a demand is served badly by a number of replicas.
-fn badly_served(demand: f64, replica_count: usize) -> f64 {
-    if replica_count == 0 {
-        return MISSING_WEIGHT * demand;
-    }
-    let share = demand / replica_count as f64 / WORKER_MS;
+/// Returns how much is served badly, in workers, by one of whose time a share is
+/// asked for.
+fn badly_served(share: f64) -> f64 {
     if share < 1.0 {
-        demand * share * share
+        share * share * share
     } else {
-        demand * (2.0 * share - 1.0)
+        let queued = share.min(HOPELESS_FROM);
+        let hopeless = share - queued;
+        queued * (2.0 * queued - 1.0) + hopeless * (4.0 * HOPELESS_FROM - 1.0)
     }
 }
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -32,6 +32,8 @@
     pub is_first: bool,
     /// Time until it will have read the prompt, in milliseconds, as predicted.
     pub begins_in_ms: f64,
+    /// The load that the choice was made by.
+    pub load: Load,
 }
 
 /// Why no worker was chosen; the one that came closest counts.
@@ -39,6 +41,8 @@
 pub enum NoWorker {
     /// The service has no worker that takes work.
     None,
+    /// All that hold what is wanted could not be reached lately.
+    Unreachable,
     /// No worker holds the model.
     NoModel,
     /// No worker holds the adapter.
@@ -217,6 +221,10 @@
                 why = why.max(lacks);
                 continue;
             }
+            if !worker.health.may_try(now_ms) {
+                why = why.max(NoWorker::Unreachable);
+                continue;
+            }
             let estimate = worker.estimate(now_ms, wanted, engine);
             // A little noise keeps instances with the same view from herding.
             let cost = estimate.cost_ms * (1.0 + 0.05 * rng.random::<f64>()) + rng.random::<f64>();
@@ -231,6 +239,7 @@
             unread_tokens: estimate.unread_tokens,
             is_first: estimate.is_first,
             begins_in_ms: estimate.begins_in_ms,
+            load: estimate.load,
         })
     }
 
@@ -245,6 +254,15 @@
             .collect()
     }
 
+    /// Lists the workers that this instance could not reach lately itself, by key.
+    pub fn unreachable(&self, now_ms: u64) -> Vec<u64> {
+        let known = self.workers.values();
+        known
+            .filter(|worker| worker.health.has_missed(now_ms))
+            .map(|worker| worker_key(&worker.record.id))
+            .collect()
+    }
+
     /// Takes all loads of one peer; what it doesn't name it has none of.
     pub fn peer_loads(&mut self, now_ms: u64, peer: u32, loads: &[(u64, Load)]) {
         let before = self.loaded_by_peer.remove(&peer).unwrap_or_default();
--- a/crates/cranereach-fleet/src/tenure.rs
+++ b/crates/cranereach-fleet/src/tenure.rs
@@ -42,6 +42,15 @@
     },
 }
 
+/// A term that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedTerm {
+    /// Version of the row that it was held under.
+    pub version: u64,
+    /// When it ended, in milliseconds.
+    pub at_ms: u64,
+}
+
 /// The row as last seen.
 #[derive(Clone, Debug)]
 struct Seen {
@@ -151,17 +160,24 @@
     }
 
     /// Returns the version under which this instance held the lease and, its term
-    /// over, orders no more; only another write would let it.
-    pub fn ended_version(&self, now_ms: u64) -> Option<u64> {
-        self.held
-            .filter(|held| now_ms >= held.until_ms)
-            .map(|held| held.version)
+    /// over, orders no more, and since when; only another write would let it.
+    pub fn ended(&self, now_ms: u64) -> Option<EndedTerm> {
+        let held = self.held.filter(|held| now_ms >= held.until_ms)?;
+        Some(EndedTerm {
+            version: held.version,
+            at_ms: held.until_ms,
+        })
     }
 
     /// Takes the holder's word that it no longer orders under a version.
-    pub fn heard_ended(&mut self, now_ms: u64, version: u64) {
-        if let Some(seen) = self.seen.as_mut().filter(|seen| seen.version == version) {
-            seen.ended_at_ms.get_or_insert(now_ms);
+    ///
+    /// The time is on the own clock, and never before the true one: what the holder
+    /// says takes a while to arrive.
+    pub fn heard_ended(&mut self, ended: EndedTerm) {
+        let seen = self.seen.as_mut();
+        if let Some(seen) = seen.filter(|seen| seen.version == ended.version) {
+            let before_ms = seen.ended_at_ms.unwrap_or(u64::MAX);
+            seen.ended_at_ms = Some(before_ms.min(ended.at_ms));
         }
     }
 
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -19,6 +19,12 @@
 /// Age up to which a worker's own word about its load counts, in milliseconds.
 const SAID_WITHIN_MS: u64 = 400;
 
+/// Peers that must say that they can't reach a worker before it counts.
+const WITNESS_COUNT: usize = 2;
+
+/// Time within which they must say so, in milliseconds: some rounds of digests.
+const WITNESS_WITHIN_MS: u64 = 1_500;
+
 /// Time for which a worker that lacks a model isn't asked for it, in milliseconds.
 const MISSING_FOR_MS: u64 = 1_500;
 
@@ -155,6 +161,8 @@
     pub(crate) leaves_at_version: u64,
     pub(crate) own: Load,
     pub(crate) peers: HashMap<u32, (u64, Load)>,
+    /// When each peer said that it can't reach the worker, in milliseconds.
+    unreachable_at_ms: HashMap<u32, u64>,
     said: Option<(u64, SaidLoad)>,
     kept: KeptPrefixes,
     missing_until_ms: HashMap<String, u64>,
@@ -198,6 +206,8 @@
     pub is_first: bool,
     /// Weight against sending the request there, in milliseconds.
     pub cost_ms: f64,
+    /// The load that this was worked out from.
+    pub load: Load,
 }
 
 impl Worker {
@@ -211,6 +221,7 @@
             leaves_at_version: 0,
             own: Load::default(),
             peers: HashMap::new(),
+            unreachable_at_ms: HashMap::new(),
             said: None,
             kept: KeptPrefixes::default(),
             missing_until_ms: HashMap::new(),
@@ -222,6 +233,7 @@
     /// Notes a request that is sent to the worker.
     pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_ms: f64) {
         let rank = wanted.rank.min(RANK_COUNT - 1);
+        self.health.tried(now_ms);
         self.own.open_count += 1;
         self.own.waiting_count[rank] += 1;
         self.own.unread_ms[rank] += unread_ms;
@@ -251,6 +263,17 @@
         self.said = Some((now_ms, said));
     }
 
+    /// Takes a peer's word that it can't reach the worker. One alone may be cut off
+    /// itself; what several say counts.
+    pub fn told_unreachable(&mut self, now_ms: u64, peer: u32) {
+        self.unreachable_at_ms
+            .retain(|_, at_ms| now_ms < *at_ms + WITNESS_WITHIN_MS);
+        self.unreachable_at_ms.insert(peer, now_ms);
+        if self.unreachable_at_ms.len() >= WITNESS_COUNT {
+            self.health.told_unreachable(now_ms);
+        }
+    }
+
     /// Notes that the worker refused a model or adapter as not there.
     pub fn lacks(&mut self, now_ms: u64, model: &str, adapter: Option<&str>) {
         let name = full_name(model, adapter);
@@ -356,6 +379,7 @@
             begins_in_ms: queued_ms + f64::from(unread_tokens) * wanted.token_ms,
             is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS && slot_wait_ms <= 0.0,
             cost_ms: 0.0,
+            load,
         };
         if let Some(engine) = engine {
             let room_tokens = engine.kv_tokens as f64 * 0.9;
--- a/crates/cranereach-fleet/tests/placing.rs
+++ b/crates/cranereach-fleet/tests/placing.rs
@@ -149,3 +149,33 @@
     leaving.is_serving = false;
     assert_eq!(next(&[busy, leaving], &[((1, 0), 900.0)], true), None);
 }
+
+#[test]
+fn a_replica_goes_where_time_is_left() {
+    // Both have room, but one of them is busy with another model.
+    let workers = [
+        worker(&[place(6)]),
+        worker(&[place(5)]),
+        worker(&[place(7), place(4)]),
+    ];
+    let demand = [((7, 0), 900.0), ((6, 0), 800.0), ((5, 0), 100.0)];
+    let planned = next(&workers, &demand, true).unwrap();
+    assert_eq!((planned.worker, planned.order), (1, Order::Load(7)));
+}
+
+#[test]
+fn models_that_share_a_worker_need_more_replicas_than_those_apart() {
+    let apart = [worker(&[place(6)]), worker(&[place(7)]), worker(&[])];
+    let together = [worker(&[place(6), place(7)]), worker(&[]), worker(&[])];
+    // Each model alone would leave its worker idle for most of the time.
+    let demand = [((6, 0), 250.0), ((7, 0), 250.0)];
+    let is_copied = |workers: &[WorkerView]| {
+        let mut workers = workers.to_vec();
+        for view in &mut workers {
+            view.copies = vec![6, 7];
+        }
+        next(&workers, &demand, false).is_some()
+    };
+    assert!(!is_copied(&apart));
+    assert!(is_copied(&together));
+}
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -217,6 +217,52 @@
     assert_eq!(choose(&roster, 100, &wanted(None)).as_deref(), Ok("a"));
 }
 
+#[test]
+fn a_worker_that_can_not_be_reached_is_tried_now_and_then() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[("m", &[])]));
+    let request = wanted(Some(("m", None)));
+    roster.get_mut("a").unwrap().health.unreachable(1_000);
+    assert_eq!(
+        choose(&roster, 1_010, &request),
+        Err(NoWorker::Unreachable),
+        "nobody waits for it"
+    );
+    assert_eq!(roster.unreachable(1_010), [worker_key("a")]);
+    assert_eq!(choose(&roster, 2_000, &request).as_deref(), Ok("a"));
+    // One call looks whether it is back; others don't until it has ended.
+    roster.get_mut("a").unwrap().began(2_000, &request, 0.0);
+    assert_eq!(choose(&roster, 2_010, &request), Err(NoWorker::Unreachable));
+    roster.get_mut("a").unwrap().health.reached();
+    assert_eq!(choose(&roster, 2_020, &request).as_deref(), Ok("a"));
+    assert!(roster.unreachable(2_020).is_empty());
+    // Where another one holds the model, that one is taken.
+    roster.put(2, record("b", &[("m", &[])]));
+    roster.get_mut("a").unwrap().health.unreachable(3_000);
+    assert_eq!(choose(&roster, 4_500, &request).as_deref(), Ok("b"));
+}
+
+#[test]
+fn what_several_peers_say_of_a_worker_counts_and_is_not_passed_on() {
+    let mut roster = Roster::default();
+    roster.put(1, record("a", &[]));
+    let is_aside = |roster: &Roster, now_ms| roster.get("a").unwrap().health.is_aside(now_ms);
+    let tell = |roster: &mut Roster, now_ms, peer| {
+        let worker = roster.by_key_mut(worker_key("a")).unwrap();
+        worker.told_unreachable(now_ms, peer);
+    };
+    tell(&mut roster, 0, 7);
+    tell(&mut roster, 100, 7);
+    assert!(!is_aside(&roster, 100), "one peer may be cut off itself");
+    tell(&mut roster, 5_000, 8);
+    assert!(!is_aside(&roster, 5_000), "the other one said so long ago");
+    tell(&mut roster, 5_100, 9);
+    assert!(is_aside(&roster, 5_100));
+    assert!(roster.unreachable(5_100).is_empty());
+    // It may still be reached from here: the next call sees.
+    assert_eq!(choose(&roster, 5_110, &wanted(None)).as_deref(), Ok("a"));
+}
+
 #[test]
 fn a_prompt_goes_where_its_parts_were_read() {
     let mut roster = Roster::default();
--- a/crates/cranereach-gateway/src/controller/lease.rs
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -44,8 +44,8 @@
         candidacy.due_since_ms = None;
     }
     tell_ended(node, tenure, now_ms, key);
-    for version in node.peers().ended_versions(now_ms, key) {
-        tenure.heard_ended(now_ms, version);
+    for ended in node.peers().ended_terms(now_ms, key) {
+        tenure.heard_ended(ended);
     }
     if now_ms < candidacy.call_after_ms {
         return;
@@ -71,8 +71,8 @@
 /// Tells peers whether this instance's term is over.
 fn tell_ended(node: &Node, tenure: &Tenure, now_ms: u64, service: u64) {
     let mut ended = lock(&node.ended_leases);
-    let before = match tenure.ended_version(now_ms) {
-        Some(version) => ended.insert(service, version) == Some(version),
+    let before = match tenure.ended(now_ms) {
+        Some(term) => ended.insert(service, term) == Some(term),
         None => ended.remove(&service).is_none(),
     };
     drop(ended);
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -59,6 +59,9 @@
     node: &'a Arc<Node>,
     call: &'a Call,
     tried: Vec<Arc<str>>,
+    last_choice: Option<Choice>,
+    /// A worker's whole answer of a failure, kept while a repeat is hoped for.
+    failed_answer: Option<Response<AnswerBody>>,
     offer_count: usize,
     run_count: u32,
     may_have_run: bool,
@@ -74,6 +77,8 @@
         node,
         call: &call,
         tried: Vec::new(),
+        last_choice: None,
+        failed_answer: None,
         offer_count: 0,
         run_count: 0,
         may_have_run: false,
@@ -94,6 +99,14 @@
         }
         Err(exchange.refusal(code, "deadline"))
     });
+    let result = match (result, exchange.failed_answer.take()) {
+        (Err(refusal), Some(answer)) => {
+            info!(node.log, "failure passed on"; "request" => call.id.clone(),
+                "status" => answer.status().as_u16(), "repeat" => refusal.detail);
+            Ok(answer)
+        }
+        (result, _) => result,
+    };
     let result_name = match &result {
         Ok(answer) if answer.status().is_success() => "served",
         Ok(_) => "passed",
@@ -103,7 +116,7 @@
     counter
         .with_label_values(&[&call.route.name, result_name])
         .inc();
-    note_late(node, &call);
+    note_late(node, &call, exchange.last_choice.as_ref());
     let took_s = node.now_ms().saturating_sub(call.received_ms) as f64 / 1_000.0;
     let seconds = &node.metrics.first_byte_seconds;
     seconds
@@ -112,15 +125,19 @@
     result
 }
 
-/// Logs an answer that begins later than the route aims at.
-fn note_late(node: &Node, call: &Call) {
+/// Logs an answer that begins later than the route aims at, with what its worker
+/// was chosen by.
+fn note_late(node: &Node, call: &Call, choice: Option<&Choice>) {
     let took_ms = node.now_ms().saturating_sub(call.received_ms);
-    if took_ms <= call.route.aim_ms {
+    let Some(choice) = choice.filter(|_| took_ms > call.route.aim_ms) else {
         return;
-    }
+    };
     info!(node.log, "late"; "request" => call.id.clone(), "route" => call.route.name.as_ref(),
         "model" => call.model().map(|(model, _)| model.to_owned()), "took_ms" => took_ms,
-        "prompt_tokens" => call.prompt_tokens);
+        "prompt_tokens" => call.prompt_tokens, "worker" => choice.id.as_ref(),
+        "begins_in_ms" => choice.begins_in_ms as u64, "open" => choice.load.open_count,
+        "waiting" => choice.load.waiting_count.iter().sum::<u32>(),
+        "unread_ms" => choice.load.ahead_ms(usize::MAX) as u64);
 }
 
 /// Notes what the call asks for, so that it is loaded where that is needed.
@@ -172,6 +189,7 @@
             }
             self.offer_count += 1;
             self.tried.push(Arc::clone(&choice.id));
+            self.last_choice = Some(choice.clone());
             let failure = match self.offer(&choice).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
@@ -209,13 +227,15 @@
                 self.node.digest_wanted.notify_one();
                 self.node.controller_wanted.notify_one();
             }
-            if now_ms >= wait_until_ms || why == NoWorker::None {
+            let is_hopeless = matches!(why, NoWorker::None | NoWorker::Unreachable);
+            if now_ms >= wait_until_ms || is_hopeless {
                 let code = match why {
-                    NoWorker::None => ResultCode::NoUpstream,
+                    _ if self.may_have_run => ResultCode::OutcomeUnknown,
+                    NoWorker::None | NoWorker::Unreachable => ResultCode::NoUpstream,
                     NoWorker::NoModel | NoWorker::NoAdapter => ResultCode::NotResident,
                 };
                 let mut refusal = self.refusal(code, &format!("{why:?} {:?}", call.model()));
-                if why == NoWorker::NoModel {
+                if matches!(why, NoWorker::NoModel | NoWorker::Unreachable) {
                     refusal.retry_after_ms = MODEL_BACK_AFTER_MS;
                 }
                 return Err(refusal);
@@ -316,6 +336,9 @@
         };
         if !connection.is_reused() {
             node.metrics.connections_total.inc();
+            if let Some(worker) = node.roster().get_mut(&choice.id) {
+                worker.health.reached();
+            }
         }
         let request = self
             .call
@@ -370,7 +393,7 @@
     }
 
     /// Reads a whole answer before any of it is passed on.
-    async fn read_whole(&self, head: Head) -> Result<Response<AnswerBody>, Failure> {
+    async fn read_whole(&mut self, head: Head) -> Result<Response<AnswerBody>, Failure> {
         let Head {
             answer,
             connection,
@@ -383,13 +406,9 @@
             open.failed();
             return Err(Failure::Unknown);
         };
-        if parts.status.is_server_error() {
+        let is_failure = parts.status.is_server_error();
+        if is_failure {
             open.failed();
-            if self.call.route.may_repeat()
-                && self.run_count + 1 < self.call.route.attempt_max_count
-            {
-                return Err(Failure::Unknown);
-            }
         } else {
             open.succeeded();
         }
@@ -399,6 +418,11 @@
         let mut answer = Response::new(AnswerBody::Whole(Full::new(bytes)));
         *answer.status_mut() = parts.status;
         *answer.headers_mut() = passed_headers(&parts.headers, &[]);
+        let may_repeat = self.call.route.may_repeat();
+        if is_failure && may_repeat && self.run_count + 1 < self.call.route.attempt_max_count {
+            self.failed_answer = Some(answer);
+            return Err(Failure::Unknown);
+        }
         Ok(answer)
     }
 
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -20,6 +20,7 @@
 use crate::messages::Datagram;
 use crate::messages::DemandPart;
 use crate::messages::Digest;
+use crate::messages::EndedLease;
 use crate::messages::ListMessage;
 use crate::messages::LoadPart;
 use crate::messages::Message;
@@ -138,7 +139,10 @@
     let held = peers.held(now_ms);
     let domain = peers.own_domain();
     drop(peers);
-    let loads = node.roster().own_loads();
+    let roster = node.roster();
+    let loads = roster.own_loads();
+    let unreachable = roster.unreachable(now_ms);
+    drop(roster);
     let recent = lock(&node.recent_leaving).clone();
     let announced = node.announced();
     let adapters = announced
@@ -163,7 +167,7 @@
         list_version: node.list_version(),
         holds,
         held,
-        ended: lock(&node.ended_leases).clone().into_iter().collect(),
+        ended: ended_leases(node, now_ms),
         introduced,
         loads: loads.into_iter().map(load_part).collect(),
         demand: demand_parts(node, now_ms),
@@ -171,11 +175,23 @@
             .into_iter()
             .map(|(_, key, version)| (key, version))
             .collect(),
+        unreachable,
         adapters,
         withheld,
     }
 }
 
+/// Lists the leases whose term is over here.
+fn ended_leases(node: &Node, now_ms: u64) -> Vec<EndedLease> {
+    let ended = lock(&node.ended_leases);
+    let ended = ended.iter().map(|(service, term)| EndedLease {
+        service: *service,
+        version: term.version,
+        age_ms: now_ms.saturating_sub(term.at_ms),
+    });
+    ended.collect()
+}
+
 /// Returns a worker's load as peers read it.
 fn load_part((worker, load): (u64, Load)) -> LoadPart {
     LoadPart {
@@ -268,6 +284,11 @@
         .collect();
     let mut roster = node.roster();
     roster.peer_loads(now_ms, u32::from(sender), &loads);
+    for key in &digest.unreachable {
+        if let Some(worker) = roster.by_key_mut(*key) {
+            worker.told_unreachable(now_ms, u32::from(sender));
+        }
+    }
     let heard = digest.leaving.iter();
     let new: Vec<(u64, u64)> = heard
         .filter(|(key, version)| roster.leaves(*version, *key))
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -117,6 +117,17 @@
     pub age_ms: u64,
 }
 
+/// A lease whose term is over at its holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedLease {
+    /// Key of the service.
+    pub service: u64,
+    /// Version of the row that it was held under.
+    pub version: u64,
+    /// Time for which it has been over, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What an instance tells its peers, some times a second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -136,8 +147,8 @@
     pub holds: Vec<u64>,
     /// Leases that the sender, or others who told it, heard to be held.
     pub held: Vec<HeldLease>,
-    /// Leases whose term is over here: key of the service, version of the row.
-    pub ended: Vec<(u64, u64)>,
+    /// Leases whose term is over at the sender.
+    pub ended: Vec<EndedLease>,
     /// Addresses of other instances.
     pub introduced: Vec<Ipv4Addr>,
     /// Its load at workers.
@@ -146,6 +157,8 @@
     pub demand: Vec<DemandPart>,
     /// Workers that were read as leaving or gone: key, version.
     pub leaving: Vec<(u64, u64)>,
+    /// Keys of the workers that it could not reach lately.
+    pub unreachable: Vec<u64>,
     /// Adapters that it has loaded: worker, model and adapter.
     pub adapters: Vec<(u64, ModelKey)>,
     /// Models that it unloads: worker, model.
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -34,6 +34,7 @@
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::stay::Stays;
+use cranereach_fleet::tenure::EndedTerm;
 use cranereach_http::pool::Pool;
 
 /// Time after which unconfirmed bytes break a worker's connection, in milliseconds.
@@ -93,8 +94,8 @@
     announced: Mutex<HashMap<Arc<str>, Announced>>,
     retries: Mutex<HashMap<Arc<str>, RetryWindow>>,
     pools: Mutex<Pools>,
-    /// Leases whose term is over here: key of the service, version of the row.
-    pub ended_leases: Mutex<HashMap<u64, u64>>,
+    /// Leases whose term is over here, by the key of their service.
+    pub ended_leases: Mutex<HashMap<u64, EndedTerm>>,
     /// Whether the list of workers is being fetched from a peer.
     pub is_fetching: AtomicBool,
     /// Whether a configuration is being fetched from a peer.
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use crate::messages::Digest;
 use crate::messages::HeldLease;
 use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::tenure::EndedTerm;
 
 /// Time after which a silent peer no longer counts as heard, in milliseconds.
 pub const HEARD_WITHIN_MS: u64 = 1_500;
@@ -185,12 +186,20 @@
         held.iter().any(|held| held.service == service)
     }
 
-    /// Lists the versions under which peers say that they no longer order.
-    pub fn ended_versions(&self, now_ms: u64, service: u64) -> Vec<u64> {
-        let heard = self.heard_peers(now_ms);
-        let ended = heard.flat_map(|(_, peer)| &peer.last.ended);
-        let of_service = ended.filter(|(of, _)| *of == service);
-        of_service.map(|(_, version)| *version).collect()
+    /// Lists the terms of a service's lease that peers say are over.
+    pub fn ended_terms(&self, now_ms: u64, service: u64) -> Vec<EndedTerm> {
+        let heard = self.heard_peers(now_ms).filter_map(|(_, peer)| {
+            let heard_at_ms = peer.heard_at_ms?;
+            Some((heard_at_ms, &peer.last.ended))
+        });
+        let ended = heard.flat_map(|(heard_at_ms, ended)| {
+            let of_service = ended.iter().filter(|ended| ended.service == service);
+            of_service.map(move |ended| EndedTerm {
+                version: ended.version,
+                at_ms: heard_at_ms.saturating_sub(ended.age_ms),
+            })
+        });
+        ended.collect()
     }
 
     /// Counts the instances heard lately that come before this one in an order
