Adapters: waited for while they arrive, told when they are there; pauses seen and weighed

The holder told peers of an adapter when it began the order; requests came before it was there, got 421, and the worker counted as lacking it for 1.5 s.

Changes: adapters are told once their load was taken and has had time; one that is missing is asked for again after 60 ms, and waited for up to 0.6 of the aim. Routes carry their gap aim; reading that would hold running answers up for longer than 0.4 of it weighs against a worker, and streams that paused too long are logged. The holder logs what its plan is made from, once a second. Cold models are kept by 5% of all demand spread over them, in place of 0.2% each, which was more than busy models asked for; what is expected to come takes the place of what goes.

--- a/crates/cranereach-fleet/src/configuration.rs
+++ b/crates/cranereach-fleet/src/configuration.rs
@@ -40,6 +40,8 @@
     pub timeout_ms: u64,
     /// Time within which an answer is in time, in milliseconds.
     pub aim_ms: u64,
+    /// Longest pause between two pieces of a stream that is in time, in milliseconds.
+    pub gap_aim_ms: Option<u64>,
     /// Most workers that one request may run on.
     pub attempt_max_count: u32,
     /// Rank, zero first.
@@ -149,13 +151,24 @@
     /// Limits on callers.
     pub limits: Limits,
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
+    /// Shortest pause that streams of each service may make, in milliseconds.
+    shortest_gaps_ms: HashMap<Arc<str>, u64>,
 }
 
 impl Configuration {
     /// Makes a configuration from its parts.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
         let mut by_host: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        let mut shortest_gaps_ms: HashMap<Arc<str>, u64> = HashMap::new();
         for route in routes {
+            for target in &route.targets {
+                let Some(gap_aim_ms) = route.gap_aim_ms else {
+                    continue;
+                };
+                let shortest_ms = shortest_gaps_ms.entry(Arc::clone(&target.service));
+                let shortest_ms = shortest_ms.or_insert(gap_aim_ms);
+                *shortest_ms = gap_aim_ms.min(*shortest_ms);
+            }
             let prefixes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
             prefixes.insert(route.path_prefix.clone(), Arc::new(route));
         }
@@ -167,6 +180,7 @@
                 .collect(),
             limits,
             routes: by_host,
+            shortest_gaps_ms,
         }
     }
 
@@ -184,6 +198,12 @@
         None
     }
 
+    /// Returns the shortest pause that streams of a service may make between two
+    /// pieces to be in time, in milliseconds; none if no route names one.
+    pub fn gap_aim_ms(&self, service: &str) -> Option<u64> {
+        self.shortest_gaps_ms.get(service).copied()
+    }
+
     /// Counts the routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -32,6 +32,10 @@
 /// First look at an unload, in milliseconds.
 const UNLOAD_LOOK_MS: u64 = 350;
 
+/// Time in which an adapter is there after its load was taken, in milliseconds; a
+/// request that comes before it is told so, and comes again.
+const ADAPTER_ARRIVES_WITHIN_MS: u64 = 40;
+
 /// A worker's state at one sequence, from a report.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerState {
@@ -93,6 +97,8 @@
     is_serving: bool,
     phase: Phase,
     open: Option<OpenOrder>,
+    /// Adapters whose loads were taken, and when they are there, in milliseconds.
+    arriving: Vec<(ModelKey, u64)>,
     row_version: u64,
 }
 
@@ -140,6 +146,7 @@
                 is_serving: true,
                 phase: Phase::Unknown { ask_at_ms: now_ms },
                 open: None,
+                arriving: Vec::new(),
                 row_version: 0,
             });
         entry.copies = row.copies;
@@ -264,8 +271,11 @@
                     Order::Unload(_) => Phase::Busy {
                         look_at_ms: now_ms + UNLOAD_LOOK_MS,
                     },
-                    Order::LoadAdapter(_) => {
+                    Order::LoadAdapter(adapter) => {
                         entry.open = None;
+                        entry
+                            .arriving
+                            .push((adapter, now_ms + ADAPTER_ARRIVES_WITHIN_MS));
                         Phase::Free
                     }
                     // It may wait for its requests; a report shows the free slot.
@@ -310,15 +320,20 @@
         (ids, views)
     }
 
-    /// Lists the adapters that workers hold by these orders.
-    pub fn adapters(&self) -> impl Iterator<Item = (&Arc<str>, ModelKey)> {
-        self.entries.iter().flat_map(|(id, entry)| {
-            let places = entry.places.iter();
-            places.flat_map(move |place| {
+    /// Lists the adapters that workers hold by these orders, those still on their
+    /// way left out.
+    pub fn adapters(&mut self, now_ms: u64) -> Vec<(Arc<str>, ModelKey)> {
+        let mut held = Vec::new();
+        for (id, entry) in &mut self.entries {
+            entry.arriving.retain(|(_, at_ms)| now_ms < *at_ms);
+            let of_places = entry.places.iter().flat_map(|place| {
                 let adapters = place.adapters.iter();
-                adapters.map(move |adapter| (id, (place.model, *adapter)))
-            })
-        })
+                adapters.map(|adapter| (place.model, *adapter))
+            });
+            let there = of_places.filter(|adapter| !entry.is_on_its_way(*adapter));
+            held.extend(there.map(|adapter| (Arc::clone(id), adapter)));
+        }
+        held
     }
 
     /// Lists the models that are being unloaded.
@@ -331,6 +346,14 @@
 }
 
 impl Entry {
+    /// Whether an adapter has been ordered and can't be there yet.
+    fn is_on_its_way(&self, adapter: ModelKey) -> bool {
+        let is_open = self
+            .open
+            .is_some_and(|open| open.order == Order::LoadAdapter(adapter));
+        is_open || self.arriving.iter().any(|(of, _)| *of == adapter)
+    }
+
     /// Counts an order as it will be, memory at its worst.
     fn apply(&mut self, order: Order) {
         match order {
--- a/crates/cranereach-fleet/src/pressure.rs
+++ b/crates/cranereach-fleet/src/pressure.rs
@@ -37,8 +37,11 @@
 /// That little demand, as a share of the busy model's own.
 const FURTHER_SHARE: f64 = 0.03;
 
-/// Demand that every model is given, as a share of all demand.
-const LEAST_SHARE: f64 = 0.002;
+/// Demand that is spread over all models alike, as a share of all demand.
+///
+/// It keeps a model that nobody asks for on its last worker, but no longer than a
+/// busy one needs the place.
+const EVERYBODYS_SHARE: f64 = 0.05;
 
 /// Share of the demand from which a model counts as busy.
 const BUSY_SHARE: f64 = 0.1;
@@ -54,6 +57,21 @@
     is_ready: bool,
 }
 
+/// The demand for a model and who serves it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WantedModel {
+    /// The model's place in the declared list.
+    pub model: usize,
+    /// Demand, in workers.
+    pub demand: f64,
+    /// Workers that serve it.
+    pub ready_count: usize,
+    /// Workers that are loading it.
+    pub coming_count: usize,
+    /// Share of its time that is asked of the least busy worker that serves it.
+    pub level: f64,
+}
+
 /// Demand of all models of one service, laid over the workers.
 #[derive(Clone, Debug)]
 pub struct Pressure {
@@ -126,9 +144,36 @@
         (added - relieved) * WORKER_MS
     }
 
-    /// Returns the share of a worker's time that is asked for.
-    pub fn level(&self, worker: usize) -> f64 {
-        self.levels[worker]
+    /// Lists the models by demand, the most wanted first.
+    pub fn most_wanted(&self, count: usize) -> Vec<WantedModel> {
+        let mut wanted: Vec<WantedModel> = self
+            .demand
+            .iter()
+            .zip(&self.holdings)
+            .enumerate()
+            .map(|(model, (demand, holdings))| WantedModel {
+                model,
+                demand: *demand,
+                ready_count: holdings.iter().filter(|of| of.is_ready).count(),
+                coming_count: holdings.iter().filter(|of| !of.is_ready).count(),
+                level: holdings
+                    .iter()
+                    .filter(|of| of.is_ready)
+                    .map(|of| self.levels[of.worker])
+                    .fold(f64::INFINITY, f64::min),
+            })
+            .collect();
+        wanted.sort_by(|left, right| right.demand.total_cmp(&left.demand));
+        wanted.truncate(count);
+        wanted
+    }
+
+    /// Returns the share of their time that is asked of the busiest worker, and of
+    /// all on the average.
+    pub fn levels(&self) -> (f64, f64) {
+        let most = self.levels.iter().copied().fold(0.0, f64::max);
+        let sum: f64 = self.levels.iter().sum();
+        (most, sum / self.levels.len().max(1) as f64)
     }
 
     /// Returns what a replica takes off on a worker that is busy so far already.
@@ -202,7 +247,7 @@
     }
     let total: f64 = by_model.iter().sum();
     let is_busy = |demand: f64| total > 0.0 && demand >= BUSY_SHARE * total;
-    let least = LEAST_SHARE * total;
+    let least = EVERYBODYS_SHARE * total / model_count.max(1) as f64;
     let mut expected: Vec<f64> = by_model.iter().map(|own| own.max(least)).collect();
     for (model, demand) in by_model
         .iter()
@@ -217,6 +262,13 @@
             *next = next.max(FURTHER_SHARE * demand);
         }
     }
+    // What is expected to come takes the place of what goes.
+    let expected_total: f64 = expected.iter().sum();
+    if expected_total > 0.0 {
+        for demand in &mut expected {
+            *demand *= total / expected_total;
+        }
+    }
     expected
 }
 
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -28,6 +28,10 @@
 /// Time for which a worker that lacks a model isn't asked for it, in milliseconds.
 const MISSING_FOR_MS: u64 = 1_500;
 
+/// The same for an adapter, in milliseconds: one that was ordered arrives within
+/// some ten, so a worker that lacks it may have it soon.
+const ADAPTER_MISSING_FOR_MS: u64 = 60;
+
 /// Time for which an adapter counts as there after a peer said so, in milliseconds.
 const TOLD_FOR_MS: u64 = 5_000;
 
@@ -37,6 +41,10 @@
 /// Time that one waiting request weighs as, where a worker says that some wait.
 const WAITING_WEIGHS_MS: f64 = 75.0;
 
+/// Share of the longest pause that reading may take up: the tokens of an event take
+/// time themselves, and more requests are on their way than are known of.
+const READING_SHARE_OF_GAP: f64 = 0.4;
+
 /// Reading time ahead of a request below which it counts as the first.
 const FIRST_BELOW_MS: f64 = 1.0;
 
@@ -120,6 +128,22 @@
         mean_stay_ms / f64::from(slot_count.max(1))
     }
 
+    /// Weighs the pauses that reading one more prompt makes in running answers, in
+    /// milliseconds summed over them.
+    ///
+    /// Prompts are read in pieces between the tokens of others: an event of several
+    /// tokens is held up by all that is read meanwhile.
+    fn held_up_ms(&self, reading_ms: f64, gap_aim_ms: Option<f64>) -> f64 {
+        let Some(gap_aim_ms) = gap_aim_ms else {
+            return 0.0;
+        };
+        let waiting: u32 = self.waiting_count.iter().sum();
+        let running = self.open_count.saturating_sub(waiting);
+        let pause_ms = self.ahead_ms(usize::MAX) + reading_ms;
+        let over_ms = (pause_ms - gap_aim_ms * READING_SHARE_OF_GAP).max(0.0);
+        f64::from(running) * over_ms
+    }
+
     /// Weighs how near the slots are to being all taken, in milliseconds: the time
     /// of a turn, by how likely it is that one more request has to wait for one.
     fn crowding_ms(&self, slot_count: u32) -> f64 {
@@ -185,6 +209,8 @@
     pub token_ms: f64,
     /// Time for which its answer is expected to stay, in milliseconds.
     pub stay_ms: f64,
+    /// Shortest pause that streams of the service may make, in milliseconds.
+    pub gap_aim_ms: Option<f64>,
     /// Rank of urgency, zero first.
     pub rank: usize,
     /// Tokens of the prompt and of the longest answer.
@@ -277,14 +303,16 @@
     /// Notes that the worker refused a model or adapter as not there.
     pub fn lacks(&mut self, now_ms: u64, model: &str, adapter: Option<&str>) {
         let name = full_name(model, adapter);
-        self.told_until_ms.remove(&name);
-        self.missing_until_ms.insert(name, now_ms + MISSING_FOR_MS);
+        let missing_for_ms = match adapter {
+            Some(_) => ADAPTER_MISSING_FOR_MS,
+            None => MISSING_FOR_MS,
+        };
+        self.missing_until_ms.insert(name, now_ms + missing_for_ms);
     }
 
     /// Notes that an adapter was loaded, before the list says so.
     pub fn told_adapter(&mut self, now_ms: u64, model: &str, adapter: &str) {
         let name = full_name(model, Some(adapter));
-        self.missing_until_ms.remove(&name);
         self.told_until_ms.insert(name, now_ms + TOLD_FOR_MS);
     }
 
@@ -386,6 +414,10 @@
             let over_tokens = load.held_tokens + f64::from(wanted.held_tokens) - room_tokens;
             estimate.cost_ms = estimate.begins_in_ms
                 + load.crowding_ms(engine.slot_count)
+                + load.held_up_ms(
+                    f64::from(unread_tokens) * wanted.token_ms,
+                    wanted.gap_aim_ms,
+                )
                 + f64::from(open_count) * RUNNING_WEIGHS_MS
                 + f64::from(said.1) * WAITING_WEIGHS_MS
                 + over_tokens.max(0.0) * wanted.token_ms;
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -44,6 +44,7 @@
         prompt_tokens: 1_000,
         token_ms: 0.05,
         stay_ms: 0.0,
+        gap_aim_ms: None,
         rank: 1,
         held_tokens: 1_100,
         zone: "z",
--- a/crates/cranereach-fleet/tests/routes.rs
+++ b/crates/cranereach-fleet/tests/routes.rs
@@ -22,6 +22,7 @@
         path_prefix: path_prefix.to_owned(),
         kind: RouteKind::Once,
         is_resumable: false,
+        gap_aim_ms: None,
         timeout_ms: 1_000,
         aim_ms: 100,
         attempt_max_count: 1,
--- a/crates/cranereach-gateway/src/controller/mod.rs
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -27,6 +27,8 @@
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::placement::Plan;
+use cranereach_fleet::pressure::Pressure;
+use cranereach_fleet::pressure::WantedModel;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::tenure::Tenure;
 
@@ -47,6 +49,12 @@
 /// Loads from the weight store that may begin at once.
 const LOAD_BURST_COUNT: f64 = 2.0;
 
+/// Time between two log lines of what a plan is made from, in milliseconds.
+const TOLD_EVERY_MS: u64 = 1_000;
+
+/// Models that such a line names.
+const TOLD_MODEL_COUNT: usize = 8;
+
 /// Orders that one look sends at most.
 const ORDER_MAX_COUNT: usize = 16;
 
@@ -65,6 +73,7 @@
     is_first: bool,
     still_since_ms: Option<u64>,
     worker_count: usize,
+    told_at_ms: u64,
 }
 
 /// Runs until the process ends.
@@ -134,6 +143,7 @@
             is_first: true,
             still_since_ms: None,
             worker_count: 0,
+            told_at_ms: 0,
             service,
         }
     }
@@ -204,7 +214,7 @@
         if self.is_list_still(node, now_ms) {
             self.plan(node, engine, sender);
         }
-        self.announce(node);
+        self.announce(node, engine);
     }
 
     /// Whether the list of workers has filled; asked once, at the start.
@@ -223,6 +233,10 @@
         let now_ms = node.now_ms();
         let demand = view::demand(node, now_ms, &self.service);
         let models = view::model_sizes(engine);
+        if now_ms >= self.told_at_ms + TOLD_EVERY_MS {
+            self.told_at_ms = now_ms;
+            self.tell(node, engine, &demand);
+        }
         for _order in 0..ORDER_MAX_COUNT {
             let (ids, workers) = self.ledger.views();
             let plan = Plan {
@@ -246,10 +260,36 @@
         }
     }
 
+    /// Logs what the plan is made from.
+    fn tell(&self, node: &Node, engine: &Engine, demand: &HashMap<ModelKey, f64>) {
+        let (_ids, workers) = self.ledger.views();
+        let pressure = Pressure::of(engine.models.len(), demand, &workers);
+        let (most, mean) = pressure.levels();
+        let wanted = pressure.most_wanted(TOLD_MODEL_COUNT);
+        let wanted: Vec<String> = wanted
+            .iter()
+            .map(|of| {
+                let name = engine.models.get(of.model).map_or("", |model| &model.name);
+                let WantedModel {
+                    demand,
+                    ready_count,
+                    coming_count,
+                    level,
+                    ..
+                } = of;
+                format!("{name} {demand:.2} {ready_count}+{coming_count} {level:.2}")
+            })
+            .collect();
+        info!(node.log, "plan"; "service" => self.service.as_ref(),
+            "workers" => workers.iter().filter(|worker| worker.is_serving).count(),
+            "level_most" => format!("{most:.2}"), "level_mean" => format!("{mean:.2}"),
+            "wanted" => wanted.join(", "));
+    }
+
     /// Tells peers, and this instance's own roster, what the orders changed.
-    fn announce(&self, node: &Node) {
+    fn announce(&mut self, node: &Node, engine: &Engine) {
         let mut announced = Announced {
-            adapters: self.unlisted_adapters(node),
+            adapters: self.unlisted_adapters(node, engine),
             withheld: Vec::new(),
         };
         let going = self.ledger.going();
@@ -270,17 +310,26 @@
     }
 
     /// Lists the adapters that were loaded and aren't on the list yet.
-    fn unlisted_adapters(&self, node: &Node) -> Vec<(u64, ModelKey)> {
+    fn unlisted_adapters(&mut self, node: &Node, engine: &Engine) -> Vec<(u64, ModelKey)> {
+        let adapters = self.ledger.adapters(node.now_ms());
         let roster = node.roster();
-        let unlisted = self.ledger.adapters().filter(|(id, (_, adapter))| {
-            let is_listed = roster.get(id).is_some_and(|worker| {
-                let mut held = worker.record.models.iter().flat_map(|held| &held.adapters);
-                held.any(|name| view::adapter_number(name) == Some(*adapter))
-            });
-            !is_listed
-        });
+        let is_listed = |id: &str, (model, adapter): ModelKey| {
+            let name = engine.models.get(usize::from(model)).map(|of| &of.name);
+            let mut held = roster
+                .get(id)
+                .into_iter()
+                .flat_map(|worker| &worker.record.models);
+            held.any(|held| {
+                let mut names = held.adapters.iter();
+                Some(&held.name) == name
+                    && names.any(|name| view::adapter_number(name) == Some(adapter))
+            })
+        };
+        let unlisted = adapters
+            .into_iter()
+            .filter(|(id, adapter)| !is_listed(id, *adapter));
         unlisted
-            .map(|(id, key)| (worker_key(id), key))
+            .map(|(id, key)| (worker_key(&id), key))
             .take(TOLD_ADAPTER_MAX_COUNT)
             .collect()
     }
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -45,9 +45,14 @@
 /// Offers of one call to the same worker at most.
 const SAME_WORKER_MAX_COUNT: usize = 2;
 
-/// Share of the aim for which a call waits for its model or adapter.
+/// Share of the aim for which a call waits for its model: below the quarter from
+/// which holding it back without an offer is priced.
 const WAIT_SHARE: f64 = 0.22;
 
+/// Share of the aim for which a call waits for its adapter: one is loaded within
+/// some hundred milliseconds, so that most calls that wait are served in time.
+const ADAPTER_WAIT_SHARE: f64 = 0.6;
+
 /// Share of the aim up to which a call is offered, by the time predicted until it begins.
 const LATE_SHARE: f64 = 1.3;
 
@@ -205,8 +210,6 @@
     /// Chooses a worker, waiting a little for one that holds the model.
     async fn choose(&self) -> Result<Choice, Refusal> {
         let call = self.call;
-        let wait_ms = (call.route.aim_ms as f64 * WAIT_SHARE) as u64;
-        let wait_until_ms = (call.received_ms + wait_ms).min(call.end_by_ms);
         let mut has_asked = false;
         loop {
             let now_ms = self.node.now_ms();
@@ -227,8 +230,14 @@
                 self.node.digest_wanted.notify_one();
                 self.node.controller_wanted.notify_one();
             }
-            let is_hopeless = matches!(why, NoWorker::None | NoWorker::Unreachable);
-            if now_ms >= wait_until_ms || is_hopeless {
+            let wait_share = match why {
+                NoWorker::None | NoWorker::Unreachable => 0.0,
+                NoWorker::NoModel => WAIT_SHARE,
+                NoWorker::NoAdapter => ADAPTER_WAIT_SHARE,
+            };
+            let wait_ms = (call.route.aim_ms as f64 * wait_share) as u64;
+            let wait_until_ms = (call.received_ms + wait_ms).min(call.end_by_ms);
+            if now_ms >= wait_until_ms {
                 let code = match why {
                     _ if self.may_have_run => ResultCode::OutcomeUnknown,
                     NoWorker::None | NoWorker::Unreachable => ResultCode::NoUpstream,
@@ -266,6 +275,7 @@
             prompt_tokens: self.call.prompt_tokens,
             token_ms: token_ms(self.node, self.call),
             stay_ms: stay_ms(self.node, self.call),
+            gap_aim_ms: self.call.gap_aim_ms.map(|gap_aim_ms| gap_aim_ms as f64),
             rank: usize::from(self.call.route.priority),
             held_tokens: self.call.held_tokens,
             zone: &self.node.settings.instance.failure_domain,
@@ -376,15 +386,13 @@
         open.read();
         let rest_ms = rest_ms(&parts.headers);
         let headers = passed_headers(&parts.headers, &[]);
-        let due = self.node.instant(self.call.end_by_ms);
         let passing = Passing::new(
             self.node,
-            &self.call.id,
+            self.call,
             first.into_data().unwrap_or_default(),
             incoming,
             (connection, rest_ms),
             open,
-            due,
         );
         let mut answer = Response::new(AnswerBody::Passing(Box::new(passing)));
         *answer.status_mut() = parts.status;
--- a/crates/cranereach-gateway/src/forward/passing.rs
+++ b/crates/cranereach-gateway/src/forward/passing.rs
@@ -8,6 +8,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,10 +17,10 @@
 use hyper::body::Incoming;
 use slog::info;
 use thiserror::Error;
-use tokio::time::Instant;
 use tokio::time::Sleep;
 
 use super::open::OpenCall;
+use super::request::Call;
 use crate::node::Node;
 use cranereach_http::pool::Connection;
 
@@ -41,27 +42,55 @@
     connection: Option<Kept>,
     open: Option<OpenCall>,
     due: Pin<Box<Sleep>>,
+    pauses: Pauses,
+}
+
+/// The pauses between the pieces of a stream.
+#[derive(Debug)]
+struct Pauses {
+    aim_ms: Option<u64>,
+    last_piece: Instant,
+    longest_ms: u64,
+}
+
+impl Pauses {
+    /// Notes a piece.
+    fn piece(&mut self) {
+        let now = Instant::now();
+        let pause_ms = now.duration_since(self.last_piece).as_millis() as u64;
+        self.longest_ms = self.longest_ms.max(pause_ms);
+        self.last_piece = now;
+    }
+
+    /// Whether some pause was longer than the route aims at.
+    fn are_too_long(&self) -> bool {
+        self.aim_ms.is_some_and(|aim_ms| self.longest_ms > aim_ms)
+    }
 }
 
 impl Passing {
-    /// Starts to pass a stream on that has begun with `first`.
+    /// Starts to pass a call's stream on that has begun with `first`.
     pub fn new(
         node: &Arc<Node>,
-        id: &str,
+        call: &Call,
         first: Bytes,
         incoming: Incoming,
         connection: Kept,
         open: OpenCall,
-        due: Instant,
     ) -> Self {
         Self {
             node: Arc::clone(node),
-            id: id.to_owned(),
+            id: call.id.clone(),
             first: Some(first),
             incoming,
             connection: Some(connection),
             open: Some(open),
-            due: Box::pin(tokio::time::sleep_until(due)),
+            due: Box::pin(tokio::time::sleep_until(node.instant(call.end_by_ms))),
+            pauses: Pauses {
+                aim_ms: call.route.gap_aim_ms,
+                last_piece: Instant::now(),
+                longest_ms: 0,
+            },
         }
     }
 
@@ -80,13 +109,20 @@
             return Poll::Ready(Some(Err(self.break_off("deadline"))));
         }
         match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Ok(frame)) => {
+                self.pauses.piece();
+                Poll::Ready(Some(Ok(frame)))
+            }
             Some(Err(_broken)) => {
                 open.failed();
                 Poll::Ready(Some(Err(self.break_off("worker broke off"))))
             }
             None => {
                 open.succeeded();
+                if self.pauses.are_too_long() {
+                    info!(self.node.log, "paused"; "request" => self.id.clone(),
+                        "worker" => open.worker().as_ref(), "longest_ms" => self.pauses.longest_ms);
+                }
                 self.open = None;
                 if let Some((connection, Some(rest_ms))) = self.connection.take() {
                     connection.keep_for(rest_ms);
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -71,6 +71,8 @@
     pub held_tokens: u32,
     /// Tokens that the caller expects to come out, at most those of the longest answer.
     pub answer_tokens: u32,
+    /// Shortest pause that streams of the service may make, in milliseconds.
+    pub gap_aim_ms: Option<u64>,
     /// Parts of the prompt.
     pub parts: Vec<PromptPart>,
     method: Method,
@@ -125,6 +127,7 @@
             (Some(_), Some(listed)) => prompt_parts(text(names.model).unwrap_or_default(), listed),
             _ => Vec::new(),
         };
+        let gap_aim_ms = configuration.gap_aim_ms(&service.name);
         let (head, incoming) = request.into_parts();
         let left_ms = end_by_ms.saturating_sub(node.now_ms());
         let collected = body::collect(incoming, configuration.limits.body_max_bytes, left_ms);
@@ -143,6 +146,7 @@
             prompt_tokens,
             held_tokens: prompt_tokens.saturating_add(answer_max_tokens),
             answer_tokens,
+            gap_aim_ms,
             parts,
             method: head.method,
             uri: head.uri,
