Admission by a chance that falls with the wait; reading told apart from fixed time

One: all instances see the same full worker some moments late, so a sharp limit (1.3 of the aim, reading included) makes them all admit and then all refuse, and what is admitted at the limit is late. Two: the time to the first piece was divided by the tokens of the prompt, so that short prompts made a model look slow (0.053 ms a token for some 0.025), and reading weighed too much in demand, queues and refusals.

Changes: the chance to be admitted falls from one at a wait of half of the time that the call can wait to none at 1.1 of it; its own reading doesn't count against it, so long prompts aren't refused by idle workers. Paces are straight lines through the samples: a fixed time and a time per token.

--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -207,6 +207,8 @@
     pub prompt_tokens: u32,
     /// Time to read one token of the prompt, in milliseconds.
     pub token_ms: f64,
+    /// Time that the request takes besides until its prompt is read, in milliseconds.
+    pub fixed_ms: f64,
     /// Time for which its answer is expected to stay, in milliseconds.
     pub stay_ms: f64,
     /// Shortest pause that streams of the service may make, in milliseconds.
@@ -226,6 +228,8 @@
 pub(crate) struct Estimate {
     /// Prompt tokens that it would have to read.
     pub unread_tokens: u32,
+    /// Time until it begins to read the prompt, in milliseconds.
+    pub queued_ms: f64,
     /// Time until it will have read the prompt, in milliseconds.
     pub begins_in_ms: f64,
     /// Whether, as far as known, no other request has to be read or to end before.
@@ -404,7 +408,8 @@
         let queued_ms = load.ahead_ms(wanted.rank).max(slot_wait_ms);
         let mut estimate = Estimate {
             unread_tokens,
-            begins_in_ms: queued_ms + f64::from(unread_tokens) * wanted.token_ms,
+            queued_ms,
+            begins_in_ms: queued_ms + wanted.fixed_ms + f64::from(unread_tokens) * wanted.token_ms,
             is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS && slot_wait_ms <= 0.0,
             cost_ms: 0.0,
             load,
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -43,6 +43,7 @@
         parts: &[],
         prompt_tokens: 1_000,
         token_ms: 0.05,
+        fixed_ms: 0.0,
         stay_ms: 0.0,
         gap_aim_ms: None,
         rank: 1,
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -26,7 +26,9 @@
 use super::request::passed_headers;
 use crate::node::Node;
 use cranereach_core::codes::ResultCode;
+use cranereach_fleet::admission;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::pace::Pace;
 use cranereach_fleet::roster::Choice;
 use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::worker::Wanted;
@@ -53,9 +55,6 @@
 /// some hundred milliseconds, so that most calls that wait are served in time.
 const ADAPTER_WAIT_SHARE: f64 = 0.6;
 
-/// Share of the aim up to which a call is offered, by the time predicted until it begins.
-const LATE_SHARE: f64 = 1.3;
-
 /// Longest pause between two looks for a worker, in milliseconds.
 const LOOK_EVERY_MS: u64 = 40;
 
@@ -152,17 +151,17 @@
     let engine = call.service.engine.as_ref();
     let slot_count = engine.map_or(1, |engine| engine.slot_count.max(1));
     // A worker reads one prompt at a time, and makes answers in all slots at once.
-    let reading_ms = f64::from(call.prompt_tokens.max(1)) * token_ms(node, call);
+    let reading_ms = f64::from(call.prompt_tokens.max(1)) * pace(node, call).token_ms;
     let work_ms = reading_ms + stay_ms(node, call) / f64::from(slot_count);
     let mut demand = node.demand();
     let of_service = demand.entry(Arc::clone(&call.service.name)).or_default();
     of_service.asked(now_ms, key, work_ms);
 }
 
-/// Returns the time to read one token of the call's model, in milliseconds.
-fn token_ms(node: &Node, call: &Call) -> f64 {
+/// Returns how fast the call's model is read; at once where there is none.
+fn pace(node: &Node, call: &Call) -> Pace {
     let model = call.model();
-    model.map_or(0.0, |(model, _)| node.paces().token_ms(model))
+    model.map_or(Pace::default(), |(model, _)| node.paces().of(model))
 }
 
 /// Returns for how long the call's answer is expected to stay, in milliseconds.
@@ -257,7 +256,9 @@
     /// Refuses a call that would begin so late that coming back is better.
     fn admit(&self, choice: Choice) -> Result<Choice, Refusal> {
         let aim_ms = self.call.route.aim_ms as f64;
-        if choice.begins_in_ms <= aim_ms * LATE_SHARE || self.may_have_run {
+        let reading_ms = choice.begins_in_ms - choice.queued_ms;
+        let chance = admission::chance(aim_ms, choice.queued_ms, reading_ms);
+        if self.may_have_run || rand::random::<f64>() < chance {
             return Ok(choice);
         }
         let detail = format!("begins in {:.0} ms", choice.begins_in_ms);
@@ -268,12 +269,14 @@
 
     /// Returns what the call wants of a worker.
     fn wanted(&self) -> Wanted<'_> {
+        let pace = pace(self.node, self.call);
         Wanted {
             service: &self.call.service.name,
             model: self.call.model(),
             parts: &self.call.parts,
             prompt_tokens: self.call.prompt_tokens,
-            token_ms: token_ms(self.node, self.call),
+            token_ms: pace.token_ms,
+            fixed_ms: pace.fixed_ms,
             stay_ms: stay_ms(self.node, self.call),
             gap_aim_ms: self.call.gap_aim_ms.map(|gap_aim_ms| gap_aim_ms as f64),
             rank: usize::from(self.call.route.priority),
