--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -1,8 +1,8 @@
 //! Decisions about declared routes and their workers, without I/O or a clock.
 //!
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
-//! is known of every [`worker`] and picks one; it builds on [`health`], [`pace`],
-//! [`stay`] and [`prefixes`]. [`list_sync`] says who reads the list of workers and when,
+//! is known of every [`worker`] and picks one; it builds on [`load`], [`health`],
+//! [`pace`], [`stay`] and [`prefixes`]. [`list_sync`] says who reads the list of workers and when,
 //! [`listing`] keeps its rows and what peers are told of them.
 //! [`admission`] says which calls are refused, [`retry_window`] bounds repeats. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
@@ -21,6 +21,7 @@
 pub mod ledger;
 pub mod list_sync;
 pub mod listing;
+pub mod load;
 pub mod pace;
 pub mod placement;
 pub mod prefixes;
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -10,8 +10,8 @@
 use rand::RngExt;
 
 use crate::configuration::Engine;
+use crate::load::Load;
 use crate::worker::Estimate;
-use crate::worker::Load;
 use crate::worker::Wanted;
 use crate::worker::Worker;
 use crate::worker::WorkerRecord;
--- a/crates/cranereach-fleet/tests/orders.rs
+++ b/crates/cranereach-fleet/tests/orders.rs
@@ -330,3 +330,47 @@
         "the first one had been taken"
     );
 }
+
+#[test]
+fn an_adapter_is_told_once_its_load_was_taken_and_had_time() {
+    let id: Arc<str> = Arc::from("w");
+    let mut ledger = Ledger::default();
+    ledger.row(
+        0,
+        WorkerRow {
+            id: &id,
+            version: 1,
+            places: vec![Place {
+                model: 2,
+                adapters: vec![1],
+                ..Place::default()
+            }],
+            copies: Vec::new(),
+            is_serving: true,
+        },
+    );
+    ledger.reports_due(0);
+    let state = WorkerState {
+        places: vec![Place {
+            model: 2,
+            adapters: vec![1],
+            ..Place::default()
+        }],
+        ..WorkerState::default()
+    };
+    ledger.reported(0, &id, Some(state));
+    let told = |ledger: &mut Ledger, now_ms| -> Vec<u16> {
+        let adapters = ledger.adapters(now_ms);
+        adapters
+            .into_iter()
+            .map(|(_, (_, adapter))| adapter)
+            .collect()
+    };
+    assert_eq!(told(&mut ledger, 0), [1]);
+    ledger.begin(&id, Order::LoadAdapter((2, 5))).unwrap();
+    // Found on a quiet day: requests came before the adapter and were turned away.
+    assert_eq!(told(&mut ledger, 10), [1], "the order is on its way");
+    ledger.ended(20, &id, OrderEnd::Taken, 1, 1_000);
+    assert_eq!(told(&mut ledger, 21), [1], "the worker is loading it");
+    assert_eq!(told(&mut ledger, 200), [1, 5]);
+}
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -20,15 +20,15 @@
 use super::head::rest_ms;
 use super::open::OpenCall;
 use super::passing::Passing;
+use super::record;
 use super::refusal::MODEL_BACK_AFTER_MS;
 use super::refusal::Refusal;
 use super::request::Call;
 use super::request::passed_headers;
+use super::work;
 use crate::node::Node;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::admission;
-use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::pace::Pace;
 use cranereach_fleet::roster::Choice;
 use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::worker::Wanted;
@@ -75,7 +75,7 @@
 /// Runs a call to its answer or refusal, both in time.
 pub async fn run(node: &Arc<Node>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
     node.note_request(&call.service.name);
-    note_demand(node, &call);
+    work::note_demand(node, &call);
     let due = node.instant(call.end_by_ms);
     let mut exchange = Exchange {
         node,
@@ -111,75 +111,12 @@
         }
         (result, _) => result,
     };
-    let result_name = match &result {
-        Ok(answer) if answer.status().is_success() => "served",
-        Ok(_) => "passed",
-        Err(_refusal) => return result,
-    };
-    let counter = &node.metrics.requests_total;
-    counter
-        .with_label_values(&[&call.route.name, result_name])
-        .inc();
-    note_late(node, &call, exchange.last_choice.as_ref());
-    let took_s = node.now_ms().saturating_sub(call.received_ms) as f64 / 1_000.0;
-    let seconds = &node.metrics.first_byte_seconds;
-    seconds
-        .with_label_values(&[&call.route.name])
-        .observe(took_s);
+    if let Ok(answer) = &result {
+        record::answered(node, &call, answer, exchange.last_choice.as_ref());
+    }
     result
 }
 
-/// Logs an answer that begins later than the route aims at, with what its worker
-/// was chosen by.
-fn note_late(node: &Node, call: &Call, choice: Option<&Choice>) {
-    let took_ms = node.now_ms().saturating_sub(call.received_ms);
-    let Some(choice) = choice.filter(|_| took_ms > call.route.aim_ms) else {
-        return;
-    };
-    info!(node.log, "late"; "request" => call.id.clone(), "route" => call.route.name.as_ref(),
-        "model" => call.model().map(|(model, _)| model.to_owned()), "took_ms" => took_ms,
-        "prompt_tokens" => call.prompt_tokens, "worker" => choice.id.as_ref(),
-        "begins_in_ms" => choice.begins_in_ms as u64, "open" => choice.load.open_count,
-        "waiting" => choice.load.waiting_count.iter().sum::<u32>(),
-        "unread_ms" => choice.load.ahead_ms(usize::MAX) as u64);
-}
-
-/// Notes what the call asks for, so that it is loaded where that is needed.
-fn note_demand(node: &Node, call: &Call) {
-    let Some(key) = model_key(call) else { return };
-    let now_ms = node.now_ms();
-    let engine = call.service.engine.as_ref();
-    let slot_count = engine.map_or(1, |engine| engine.slot_count.max(1));
-    // A worker reads one prompt at a time, and makes answers in all slots at once.
-    let reading_ms = f64::from(call.prompt_tokens.max(1)) * pace(node, call).token_ms;
-    let work_ms = reading_ms + stay_ms(node, call) / f64::from(slot_count);
-    let mut demand = node.demand();
-    let of_service = demand.entry(Arc::clone(&call.service.name)).or_default();
-    of_service.asked(now_ms, key, work_ms);
-}
-
-/// Returns how fast the call's model is read; at once where there is none.
-fn pace(node: &Node, call: &Call) -> Pace {
-    let model = call.model();
-    model.map_or(Pace::default(), |(model, _)| node.paces().of(model))
-}
-
-/// Returns for how long the call's answer is expected to stay, in milliseconds.
-fn stay_ms(node: &Node, call: &Call) -> f64 {
-    let model = call.model();
-    model.map_or(0.0, |(model, _)| {
-        node.stays().expected_ms(model, call.answer_tokens)
-    })
-}
-
-/// Returns the place of the model and adapter that a call names.
-fn model_key(call: &Call) -> Option<ModelKey> {
-    let (name, adapter) = call.model()?;
-    let model = call.service.engine.as_ref()?.model_index(name)?;
-    let adapter = adapter.and_then(|adapter| adapter.trim_start_matches('a').parse().ok());
-    Some((model, adapter.unwrap_or(0)))
-}
-
 impl Exchange<'_> {
     /// Offers the call to workers until there is an answer or an end.
     async fn run(&mut self) -> Result<Response<AnswerBody>, Refusal> {
@@ -269,7 +206,7 @@
 
     /// Returns what the call wants of a worker.
     fn wanted(&self) -> Wanted<'_> {
-        let pace = pace(self.node, self.call);
+        let pace = work::pace(self.node, self.call);
         Wanted {
             service: &self.call.service.name,
             model: self.call.model(),
@@ -277,7 +214,7 @@
             prompt_tokens: self.call.prompt_tokens,
             token_ms: pace.token_ms,
             fixed_ms: pace.fixed_ms,
-            stay_ms: stay_ms(self.node, self.call),
+            stay_ms: work::stay_ms(self.node, self.call),
             gap_aim_ms: self.call.gap_aim_ms.map(|gap_aim_ms| gap_aim_ms as f64),
             rank: usize::from(self.call.route.priority),
             held_tokens: self.call.held_tokens,
--- a/crates/cranereach-gateway/src/forward/head.rs
+++ b/crates/cranereach-gateway/src/forward/head.rs
@@ -11,7 +11,7 @@
 use super::open::OpenCall;
 use super::request::Call;
 use crate::node::Node;
-use cranereach_fleet::worker::SaidLoad;
+use cranereach_fleet::load::SaidLoad;
 use cranereach_http::pool::Connection;
 
 /// Time that an idle connection is used again for, where the worker says none.
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -1,16 +1,18 @@
 //! A caller's request on its way: route, send, answer.
 //!
 //! [`request`] reads what the caller asks for, [`exchange`] sends it to workers
-//! until there is an answer or an end, [`head`] checks an answer's head,
-//! [`passing`] hands a stream on as it
-//! comes, and [`refusal`] answers what could not be served.
+//! until there is an answer or an end, [`work`] says how much work a call makes,
+//! [`head`] checks an answer's head, [`passing`] hands a stream on as it comes,
+//! [`record`] counts it, and [`refusal`] answers what could not be served.
 
 mod exchange;
 mod head;
 mod open;
 mod passing;
+mod record;
 mod refusal;
 mod request;
+mod work;
 
 use std::pin::Pin;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/record.rs
@@ -0,0 +1,43 @@
+//! What is counted and logged of an answer.
+
+use hyper::Response;
+use slog::info;
+
+use super::AnswerBody;
+use super::request::Call;
+use crate::node::Node;
+use cranereach_fleet::roster::Choice;
+
+/// Counts an answer that begins now, and logs it if it is late.
+pub fn answered(node: &Node, call: &Call, answer: &Response<AnswerBody>, choice: Option<&Choice>) {
+    let result_name = if answer.status().is_success() {
+        "served"
+    } else {
+        "passed"
+    };
+    let counter = &node.metrics.requests_total;
+    counter
+        .with_label_values(&[&call.route.name, result_name])
+        .inc();
+    note_late(node, call, choice);
+    let took_s = node.now_ms().saturating_sub(call.received_ms) as f64 / 1_000.0;
+    let seconds = &node.metrics.first_byte_seconds;
+    seconds
+        .with_label_values(&[&call.route.name])
+        .observe(took_s);
+}
+
+/// Logs an answer that begins later than the route aims at, with what its worker
+/// was chosen by.
+fn note_late(node: &Node, call: &Call, choice: Option<&Choice>) {
+    let took_ms = node.now_ms().saturating_sub(call.received_ms);
+    let Some(choice) = choice.filter(|_| took_ms > call.route.aim_ms) else {
+        return;
+    };
+    info!(node.log, "late"; "request" => call.id.clone(), "route" => call.route.name.as_ref(),
+        "model" => call.model().map(|(model, _)| model.to_owned()), "took_ms" => took_ms,
+        "prompt_tokens" => call.prompt_tokens, "worker" => choice.id.as_ref(),
+        "begins_in_ms" => choice.begins_in_ms as u64, "open" => choice.load.open_count,
+        "waiting" => choice.load.waiting_count.iter().sum::<u32>(),
+        "unread_ms" => choice.load.ahead_ms(usize::MAX) as u64);
+}
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/work.rs
@@ -0,0 +1,44 @@
+//! The work that a call makes for a worker, as it is learned, and the demand by it.
+
+use std::sync::Arc;
+
+use super::request::Call;
+use crate::node::Node;
+use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::pace::Pace;
+
+/// Notes what the call asks for, so that it is loaded where that is needed.
+pub fn note_demand(node: &Node, call: &Call) {
+    let Some(key) = model_key(call) else { return };
+    let now_ms = node.now_ms();
+    let engine = call.service.engine.as_ref();
+    let slot_count = engine.map_or(1, |engine| engine.slot_count.max(1));
+    // A worker reads one prompt at a time, and makes answers in all slots at once.
+    let reading_ms = f64::from(call.prompt_tokens.max(1)) * pace(node, call).token_ms;
+    let work_ms = reading_ms + stay_ms(node, call) / f64::from(slot_count);
+    let mut demand = node.demand();
+    let of_service = demand.entry(Arc::clone(&call.service.name)).or_default();
+    of_service.asked(now_ms, key, work_ms);
+}
+
+/// Returns how fast the call's model is read; at once where there is none.
+pub fn pace(node: &Node, call: &Call) -> Pace {
+    let model = call.model();
+    model.map_or(Pace::default(), |(model, _)| node.paces().of(model))
+}
+
+/// Returns for how long the call's answer is expected to stay, in milliseconds.
+pub fn stay_ms(node: &Node, call: &Call) -> f64 {
+    let model = call.model();
+    model.map_or(0.0, |(model, _)| {
+        node.stays().expected_ms(model, call.answer_tokens)
+    })
+}
+
+/// Returns the place of the model and adapter that a call names.
+fn model_key(call: &Call) -> Option<ModelKey> {
+    let (name, adapter) = call.model()?;
+    let model = call.service.engine.as_ref()?.model_index(name)?;
+    let adapter = adapter.and_then(|adapter| adapter.trim_start_matches('a').parse().ok());
+    Some((model, adapter.unwrap_or(0)))
+}
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -33,8 +33,8 @@
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::listing::ListPart;
 use cranereach_fleet::listing::Span;
+use cranereach_fleet::load::Load;
 use cranereach_fleet::roster::worker_key;
-use cranereach_fleet::worker::Load;
 
 /// Largest packed rows that one message carries, in bytes.
 const LIST_MAX_BYTES: usize = DATAGRAM_MAX_BYTES - 1_024;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -15,7 +15,7 @@
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::listing::ChangedRow;
 use cranereach_fleet::listing::Span;
-use cranereach_fleet::worker::RANK_COUNT;
+use cranereach_fleet::load::RANK_COUNT;
 
 /// Version of the messages; others are dropped.
 pub const VERSION: u8 = 3;
