--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //! is known of every [`worker`] and picks one; it builds on [`load`], [`health`],
 //! [`pace`], [`stay`] and [`prefixes`]. [`list_sync`] says who reads the list of workers and when,
 //! [`listing`] keeps its rows and what peers are told of them.
-//! [`admission`] says which calls are refused, [`retry_window`] bounds repeats. [`tenure`] says whether this
+//! [`retry_window`] bounds repeats. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
 //! are open.
 //!
@@ -14,7 +14,6 @@
 //! assert!(!Tenure::new("entry-1", 3_000).may_order(0));
 //! ```
 
-pub mod admission;
 pub mod configuration;
 pub mod demand;
 pub mod health;
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -30,8 +30,6 @@
     pub unread_tokens: u32,
     /// Whether it has, as far as known, no other prompt to read before.
     pub is_first: bool,
-    /// Time until it begins to read the prompt, in milliseconds, as predicted.
-    pub queued_ms: f64,
     /// Time until it will have read the prompt, in milliseconds, as predicted.
     pub begins_in_ms: f64,
     /// The load that the choice was made by.
@@ -240,7 +238,6 @@
             address: worker.record.address.clone(),
             unread_tokens: estimate.unread_tokens,
             is_first: estimate.is_first,
-            queued_ms: estimate.queued_ms,
             begins_in_ms: estimate.begins_in_ms,
             load: estimate.load,
         })
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -140,8 +140,6 @@
 pub(crate) struct Estimate {
     /// Prompt tokens that it would have to read.
     pub unread_tokens: u32,
-    /// Time until it begins to read the prompt, in milliseconds.
-    pub queued_ms: f64,
     /// Time until it will have read the prompt, in milliseconds.
     pub begins_in_ms: f64,
     /// Whether, as far as known, no other request has to be read or to end before.
@@ -320,7 +318,6 @@
         let queued_ms = load.ahead_ms(wanted.rank).max(slot_wait_ms);
         let mut estimate = Estimate {
             unread_tokens,
-            queued_ms,
             begins_in_ms: queued_ms + wanted.fixed_ms + f64::from(unread_tokens) * wanted.token_ms,
             is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS && slot_wait_ms <= 0.0,
             cost_ms: 0.0,
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -28,7 +28,6 @@
 use super::work;
 use crate::node::Node;
 use cranereach_core::codes::ResultCode;
-use cranereach_fleet::admission;
 use cranereach_fleet::roster::Choice;
 use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::worker::Wanted;
@@ -55,6 +54,9 @@
 /// some hundred milliseconds, so that most calls that wait are served in time.
 const ADAPTER_WAIT_SHARE: f64 = 0.6;
 
+/// Share of the aim up to which a call is offered, by the time predicted until it begins.
+const LATE_SHARE: f64 = 1.3;
+
 /// Longest pause between two looks for a worker, in milliseconds.
 const LOOK_EVERY_MS: u64 = 40;
 
@@ -193,9 +195,7 @@
     /// Refuses a call that would begin so late that coming back is better.
     fn admit(&self, choice: Choice) -> Result<Choice, Refusal> {
         let aim_ms = self.call.route.aim_ms as f64;
-        let reading_ms = choice.begins_in_ms - choice.queued_ms;
-        let chance = admission::chance(aim_ms, choice.queued_ms, reading_ms);
-        if self.may_have_run || rand::random::<f64>() < chance {
+        if choice.begins_in_ms <= aim_ms * LATE_SHARE || self.may_have_run {
             return Ok(choice);
         }
         let detail = format!("begins in {:.0} ms", choice.begins_in_ms);
