An answer before the whole body was read says that its connection ends

Cause of a test that failed once, beside busy processes (bad_requests_get_their_codes_and_others_are_served_meanwhile, 'after a body that is too large'): the answer to a body that is too large leaves bytes unread, so its connection ends; it did not say so, the caller kept the connection, and the next call met its end. The new test sends one byte too many and reads the head: it failed before (no 'connection: close') and passes now.

--- a/crates/cranereach-entry/src/callers/error_answer.rs
+++ b/crates/cranereach-entry/src/callers/error_answer.rs
@@ -46,6 +46,14 @@
 }
 
 impl Refusal {
+    /// Whether the caller may still be sending its body, so that the connection ends.
+    pub(crate) fn leaves_body_unread(&self) -> bool {
+        matches!(
+            self.code,
+            ResultCode::BodyTooLarge | ResultCode::RequestTooSlow
+        )
+    }
+
     /// Makes a refusal of a code alone.
     pub(crate) fn of(code: ResultCode) -> Self {
         Self {
--- a/crates/cranereach-entry/src/callers/mod.rs
+++ b/crates/cranereach-entry/src/callers/mod.rs
@@ -58,16 +58,19 @@
     let version = request.version();
     let number = shared.next_request();
     let request_name = shared.request_name(number);
-    let mut answer = match admit(&shared, number, &request_name, request.headers()) {
+    let result = match admit(&shared, number, &request_name, request.headers()) {
         Ok(caller) => route(caller, request).await,
         Err(code) => Err(Refusal::of(code)),
-    }
-    .unwrap_or_else(|refusal| refused(&shared, &request_name, &refusal));
+    };
+    let is_body_unread = result.as_ref().is_err_and(Refusal::leaves_body_unread);
+    let mut answer = result.unwrap_or_else(|refusal| refused(&shared, &request_name, &refusal));
     if let Ok(value) = HeaderValue::from_str(&request_name) {
         answer.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
-    if shared.phase() != Phase::Serving && version < Version::HTTP_2 {
-        // The caller's next connection goes through the balancer to another.
+    let is_leaving = shared.phase() != Phase::Serving;
+    if (is_leaving || is_body_unread) && version < Version::HTTP_2 {
+        // The caller's next connection goes through the balancer to another; one
+        // with bytes left unread ends, and must not be used for the next call.
         answer
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -10,6 +10,7 @@
 use crate::fixture::GENEROUS_MS;
 use crate::fixture::Shape;
 use cranereach_bench::deployment::Deployment;
+use cranereach_entry::settings::LimitSettings;
 use cranereach_standin::load::Call;
 
 /// Returns an address of the first entry instance.
@@ -139,3 +140,26 @@
     fixture::served(&deployment, 0, &good).await;
     deployment.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_before_the_whole_body_ends_the_connection() {
+    let deployment = fixture::start(Shape::default()).await;
+    let good = Call::chat("a", "m0", "hello", 2, true);
+    fixture::served(&deployment, 0, &good).await;
+    // Found beside load: the next call was sent on the connection that was ending.
+    // One byte too many is read and answered; the rest of the body never comes.
+    let max_bytes = LimitSettings::default().body_max_bytes;
+    let mut request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer a\r\ncontent-length: {}\r\n\r\n",
+        2 * max_bytes
+    );
+    request.push_str(&"x".repeat(max_bytes + 1));
+    let answer = raw(&deployment, request.as_bytes()).await;
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(body.contains("1004"), "{answer}");
+    assert!(
+        head.to_ascii_lowercase().contains("connection: close"),
+        "{head}"
+    );
+    deployment.stop().await;
+}
