--- a/crates/cranereach-fleet/src/pressure.rs
+++ b/crates/cranereach-fleet/src/pressure.rs
@@ -4,8 +4,10 @@
 //! its holders has time. So the demand of all models is first laid over the
 //! workers as evenly as what they hold allows. A worker of which the share `u` of
 //! its time is asked for serves `u^3` badly while `u` is below one, and
-//! `u (2 u - 1)` above, where queues grow, up to where nothing more is served; a model that no worker holds has all of
-//! its demand served badly, several times over.
+//! `u (2 u - 1)` above, where queues grow, up to where nothing more is served. A
+//! model that no worker holds has all of its demand served badly, several times
+//! over. Demand moves on along the declared list: the models right behind a busy
+//! one get a part of its demand ahead of time.
 
 use std::collections::HashMap;
 
