Two instances watch the configuration for all; a lost store is asked by a few

Change: the age of what is known of the configuration spreads with digests, as that of the list does; whoever is told of a newer version fetches it from a peer, and only an instance that nobody tells anything asks the store. One module paces all of it.

--- a/crates/cranereach-fleet/src/list_sync.rs
+++ b/crates/cranereach-fleet/src/freshness.rs
@@ -1,13 +1,13 @@
-//! How an instance keeps its list of workers fresh at the price of few reads.
+//! How fresh what an instance knows of the store is, at the price of few reads.
 //!
-//! Each instance knows since when its list has been complete. Whoever reads tells
-//! all others what has changed (see [`crate::listing`]); the others read only
-//! when their own list grows old. How old depends on a
-//! [rank] that all instances work out alike, so that one reads, a second one
-//! follows if the first falls silent, and at last everybody reads. Nothing is
-//! agreed on: an instance that nobody tells anything reads for itself in time.
+//! Each instance knows since when its list of workers, or its configuration, has been
+//! the newest. Whoever reads tells the others so; they read only when what they know
+//! grows old. How old depends on a [rank] that all instances work out alike, so that
+//! one reads, a second one follows if the first falls silent, and at last everybody
+//! reads. Nothing is agreed on: an instance that nobody tells anything reads for
+//! itself in time.
 //!
-//! [rank]: ListSync::read_due_at_ms
+//! [rank]: Freshness::read_due_at_ms
 
 /// Age at which the first in rank reads, as a share of the bound.
 const FIRST_READ_SHARE: f64 = 0.4;
@@ -27,7 +27,7 @@
 /// Returns when news was true that a peer told with its age, in milliseconds.
 ///
 /// ```
-/// use cranereach_fleet::list_sync::told_at_ms;
+/// use cranereach_fleet::freshness::told_at_ms;
 ///
 /// assert!(told_at_ms(5_000, 300) < 4_700);
 /// assert_eq!(told_at_ms(5_000, u64::MAX), 0);
@@ -36,12 +36,12 @@
     now_ms.saturating_sub(age_ms.saturating_add(TRANSIT_MS))
 }
 
-/// How fresh one instance's list of workers is.
+/// How fresh one instance's list of workers, or its configuration, is.
 ///
 /// ```
-/// use cranereach_fleet::list_sync::ListSync;
+/// use cranereach_fleet::freshness::Freshness;
 ///
-/// let mut list = ListSync::new(2_000);
+/// let mut list = Freshness::new(2_000);
 /// assert_eq!(list.read_due_at_ms(0), 0);
 /// list.confirm(100);
 /// assert_eq!(list.read_due_at_ms(0), 900);
@@ -49,13 +49,13 @@
 /// ```
 #[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 #[derive(Clone, Debug)]
-pub struct ListSync {
+pub struct Freshness {
     bound_ms: u64,
     true_at_ms: Option<u64>,
     lapses_until_ms: u64,
 }
 
-impl ListSync {
+impl Freshness {
     /// Makes the state of an empty list that must not grow older than a bound.
     pub fn new(bound_ms: u64) -> Self {
         Self {
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
 //! is known of every [`worker`] and picks one; it builds on [`load`], [`health`],
-//! [`pace`], [`stay`] and [`prefixes`]. [`list_sync`] says who reads the list of workers and when,
+//! [`pace`], [`stay`] and [`prefixes`]. [`freshness`] says who reads the list of workers and when,
 //! [`listing`] keeps its rows and what peers are told of them.
 //! [`retry_window`] bounds repeats. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
@@ -18,7 +18,7 @@
 pub mod demand;
 pub mod health;
 pub mod ledger;
-pub mod list_sync;
+pub mod freshness;
 pub mod listing;
 pub mod load;
 pub mod membership;
--- a/crates/cranereach-fleet/tests/list.rs
+++ b/crates/cranereach-fleet/tests/freshness.rs
@@ -2,13 +2,13 @@
 
 use assert_matches::assert_matches;
 
-use cranereach_fleet::list_sync::ListSync;
+use cranereach_fleet::freshness::Freshness;
 
 const BOUND_MS: u64 = 2_000;
 
 #[test]
 fn every_rank_reads_before_the_bound_and_the_first_one_first() {
-    let mut list = ListSync::new(BOUND_MS);
+    let mut list = Freshness::new(BOUND_MS);
     for rank in [0, 1, 3, 90] {
         assert_eq!(
             list.read_due_at_ms(rank),
@@ -33,7 +33,7 @@
 
 #[test]
 fn news_from_a_peer_puts_the_own_read_off() {
-    let mut list = ListSync::new(BOUND_MS);
+    let mut list = Freshness::new(BOUND_MS);
     list.confirm(1_000);
     let before = list.read_due_at_ms(0);
     list.confirm(1_500);
@@ -47,7 +47,7 @@
 
 #[test]
 fn rows_that_end_after_an_outage_may_only_have_lapsed() {
-    let mut list = ListSync::new(BOUND_MS);
+    let mut list = Freshness::new(BOUND_MS);
     assert_eq!(list.lapse_until_ms(0, 0), None, "the first read");
     list.confirm(0);
     assert_eq!(list.lapse_until_ms(900, 890), None, "calm");
--- a/crates/cranereach-gateway/src/bodies.rs
+++ b/crates/cranereach-gateway/src/bodies.rs
@@ -22,7 +22,7 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::roster_sync;
-use cranereach_fleet::list_sync::told_at_ms;
+use cranereach_fleet::freshness::told_at_ms;
 use cranereach_fleet::listing::ChangedRow;
 
 /// Time after a failed accept, in milliseconds.
@@ -31,18 +31,18 @@
 /// Time for a body from a peer, in milliseconds.
 const FETCH_WITHIN_MS: u64 = 1_500;
 
+/// Time to connect to a peer, in milliseconds: another one is asked next.
+const CONNECT_WITHIN_MS: u64 = 300;
+
 /// Largest body from a peer, in bytes.
 const FETCH_MAX_BYTES: u64 = 16 * 1024 * 1024;
 
 /// Versions that the own list may lag behind a peer's before it is fetched.
 const ROSTER_LAG_MS: u64 = 1_200;
 
-/// Part of the bound of configurations after which a newer one is fetched from a
-/// peer while the own wait for it is open: one in so many.
-const FETCH_AFTER_PART: u64 = 4;
-
-/// The same, for the time over which instances without the store spread theirs.
-const FETCH_SPREAD_PART: u64 = 8;
+/// Part of the bound of configurations over which fetches from peers are spread: one
+/// in so many. Bodies are large, and all instances hear of a change at once.
+const FETCH_SPREAD_PART: u64 = 16;
 
 /// What is asked of a peer over TCP.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,8 +105,8 @@
     roster_sync::take_whole(node, true_at_ms, listed.version, rows.collect());
 }
 
-/// Fetches the configuration in force at a peer, unless the own wait for it is
-/// answered first: bodies are large, and all instances hear of a change at once.
+/// Fetches the configuration in force at a peer after a short while, unless the own
+/// wait at the store is answered first.
 pub fn fetch_configuration_if_behind(node: &Arc<Node>, peer: Ipv4Addr, version: u64) {
     if version <= node.configuration_version() {
         return;
@@ -115,11 +115,7 @@
         return;
     }
     let bound_ms = node.settings.bounds.configuration_ms;
-    let wait_ms = if node.is_store_lost.load(Ordering::Acquire) {
-        rand::random_range(0..=bound_ms / FETCH_SPREAD_PART)
-    } else {
-        bound_ms / FETCH_AFTER_PART
-    };
+    let wait_ms = rand::random_range(0..=bound_ms / FETCH_SPREAD_PART);
     let node = Arc::clone(node);
     tokio::spawn(async move {
         pause(wait_ms).await;
@@ -149,7 +145,9 @@
 async fn fetch(node: &Node, peer: Ipv4Addr, ask: Ask) -> io::Result<Bytes> {
     let port = node.settings.listen.peers.port();
     let fetching = async {
-        let mut stream = TcpStream::connect(SocketAddr::from((peer, port))).await?;
+        let connecting = TcpStream::connect(SocketAddr::from((peer, port)));
+        let connect_within = Duration::from_millis(CONNECT_WITHIN_MS);
+        let mut stream = tokio::time::timeout(connect_within, connecting).await??;
         let message = postcard::to_stdvec(&ask).map_err(io::Error::other)?;
         stream.write_all(&message).await?;
         let mut body = Vec::new();
--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -1,7 +1,9 @@
-//! Follows the configuration in the store; peers tell of versions, too.
+//! Follows the configuration in the store, a few instances for all.
+//!
+//! Digests tell which version is in force at their sender, and since when it has been
+//! known to be the newest. Whoever is told of a newer one fetches it from the peer.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use slog::info;
@@ -9,30 +11,25 @@
 
 use crate::adapter::Rows;
 use crate::node::Node;
+use crate::node::lock;
 use crate::node::pause;
 use crate::store::StoreError;
+use crate::store_pace;
+use cranereach_fleet::freshness::told_at_ms;
 
-/// Time that the store is asked to wait for changes, in milliseconds.
-const WAIT_MS: u64 = 2_000;
+/// Instances that wait at the store for changes, for all: two, so that one that
+/// falls silent is not missed.
+const WATCHING_COUNT: u64 = 2;
 
-/// The same for instances that peers watch for, in milliseconds.
-const WAIT_AMONG_PEERS_MS: u64 = 25_000;
-
-/// Instances that watch with the shorter wait, so that a wait that nobody will
-/// answer any more, as after an outage, ends soon on some.
-const WATCHING_COUNT: u64 = 3;
+/// Time that the store is asked to wait for changes, as a share of the bound within
+/// which they must be in force: its answer is news also where nothing has changed.
+const WAIT_SHARE: f64 = 0.4;
 
 /// Purpose that instances are ranked for.
 const PURPOSE: &str = "configuration";
 
-/// First pause after a failed call, in milliseconds.
-const PAUSE_FIRST_MS: u64 = 60;
-
-/// Longest pause after failed calls, in milliseconds.
-const PAUSE_MAX_MS: u64 = 500;
-
-/// How much longer instances pause after failed calls that peers watch for.
-const PAUSE_AMONG_PEERS_FACTOR: u64 = 6;
+/// Longest pause between two looks whether a read is due, in milliseconds.
+const LOOK_EVERY_MS: u64 = 100;
 
 /// Runs until the process ends.
 pub async fn run(node: Arc<Node>) {
@@ -40,18 +37,19 @@
     let mut after = None;
     let mut failure_count = 0_u32;
     loop {
+        let wait_ms = until_due(&node, after.is_some()).await;
+        let begun_ms = node.now_ms();
         let read = match after {
             None => node.store.read(table).await,
             Some(version) => {
-                let watch = node.store.watch(table, version, wait_ms(&node));
+                let watch = node.store.watch(table, version, wait_ms);
                 tokio::select! {
                     read = watch => read,
                     _wanted = node.configuration_wanted.notified() => continue,
                 }
             }
         };
-        note_call(&node, "configuration", &read);
-        node.is_store_lost.store(read.is_err(), Ordering::Release);
+        store_pace::note_call(&node, "configuration", &read);
         match read {
             Ok(rows) => {
                 after = Some(rows.version.max(after.unwrap_or(0)));
@@ -60,61 +58,72 @@
                 }
                 failure_count = 0;
                 take(&node, key, rows);
-                if node.configuration_version() == 0 {
-                    pause(PAUSE_FIRST_MS).await;
-                }
+                // The store answers no earlier than after the wait if nothing changes.
+                let waited_ms = wait_ms.min(node.now_ms() - begun_ms);
+                lock(&node.configuration_freshness).confirm(begun_ms + waited_ms);
             }
             Err(error) => {
                 if error == StoreError::HistoryGone {
                     after = None;
-                } else if failure_count == 0 {
+                    continue;
+                }
+                if failure_count == 0 {
                     warn!(node.log, "store lost"; "for" => "configuration", "error" => error.to_string());
                 }
-                pause(backoff_ms(failure_count, !is_watching(&node))).await;
+                store_pace::after_failure(&node, rank(&node), failure_count).await;
                 failure_count += 1;
             }
         }
     }
 }
 
-/// Returns the time that the store is asked to wait, in milliseconds.
-fn wait_ms(node: &Node) -> u64 {
-    if is_watching(node) {
-        WAIT_MS
-    } else {
-        WAIT_AMONG_PEERS_MS
+/// Waits until this instance has to ask the store, and returns how long the store is
+/// to wait for changes, in milliseconds.
+///
+/// A few wait at the store for all; the others ask when nobody has told them lately
+/// that what they know is the newest.
+async fn until_due(node: &Node, has_read: bool) -> u64 {
+    loop {
+        if has_read && is_watching(node) {
+            return (node.settings.bounds.configuration_ms as f64 * WAIT_SHARE) as u64;
+        }
+        let rank = rank(node);
+        if is_due(node, rank) {
+            store_pace::hold_back(node, rank).await;
+        }
+        if is_due(node, rank) {
+            return 0;
+        }
+        let now_ms = node.now_ms();
+        let due_ms = lock(&node.configuration_freshness).read_due_at_ms(rank);
+        pause(LOOK_EVERY_MS.min(due_ms.saturating_sub(now_ms))).await;
     }
 }
 
-/// Whether this instance is one of those that watch for all.
-fn is_watching(node: &Node) -> bool {
-    node.peers().rank(node.now_ms(), PURPOSE) < WATCHING_COUNT
+/// Whether an instance of a rank has to ask the store.
+fn is_due(node: &Node, rank: u64) -> bool {
+    node.now_ms() >= lock(&node.configuration_freshness).read_due_at_ms(rank)
 }
 
-/// Returns the pause after a number of failures in a row, spread by chance.
-///
-/// It is longer where others try, too, and tell what they learn.
-pub fn backoff_ms(failure_count: u32, do_others_try: bool) -> u64 {
-    let doubled = PAUSE_FIRST_MS << failure_count.min(4);
-    let factor = if do_others_try {
-        PAUSE_AMONG_PEERS_FACTOR
-    } else {
-        1
-    };
-    let longest = doubled.min(PAUSE_MAX_MS) * factor;
-    longest / 2 + rand::random_range(0..=longest / 2)
+/// Takes a peer's word that a version was the newest a while ago.
+pub fn take_age(node: &Node, version: u64, age_ms: u64) {
+    if version == node.configuration_version() {
+        let true_at_ms = told_at_ms(node.now_ms(), age_ms);
+        let mut freshness = lock(&node.configuration_freshness);
+        if freshness.is_older_than(true_at_ms) {
+            freshness.confirm(true_at_ms);
+        }
+    }
+}
+
+/// Whether this instance is one of those that watch for all.
+fn is_watching(node: &Node) -> bool {
+    rank(node) < WATCHING_COUNT
 }
 
-/// Counts a read of the store.
-pub fn note_call(node: &Node, kind: &str, read: &Result<Rows, StoreError>) {
-    let outcome = match read {
-        Ok(_) => "done",
-        Err(StoreError::HistoryGone) => "history_gone",
-        Err(StoreError::NotDone(_)) => "not_done",
-        Err(StoreError::Unknown(_)) => "unknown",
-    };
-    let counter = &node.metrics.store_calls_total;
-    counter.with_label_values(&[kind, outcome]).inc();
+/// Returns how many instances come before this one.
+fn rank(node: &Node) -> u64 {
+    node.peers().rank(node.now_ms(), PURPOSE)
 }
 
 /// Puts the newest row of the configuration in force.
--- a/crates/cranereach-gateway/src/controller/lease.rs
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use crate::node::lock;
 use crate::store::StoreError;
+use crate::store_pace;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::tenure::LeaseRow;
 use cranereach_fleet::tenure::Step;
@@ -106,7 +107,7 @@
 /// Reads the row.
 async fn read(node: &Node, tenure: &mut Tenure, candidacy: &mut Candidacy, service: &str) {
     let rows = node.store.read(TABLE).await;
-    crate::configuration_sync::note_call(node, "lease", &rows);
+    store_pace::note_call(node, "lease", &rows);
     let now_ms = node.now_ms();
     match rows {
         Ok(rows) => {
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -8,11 +8,13 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
 use crate::bodies;
+use crate::configuration_sync;
 use crate::messages::DATAGRAM_MAX_BYTES;
 use crate::messages::Datagram;
 use crate::messages::DemandMessage;
@@ -30,6 +32,7 @@
 use crate::node::pause;
 use crate::owners;
 use crate::roster_sync;
+use cranereach_fleet::freshness::Freshness;
 use cranereach_fleet::listing::ListPart;
 use cranereach_fleet::listing::Span;
 use cranereach_fleet::roster::worker_key;
@@ -164,6 +167,7 @@
 fn make(node: &Node, now_ms: u64, count: u64) -> Digest {
     let peers = node.peers();
     let members = peers.member_news(now_ms);
+    let store_failed = peers.store_failures(now_ms);
     let held = peers.held(now_ms);
     let domain = peers.own_domain();
     drop(peers);
@@ -183,17 +187,20 @@
         .map(|service| worker_key(service))
         .collect();
     drop(announced);
+    let age_ms = |of: &Mutex<Freshness>| lock(of).age_ms(now_ms).unwrap_or(u64::MAX);
     Digest {
         boot: node.boot,
         domain,
         count,
         is_leaving: node.is_stopping(),
         configuration_version: node.configuration_version(),
+        configuration_age_ms: age_ms(&node.configuration_freshness),
         list_version: node.list_version(),
-        list_age_ms: lock(&node.list).age_ms(now_ms).unwrap_or(u64::MAX),
+        list_age_ms: age_ms(&node.list),
         holds,
         held,
         ended: ended_leases(node, now_ms),
+        store_failed,
         members,
         leaving: recent
             .into_iter()
@@ -281,6 +288,11 @@
         return false;
     }
     bodies::fetch_configuration_if_behind(node, sender, digest.configuration_version);
+    configuration_sync::take_age(
+        node,
+        digest.configuration_version,
+        digest.configuration_age_ms,
+    );
     let has_changed = news::take_roster(node, now_ms, sender, digest);
     if has_changed {
         node.roster_changed.notify_waiters();
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod run;
 pub mod settings;
 pub mod store;
+pub mod store_pace;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -193,6 +193,15 @@
     pub age_ms: u64,
 }
 
+/// An instance that could not reach the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreFailure {
+    /// Which one.
+    pub address: Ipv4Addr,
+    /// Time since then, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A lease whose term is over at its holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedLease {
@@ -217,6 +226,8 @@
     pub is_leaving: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
+    /// Time since that version was last known to be the newest, in milliseconds.
+    pub configuration_age_ms: u64,
     /// Version of the store that its list of workers is complete at.
     pub list_version: u64,
     /// Time since that list was last known to be complete, in milliseconds.
@@ -227,6 +238,8 @@
     pub held: Vec<HeldLease>,
     /// Leases whose term is over at the sender.
     pub ended: Vec<EndedLease>,
+    /// Instances that could not reach the store lately, the sender perhaps one of them.
+    pub store_failed: Vec<StoreFailure>,
     /// Some of the other instances that live.
     pub members: Vec<MemberNews>,
     /// Workers that were read as leaving or gone: key, version.
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -35,7 +35,7 @@
 use cranereach_fleet::configuration::Service;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::list_sync::ListSync;
+use cranereach_fleet::freshness::Freshness;
 use cranereach_fleet::listing::Listing;
 use cranereach_fleet::owned::OwnedWorkers;
 use cranereach_fleet::pace::Paces;
@@ -88,7 +88,9 @@
     /// Rows of the list of workers, and what peers are told of them.
     pub listing: Mutex<Listing>,
     /// How fresh the list of workers is.
-    pub list: Mutex<ListSync>,
+    pub list: Mutex<Freshness>,
+    /// How fresh the configuration is.
+    pub configuration_freshness: Mutex<Freshness>,
     /// Wakes the sender of changes of the list.
     pub list_told: Notify,
     /// Workers read as leaving or gone: when, key, version.
@@ -118,8 +120,6 @@
     pub is_fetching_configuration: AtomicBool,
     /// Whether the last own read of the list of workers failed.
     pub is_list_lost: AtomicBool,
-    /// Whether the last read of the configuration failed.
-    pub is_store_lost: AtomicBool,
     /// Ends a wait for the configuration that may never be answered.
     pub configuration_wanted: Notify,
     own_ip: Ipv4Addr,
@@ -160,7 +160,8 @@
             waits_for: Mutex::default(),
             controller_wanted: Notify::new(),
             listing: Mutex::default(),
-            list: Mutex::new(ListSync::new(settings.bounds.drain_ms)),
+            list: Mutex::new(Freshness::new(settings.bounds.drain_ms)),
+            configuration_freshness: Mutex::new(Freshness::new(settings.bounds.configuration_ms)),
             list_told: Notify::new(),
             recent_leaving: Mutex::default(),
             configuration_body: Mutex::default(),
@@ -184,7 +185,6 @@
             is_fetching: AtomicBool::new(false),
             is_fetching_configuration: AtomicBool::new(false),
             is_list_lost: AtomicBool::new(false),
-            is_store_lost: AtomicBool::new(false),
             configuration_wanted: Notify::new(),
             own_ip,
             is_stopping: AtomicBool::new(false),
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use crate::messages::Digest;
 use crate::messages::EndedLease;
 use crate::messages::HeldLease;
+use crate::messages::StoreFailure;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::membership::MemberNews;
 use cranereach_fleet::membership::Membership;
@@ -43,6 +44,17 @@
 /// than requests wait.
 const WAITS_FOR_MS: u64 = 1_200;
 
+/// Time for which a peer's failure to reach the store counts, in milliseconds: some
+/// tries of those that try again soon.
+const STORE_FAILED_FOR_MS: u64 = 1_500;
+
+/// Instances that must have failed before the store counts as lost: one alone may be
+/// cut off.
+const STORE_WITNESS_COUNT: usize = 2;
+
+/// Failures to reach the store that are remembered and told at most.
+const STORE_FAILURE_MAX_COUNT: usize = 6;
+
 /// Waits that a holder remembers at most.
 const WAIT_MAX_COUNT: usize = 4_096;
 
@@ -87,6 +99,8 @@
     /// Adapters that peers wait for, by service, model and adapter, and since when, in
     /// milliseconds.
     waits: HashMap<(Ipv4Addr, u64, ModelKey), u64>,
+    /// Which instances could not reach the store, and when, in milliseconds.
+    store_failed_at_ms: HashMap<Ipv4Addr, u64>,
     /// Who holds each lease, and when it was heard last, by anybody, in milliseconds.
     holders: HashMap<u64, (Ipv4Addr, u64)>,
     /// When a holder itself was heard to hold a lease no more, in milliseconds.
@@ -103,6 +117,7 @@
             said: HashMap::new(),
             demand: HashMap::new(),
             waits: HashMap::new(),
+            store_failed_at_ms: HashMap::new(),
             holders: HashMap::new(),
             released_at_ms: HashMap::new(),
         }
@@ -142,6 +157,9 @@
             return false;
         }
         self.members.told(now_ms, &digest.members);
+        for failure in digest.store_failed.iter().take(STORE_FAILURE_MAX_COUNT) {
+            self.note_store_failure(now_ms, failure);
+        }
         let before = self.said.remove(&sender).unwrap_or_default();
         let is_given_up = |service: &u64| digest.is_leaving || !digest.holds.contains(service);
         for service in before.holds.iter().filter(|service| is_given_up(service)) {
@@ -279,6 +297,47 @@
         ended.collect()
     }
 
+    /// Notes that this instance could not reach the store.
+    pub fn store_failed(&mut self, now_ms: u64) {
+        let own = StoreFailure {
+            address: self.own_ip,
+            age_ms: 0,
+        };
+        self.note_store_failure(now_ms, &own);
+    }
+
+    /// Notes that an instance could not reach the store.
+    fn note_store_failure(&mut self, now_ms: u64, failure: &StoreFailure) {
+        let at_ms = now_ms.saturating_sub(failure.age_ms);
+        self.store_failed_at_ms
+            .retain(|_, known_ms| now_ms < *known_ms + STORE_FAILED_FOR_MS);
+        let known = self.store_failed_at_ms.get_mut(&failure.address);
+        if let Some(known_ms) = known {
+            *known_ms = at_ms.max(*known_ms);
+        } else if self.store_failed_at_ms.len() < STORE_FAILURE_MAX_COUNT {
+            self.store_failed_at_ms.insert(failure.address, at_ms);
+        }
+    }
+
+    /// Lists the instances that could not reach the store lately.
+    pub fn store_failures(&self, now_ms: u64) -> Vec<StoreFailure> {
+        let known = self.store_failed_at_ms.iter();
+        let recent = known.filter(|(_, at_ms)| now_ms < **at_ms + STORE_FAILED_FOR_MS);
+        recent
+            .map(|(address, at_ms)| StoreFailure {
+                address: *address,
+                age_ms: now_ms.saturating_sub(*at_ms),
+            })
+            .collect()
+    }
+
+    /// Whether others say that they can't reach the store.
+    pub fn is_store_lost(&self, now_ms: u64) -> bool {
+        let failures = self.store_failures(now_ms);
+        let others = failures.iter().filter(|of| of.address != self.own_ip);
+        others.count() >= STORE_WITNESS_COUNT
+    }
+
     /// Counts the instances that come before this one in an order of their own for
     /// each purpose.
     pub fn rank(&self, now_ms: u64, purpose: &str) -> u64 {
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -1,9 +1,9 @@
 //! Keeps the list of workers: own reads of the store, and what peers tell.
 //!
-//! [`ListSync`] says when this instance has to read. What a read changes goes to
+//! [`Freshness`] says when this instance has to read. What a read changes goes to
 //! all peers at once, so that in calm times one instance reads for all.
 //!
-//! [`ListSync`]: cranereach_fleet::list_sync::ListSync
+//! [`Freshness`]: cranereach_fleet::freshness::Freshness
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -13,15 +13,14 @@
 use slog::warn;
 
 use crate::adapter::Row;
-use crate::configuration_sync::backoff_ms;
-use crate::configuration_sync::note_call;
 use crate::messages::ListMessage;
 use crate::messages::unpack_rows;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
 use crate::store::StoreError;
-use cranereach_fleet::list_sync::told_at_ms;
+use crate::store_pace;
+use cranereach_fleet::freshness::told_at_ms;
 use cranereach_fleet::listing::ChangedRow;
 use cranereach_fleet::listing::Span;
 use cranereach_fleet::listing::Verdict;
@@ -43,9 +42,6 @@
 /// Time for which peers are told of a worker that leaves, in milliseconds.
 const TOLD_FOR_MS: u64 = 4_000;
 
-/// Instances that try again soon after a failed read, so that others need not.
-const TRYING_COUNT: u64 = 4;
-
 /// Purpose that instances are ranked for.
 const PURPOSE: &str = "list of workers";
 
@@ -63,7 +59,7 @@
         } else {
             node.store.watch(table, version, WAIT_MS).await
         };
-        note_call(&node, "workers", &read);
+        store_pace::note_call(&node, "workers", &read);
         node.is_list_lost.store(read.is_err(), Ordering::Release);
         match read {
             Ok(rows) => {
@@ -85,11 +81,12 @@
             Err(error) => {
                 if error == StoreError::HistoryGone {
                     is_whole = true;
-                } else if failure_count == 0 {
+                    continue;
+                }
+                if failure_count == 0 {
                     warn!(node.log, "store lost"; "for" => "workers", "error" => error.to_string());
                 }
-                let rank = node.peers().rank(node.now_ms(), PURPOSE);
-                pause(backoff_ms(failure_count, rank >= TRYING_COUNT)).await;
+                store_pace::after_failure(&node, rank(&node), failure_count).await;
                 failure_count += 1;
             }
         }
@@ -101,6 +98,10 @@
     loop {
         let now_ms = node.now_ms();
         drop_lapsed(node, now_ms);
+        if now_ms >= due_at_ms(node, now_ms) {
+            store_pace::hold_back(node, rank(node)).await;
+        }
+        let now_ms = node.now_ms();
         let due_ms = due_at_ms(node, now_ms);
         if now_ms >= due_ms {
             return;
@@ -116,13 +117,18 @@
 
 /// Returns when this instance has to read the list, and notes how old it is.
 fn due_at_ms(node: &Node, now_ms: u64) -> u64 {
-    let rank = node.peers().rank(now_ms, PURPOSE);
+    let rank = rank(node);
     let list = lock(&node.list);
     let age_ms = list.age_ms(now_ms).unwrap_or(now_ms);
     node.metrics.list_age_ms.set(age_ms as i64);
     list.read_due_at_ms(rank)
 }
 
+/// Returns how many instances come before this one.
+fn rank(node: &Node) -> u64 {
+    node.peers().rank(node.now_ms(), PURPOSE)
+}
+
 /// Takes changes that a peer tells, and passes on what is new.
 pub fn take_message(node: &Node, sender: Ipv4Addr, message: ListMessage) {
     let ListMessage {
--- a/crates/cranereach-gateway/tests/peers.rs
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -11,6 +11,7 @@
 use cranereach_gateway::messages::DemandPart;
 use cranereach_gateway::messages::Digest;
 use cranereach_gateway::messages::HeldLease;
+use cranereach_gateway::messages::StoreFailure;
 use cranereach_gateway::messages::pack_rows;
 use cranereach_gateway::messages::unpack_rows;
 use cranereach_gateway::peers::FAN_OUT_COUNT;
@@ -212,6 +213,32 @@
     assert!(sum(&peers, 60_000).abs() < 0.01);
 }
 
+#[test]
+fn a_store_is_lost_when_several_others_say_so_lately() {
+    let mut peers = fleet(20);
+    let tells = |count: u64, failed: &[(u32, u64)]| Digest {
+        store_failed: failed
+            .iter()
+            .map(|(number, age_ms)| StoreFailure {
+                address: address(*number),
+                age_ms: *age_ms,
+            })
+            .collect(),
+        ..digest(count)
+    };
+    peers.store_failed(10_000);
+    assert!(!peers.is_store_lost(10_000), "its own word alone");
+    peers.heard(10_000, address(2), &tells(2, &[(3, 100)]));
+    assert!(!peers.is_store_lost(10_000), "one other may be cut off");
+    peers.heard(10_100, address(4), &tells(2, &[(3, 500), (5, 0)]));
+    assert!(peers.is_store_lost(10_100));
+    // Told again it is no younger: the first of them was so at 9,900.
+    assert!(!peers.is_store_lost(11_400));
+    let many: Vec<(u32, u64)> = (100..200).map(|number| (number, 0)).collect();
+    peers.heard(12_000, address(6), &tells(2, &many));
+    assert!(peers.store_failures(12_000).len() <= 6);
+}
+
 #[test]
 fn strange_digests_are_bounded_in_what_they_leave() {
     let mut peers = Peers::new(ip(1), "z1", &[]);
