Owners plan prompts in bursts with rests; stalls count; fewer bytes between domains

Now: the owner plans each prompt into a burst (0.6 of the pause aimed at) or, after a rest of 0.12, the next one, and says when to send it; only where 3 % of a worker's answers paused lately, never beyond what is unread. Requests given up while a worker should have begun long ago count against it. Changes of the list go to three near and one far peer, digests to four and two, and a peer is told that it is behind once news are 0.4 s old.

--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -2,7 +2,9 @@
 //!
 //! [`configuration`] answers which route a request takes. [`roster`] keeps what
 //! is known of every [`worker`] and picks one; it builds on [`load`], [`health`],
-//! [`pace`], [`stay`] and [`prefixes`]. [`freshness`] says who reads the list of workers and when,
+//! [`pace`], [`stay`] and [`prefixes`]. [`membership`] says which instances live and which
+//! of them owns a worker, [`owned`] what an owner knows, [`bursts`] when it lets prompts
+//! through. [`freshness`] says who reads the list of workers and when,
 //! [`listing`] keeps its rows and what peers are told of them.
 //! [`retry_window`] bounds repeats. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
@@ -14,11 +16,12 @@
 //! assert!(!Tenure::new("entry-1", 3_000).may_order(0));
 //! ```
 
+pub mod bursts;
 pub mod configuration;
 pub mod demand;
+pub mod freshness;
 pub mod health;
 pub mod ledger;
-pub mod freshness;
 pub mod listing;
 pub mod load;
 pub mod membership;
--- a/crates/cranereach-fleet/src/owned.rs
+++ b/crates/cranereach-fleet/src/owned.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bursts::Bursts;
 use crate::health::Health;
 use crate::load::Load;
 use crate::load::RANK_COUNT;
@@ -28,6 +29,13 @@
 /// How many times the predicted time that holds for.
 const LOST_WORD_TIMES: f64 = 4.0;
 
+/// How many times longer than predicted a begin may take before a request that its
+/// caller gives up speaks against the worker.
+const STALLED_TIMES: f64 = 3.0;
+
+/// Time by which it may take longer besides, in milliseconds.
+const STALLED_SLACK_MS: f64 = 1_000.0;
+
 /// Requests at one worker that are remembered at most.
 const OPEN_MAX_COUNT: usize = 1_024;
 
@@ -64,6 +72,9 @@
     pub held_tokens: u32,
     /// Time after which it is over whatever happens, in milliseconds.
     pub ends_within_ms: u32,
+    /// Longest pause that streams of the worker's service may make, in milliseconds;
+    /// zero if they may make any.
+    pub gap_aim_ms: u32,
 }
 
 /// Longest time that is believed of a request, in milliseconds.
@@ -90,6 +101,8 @@
 pub enum Outcome {
     /// Its answer was whole.
     Whole,
+    /// Its answer was whole, with a pause longer than its route aims at.
+    Paused,
     /// It failed after it was sent.
     Failed,
     /// The worker could not be reached.
@@ -111,6 +124,9 @@
     pub failed_share: f64,
     /// Whether calls should go elsewhere for now.
     pub is_aside: bool,
+    /// Time until the prompt is to be sent, so that answers get on between two bursts
+    /// of reading, in milliseconds; mostly none.
+    pub send_in_ms: f64,
 }
 
 /// One request, and who sent it.
@@ -122,12 +138,21 @@
     of: Opening,
     /// Until when it counts as waiting without word, in milliseconds; none once read.
     waits_until_ms: Option<u64>,
+    begun_at_ms: u64,
     /// What its begin was predicted to take, in milliseconds.
     predicted_ms: f64,
     /// When it counts as over without word, in milliseconds.
     gone_at_ms: u64,
 }
 
+impl Open {
+    /// Whether the worker should have begun long ago and hasn't.
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        let allowed_ms = self.predicted_ms * STALLED_TIMES + STALLED_SLACK_MS;
+        self.waits_until_ms.is_some() && (now_ms - self.begun_at_ms) as f64 > allowed_ms
+    }
+}
+
 /// A worker that this instance owns.
 #[derive(Clone, Debug)]
 struct OwnedWorker {
@@ -136,6 +161,7 @@
     health: Health,
     pace_ratio: f64,
     paced_at_ms: u64,
+    bursts: Bursts,
     used_at_ms: u64,
 }
 
@@ -147,6 +173,7 @@
             health: Health::default(),
             pace_ratio: 1.0,
             paced_at_ms: 0,
+            bursts: Bursts::default(),
             used_at_ms: 0,
         }
     }
@@ -161,7 +188,7 @@
 /// let mut owned = OwnedWorkers::default();
 /// let opening = Opening { unread_ms: 100.0, ends_within_ms: 5_000, ..Opening::default() };
 /// owned.begun(1_000, 7, (1, 1), opening, &[]);
-/// assert_eq!(owned.standing(1_010, 7, &[]).load.open_count, 1);
+/// assert_eq!(owned.standing(1_010, 7, &[], 100.0).load.open_count, 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct OwnedWorkers {
@@ -169,16 +196,26 @@
 }
 
 impl OwnedWorkers {
-    /// Returns how a worker stands for a prompt.
-    pub fn standing(&mut self, now_ms: u64, worker: u64, parts: &[u64]) -> Standing {
+    /// Returns how a worker stands for a prompt that takes a time to read.
+    pub fn standing(
+        &mut self,
+        now_ms: u64,
+        worker: u64,
+        parts: &[u64],
+        reading_ms: f64,
+    ) -> Standing {
         let Some(known) = self.worker(now_ms, worker) else {
             return Standing {
                 pace_ratio: 1.0,
                 ..Standing::default()
             };
         };
+        let load = known.load(now_ms);
         Standing {
-            load: known.load(now_ms),
+            load,
+            send_in_ms: known
+                .bursts
+                .send_in_ms(now_ms, reading_ms, load.ahead_ms(usize::MAX)),
             kept_part_count: known.kept.kept_part_count(parts),
             pace_ratio: known.pace_ratio(now_ms),
             failed_share: known.health.failed_share(),
@@ -202,16 +239,23 @@
         if known.open.len() >= OPEN_MAX_COUNT {
             return;
         }
-        let ahead_ms = known.load(now_ms).ahead_ms(usize::from(of.rank));
-        let predicted_ms = ahead_ms + f64::from(of.unread_ms);
+        let load = known.load(now_ms);
+        let ahead_ms = load.ahead_ms(usize::from(of.rank));
+        let unread_ms = load.ahead_ms(usize::MAX);
+        let reading_ms = f64::from(of.unread_ms);
+        let held_ms = known.bursts.send_in_ms(now_ms, reading_ms, unread_ms);
+        let predicted_ms = ahead_ms.max(held_ms) + reading_ms;
         let word_ms = (predicted_ms * LOST_WORD_TIMES) as u64 + LOST_WORD_MS;
         let open = Open {
             of,
             waits_until_ms: Some(now_ms + word_ms),
+            begun_at_ms: now_ms,
             predicted_ms,
             gone_at_ms: now_ms + u64::from(of.ends_within_ms),
         };
         known.open.insert(ticket, open);
+        let gap_aim_ms = f64::from(of.gap_aim_ms);
+        known.bursts.add(now_ms, reading_ms, gap_aim_ms, unread_ms);
         known.kept.sent(now_ms, parts);
     }
 
@@ -233,11 +277,14 @@
         let Some(known) = self.worker(now_ms, worker) else {
             return;
         };
-        known.open.remove(&ticket);
+        let open = known.open.remove(&ticket);
+        let is_stalled = open.is_some_and(|open| open.is_stalled(now_ms));
         match outcome {
-            Outcome::Whole => {
+            Outcome::Neutral if is_stalled => known.health.failed(now_ms),
+            Outcome::Whole | Outcome::Paused => {
                 known.health.reached();
                 known.health.succeeded(now_ms);
+                known.bursts.answered(now_ms, outcome == Outcome::Paused);
             }
             Outcome::Failed => known.health.failed(now_ms),
             Outcome::Unreachable => known.health.unreachable(now_ms),
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -34,6 +34,8 @@
     pub is_first: bool,
     /// Time until it will have read the prompt, in milliseconds, as predicted.
     pub begins_in_ms: f64,
+    /// Time until it is to be sent, so that answers that run get on, in milliseconds.
+    pub send_in_ms: u64,
     /// The load that the choice was made by.
     pub load: Load,
 }
@@ -111,6 +113,7 @@
         unread_tokens: estimate.unread_tokens,
         is_first: estimate.is_first,
         begins_in_ms: estimate.begins_in_ms,
+        send_in_ms: estimate.send_in_ms,
         load: estimate.load,
     }
 }
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -149,6 +149,8 @@
     pub unread_tokens: u32,
     /// Time until it will have read the prompt, in milliseconds.
     pub begins_in_ms: f64,
+    /// Time until it is to be sent, in milliseconds.
+    pub send_in_ms: u64,
     /// Whether, as far as known, no other request has to be read or to end before.
     pub is_first: bool,
     /// Weight against sending the request there, in milliseconds.
@@ -323,9 +325,12 @@
         let slot_wait_ms = load.slot_wait_ms(wanted.rank, slot_count);
         // Prompts ahead are read while this one waits for its slot.
         let queued_ms = load.ahead_ms(wanted.rank).max(slot_wait_ms);
+        let send_in_ms = standing.map_or(0.0, |standing| standing.send_in_ms);
+        let queued_ms = queued_ms.max(send_in_ms);
         let mut estimate = Estimate {
             unread_tokens,
             begins_in_ms: queued_ms + wanted.fixed_ms + f64::from(unread_tokens) * token_ms,
+            send_in_ms: send_in_ms as u64,
             is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS && slot_wait_ms <= 0.0,
             cost_ms: 0.0,
             load,
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -88,7 +88,8 @@
         let candidates =
             node.roster()
                 .candidates(now_ms, wanted, engine, CANDIDATE_COUNT, &mut rand::rng())?;
-        owners::ask(node, &candidates, wanted.parts).await;
+        let reading_ms = f64::from(wanted.prompt_tokens) * wanted.token_ms;
+        owners::ask(node, &candidates, wanted.parts, reading_ms).await;
         let now_ms = node.now_ms();
         let roster = node.roster();
         roster.choose_among(now_ms, &candidates, wanted, engine, &mut rand::rng())
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -27,6 +27,7 @@
 use super::request::passed_headers;
 use super::work;
 use crate::node::Node;
+use crate::node::pause;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::roster::Choice;
 use cranereach_http::body;
@@ -41,6 +42,10 @@
 /// Workers that one call is offered to at most.
 const OFFER_MAX_COUNT: usize = 5;
 
+/// Share of the aim for which a call is held until its worker is to be sent prompts
+/// again.
+const HOLD_MAX_SHARE: f64 = 0.5;
+
 /// Offers of one call to the same worker at most.
 const SAME_WORKER_MAX_COUNT: usize = 2;
 
@@ -182,6 +187,8 @@
         let call = self.call;
         let wanted = self.wanted();
         let mut open = OpenCall::begin(node, choice, &wanted, call.answer_tokens, call.end_by_ms);
+        let hold_max_ms = (call.route.aim_ms as f64 * HOLD_MAX_SHARE) as u64;
+        pause(choice.send_in_ms.min(hold_max_ms)).await;
         let pool = node.pool(&choice.id, &choice.address);
         let within = Duration::from_millis(CONNECT_WITHIN_MS);
         let taken = tokio::time::timeout(within, pool.take()).await;
--- a/crates/cranereach-gateway/src/forward/open.rs
+++ b/crates/cranereach-gateway/src/forward/open.rs
@@ -62,6 +62,7 @@
             stay_ms: (wanted.stay_ms + reading_ms) as f32,
             held_tokens: wanted.held_tokens,
             ends_within_ms: end_by_ms.saturating_sub(now_ms) as u32,
+            gap_aim_ms: wanted.gap_aim_ms.unwrap_or_default() as u32,
         };
         let told = owners::begun(node, &choice.id, opening, wanted.parts);
         Self {
@@ -108,7 +109,17 @@
 
     /// Notes a whole answer.
     pub fn succeeded(&mut self) {
-        self.outcome = Outcome::Whole;
+        self.ended_whole(Outcome::Whole);
+    }
+
+    /// Notes a whole answer with a pause longer than its route aims at.
+    pub fn paused(&mut self) {
+        self.ended_whole(Outcome::Paused);
+    }
+
+    /// Notes how a whole answer ended.
+    fn ended_whole(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
         let now_ms = self.node.now_ms();
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
             worker.health.succeeded(now_ms);
--- a/crates/cranereach-gateway/src/forward/passing.rs
+++ b/crates/cranereach-gateway/src/forward/passing.rs
@@ -120,9 +120,8 @@
                 Poll::Ready(Some(Err(self.break_off("worker broke off"))))
             }
             None => {
-                if let Some(mut open) = self.open.take() {
-                    open.succeeded();
-                    self.note_pauses(open.worker());
+                if let Some(open) = self.open.take() {
+                    self.end(open);
                 }
                 if let Some((connection, Some(rest_ms))) = self.connection.take() {
                     connection.keep_for(rest_ms);
@@ -132,11 +131,14 @@
         }
     }
 
-    /// Logs pauses that were longer than the route aims at.
-    fn note_pauses(&self, worker: &str) {
+    /// Notes a whole answer, and its pauses if they were longer than the route aims at.
+    fn end(&self, mut open: OpenCall) {
         if self.pauses.are_too_long() {
+            open.paused();
             info!(self.node.log, "paused"; "request" => self.id.clone(),
-                "worker" => worker, "longest_ms" => self.pauses.longest_ms);
+                "worker" => open.worker().as_ref(), "longest_ms" => self.pauses.longest_ms);
+        } else {
+            open.succeeded();
         }
     }
 
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -46,6 +46,10 @@
 /// Least time between two rounds of digests, in milliseconds.
 const ROUND_LEAST_MS: u64 = 20;
 
+/// Age from which changes of the list count as known to all but those whom they have
+/// missed, in milliseconds: some hops from peer to peer.
+const BEHIND_AFTER_MS: u64 = 400;
+
 /// Adapters that one digest names at most, so that a holder's link stays free: who
 /// waits for one is told in particular.
 const TOLD_ADAPTER_MAX_COUNT: usize = 48;
@@ -117,7 +121,13 @@
 }
 
 /// Tells one peer whose list is behind what has changed.
+///
+/// News that are young are still on their way by themselves.
 async fn tell_behind(node: &Node, socket: &UdpSocket, peer: Ipv4Addr) {
+    let age_ms = lock(&node.list).age_ms(node.now_ms());
+    if age_ms.is_none_or(|age_ms| age_ms < BEHIND_AFTER_MS) {
+        return;
+    }
     if !node.peers().may_tell_behind(node.now_ms(), peer) {
         return;
     }
--- /dev/null
+++ b/crates/cranereach-gateway/src/heard_leases.rs
@@ -0,0 +1,62 @@
+//! Who is heard to hold which lease, by its own word or through others.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use crate::messages::Digest;
+use crate::messages::HeldLease;
+
+/// Age up to which news of a peer's leases count, in milliseconds.
+pub const HEARD_WITHIN_MS: u64 = 1_500;
+
+/// The leases that are heard of.
+#[derive(Clone, Debug, Default)]
+pub struct HeardLeases {
+    /// Who holds each lease, and when it was heard last, by anybody, in milliseconds.
+    holders: HashMap<u64, (Ipv4Addr, u64)>,
+    /// When a holder itself was heard to hold a lease no more, in milliseconds.
+    released_at_ms: HashMap<u64, u64>,
+}
+
+impl HeardLeases {
+    /// Notes that a holder said that it holds a lease no more.
+    pub fn given_up(&mut self, now_ms: u64, service: u64) {
+        self.released_at_ms.insert(service, now_ms);
+    }
+
+    /// Takes which leases a digest says to be held.
+    pub fn heard(&mut self, now_ms: u64, sender: Ipv4Addr, digest: &Digest) {
+        let own = digest.holds.iter().filter(|_| !digest.is_leaving);
+        let own = own.map(|service| HeldLease {
+            service: *service,
+            holder: sender,
+            age_ms: 0,
+        });
+        for held in own.chain(digest.held.iter().copied()) {
+            let at_ms = now_ms.saturating_sub(held.age_ms);
+            let known = self.holders.entry(held.service);
+            let known = known.or_insert((held.holder, at_ms));
+            if at_ms > known.1 {
+                *known = (held.holder, at_ms);
+            }
+        }
+    }
+
+    /// Lists the leases that are heard to be held.
+    pub fn held(&self, now_ms: u64) -> Vec<HeldLease> {
+        let known = self.holders.iter();
+        let recent = known.filter(|(service, (_, at_ms))| {
+            let released_ms = self.released_at_ms.get(service).copied();
+            // What others told was heard before the holder said otherwise.
+            let is_held = released_ms.is_none_or(|released_ms| *at_ms > released_ms);
+            is_held && now_ms < at_ms + HEARD_WITHIN_MS
+        });
+        recent
+            .map(|(service, (holder, at_ms))| HeldLease {
+                service: *service,
+                holder: *holder,
+                age_ms: now_ms.saturating_sub(*at_ms),
+            })
+            .collect()
+    }
+}
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -96,8 +96,9 @@
 /// What the owner of a worker is asked or told.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OwnerEvent {
-    /// How does the worker stand for a prompt of these parts?
-    Ask(Vec<u64>),
+    /// How does the worker stand for a prompt of these parts that takes so many
+    /// milliseconds to read?
+    Ask(Vec<u64>, u32),
     /// A request of these parts is sent to the worker.
     Begun(Opening, Vec<u64>),
     /// The worker has read the request's prompt, after so many milliseconds.
@@ -123,6 +124,8 @@
     pub failed_percent: u32,
     /// Whether calls should go elsewhere for now.
     pub is_aside: bool,
+    /// Time until the prompt is to be sent, in milliseconds.
+    pub send_in_ms: u32,
 }
 
 /// What an instance is asked for.
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -44,8 +44,9 @@
     ticket: u64,
 }
 
-/// Asks the owners of some workers how these stand for a prompt, and notes it.
-pub async fn ask(node: &Node, workers: &[Arc<str>], parts: &[PromptPart]) {
+/// Asks the owners of some workers how these stand for a prompt that takes a time to
+/// read, and notes it.
+pub async fn ask(node: &Node, workers: &[Arc<str>], parts: &[PromptPart], reading_ms: f64) {
     let ticket: u64 = rand::random();
     let chains: Vec<u64> = parts.iter().map(|part| part.chain).collect();
     let chains = &chains[..chains.len().min(PART_MAX_COUNT)];
@@ -57,11 +58,11 @@
         let owner = owner_of(node, key);
         if owner == node.own_ip() {
             let now_ms = node.now_ms();
-            let standing = lock(&node.owned).standing(now_ms, key, chains);
+            let standing = lock(&node.owned).standing(now_ms, key, chains, reading_ms);
             note(node, worker, standing);
         } else {
             asked.insert(key, (owner, worker));
-            let event = OwnerEvent::Ask(chains.to_vec());
+            let event = OwnerEvent::Ask(chains.to_vec(), reading_ms as u32);
             tell(node, owner, key, ticket, event);
         }
     }
@@ -149,9 +150,9 @@
     let of = (u32::from(sender), ticket);
     let mut owned = lock(&node.owned);
     match event {
-        OwnerEvent::Ask(chains) => {
+        OwnerEvent::Ask(chains, reading_ms) => {
             let chains = &chains[..chains.len().min(PART_MAX_COUNT)];
-            let standing = owned.standing(now_ms, worker, chains);
+            let standing = owned.standing(now_ms, worker, chains, f64::from(reading_ms));
             return Some(quote(worker, ticket, &standing));
         }
         OwnerEvent::Begun(opening, chains) => {
@@ -215,6 +216,7 @@
         pace_percent: (standing.pace_ratio * 100.0) as u32,
         failed_percent: (standing.failed_share * 100.0) as u32,
         is_aside: standing.is_aside,
+        send_in_ms: standing.send_in_ms as u32,
     }
 }
 
@@ -226,6 +228,7 @@
         pace_ratio: f64::from(quote.pace_percent.max(100)) / 100.0,
         failed_share: f64::from(quote.failed_percent.min(100)) / 100.0,
         is_aside: quote.is_aside,
+        send_in_ms: f64::from(quote.send_in_ms),
     }
 }
 
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -5,27 +5,27 @@
 
 use rand::seq::IteratorRandom;
 
+use crate::heard_leases::HEARD_WITHIN_MS;
+use crate::heard_leases::HeardLeases;
 use crate::messages::DemandMessage;
 use crate::messages::DemandPart;
 use crate::messages::Digest;
 use crate::messages::EndedLease;
 use crate::messages::HeldLease;
 use crate::messages::StoreFailure;
+use crate::store_failures::StoreFailures;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::membership::MemberNews;
 use cranereach_fleet::membership::Membership;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::tenure::EndedTerm;
 
-/// Age up to which news of a peer's leases count, in milliseconds.
-pub const HEARD_WITHIN_MS: u64 = 1_500;
-
 /// Peers that one round of digests goes to, besides those that need it at once: news
 /// that each instance tells six others reach 3,300 in five rounds.
 pub const FAN_OUT_COUNT: usize = 6;
 
 /// Those of them that are of the own failure domain, where bytes cost nothing.
-const OWN_DOMAIN_COUNT: usize = 3;
+const OWN_DOMAIN_COUNT: usize = 4;
 
 /// Silent peers that a slow round tries once more.
 const SILENT_COUNT: usize = 1;
@@ -44,23 +44,15 @@
 /// than requests wait.
 const WAITS_FOR_MS: u64 = 1_200;
 
-/// Time for which a peer's failure to reach the store counts, in milliseconds: some
-/// tries of those that try again soon.
-const STORE_FAILED_FOR_MS: u64 = 1_500;
-
-/// Instances that must have failed before the store counts as lost: one alone may be
-/// cut off.
-const STORE_WITNESS_COUNT: usize = 2;
-
-/// Failures to reach the store that are remembered and told at most.
-const STORE_FAILURE_MAX_COUNT: usize = 6;
-
 /// Waits that a holder remembers at most.
 const WAIT_MAX_COUNT: usize = 4_096;
 
-/// Peers that changes of the list are passed on to: with six, all but one in 400 hear
-/// of them; whoever doesn't is behind, and told so by the next digest.
-const PASSED_ON_COUNT: usize = 6;
+/// Peers of the own failure domain that changes of the list are passed on to; whoever
+/// none of them reaches is behind, and told so by the next digest.
+const PASSED_ON_NEAR_COUNT: usize = 3;
+
+/// Peers of other failure domains that they are passed on to besides.
+const PASSED_ON_FAR_COUNT: usize = 1;
 
 /// Time between two messages that tell one peer that its list is behind, in
 /// milliseconds.
@@ -99,12 +91,10 @@
     /// Adapters that peers wait for, by service, model and adapter, and since when, in
     /// milliseconds.
     waits: HashMap<(Ipv4Addr, u64, ModelKey), u64>,
-    /// Which instances could not reach the store, and when, in milliseconds.
-    store_failed_at_ms: HashMap<Ipv4Addr, u64>,
-    /// Who holds each lease, and when it was heard last, by anybody, in milliseconds.
-    holders: HashMap<u64, (Ipv4Addr, u64)>,
-    /// When a holder itself was heard to hold a lease no more, in milliseconds.
-    released_at_ms: HashMap<u64, u64>,
+    /// Which instances could not reach the store lately.
+    store_failures: StoreFailures,
+    /// Who is heard to hold which lease.
+    leases: HeardLeases,
 }
 
 impl Peers {
@@ -117,9 +107,8 @@
             said: HashMap::new(),
             demand: HashMap::new(),
             waits: HashMap::new(),
-            store_failed_at_ms: HashMap::new(),
-            holders: HashMap::new(),
-            released_at_ms: HashMap::new(),
+            store_failures: StoreFailures::default(),
+            leases: HeardLeases::default(),
         }
     }
 
@@ -157,13 +146,11 @@
             return false;
         }
         self.members.told(now_ms, &digest.members);
-        for failure in digest.store_failed.iter().take(STORE_FAILURE_MAX_COUNT) {
-            self.note_store_failure(now_ms, failure);
-        }
+        self.store_failures.told(now_ms, &digest.store_failed);
         let before = self.said.remove(&sender).unwrap_or_default();
         let is_given_up = |service: &u64| digest.is_leaving || !digest.holds.contains(service);
         for service in before.holds.iter().filter(|service| is_given_up(service)) {
-            self.released_at_ms.insert(*service, now_ms);
+            self.leases.given_up(now_ms, *service);
         }
         let said = Said {
             heard_at_ms: now_ms,
@@ -175,7 +162,7 @@
             behind_told_at_ms: before.behind_told_at_ms,
         };
         self.said.insert(sender, said);
-        self.note_held(now_ms, sender, digest);
+        self.leases.heard(now_ms, sender, digest);
         true
     }
 
@@ -241,40 +228,9 @@
         recent.flat_map(|told| &told.parts)
     }
 
-    /// Notes which leases are held.
-    fn note_held(&mut self, now_ms: u64, sender: Ipv4Addr, digest: &Digest) {
-        let own = digest.holds.iter().filter(|_| !digest.is_leaving);
-        let own = own.map(|service| HeldLease {
-            service: *service,
-            holder: sender,
-            age_ms: 0,
-        });
-        for held in own.chain(digest.held.iter().copied()) {
-            let at_ms = now_ms.saturating_sub(held.age_ms);
-            let known = self.holders.entry(held.service);
-            let known = known.or_insert((held.holder, at_ms));
-            if at_ms > known.1 {
-                *known = (held.holder, at_ms);
-            }
-        }
-    }
-
     /// Lists the leases that are heard to be held.
     pub fn held(&self, now_ms: u64) -> Vec<HeldLease> {
-        let known = self.holders.iter();
-        let recent = known.filter(|(service, (_, at_ms))| {
-            let released_ms = self.released_at_ms.get(service).copied();
-            // What others told was heard before the holder said otherwise.
-            let is_held = released_ms.is_none_or(|released_ms| *at_ms > released_ms);
-            is_held && now_ms < at_ms + HEARD_WITHIN_MS
-        });
-        recent
-            .map(|(service, (holder, at_ms))| HeldLease {
-                service: *service,
-                holder: *holder,
-                age_ms: now_ms.saturating_sub(*at_ms),
-            })
-            .collect()
+        self.leases.held(now_ms)
     }
 
     /// Whether some peer is heard to hold a lease, directly or through others.
@@ -299,43 +255,17 @@
 
     /// Notes that this instance could not reach the store.
     pub fn store_failed(&mut self, now_ms: u64) {
-        let own = StoreFailure {
-            address: self.own_ip,
-            age_ms: 0,
-        };
-        self.note_store_failure(now_ms, &own);
-    }
-
-    /// Notes that an instance could not reach the store.
-    fn note_store_failure(&mut self, now_ms: u64, failure: &StoreFailure) {
-        let at_ms = now_ms.saturating_sub(failure.age_ms);
-        self.store_failed_at_ms
-            .retain(|_, known_ms| now_ms < *known_ms + STORE_FAILED_FOR_MS);
-        let known = self.store_failed_at_ms.get_mut(&failure.address);
-        if let Some(known_ms) = known {
-            *known_ms = at_ms.max(*known_ms);
-        } else if self.store_failed_at_ms.len() < STORE_FAILURE_MAX_COUNT {
-            self.store_failed_at_ms.insert(failure.address, at_ms);
-        }
+        self.store_failures.note(now_ms, self.own_ip, 0);
     }
 
     /// Lists the instances that could not reach the store lately.
     pub fn store_failures(&self, now_ms: u64) -> Vec<StoreFailure> {
-        let known = self.store_failed_at_ms.iter();
-        let recent = known.filter(|(_, at_ms)| now_ms < **at_ms + STORE_FAILED_FOR_MS);
-        recent
-            .map(|(address, at_ms)| StoreFailure {
-                address: *address,
-                age_ms: now_ms.saturating_sub(*at_ms),
-            })
-            .collect()
+        self.store_failures.recent(now_ms)
     }
 
     /// Whether others say that they can't reach the store.
     pub fn is_store_lost(&self, now_ms: u64) -> bool {
-        let failures = self.store_failures(now_ms);
-        let others = failures.iter().filter(|of| of.address != self.own_ip);
-        others.count() >= STORE_WITNESS_COUNT
+        self.store_failures.is_lost(now_ms, self.own_ip)
     }
 
     /// Counts the instances that come before this one in an order of their own for
@@ -346,8 +276,17 @@
 
     /// Chooses whom changes of the list of workers go to.
     pub fn list_recipients(&self, now_ms: u64) -> Vec<Ipv4Addr> {
+        let (near, far) = self.alive_by_distance(now_ms);
+        sample(near, far, PASSED_ON_NEAR_COUNT, PASSED_ON_FAR_COUNT)
+    }
+
+    /// Lists the others that live: of the own failure domain, and the rest.
+    fn alive_by_distance(&self, now_ms: u64) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
         let alive = self.members.alive(now_ms);
-        alive.sample(&mut rand::rng(), PASSED_ON_COUNT)
+        alive.partition(|address| {
+            let said = self.said.get(address);
+            said.is_some_and(|said| said.domain == self.own_domain)
+        })
     }
 
     /// Whether a peer whose list is behind is to be told so now; notes that it is.
@@ -384,22 +323,12 @@
     /// for them hear of it in each round.
     pub fn recipients(&mut self, now_ms: u64, is_slow_round: bool, holds: &[u64]) -> Vec<Ipv4Addr> {
         self.forget(now_ms);
-        let mut rng = rand::rng();
-        let is_near = |address: &Ipv4Addr| {
-            let said = self.said.get(address);
-            said.is_some_and(|said| said.domain == self.own_domain)
-        };
-        let alive = self.members.alive(now_ms);
-        let (near, far): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) = alive.partition(is_near);
-        let near_count = near
-            .len()
-            .min(OWN_DOMAIN_COUNT.max(FAN_OUT_COUNT.saturating_sub(far.len())));
-        let mut chosen = near.into_iter().sample(&mut rng, near_count);
-        let far_count = FAN_OUT_COUNT - chosen.len();
-        chosen.extend(far.into_iter().sample(&mut rng, far_count));
+        let (near, far) = self.alive_by_distance(now_ms);
+        let far_count = FAN_OUT_COUNT - OWN_DOMAIN_COUNT;
+        let mut chosen = sample(near, far, OWN_DOMAIN_COUNT, far_count);
         if is_slow_round || chosen.is_empty() {
             let silent = self.members.silent(now_ms);
-            chosen.extend(silent.sample(&mut rng, SILENT_COUNT));
+            chosen.extend(silent.sample(&mut rand::rng(), SILENT_COUNT));
         }
         for service in holds {
             chosen.extend(self.members.first(now_ms, *service, CANDIDATE_COUNT));
@@ -422,3 +351,21 @@
         self.members.sample(now_ms, &mut rand::rng())
     }
 }
+
+/// Chooses some of either kind; more of one where the other has too few.
+fn sample(
+    near: Vec<Ipv4Addr>,
+    far: Vec<Ipv4Addr>,
+    near_count: usize,
+    far_count: usize,
+) -> Vec<Ipv4Addr> {
+    let count = near_count + far_count;
+    let near_count = near
+        .len()
+        .min(near_count.max(count.saturating_sub(far.len())));
+    let mut rng = rand::rng();
+    let mut chosen = near.into_iter().sample(&mut rng, near_count);
+    let far_count = count - chosen.len();
+    chosen.extend(far.into_iter().sample(&mut rng, far_count));
+    chosen
+}
