--- a/crates/cranereach-bench/src/slopes.rs
+++ b/crates/cranereach-bench/src/slopes.rs
@@ -2,9 +2,11 @@
 //!
 //! Each slope is measured at four sizes or more, tenfold from first to last, and
 //! fitted by a line; the largest distance from it is given as a part of the
-//! value. [`kernel`] looks at the kernel alone, [`system`] at whole deployments.
+//! value. [`kernel`] looks at the kernel alone, [`gateway`] at the decisions of a
+//! gateway, [`system`] at whole deployments.
 
 mod fixtures;
+pub mod gateway;
 pub mod kernel;
 pub mod system;
 
--- /dev/null
+++ b/crates/cranereach-bench/src/slopes/gateway.rs
@@ -0,0 +1,174 @@
+//! Costs of the decisions of a gateway, by size.
+
+use std::hint::black_box;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::Slope;
+use super::kernel::per_size;
+use super::kernel::time_us;
+use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::membership::Membership;
+use cranereach_fleet::membership::TOLD_MAX_COUNT;
+use cranereach_fleet::owned::Opening;
+use cranereach_fleet::owned::OwnedWorkers;
+use cranereach_fleet::roster::Roster;
+use cranereach_fleet::worker::HeldModel;
+use cranereach_fleet::worker::Wanted;
+use cranereach_fleet::worker::WorkerRecord;
+
+/// Workers of which one holds the model that is asked for.
+const WORKERS_PER_HOLDER: usize = 20;
+
+/// Workers whose owners a request asks.
+const CANDIDATE_COUNT: usize = 3;
+
+/// Key of a worker, any will do.
+const WORKER: u64 = 7;
+
+/// Measures all slopes of a gateway's decisions.
+pub fn measure() -> Vec<Slope> {
+    vec![
+        per_size(
+            "choose a worker: candidates, then one of them",
+            "workers of the service (a twentieth holds the model)",
+            "us",
+            &[30, 90, 240, 1_000],
+            choose_us,
+        ),
+        per_size(
+            "take what a digest tells of 48 members",
+            "instances",
+            "us",
+            &[60, 300, 1_000, 3_300],
+            merge_us,
+        ),
+        per_size(
+            "find the owner of a worker",
+            "instances",
+            "us",
+            &[60, 300, 1_000, 3_300],
+            owner_us,
+        ),
+        per_size(
+            "answer for an owned worker",
+            "requests open there",
+            "us",
+            &[4, 16, 32, 64],
+            answer_us,
+        ),
+    ]
+}
+
+/// Returns an address by number.
+fn address(number: usize) -> Ipv4Addr {
+    Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 0, 0, 1)) + number as u32)
+}
+
+/// Makes the members of a fleet as one of them knows them.
+fn members(count: usize) -> Membership {
+    let mut members = Membership::new(address(0), &[]);
+    for number in 1..count {
+        members.saw(1_000, address(number), false);
+    }
+    members
+}
+
+/// Makes a list of workers that hold three models each.
+fn roster(worker_count: usize) -> Roster {
+    let model_count = 3 * WORKERS_PER_HOLDER;
+    let mut roster = Roster::default();
+    for number in 0..worker_count {
+        let held = (0..3).map(|place| HeldModel {
+            name: Arc::from(format!("m{}", (number * 3 + place) % model_count)),
+            adapters: Vec::new(),
+        });
+        let record = WorkerRecord {
+            id: Arc::from(format!("w{number}")),
+            service: Arc::from("models"),
+            address: "10.0.0.1:1".to_owned(),
+            zone: Arc::from("z1"),
+            slot_count: 64,
+            is_leaving: false,
+            models: held.collect(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        };
+        roster.put(1, record);
+    }
+    roster
+}
+
+/// Time of the choice of a worker, the questions to owners left out.
+fn choose_us(worker_count: usize) -> f64 {
+    let roster = roster(worker_count);
+    let engine = Engine {
+        slot_count: 64,
+        kv_tokens: 130_000,
+        weights_mb: 220_000.0,
+        adapter_slot_count: 8,
+        loads_per_s: 30.0,
+        models: Vec::new(),
+    };
+    let wanted = Wanted {
+        service: "models",
+        model: Some(("m0", None)),
+        parts: &[],
+        prompt_tokens: 2_400,
+        token_ms: 0.05,
+        fixed_ms: 10.0,
+        stay_ms: 500.0,
+        gap_aim_ms: Some(500.0),
+        rank: 0,
+        held_tokens: 2_500,
+        zone: "z1",
+        tried: &[],
+    };
+    let mut rng = rand::rng();
+    time_us(|| {
+        let engine = Some(&engine);
+        let candidates = roster.candidates(0, &wanted, engine, CANDIDATE_COUNT, &mut rng);
+        let candidates = candidates.unwrap_or_default();
+        let chosen = roster.choose_among(0, &candidates, &wanted, engine, &mut rng);
+        black_box(chosen.is_ok());
+    })
+}
+
+/// Time to take the members of one digest.
+fn merge_us(count: usize) -> f64 {
+    let mut members = members(count);
+    let news = members.sample(1_000, &mut rand::rng());
+    let news = &news[..news.len().min(TOLD_MAX_COUNT)];
+    let mut now_ms = 1_000;
+    time_us(|| {
+        now_ms += 1;
+        black_box(members.told(now_ms, news));
+    })
+}
+
+/// Time to find the owner of a worker.
+fn owner_us(count: usize) -> f64 {
+    let members = members(count);
+    let mut key = 0;
+    time_us(|| {
+        key += 1;
+        black_box(members.owner(1_000, key));
+    })
+}
+
+/// Time to answer how a worker stands.
+fn answer_us(open_count: usize) -> f64 {
+    let mut owned = OwnedWorkers::default();
+    for number in 0..open_count {
+        let opening = Opening {
+            unread_ms: 100.0,
+            stay_ms: 500.0,
+            ends_within_ms: u32::MAX,
+            ..Opening::default()
+        };
+        owned.begun(0, WORKER, (1, number as u64), opening, &[]);
+    }
+    time_us(|| {
+        black_box(owned.standing(1, WORKER, &[1, 2, 3], 100.0));
+    })
+}
--- a/crates/cranereach-bench/src/slopes/kernel.rs
+++ b/crates/cranereach-bench/src/slopes/kernel.rs
@@ -121,7 +121,7 @@
 }
 
 /// Measures one slope.
-fn per_size(
+pub(super) fn per_size(
     name: &'static str,
     per: &'static str,
     unit: &'static str,
@@ -139,7 +139,7 @@
 }
 
 /// Returns the time of one run, in microseconds, over many runs.
-fn time_us(mut run: impl FnMut()) -> f64 {
+pub(super) fn time_us(mut run: impl FnMut()) -> f64 {
     run();
     let started = Instant::now();
     let mut count = 0_u32;
--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -131,6 +131,7 @@
 fn slopes(scenario: &Scenario) -> Exit {
     slopes::kernel::measure(scenario)
         .iter()
+        .chain(&slopes::gateway::measure())
         .for_each(super::print_json);
     match super::block_on(slopes::system::measure(scenario)) {
         Ok(system) => {
