A question to an owner is forgotten with the caller who left

Found in reading: the entry of a question that was dropped while it waited stayed for good, a few bytes for each caller who left in those milliseconds.

--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -44,6 +44,18 @@
     ticket: u64,
 }
 
+/// A question that is forgotten when it is dropped, also with a caller who left.
+struct Question<'a> {
+    node: &'a Node,
+    ticket: u64,
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        lock(&self.node.questions).remove(&self.ticket);
+    }
+}
+
 /// Asks the owners of some workers how these stand for a prompt that takes a time to
 /// read, and notes it.
 pub async fn ask(node: &Node, workers: &[Arc<str>], parts: &[PromptPart], reading_ms: f64) {
@@ -53,6 +65,7 @@
     let (sender, answers) = mpsc::unbounded_channel();
     let mut asked: HashMap<u64, (Ipv4Addr, &Arc<str>)> = HashMap::new();
     lock(&node.questions).insert(ticket, sender);
+    let question = Question { node, ticket };
     for worker in workers {
         let key = worker_key(worker);
         let owner = owner_of(node, key);
@@ -67,7 +80,7 @@
         }
     }
     wait(node, answers, &mut asked).await;
-    lock(&node.questions).remove(&ticket);
+    drop(question);
     let now_ms = node.now_ms();
     for (owner, _) in asked.values() {
         node.peers().members_mut().missed(now_ms, *owner);
