--- a/crates/cranereach-bench/src/demo.rs
+++ b/crates/cranereach-bench/src/demo.rs
@@ -285,7 +285,7 @@
                 "name": AccountName::from(*name),
                 "template": "all",
                 "parameters": { "share": share, "class": class },
-                "key_hashes": [blake3::Hash::from_bytes(KeyHash::of(name).0).to_string()],
+                "key_hashes": [KeyHash::of(name).to_hex()],
             })
         })
         .collect();
--- a/crates/cranereach-bench/src/scenario/arrivals.rs
+++ b/crates/cranereach-bench/src/scenario/arrivals.rs
@@ -176,7 +176,7 @@
     let account = |number: usize| {
         json!({
             "name": account_name(number), "template": class_of(number).name(),
-            "key_hashes": [blake3::Hash::from_bytes(KeyHash::of(&account_name(number)).0).to_string()],
+            "key_hashes": [KeyHash::of(&account_name(number)).to_hex()],
         })
     };
     let declared = json!({
--- a/crates/cranereach-core/src/codes.rs
+++ b/crates/cranereach-core/src/codes.rs
@@ -96,6 +96,8 @@
     RetryBudgetSpent = 2007, "retry_budget_spent", 503, No, Later, "The upstream did not run it and the retry budget is spent.";
     ConfigUnknown = 2008, "config_unknown", 503, No, Later, "This instance can't know whether its configuration is in force.";
     ClaimsUnavailable = 2009, "claims_unavailable", 503, No, Later, "The idempotency key can't be claimed while the table is out of reach.";
+    OverLimit = 2010, "over_limit", 429, No, Later, "The account has used what its limit allows for now.";
+    LimitUnknown = 2011, "limit_unknown", 503, No, Later, "No instance that keeps the account's limit can be reached.";
     OutcomeUnknown = 3001, "outcome_unknown", 502, Unknown, OnlyIfSafe, "The upstream got the request, and no whole answer came.";
     BrokenMidway = 3002, "broken_midway", 502, Unknown, OnlyIfSafe, "The answer broke off after it had begun.";
     DeadlinePassedRunning = 3003, "deadline_passed_running", 504, Unknown, OnlyIfSafe, "The deadline passed while the upstream worked.";
--- a/crates/cranereach-core/src/snapshot/grant.rs
+++ b/crates/cranereach-core/src/snapshot/grant.rs
@@ -43,4 +43,23 @@
     pub fn of(key: &str) -> Self {
         Self(*blake3::hash(key.as_bytes()).as_bytes())
     }
+
+    /// Reads a hash in hex; none if it isn't one.
+    ///
+    /// ```
+    /// use cranereach_core::snapshot::KeyHash;
+    ///
+    /// let hash = KeyHash::of("a");
+    /// assert_eq!(KeyHash::from_hex(&hash.to_hex()), Some(hash));
+    /// assert_eq!(KeyHash::from_hex("a"), None);
+    /// ```
+    pub fn from_hex(hex: &str) -> Option<Self> {
+        let hash = blake3::Hash::from_hex(hex).ok()?;
+        Some(Self(*hash.as_bytes()))
+    }
+
+    /// Writes the hash in hex.
+    pub fn to_hex(self) -> String {
+        blake3::Hash::from_bytes(self.0).to_string()
+    }
 }
--- a/crates/cranereach-core/src/snapshot/mod.rs
+++ b/crates/cranereach-core/src/snapshot/mod.rs
@@ -287,7 +287,7 @@
     /// Binds an account's keys to its grant.
     fn take_keys(&mut self, account: &ClientAccount, grant: &Arc<Grant>, faults: &mut Vec<Fault>) {
         for text in &account.key_hashes {
-            let Ok(hash) = blake3::Hash::from_hex(text) else {
+            let Some(hash) = KeyHash::from_hex(text) else {
                 let detail =
                     "a key hash is 64 hex digits; `cranereach check --hash-key` prints one"
                         .to_owned();
@@ -300,10 +300,7 @@
                 ));
                 continue;
             };
-            if let Some(other) = self
-                .grants
-                .insert(KeyHash(*hash.as_bytes()), Arc::clone(grant))
-            {
+            if let Some(other) = self.grants.insert(hash, Arc::clone(grant)) {
                 let detail = format!("the same key opens account {}", other.account);
                 faults.push(fault(
                     ResultCode::DuplicateKey,
--- a/crates/cranereach-core/src/token_bucket.rs
+++ b/crates/cranereach-core/src/token_bucket.rs
@@ -29,20 +29,66 @@
         }
     }
 
+    /// Sets how many tokens it holds now.
+    #[must_use]
+    pub fn with_level(mut self, level_count: f64) -> Self {
+        self.level_count = level_count;
+        self
+    }
+
     /// Takes one token if there is one.
     pub fn take(&mut self, now_ms: u64) -> bool {
-        self.fill(now_ms);
-        let allowed = self.level_count >= 1.0;
+        let allowed = self.wait_ms(now_ms, 1.0) == 0;
         if allowed {
-            self.level_count -= 1.0;
+            self.spend(now_ms, 1.0);
         }
         allowed
     }
 
+    /// Returns how many tokens it holds; fewer than none if more were spent.
+    pub fn level(&mut self, now_ms: u64) -> f64 {
+        self.fill(now_ms);
+        self.level_count
+    }
+
+    /// Returns how long it takes until it holds so many tokens, in milliseconds.
+    ///
+    /// ```
+    /// use cranereach_core::token_bucket::TokenBucket;
+    ///
+    /// let mut bucket = TokenBucket::new(100.0, 50.0, 0);
+    /// bucket.spend(0, 60.0);
+    /// assert_eq!(bucket.wait_ms(0, 10.0), 200);
+    /// assert_eq!(bucket.wait_ms(200, 10.0), 0);
+    /// ```
+    pub fn wait_ms(&mut self, now_ms: u64, count: f64) -> u64 {
+        let lacking = count - self.level(now_ms);
+        if lacking <= 0.0 {
+            0
+        } else if self.rate_per_s > 0.0 {
+            (lacking * 1_000.0 / self.rate_per_s).ceil() as u64
+        } else {
+            u64::from(u32::MAX)
+        }
+    }
+
+    /// Spends tokens, also more than there are.
+    pub fn spend(&mut self, now_ms: u64, count: f64) {
+        self.fill(now_ms);
+        self.level_count -= count;
+    }
+
+    /// Changes rate and burst from now on.
+    pub fn change(&mut self, now_ms: u64, rate_per_s: f64, burst_count: f64) {
+        self.fill(now_ms);
+        self.rate_per_s = rate_per_s;
+        self.burst_count = burst_count;
+        self.level_count = self.level_count.min(burst_count);
+    }
+
     /// Whether a token could be taken.
     pub fn is_filled(&mut self, now_ms: u64) -> bool {
-        self.fill(now_ms);
-        self.level_count >= 1.0
+        self.level(now_ms) >= 1.0
     }
 
     /// Empties the bucket, as if all of it had just been taken.
--- a/crates/cranereach-entry/src/callers/mod.rs
+++ b/crates/cranereach-entry/src/callers/mod.rs
@@ -19,7 +19,6 @@
 use hyper::Response;
 use hyper::Version;
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use serde_json::json;
@@ -33,6 +32,7 @@
 use cranereach_core::names::TargetName;
 use cranereach_core::snapshot::Grant;
 use cranereach_core::snapshot::Snapshot;
+use cranereach_http::bearer::bearer;
 use cranereach_http::body;
 use cranereach_http::server::Closed;
 
@@ -103,13 +103,6 @@
     })
 }
 
-/// Returns the bearer key of a request.
-pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
-    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
-    text.strip_prefix("Bearer ")
-        .or_else(|| text.strip_prefix("bearer "))
-}
-
 /// Hands a request to what its path means.
 async fn route(
     caller: Caller,
--- a/crates/cranereach-entry/src/operators.rs
+++ b/crates/cranereach-entry/src/operators.rs
@@ -10,13 +10,13 @@
 use serde_json::json;
 use xtra::Address;
 
-use crate::callers::bearer;
 use crate::control_actor::ControlActor;
 use crate::control_actor::Look;
 use crate::dispatch_actor::TakeDigest;
 use crate::shared::Shared;
 use cranereach_core::codes::ResultCode;
 use cranereach_core::drain::Phase;
+use cranereach_http::bearer::bearer;
 use cranereach_http::body;
 use cranereach_http::server::Closed;
 
--- /dev/null
+++ b/crates/cranereach-fleet/src/accounts.rs
@@ -0,0 +1,230 @@
+//! Client accounts: who owns a key, with which rank and which limit.
+//!
+//! Keys are known by their hashes alone: a look-up compares hashes, so that the time
+//! it takes says nothing about a key, and nothing that is told on or written down
+//! can open anything.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use cranereach_core::snapshot::KeyHash;
+
+use crate::roster::worker_key;
+
+/// Largest rate or burst that is taken for a limit, in tokens: far beyond what any
+/// fleet runs, and small enough that sums stay exact.
+const LIMIT_MAX_TOKENS: f64 = 1e12;
+
+/// Longest name of an account, in bytes: it travels in a header with each request.
+const NAME_MAX_BYTES: usize = 200;
+
+/// Accounts that metrics tell apart; those declared after them share one series.
+const SERIES_MAX_COUNT: usize = 64;
+
+/// Name of the series that further accounts share.
+const SERIES_OF_OTHERS: &str = "other";
+
+/// What a limit counts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitUnit {
+    /// Each request as one.
+    Requests,
+    /// The tokens that a request names, those of prompt and answer together; a
+    /// request that names none counts as `unnamed_tokens`.
+    Tokens {
+        /// Tokens of a request that names none.
+        unnamed_tokens: f64,
+    },
+}
+
+impl LimitUnit {
+    /// Returns what the smallest request counts: one that names no tokens.
+    pub fn smallest_cost(self) -> f64 {
+        match self {
+            Self::Requests => 1.0,
+            Self::Tokens { unnamed_tokens } => unnamed_tokens.max(1.0),
+        }
+    }
+}
+
+/// How much one account may use, over all instances together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Steady rate, in units per second.
+    pub rate_per_s: f64,
+    /// What may be used at once on top of it, in units.
+    pub burst: f64,
+    /// What the smallest request counts, in units.
+    pub smallest_cost: f64,
+}
+
+/// One client account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// Name, as upstreams are told it.
+    pub name: Arc<str>,
+    /// Hashes of its keys.
+    pub keys: Vec<KeyHash>,
+    /// Rank of its requests, zero first; none leaves it to the route.
+    pub rank: Option<u8>,
+    /// What its limit counts.
+    pub unit: LimitUnit,
+    /// Its limit; none if it has no limit.
+    pub limit: Option<Limit>,
+}
+
+impl Account {
+    /// Returns the key by which instances name the account to each other.
+    pub fn key(&self) -> u64 {
+        worker_key(&self.name)
+    }
+
+    /// Returns what a request counts against the limit.
+    ///
+    /// `tokens` are those that the request names, none if it names none.
+    pub fn cost(&self, tokens: Option<u64>) -> f64 {
+        match self.unit {
+            LimitUnit::Requests => 1.0,
+            LimitUnit::Tokens { unnamed_tokens } => {
+                tokens.map_or(unnamed_tokens, |tokens| tokens as f64)
+            }
+        }
+    }
+}
+
+/// Why a list of accounts can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AccountError {
+    /// The name is empty, too long, or can't be sent in a header.
+    #[error("client account {0:?}: the name is empty, too long or not plain text")]
+    Name(String),
+    /// Two accounts have one name.
+    #[error("client account {0:?}: declared twice")]
+    NameTwice(String),
+    /// A key is empty.
+    #[error("client account {0:?}: an empty key")]
+    EmptyKey(String),
+    /// Another account has the same key.
+    #[error("client account {0:?}: has a key of client account {1:?}")]
+    SharedKey(String, String),
+    /// A limit isn't a number that makes sense.
+    #[error("client account {0:?}: a limit is negative or absurd")]
+    Limit(String),
+}
+
+/// All client accounts of a configuration.
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use cranereach_core::snapshot::KeyHash;
+/// use cranereach_fleet::accounts::Account;
+/// use cranereach_fleet::accounts::Accounts;
+/// use cranereach_fleet::accounts::LimitUnit;
+///
+/// let account = Account {
+///     name: Arc::from("crews"),
+///     keys: vec![KeyHash::of("secret")],
+///     rank: None,
+///     unit: LimitUnit::Requests,
+///     limit: None,
+/// };
+/// let accounts = Accounts::new(vec![account]).unwrap();
+/// assert_eq!(accounts.by_secret("secret").unwrap().name.as_ref(), "crews");
+/// assert!(accounts.by_secret("guess").is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Accounts {
+    by_key_hash: HashMap<KeyHash, Arc<Account>>,
+    by_key: HashMap<u64, Arc<Account>>,
+    /// Names that metrics tell apart.
+    series: HashSet<Arc<str>>,
+}
+
+impl Accounts {
+    /// Checks accounts and makes them searchable.
+    pub fn new(accounts: Vec<Account>) -> Result<Self, AccountError> {
+        let mut all = Self::default();
+        for account in accounts {
+            all.add(account)?;
+        }
+        Ok(all)
+    }
+
+    /// Checks and adds one account.
+    fn add(&mut self, account: Account) -> Result<(), AccountError> {
+        let name = account.name.to_string();
+        if !is_name(&name) {
+            return Err(AccountError::Name(name));
+        }
+        if !account.limit.is_none_or(is_limit) || !is_unit(account.unit) {
+            return Err(AccountError::Limit(name));
+        }
+        let account = Arc::new(account);
+        for key in &account.keys {
+            if *key == KeyHash::of("") {
+                return Err(AccountError::EmptyKey(name));
+            }
+            let before = self.by_key_hash.insert(*key, Arc::clone(&account));
+            let other = before.filter(|before| before.name != account.name);
+            if let Some(other) = other {
+                return Err(AccountError::SharedKey(name, other.name.to_string()));
+            }
+        }
+        if self.series.len() < SERIES_MAX_COUNT {
+            self.series.insert(Arc::clone(&account.name));
+        }
+        let before = self.by_key.insert(account.key(), account);
+        before.map_or(Ok(()), |_| Err(AccountError::NameTwice(name)))
+    }
+
+    /// Whether any account is declared: without one, requests need no key.
+    pub fn are_declared(&self) -> bool {
+        !self.by_key.is_empty()
+    }
+
+    /// Counts the accounts.
+    pub fn count(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Finds the account that a caller's key belongs to.
+    pub fn by_secret(&self, secret: &str) -> Option<&Arc<Account>> {
+        self.by_key_hash.get(&KeyHash::of(secret))
+    }
+
+    /// Finds an account by the key that instances name it by.
+    pub fn by_key(&self, key: u64) -> Option<&Arc<Account>> {
+        self.by_key.get(&key)
+    }
+
+    /// Returns the label of an account in metrics, whose number is bounded.
+    pub fn label<'a>(&self, account: &'a Account) -> &'a str {
+        if self.series.contains(&account.name) {
+            &account.name
+        } else {
+            SERIES_OF_OTHERS
+        }
+    }
+}
+
+/// Whether a text may be an account's name: it is sent as a header's value.
+fn is_name(name: &str) -> bool {
+    let is_length = (1..=NAME_MAX_BYTES).contains(&name.len());
+    is_length && name.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+/// Whether a limit's numbers make sense.
+fn is_limit(limit: Limit) -> bool {
+    let is_amount = |amount: f64| (0.0..=LIMIT_MAX_TOKENS).contains(&amount);
+    is_amount(limit.rate_per_s) && is_amount(limit.burst) && is_amount(limit.smallest_cost)
+}
+
+/// Whether the numbers of a unit make sense.
+fn is_unit(unit: LimitUnit) -> bool {
+    match unit {
+        LimitUnit::Requests => true,
+        LimitUnit::Tokens { unnamed_tokens } => (0.0..=LIMIT_MAX_TOKENS).contains(&unnamed_tokens),
+    }
+}
--- a/crates/cranereach-fleet/src/configuration.rs
+++ b/crates/cranereach-fleet/src/configuration.rs
@@ -1,8 +1,11 @@
-//! The declared configuration: routes by host and longest path prefix, services, limits.
+//! The declared configuration: routes by host and longest path prefix, services, limits,
+//! client accounts.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::accounts::Accounts;
+
 /// What a route's calls allow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -46,6 +49,8 @@
     pub attempt_max_count: u32,
     /// Rank, zero first.
     pub priority: u8,
+    /// Whether its calls need no key.
+    pub is_anonymous: bool,
     /// Where its calls go.
     pub targets: Vec<Target>,
 }
@@ -150,6 +155,8 @@
     pub services: HashMap<Arc<str>, Arc<Service>>,
     /// Limits on callers.
     pub limits: Limits,
+    /// Client accounts.
+    pub accounts: Accounts,
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     /// Shortest pause that streams of each service may make, in milliseconds.
     shortest_gaps_ms: HashMap<Arc<str>, u64>,
@@ -157,7 +164,13 @@
 
 impl Configuration {
     /// Makes a configuration from its parts.
-    pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        limits: Limits,
+        accounts: Accounts,
+    ) -> Self {
         let mut by_host: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
         let mut shortest_gaps_ms: HashMap<Arc<str>, u64> = HashMap::new();
         for route in routes {
@@ -179,6 +192,7 @@
                 .map(|service| (Arc::clone(&service.name), Arc::new(service)))
                 .collect(),
             limits,
+            accounts,
             routes: by_host,
             shortest_gaps_ms,
         }
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -1,6 +1,8 @@
 //! Decisions about declared routes and their workers, without I/O or a clock.
 //!
-//! [`configuration`] answers which route a request takes. [`roster`] keeps what
+//! [`configuration`] answers which route a request takes, [`accounts`] whose key it
+//! carries, [`proof`] whether that is still known to hold, [`limits`] whether its
+//! account may run it. [`roster`] keeps what
 //! is known of every [`worker`] and picks one; it builds on [`load`], [`health`],
 //! [`pace`], [`stay`] and [`prefixes`]. [`membership`] says which instances live and which
 //! of them owns a worker, [`owned`] what an owner knows, [`bursts`] when it lets prompts
@@ -16,12 +18,14 @@
 //! assert!(!Tenure::new("entry-1", 3_000).may_order(0));
 //! ```
 
+pub mod accounts;
 pub mod bursts;
 pub mod configuration;
 pub mod demand;
 pub mod freshness;
 pub mod health;
 pub mod ledger;
+pub mod limits;
 pub mod listing;
 pub mod load;
 pub mod membership;
@@ -30,6 +34,7 @@
 pub mod placement;
 pub mod prefixes;
 pub mod pressure;
+pub mod proof;
 pub mod retry_window;
 pub mod roster;
 pub mod stay;
--- a/crates/cranereach-fleet/src/membership.rs
+++ b/crates/cranereach-fleet/src/membership.rs
@@ -86,6 +86,9 @@
 #[derive(Clone, Debug)]
 pub struct Membership {
     own: Ipv4Addr,
+    /// Whether this instance is a seed itself.
+    is_seed: bool,
+    /// The other seeds.
     seeds: Vec<Ipv4Addr>,
     known: HashMap<Ipv4Addr, Member>,
 }
@@ -98,10 +101,12 @@
 impl Membership {
     /// Makes the membership of an instance that knows its seeds alone.
     pub fn new(own: Ipv4Addr, seeds: &[Ipv4Addr]) -> Self {
+        let is_seed = seeds.contains(&own);
         let seeds: Vec<Ipv4Addr> = seeds.iter().filter(|seed| **seed != own).copied().collect();
         let known = seeds.iter().map(|seed| (*seed, Member::default()));
         Self {
             own,
+            is_seed,
             known: known.collect(),
             seeds,
         }
@@ -239,6 +244,20 @@
         others.max().map_or(self.own, |first| first.max(own).1)
     }
 
+    /// Returns the seed that owns a key for whoever doesn't know the others yet; none
+    /// if there are no seeds, or none of them answered lately.
+    pub fn seed_owner(&self, now_ms: u64, key: u64) -> Option<Ipv4Addr> {
+        let answers = |seed: &&Ipv4Addr| {
+            let member = self.known.get(*seed);
+            member.is_some_and(|member| now_ms >= member.passed_over_until_ms)
+        };
+        let others = self.seeds.iter().filter(answers).copied();
+        let own = self.is_seed.then_some(self.own);
+        others
+            .chain(own)
+            .max_by_key(|address| weight(key, *address))
+    }
+
     /// Notes that a member answered.
     pub fn answered(&mut self, address: Ipv4Addr) {
         if let Some(member) = self.known.get_mut(&address) {
--- a/crates/cranereach-fleet/tests/routes.rs
+++ b/crates/cranereach-fleet/tests/routes.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cranereach_fleet::accounts::Accounts;
 use cranereach_fleet::configuration::Configuration;
 use cranereach_fleet::configuration::Limits;
 use cranereach_fleet::configuration::Route;
@@ -27,6 +28,7 @@
         aim_ms: 100,
         attempt_max_count: 1,
         priority: 0,
+        is_anonymous: false,
         targets: targets
             .iter()
             .map(|(service, weight)| Target {
@@ -45,7 +47,7 @@
         route("long", "a.example", "/x/y/", &[("s", 1.0)]),
         route("other", "b.example", "/x/", &[("s", 1.0)]),
     ];
-    let configuration = Configuration::new(1, routes, Vec::new(), LIMITS);
+    let configuration = Configuration::new(1, routes, Vec::new(), LIMITS, Accounts::default());
     let table = [
         ("a.example", "/x/y/z", Some("long")),
         ("a.example", "/x/y", Some("short")),
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -41,6 +41,8 @@
     pub priority: &'static str,
     /// Last event that a caller has.
     pub last_event: &'static str,
+    /// Client account of the request, as the worker is told it.
+    pub account: &'static str,
     /// Headers that only this system may set; callers' ones are dropped.
     pub reserved: &'static [&'static str],
 }
@@ -201,6 +203,8 @@
     pub ready_path: &'static str,
     /// Reads a configuration.
     pub parse_configuration: fn(&[u8]) -> Result<Configuration, FormatError>,
+    /// Replaces the keys in a configuration by their hashes, so that it can be told on.
+    pub conceal_keys: fn(&[u8]) -> Result<Vec<u8>, FormatError>,
     /// Reads a worker's row.
     pub parse_worker: fn(id: &str, value: &[u8]) -> Result<WorkerRecord, FormatError>,
     /// The store.
--- a/crates/cranereach-gateway/src/bodies.rs
+++ b/crates/cranereach-gateway/src/bodies.rs
@@ -111,6 +111,8 @@
     if version <= node.configuration_version() {
         return;
     }
+    node.configuration_heard
+        .fetch_max(version, Ordering::AcqRel);
     if node.is_fetching_configuration.swap(true, Ordering::AcqRel) {
         return;
     }
--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -1,7 +1,8 @@
 //! Follows the configuration in the store, a few instances for all.
 //!
-//! Digests tell which version is in force at their sender, and since when it has been
-//! known to be the newest. Whoever is told of a newer one fetches it from the peer.
+//! Digests tell which version is in force at their sender; whoever is told of a newer
+//! one fetches it from the peer. Since when a version is known to have been the newest
+//! is asked of peers, see [`crate::proofs`].
 
 use std::sync::Arc;
 
@@ -15,7 +16,6 @@
 use crate::node::pause;
 use crate::store::StoreError;
 use crate::store_pace;
-use cranereach_fleet::freshness::told_at_ms;
 
 /// Instances that wait at the store for changes, for all: two, so that one that
 /// falls silent is not missed.
@@ -28,6 +28,9 @@
 /// Purpose that instances are ranked for.
 const PURPOSE: &str = "configuration";
 
+/// Time until a configuration that isn't understood is read again, in milliseconds.
+const UNREADABLE_PAUSE_MS: u64 = 500;
+
 /// Longest pause between two looks whether a read is due, in milliseconds.
 const LOOK_EVERY_MS: u64 = 100;
 
@@ -57,10 +60,16 @@
                     info!(node.log, "store regained"; "for" => "configuration", "failures" => failure_count);
                 }
                 failure_count = 0;
-                take(&node, key, rows);
-                // The store answers no earlier than after the wait if nothing changes.
-                let waited_ms = wait_ms.min(node.now_ms() - begun_ms);
-                lock(&node.configuration_freshness).confirm(begun_ms + waited_ms);
+                // With nothing new the store answers after the whole wait; a change it
+                // answers at once, and more may have followed since.
+                let waited_ms = if rows.rows.is_empty() { wait_ms } else { 0 };
+                if take(&node, key, rows) {
+                    lock(&node.proof).read(begun_ms + waited_ms);
+                } else {
+                    // Later answers would not show that version any more.
+                    after = None;
+                    pause(UNREADABLE_PAUSE_MS).await;
+                }
             }
             Err(error) => {
                 if error == StoreError::HistoryGone {
@@ -95,25 +104,14 @@
             return 0;
         }
         let now_ms = node.now_ms();
-        let due_ms = lock(&node.configuration_freshness).read_due_at_ms(rank);
+        let due_ms = lock(&node.proof).read_due_at_ms(rank);
         pause(LOOK_EVERY_MS.min(due_ms.saturating_sub(now_ms))).await;
     }
 }
 
 /// Whether an instance of a rank has to ask the store.
 fn is_due(node: &Node, rank: u64) -> bool {
-    node.now_ms() >= lock(&node.configuration_freshness).read_due_at_ms(rank)
-}
-
-/// Takes a peer's word that a version was the newest a while ago.
-pub fn take_age(node: &Node, version: u64, age_ms: u64) {
-    if version == node.configuration_version() {
-        let true_at_ms = told_at_ms(node.now_ms(), age_ms);
-        let mut freshness = lock(&node.configuration_freshness);
-        if freshness.is_older_than(true_at_ms) {
-            freshness.confirm(true_at_ms);
-        }
-    }
+    node.now_ms() >= lock(&node.proof).read_due_at_ms(rank)
 }
 
 /// Whether this instance is one of those that watch for all.
@@ -126,8 +124,10 @@
     node.peers().rank(node.now_ms(), PURPOSE)
 }
 
-/// Puts the newest row of the configuration in force.
-fn take(node: &Node, key: &str, rows: Rows) {
+/// Puts the newest row of the configuration in force; false if one wasn't understood,
+/// so that nothing is known of the newest.
+fn take(node: &Node, key: &str, rows: Rows) -> bool {
+    let mut is_understood = true;
     for row in rows
         .rows
         .into_iter()
@@ -139,6 +139,8 @@
                 .with_label_values(&["configuration"])
                 .inc();
             warn!(node.log, "configuration not understood"; "error" => error.to_string());
+            is_understood = false;
         }
     }
+    is_understood
 }
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/caller.rs
@@ -0,0 +1,72 @@
+//! Who calls: the client account that a request's key belongs to.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use hyper::HeaderMap;
+
+use crate::node::Node;
+use crate::node::lock;
+use cranereach_core::codes::ResultCode;
+use cranereach_fleet::accounts::Account;
+use cranereach_fleet::configuration::Configuration;
+use cranereach_fleet::configuration::Route;
+use cranereach_http::bearer::bearer;
+
+/// Longest time for which a request with an unknown key or path waits for a
+/// configuration that peers have told of and that is being fetched, in milliseconds.
+const NEWER_WITHIN_MS: u64 = 400;
+
+/// Finds the account of a request; none where the route needs no key.
+pub async fn account(
+    node: &Node,
+    configuration: &Configuration,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Account>>, ResultCode> {
+    if route.is_anonymous || !configuration.accounts.are_declared() {
+        return Ok(None);
+    }
+    let secret = bearer(headers).ok_or(ResultCode::Unauthenticated)?;
+    if !node.may_serve_keys() {
+        return Err(ResultCode::ConfigUnknown);
+    }
+    if let Some(account) = configuration.accounts.by_secret(secret) {
+        return Ok(Some(Arc::clone(account)));
+    }
+    if let Some(newer) = newer_configuration(node, configuration.version).await
+        && let Some(account) = newer.accounts.by_secret(secret)
+    {
+        return Ok(Some(Arc::clone(account)));
+    }
+    Err(refusal_code(node, ResultCode::Unauthenticated))
+}
+
+/// Returns the code of a refusal that rests on the configuration: where that may be
+/// behind, the request may well be proper.
+pub fn refusal_code(node: &Node, code: ResultCode) -> ResultCode {
+    let bound_ms = node.settings.bounds.configuration_ms;
+    if lock(&node.proof).may_be_behind(node.now_ms(), bound_ms) {
+        ResultCode::ConfigUnknown
+    } else {
+        code
+    }
+}
+
+/// Waits for a configuration that peers have told of; none if there is none, or it
+/// doesn't come soon. Requests that can't be served cost no call to the store.
+pub async fn newer_configuration(node: &Node, than: u64) -> Option<Arc<Configuration>> {
+    let is_newer = |known: &Arc<Configuration>| known.version > than;
+    let until_ms = node.now_ms() + NEWER_WITHIN_MS;
+    loop {
+        let changed = node.configuration_changed.notified();
+        if let Some(newer) = node.configuration().filter(is_newer) {
+            return Some(newer);
+        }
+        if node.configuration_heard.load(Ordering::Acquire) <= than {
+            return None;
+        }
+        let waited = tokio::time::timeout_at(node.instant(until_ms), changed).await;
+        waited.ok()?;
+    }
+}
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -119,7 +119,7 @@
             fixed_ms: pace.fixed_ms,
             stay_ms: work::stay_ms(self.node, self.call),
             gap_aim_ms: self.call.gap_aim_ms.map(|gap_aim_ms| gap_aim_ms as f64),
-            rank: usize::from(self.call.route.priority),
+            rank: usize::from(self.call.rank),
             held_tokens: self.call.held_tokens,
             zone: &self.node.settings.instance.failure_domain,
             tried: &self.tried,
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -64,13 +64,13 @@
 }
 
 /// Runs a call to its answer or refusal, both in time.
-pub async fn run(node: &Arc<Node>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
+pub async fn run(node: &Arc<Node>, call: &Call) -> Result<Response<AnswerBody>, Refusal> {
     node.note_request(&call.service.name);
-    work::note_demand(node, &call);
+    work::note_demand(node, call);
     let due = node.instant(call.end_by_ms);
     let mut exchange = Exchange {
         node,
-        call: &call,
+        call,
         tried: Vec::new(),
         last_choice: None,
         failed_answer: None,
@@ -103,7 +103,7 @@
         (result, _) => result,
     };
     if let Ok(answer) = &result {
-        record::answered(node, &call, answer, exchange.last_choice.as_ref());
+        record::answered(node, call, answer, exchange.last_choice.as_ref());
     }
     result
 }
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -1,10 +1,12 @@
 //! A caller's request on its way: route, send, answer.
 //!
-//! [`request`] reads what the caller asks for, [`exchange`] sends it to workers
+//! [`request`] reads what the caller asks for, [`caller`] finds whose key it is,
+//! [`exchange`] sends it to workers
 //! until there is an answer or an end, [`choosing`] picks each one, [`work`] says how much work a call makes,
 //! [`head`] checks an answer's head, [`passing`] hands a stream on as it comes,
 //! [`record`] counts it, and [`refusal`] answers what could not be served.
 
+mod caller;
 mod choosing;
 mod exchange;
 mod head;
@@ -36,7 +38,11 @@
 use self::passing::Passing;
 use self::refusal::Refusal;
 use self::request::Call;
+use crate::limits;
+use crate::limits::Charge;
+use crate::limits::Denied;
 use crate::node::Node;
+use cranereach_core::codes::Ran;
 use cranereach_core::codes::ResultCode;
 use cranereach_http::server::Closed;
 
@@ -104,7 +110,44 @@
     received_ms: u64,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let call = Call::read(node, request, received_ms).await?;
-    exchange::run(node, call).await
+    let charge = charge(node, &call).await?;
+    let result = exchange::run(node, &call).await;
+    if result
+        .as_ref()
+        .is_err_and(|refusal| refusal.code.row().ran == Ran::No)
+    {
+        charge.give_back(node);
+    }
+    record::of_account(node, &call, &result);
+    result
+}
+
+/// Charges a call to its account's limit, or refuses it.
+async fn charge(node: &Node, call: &Call) -> Result<Charge, Refusal> {
+    let Some(account) = &call.account else {
+        return Ok(Charge::default());
+    };
+    let charged = limits::charge(node, account, call.cost).await;
+    charged.map_err(|denied| {
+        let code = match denied {
+            Denied::Beyond(_) => ResultCode::OverLimit,
+            Denied::Unknown => ResultCode::LimitUnknown,
+        };
+        let limit = account.limit.map(|limit| (limit.rate_per_s, limit.burst));
+        let detail = format!(
+            "account {}, cost {}, rate and burst {limit:?}",
+            account.name, call.cost
+        );
+        let mut refusal = Refusal::of(code, &call.id).with_detail(detail);
+        refusal.route = Some(Arc::clone(&call.route.name));
+        if let Denied::Beyond(wait_ms) = denied {
+            refusal.retry_after_ms = wait_ms;
+        }
+        let results = &node.metrics.account_requests_total;
+        let label = call.account_label.as_str();
+        results.with_label_values(&[label, code.row().name]).inc();
+        refusal
+    })
 }
 
 /// Answers a refusal, counts and logs it.
--- a/crates/cranereach-gateway/src/forward/record.rs
+++ b/crates/cranereach-gateway/src/forward/record.rs
@@ -4,6 +4,7 @@
 use slog::info;
 
 use super::AnswerBody;
+use super::refusal::Refusal;
 use super::request::Call;
 use crate::node::Node;
 use cranereach_fleet::roster::Choice;
@@ -27,6 +28,30 @@
         .observe(took_s);
 }
 
+/// Counts how a call of a client account ended, and the units it was charged.
+pub fn of_account(node: &Node, call: &Call, result: &Result<Response<AnswerBody>, Refusal>) {
+    if call.account.is_none() {
+        return;
+    }
+    let label = call.account_label.as_str();
+    let result_name = match result {
+        Ok(answer) if answer.status().is_success() => "served",
+        Ok(_) => "passed",
+        Err(refusal) => refusal.code.row().name,
+    };
+    let results = &node.metrics.account_requests_total;
+    results.with_label_values(&[label, result_name]).inc();
+    let units = &node.metrics.account_units_total;
+    if result.is_ok() {
+        units.with_label_values(&[label]).inc_by(call.cost);
+        let took_s = node.now_ms().saturating_sub(call.received_ms) as f64 / 1_000.0;
+        let seconds = &node.metrics.account_first_byte_seconds;
+        seconds
+            .with_label_values(&[label, &call.route.name])
+            .observe(took_s);
+    }
+}
+
 /// Logs an answer that begins later than the route aims at, with what its worker
 /// was chosen by.
 fn note_late(node: &Node, call: &Call, choice: Option<&Choice>) {
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -9,6 +9,7 @@
 use hyper::Request;
 use hyper::Uri;
 use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
@@ -17,9 +18,12 @@
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 
+use super::caller;
 use super::refusal::Refusal;
 use crate::node::Node;
 use cranereach_core::codes::ResultCode;
+use cranereach_fleet::accounts::Account;
+use cranereach_fleet::accounts::LimitUnit;
 use cranereach_fleet::configuration::Route;
 use cranereach_fleet::configuration::RouteKind;
 use cranereach_fleet::configuration::Service;
@@ -63,6 +67,14 @@
     pub received_ms: u64,
     /// When the final answer is due, in milliseconds.
     pub end_by_ms: u64,
+    /// The caller's account; none where no key is needed.
+    pub account: Option<Arc<Account>>,
+    /// The account in metrics.
+    pub account_label: String,
+    /// What the request counts against the account's limit, in its units.
+    pub cost: f64,
+    /// Rank, zero first: the account's where it has one, else the route's.
+    pub rank: u8,
     /// Model, if the service holds models.
     pub model: Option<WantedModel>,
     /// Tokens of the prompt.
@@ -101,6 +113,7 @@
             .unwrap_or_default();
         let route = configuration.route(host, request.uri().path());
         let route = Arc::clone(route.ok_or_else(|| Refusal::of(ResultCode::NoSuchPath, &id))?);
+        let account = caller::account(node, &configuration, &route, request.headers()).await;
         let refuse = |code: ResultCode, detail: &str| {
             let mut refusal = Refusal::of(code, &id).with_detail(detail);
             refusal.route = Some(Arc::clone(&route.name));
@@ -109,6 +122,14 @@
         if id.is_empty() {
             return Err(refuse(ResultCode::BadRequest, "no identity"));
         }
+        let account = account.map_err(|code| refuse(code, "key"))?;
+        let cost = cost(account.as_deref(), text(names.tokens))
+            .map_err(|detail| refuse(ResultCode::BadRequest, detail))?;
+        let label = account
+            .as_ref()
+            .map(|account| configuration.accounts.label(account));
+        let account_label = label.unwrap_or_default().to_owned();
+        let account_rank = account.as_ref().and_then(|account| account.rank);
         let service = route
             .target(rand::random())
             .and_then(|target| configuration.services.get(target))
@@ -127,6 +148,7 @@
             (Some(_), Some(listed)) => prompt_parts(text(names.model).unwrap_or_default(), listed),
             _ => Vec::new(),
         };
+        let route_rank = route.priority;
         let gap_aim_ms = configuration.gap_aim_ms(&service.name);
         let (head, incoming) = request.into_parts();
         let left_ms = end_by_ms.saturating_sub(node.now_ms());
@@ -142,6 +164,10 @@
             service,
             received_ms,
             end_by_ms,
+            rank: account_rank.unwrap_or(route_rank),
+            account,
+            account_label,
+            cost,
             model,
             prompt_tokens,
             held_tokens: prompt_tokens.saturating_add(answer_max_tokens),
@@ -183,7 +209,13 @@
         if self.service.engine.is_some() {
             headers.insert(
                 HeaderName::from_static(names.priority),
-                HeaderValue::from(u16::from(self.route.priority.min(9))),
+                HeaderValue::from(u16::from(self.rank.min(9))),
+            );
+        }
+        if let Some(account) = &self.account {
+            headers.insert(
+                HeaderName::from_static(names.account),
+                HeaderValue::from_str(&account.name).ok()?,
             );
         }
         if let Some(last_event) = last_event {
@@ -207,7 +239,8 @@
     }
 }
 
-/// Copies the headers that are passed on.
+/// Copies the headers that are passed on: neither a caller's key nor what only this
+/// system may set.
 pub fn passed_headers(headers: &Headers, reserved: &[&str]) -> Headers {
     let named: Vec<String> = headers
         .get_all(CONNECTION)
@@ -219,6 +252,7 @@
     let is_passed = |name: &HeaderName| {
         let name = name.as_str();
         !OF_ONE_CONNECTION.contains(&name)
+            && name != AUTHORIZATION.as_str()
             && !reserved.contains(&name)
             && (name == HOST.as_str() || !named.iter().any(|listed| listed == name))
     };
@@ -246,6 +280,27 @@
     }
 }
 
+/// Returns what a request that names some tokens counts against its account's limit; an
+/// error where a limit rests on numbers that can't be read.
+fn cost(account: Option<&Account>, named: Option<&str>) -> Result<f64, &'static str> {
+    let Some(account) = account.filter(|account| account.limit.is_some()) else {
+        return Ok(0.0);
+    };
+    let named = named.filter(|_| account.unit != LimitUnit::Requests);
+    let Some(named) = named else {
+        return Ok(account.cost(None));
+    };
+    let mut sum = 0_u64;
+    for count in named.split(',') {
+        let count: Result<u64, _> = count.trim().parse();
+        let Ok(count) = count else {
+            return Err("numbers of tokens that can't be read");
+        };
+        sum = sum.saturating_add(count);
+    }
+    Ok(account.cost(Some(sum)))
+}
+
 /// Reads the tokens of the prompt and of the longest answer.
 fn token_counts(text: &str) -> (u32, u32) {
     let mut counts = text
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -14,7 +14,7 @@
 use tokio::net::UdpSocket;
 
 use crate::bodies;
-use crate::configuration_sync;
+use crate::limits;
 use crate::messages::DATAGRAM_MAX_BYTES;
 use crate::messages::Datagram;
 use crate::messages::DemandMessage;
@@ -31,6 +31,7 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::owners;
+use crate::proofs;
 use crate::roster_sync;
 use cranereach_fleet::freshness::Freshness;
 use cranereach_fleet::listing::ListPart;
@@ -204,7 +205,6 @@
         count,
         is_leaving: node.is_stopping(),
         configuration_version: node.configuration_version(),
-        configuration_age_ms: age_ms(&node.configuration_freshness),
         list_version: node.list_version(),
         list_age_ms: age_ms(&node.list),
         holds,
@@ -273,6 +273,12 @@
                     }
                     Message::Quote(quote) => owners::take_quote(&node, quote),
                     Message::Placed(placed) => news::take_placed(&node, &placed),
+                    Message::Prove(question) => proofs::answer(&node, sender, question),
+                    Message::Proof(answer) => proofs::take(&node, ip, &answer),
+                    Message::Limit(ask) => limits::answer(&node, sender, &ask),
+                    Message::Granted(grant) => {
+                        node.limit_questions.answered(grant.ticket, grant);
+                    }
                     Message::List(changes) => roster_sync::take_message(&node, ip, changes),
                 }
             }
@@ -298,11 +304,6 @@
         return false;
     }
     bodies::fetch_configuration_if_behind(node, sender, digest.configuration_version);
-    configuration_sync::take_age(
-        node,
-        digest.configuration_version,
-        digest.configuration_age_ms,
-    );
     let has_changed = news::take_roster(node, now_ms, sender, digest);
     if has_changed {
         node.roster_changed.notify_waiters();
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`run`] starts and stops the parts. A caller's request runs through
 //! [`forward`]. Beside that path [`configuration_sync`] and [`roster_sync`]
-//! follow the store, [`gossip`] and [`bodies`] tell peers what they can't see, and
+//! follow the store, [`proofs`] and [`limits`] ask peers what accounts may do, [`gossip`] and [`bodies`] tell peers what they can't see, and
 //! [`controller`] holds the leases and orders workers. Everything that a
 //! platform names or formats comes in through an [`adapter`].
 
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod heard_leases;
+pub mod limits;
 pub mod log;
 pub mod messages;
 pub mod metrics;
@@ -21,6 +22,8 @@
 pub mod operators;
 pub mod owners;
 pub mod peers;
+pub mod proofs;
+pub mod questions;
 pub mod roster_sync;
 pub mod run;
 pub mod settings;
--- /dev/null
+++ b/crates/cranereach-gateway/src/limits.rs
@@ -0,0 +1,215 @@
+//! Asks the owners of accounts' limits whether a request may run.
+//!
+//! See [`cranereach_fleet::limits`]. An account without a limit costs no message.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::messages::LimitAsk;
+use crate::messages::LimitGrant;
+use crate::messages::Message;
+use crate::node::Node;
+use crate::node::lock;
+use cranereach_fleet::accounts::Account;
+use cranereach_fleet::accounts::Limit;
+use cranereach_fleet::limits::Decision;
+use cranereach_fleet::limits::Grant;
+use cranereach_fleet::limits::PartKey;
+use cranereach_fleet::limits::Wanted;
+
+/// Time that an owner's answer is waited for, in milliseconds: some ten times the way
+/// there and back within a region.
+const ANSWER_WITHIN_MS: u64 = 20;
+
+/// Owners that are asked for one request at most.
+const TRY_COUNT: u32 = 3;
+
+/// Time after the start for which an instance takes the seeds for owners, in
+/// milliseconds: it doesn't know the others yet, and instances that start together
+/// must not each take itself for the owner.
+const SETTLING_MS: u64 = 1_500;
+
+/// Why a request may not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// It is beyond the limit; there may be room after a time, in milliseconds.
+    Beyond(u64),
+    /// Nobody can say.
+    Unknown,
+}
+
+/// What a request has been charged to its account's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Charge {
+    account: u64,
+    units: f64,
+}
+
+impl Charge {
+    /// Gives back what was charged for a request that did not run.
+    pub fn give_back(self, node: &Node) {
+        lock(&node.uses).give_back(self.account, self.units);
+    }
+}
+
+/// Charges a request to its account's limit.
+pub async fn charge(node: &Node, account: &Account, cost: f64) -> Result<Charge, Denied> {
+    let Some(limit) = account.limit else {
+        return Ok(Charge::default());
+    };
+    let key = account.key();
+    let charge = Charge {
+        account: key,
+        units: cost,
+    };
+    let tolerance = node.settings.bounds.tolerance();
+    let decision = lock(&node.uses).decide(node.now_ms(), key, limit, &tolerance, cost);
+    let (wanted, held) = match decision {
+        Decision::Paid => return Ok(charge),
+        Decision::Beyond(wait_ms) => return Err(Denied::Beyond(wait_ms)),
+        Decision::Ask { wanted, held } => (wanted, held),
+    };
+    let mut aside = SetAside {
+        node,
+        account: key,
+        units: held,
+    };
+    let grant = ask(node, key, limit, wanted).await;
+    let now_ms = node.now_ms();
+    match grant {
+        Some(Grant::Units(units)) => {
+            aside.units = 0.0;
+            lock(&node.uses).granted(now_ms, key, held + units, cost);
+            Ok(charge)
+        }
+        Some(Grant::After(wait_ms)) => {
+            lock(&node.uses).refused(now_ms, key, wait_ms);
+            Err(Denied::Beyond(wait_ms))
+        }
+        None if lock(&node.uses).may_run_alone(now_ms, key, cost) => Ok(Charge {
+            units: 0.0,
+            ..charge
+        }),
+        None => Err(Denied::Unknown),
+    }
+}
+
+/// Units set aside for a request, given back when it ends without using them, also
+/// with a caller who left.
+struct SetAside<'a> {
+    node: &'a Node,
+    account: u64,
+    units: f64,
+}
+
+impl Drop for SetAside<'_> {
+    fn drop(&mut self) {
+        if self.units > 0.0 {
+            lock(&self.node.uses).give_back(self.account, self.units);
+        }
+    }
+}
+
+/// Asks owners of parts of a limit, one after another, until one grants something;
+/// none if nobody answered.
+async fn ask(node: &Node, account: u64, limit: Limit, wanted: Wanted) -> Option<Grant> {
+    let part_count = node.settings.bounds.tolerance().part_count(limit);
+    let first: u32 = rand::random();
+    let mut shortest_ms: Option<u64> = None;
+    let mut refused_count = 0;
+    for number in 0..TRY_COUNT {
+        let part = first.wrapping_add(number) % part_count;
+        let key = PartKey { account, part };
+        match ask_one(node, key, limit, wanted).await {
+            Some(Grant::Units(units)) => return Some(Grant::Units(units)),
+            Some(Grant::After(wait_ms)) => {
+                refused_count += 1;
+                shortest_ms = Some(shortest_ms.map_or(wait_ms, |known_ms| known_ms.min(wait_ms)));
+            }
+            None => {}
+        }
+        if refused_count >= part_count {
+            break;
+        }
+    }
+    shortest_ms.map(Grant::After)
+}
+
+/// Asks the owner of one part; none if it doesn't answer.
+async fn ask_one(node: &Node, key: PartKey, limit: Limit, wanted: Wanted) -> Option<Grant> {
+    let owner = owner_of(node, key);
+    if owner == node.own_ip() {
+        return Some(take(node, key, limit, wanted));
+    }
+    let mut question = node.limit_questions.open();
+    let ask = LimitAsk {
+        ticket: question.ticket,
+        account: key.account,
+        part: key.part,
+        least: wanted.least as f32,
+        most: wanted.most as f32,
+    };
+    let address = SocketAddr::from((owner, node.peer_port()));
+    node.send_now(address, Message::Limit(ask));
+    let due = node.instant(node.now_ms() + ANSWER_WITHIN_MS);
+    let answered = tokio::time::timeout_at(due, question.answers.recv()).await;
+    let now_ms = node.now_ms();
+    let Ok(Some(granted)) = answered else {
+        node.peers().members_mut().missed(now_ms, owner);
+        return None;
+    };
+    node.peers().members_mut().answered(owner);
+    let units = granted.units.map(|units| Grant::Units(f64::from(units)));
+    Some(units.unwrap_or(Grant::After(granted.wait_ms)))
+}
+
+/// Answers a peer that takes this instance for the owner of a part of a limit. Without
+/// a word where the account isn't known here: the peer asks another.
+pub fn answer(node: &Node, peer: SocketAddr, ask: &LimitAsk) {
+    let IpAddr::V4(ip) = peer.ip() else { return };
+    let Some(configuration) = node.configuration() else {
+        return;
+    };
+    let account = configuration.accounts.by_key(ask.account).map(Arc::clone);
+    let limit = account.and_then(|account| account.limit);
+    let Some(limit) = limit.filter(|_| node.peers().members().is_known(ip)) else {
+        return;
+    };
+    let key = PartKey {
+        account: ask.account,
+        part: ask.part,
+    };
+    let wanted = Wanted {
+        least: f64::from(ask.least.max(0.0)),
+        most: f64::from(ask.most.max(0.0)),
+    };
+    let (units, wait_ms) = match take(node, key, limit, wanted) {
+        Grant::Units(units) => (Some(units as f32), 0),
+        Grant::After(wait_ms) => (None, wait_ms),
+    };
+    let grant = LimitGrant {
+        ticket: ask.ticket,
+        units,
+        wait_ms,
+    };
+    node.send_now(peer, Message::Granted(grant));
+}
+
+/// Takes units out of a part that this instance owns.
+fn take(node: &Node, key: PartKey, limit: Limit, wanted: Wanted) -> Grant {
+    let tolerance = node.settings.bounds.tolerance();
+    lock(&node.owned_limits).take(node.now_ms(), key, limit, &tolerance, wanted)
+}
+
+/// Returns the instance that owns a part of a limit.
+fn owner_of(node: &Node, key: PartKey) -> Ipv4Addr {
+    let now_ms = node.now_ms();
+    let peers = node.peers();
+    let is_settling = now_ms < SETTLING_MS;
+    let seed = is_settling.then(|| peers.members().seed_owner(now_ms, key.owner_key()));
+    let members = peers.members();
+    seed.flatten()
+        .unwrap_or_else(|| members.owner(now_ms, key.owner_key()))
+}
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -19,9 +19,11 @@
 use cranereach_fleet::membership::MemberNews;
 use cranereach_fleet::owned::Opening;
 use cranereach_fleet::owned::Outcome;
+use cranereach_fleet::proof::ProofAnswer;
+use cranereach_fleet::proof::ProofQuestion;
 
 /// Version of the messages; others are dropped.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 
 /// Largest datagram that is taken, in bytes.
 pub const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
@@ -80,6 +82,40 @@
     /// Adapters that are there now, for whoever waits for them: worker, model and
     /// adapter.
     Placed(Vec<(u64, ModelKey)>),
+    /// A question for proof that the sender's configuration is the newest.
+    Prove(ProofQuestion),
+    /// The answer.
+    Proof(ProofAnswer),
+    /// A question to the owner of a part of an account's limit.
+    Limit(LimitAsk),
+    /// The answer.
+    Granted(LimitGrant),
+}
+
+/// What an owner of a part of a limit is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitAsk {
+    /// Number of the question.
+    pub ticket: u64,
+    /// Key of the account.
+    pub account: u64,
+    /// Number of the part.
+    pub part: u32,
+    /// The least that is of use, in units.
+    pub least: f32,
+    /// The most that is taken, in units.
+    pub most: f32,
+}
+
+/// What an owner of a part of a limit grants.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitGrant {
+    /// Number of the question.
+    pub ticket: u64,
+    /// Units; none where the limit has no room.
+    pub units: Option<f32>,
+    /// Time until there is room, in milliseconds.
+    pub wait_ms: u64,
 }
 
 /// A question or word about one request to the owner of a worker.
@@ -229,8 +265,6 @@
     pub is_leaving: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
-    /// Time since that version was last known to be the newest, in milliseconds.
-    pub configuration_age_ms: u64,
     /// Version of the store that its list of workers is complete at.
     pub list_version: u64,
     /// Time since that list was last known to be complete, in milliseconds.
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of an instance.
 
+use prometheus::CounterVec;
 use prometheus::Encoder;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -31,6 +32,15 @@
     pub bad_input_total: IntCounterVec,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// Time since the configuration in force is known to have been the newest, in
+    /// milliseconds.
+    pub configuration_age_ms: IntGauge,
+    /// Requests by client account and result.
+    pub account_requests_total: IntCounterVec,
+    /// Time to the first byte, in seconds, by client account and route.
+    pub account_first_byte_seconds: HistogramVec,
+    /// Units charged to limits, by client account.
+    pub account_units_total: CounterVec,
     /// Time for which the list of workers may have been out of date, in milliseconds.
     pub list_age_ms: IntGauge,
     /// Whether this instance holds a lease.
@@ -77,6 +87,26 @@
         registry
             .register(Box::new(first_byte_seconds.clone()))
             .expect("names differ");
+        let account_first_byte_seconds = HistogramVec::new(
+            histogram_opts!(
+                "account_first_byte_seconds",
+                "time from receipt to the first byte of the answer",
+                LATENCY_BOUNDS_S.to_vec()
+            ),
+            &["account", "route"],
+        )
+        .expect("names are constants");
+        registry
+            .register(Box::new(account_first_byte_seconds.clone()))
+            .expect("names differ");
+        let account_units_total = CounterVec::new(
+            opts!("account_units_total", "units charged to limits"),
+            &["account"],
+        )
+        .expect("names are constants");
+        registry
+            .register(Box::new(account_units_total.clone()))
+            .expect("names differ");
         let connections_total = IntCounter::new("connections_total", "connections made to workers")
             .expect("names are constants");
         registry
@@ -88,6 +118,14 @@
             store_calls_total: counters("store_calls_total", "store calls", &["kind", "outcome"]),
             orders_total: counters("orders_total", "orders to workers", &["kind", "outcome"]),
             bad_input_total: counters("bad_input_total", "input not understood", &["source"]),
+            account_requests_total: counters(
+                "account_requests_total",
+                "requests of client accounts by result",
+                &["account", "result"],
+            ),
+            account_first_byte_seconds,
+            account_units_total,
+            configuration_age_ms: gauge("configuration_age_ms", "age of the configuration"),
             configuration_version: gauge("configuration_version", "version in force"),
             list_age_ms: gauge("list_age_ms", "age of the list of workers"),
             leases_held: gauge("leases_held", "leases held here"),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -10,6 +10,7 @@
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -24,11 +25,13 @@
 use crate::adapter;
 use crate::adapter::Adapter;
 use crate::adapter::FormatError;
+use crate::messages::LimitGrant;
 use crate::messages::Message;
+use crate::messages::Quote;
 use crate::messages::encode;
 use crate::metrics::Metrics;
-use crate::owners::Waiting;
 use crate::peers::Peers;
+use crate::questions::Questions;
 use crate::settings::Settings;
 use crate::store::Store;
 use cranereach_fleet::configuration::Configuration;
@@ -36,9 +39,12 @@
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::freshness::Freshness;
+use cranereach_fleet::limits::OwnedLimits;
+use cranereach_fleet::limits::Uses;
 use cranereach_fleet::listing::Listing;
 use cranereach_fleet::owned::OwnedWorkers;
 use cranereach_fleet::pace::Paces;
+use cranereach_fleet::proof::Proof;
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::stay::Stays;
@@ -89,13 +95,13 @@
     pub listing: Mutex<Listing>,
     /// How fresh the list of workers is.
     pub list: Mutex<Freshness>,
-    /// How fresh the configuration is.
-    pub configuration_freshness: Mutex<Freshness>,
+    /// What can be proved of the configuration.
+    pub proof: Mutex<Proof>,
     /// Wakes the sender of changes of the list.
     pub list_told: Notify,
     /// Workers read as leaving or gone: when, key, version.
     pub recent_leaving: Mutex<Vec<(u64, u64, u64)>>,
-    /// Body of the configuration in force.
+    /// Body of the configuration in force, as peers are told it: without keys.
     pub configuration_body: Mutex<Bytes>,
     configuration: Mutex<Option<Arc<Configuration>>>,
     roster: Mutex<Roster>,
@@ -109,7 +115,13 @@
     /// Requests at the workers that this instance owns.
     pub owned: Mutex<OwnedWorkers>,
     /// Questions to owners that wait for answers.
-    pub questions: Mutex<Waiting>,
+    pub questions: Questions<Quote>,
+    /// Parts of accounts' limits that this instance owns.
+    pub owned_limits: Mutex<OwnedLimits>,
+    /// What this instance uses of accounts' limits.
+    pub uses: Mutex<Uses>,
+    /// Questions to owners of limits that wait for answers.
+    pub limit_questions: Questions<LimitGrant>,
     /// Socket that peers are told by; none before the start.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Leases whose term is over here, by the key of their service.
@@ -122,6 +134,10 @@
     pub is_list_lost: AtomicBool,
     /// Ends a wait for the configuration that may never be answered.
     pub configuration_wanted: Notify,
+    /// Wakes whoever waits for a newer configuration.
+    pub configuration_changed: Notify,
+    /// Newest version of the configuration that some peer has told of.
+    pub configuration_heard: AtomicU64,
     own_ip: Ipv4Addr,
     is_stopping: AtomicBool,
     started: Instant,
@@ -148,12 +164,13 @@
         let seeds = settings.peers.seeds.iter();
         let seeds = seeds.filter_map(|seed| seed.split(':').next()?.parse().ok());
         let seeds: Vec<Ipv4Addr> = seeds.collect();
+        let boot = rand::random();
         Some(Self {
             adapter,
             log,
             metrics: Metrics::new(),
             store: Store::new(&settings.platform.store, adapter),
-            boot: rand::random(),
+            boot,
             roster_changed: Notify::new(),
             digest_wanted: Notify::new(),
             demand_wanted: Notify::new(),
@@ -161,7 +178,7 @@
             controller_wanted: Notify::new(),
             listing: Mutex::default(),
             list: Mutex::new(Freshness::new(settings.bounds.drain_ms)),
-            configuration_freshness: Mutex::new(Freshness::new(settings.bounds.configuration_ms)),
+            proof: Mutex::new(Proof::new(boot, settings.bounds.configuration_ms)),
             list_told: Notify::new(),
             recent_leaving: Mutex::default(),
             configuration_body: Mutex::default(),
@@ -179,13 +196,18 @@
             retries: Mutex::default(),
             pools: Mutex::default(),
             owned: Mutex::default(),
-            questions: Mutex::default(),
+            questions: Questions::default(),
+            owned_limits: Mutex::default(),
+            uses: Mutex::default(),
+            limit_questions: Questions::default(),
             peer_socket: OnceLock::new(),
             ended_leases: Mutex::default(),
             is_fetching: AtomicBool::new(false),
             is_fetching_configuration: AtomicBool::new(false),
             is_list_lost: AtomicBool::new(false),
             configuration_wanted: Notify::new(),
+            configuration_changed: Notify::new(),
+            configuration_heard: AtomicU64::new(0),
             own_ip,
             is_stopping: AtomicBool::new(false),
             started: Instant::now(),
@@ -236,6 +258,9 @@
     /// Puts a configuration in force, unless it is not newer than the one that is.
     pub fn offer_configuration(&self, body: &Bytes, from: &str) -> Result<bool, FormatError> {
         let offered = (self.adapter.parse_configuration)(body)?;
+        // Peers are told hashes, never keys.
+        let told = (self.adapter.conceal_keys)(body)?;
+        let version = offered.version;
         let mut configuration = lock(&self.configuration);
         if configuration
             .as_ref()
@@ -244,13 +269,16 @@
             return Ok(false);
         }
         info!(self.log, "configuration in force";
-            "version" => offered.version, "from" => from, "routes" => offered.route_count());
+            "version" => offered.version, "from" => from, "routes" => offered.route_count(),
+            "accounts" => offered.accounts.count());
         self.metrics
             .configuration_version
             .set(offered.version as i64);
         *configuration = Some(Arc::new(offered));
         drop(configuration);
-        *lock(&self.configuration_body) = body.clone();
+        *lock(&self.configuration_body) = Bytes::from(told);
+        lock(&self.proof).in_force(version);
+        self.configuration_changed.notify_waiters();
         self.digest_wanted.notify_one();
         Ok(true)
     }
@@ -348,8 +376,20 @@
         self.controller_wanted.notify_one();
     }
 
-    /// Whether the platform should send callers here.
+    /// Whether keys may be served: what is known of them was the newest lately.
+    pub fn may_serve_keys(&self) -> bool {
+        let bounds = self.settings.bounds;
+        let is_proven = || lock(&self.proof).is_proven(self.now_ms(), bounds.revocation_ms);
+        !bounds.is_revocation_strict || is_proven()
+    }
+
+    /// Whether the platform should send callers here: not while each call that
+    /// carries a key would have to be refused.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.configuration_version() > 0
+        let Some(configuration) = self.configuration() else {
+            return false;
+        };
+        let may_serve = !configuration.accounts.are_declared() || self.may_serve_keys();
+        !self.is_stopping() && may_serve
     }
 }
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -8,9 +8,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::UnboundedReceiver;
-
 use crate::messages::LoadPart;
 use crate::messages::Message;
 use crate::messages::OwnerEvent;
@@ -18,6 +15,7 @@
 use crate::messages::Quote;
 use crate::node::Node;
 use crate::node::lock;
+use crate::questions::Question;
 use cranereach_fleet::load::Load;
 use cranereach_fleet::owned::Opening;
 use cranereach_fleet::owned::Outcome;
@@ -33,9 +31,6 @@
 /// Parts of a prompt that an owner is asked about at most.
 const PART_MAX_COUNT: usize = 16;
 
-/// A question that waits for its answers.
-pub type Waiting = HashMap<u64, mpsc::UnboundedSender<Quote>>;
-
 /// A request that the owner of its worker knows of.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
@@ -44,28 +39,13 @@
     ticket: u64,
 }
 
-/// A question that is forgotten when it is dropped, also with a caller who left.
-struct Question<'a> {
-    node: &'a Node,
-    ticket: u64,
-}
-
-impl Drop for Question<'_> {
-    fn drop(&mut self) {
-        lock(&self.node.questions).remove(&self.ticket);
-    }
-}
-
 /// Asks the owners of some workers how these stand for a prompt that takes a time to
 /// read, and notes it.
 pub async fn ask(node: &Node, workers: &[Arc<str>], parts: &[PromptPart], reading_ms: f64) {
-    let ticket: u64 = rand::random();
     let chains: Vec<u64> = parts.iter().map(|part| part.chain).collect();
     let chains = &chains[..chains.len().min(PART_MAX_COUNT)];
-    let (sender, answers) = mpsc::unbounded_channel();
     let mut asked: HashMap<u64, (Ipv4Addr, &Arc<str>)> = HashMap::new();
-    lock(&node.questions).insert(ticket, sender);
-    let question = Question { node, ticket };
+    let mut question = node.questions.open();
     for worker in workers {
         let key = worker_key(worker);
         let owner = owner_of(node, key);
@@ -76,10 +56,10 @@
         } else {
             asked.insert(key, (owner, worker));
             let event = OwnerEvent::Ask(chains.to_vec(), reading_ms as u32);
-            tell(node, owner, key, ticket, event);
+            tell(node, owner, key, question.ticket, event);
         }
     }
-    wait(node, answers, &mut asked).await;
+    wait(node, &mut question, &mut asked).await;
     drop(question);
     let now_ms = node.now_ms();
     for (owner, _) in asked.values() {
@@ -90,12 +70,12 @@
 /// Waits until all owners have answered or the time is over; takes out who has.
 async fn wait(
     node: &Node,
-    mut answers: UnboundedReceiver<Quote>,
+    question: &mut Question<'_, Quote>,
     asked: &mut HashMap<u64, (Ipv4Addr, &Arc<str>)>,
 ) {
     let due = node.instant(node.now_ms() + ANSWER_WITHIN_MS);
     while !asked.is_empty() {
-        let Ok(Some(quote)) = tokio::time::timeout_at(due, answers.recv()).await else {
+        let Ok(Some(quote)) = tokio::time::timeout_at(due, question.answers.recv()).await else {
             return;
         };
         if let Some((owner, worker)) = asked.remove(&quote.worker) {
@@ -186,11 +166,7 @@
 
 /// Takes an owner's answer.
 pub fn take_quote(node: &Node, quote: Quote) {
-    let questions = lock(&node.questions);
-    if let Some(asker) = questions.get(&quote.ticket) {
-        // Whoever asked may have stopped waiting.
-        let _taken = asker.send(quote);
-    }
+    node.questions.answered(quote.ticket, quote);
 }
 
 /// Returns the instance that owns a worker.
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -55,6 +55,13 @@
 /// Peers of other failure domains that they are passed on to besides.
 const PASSED_ON_FAR_COUNT: usize = 1;
 
+/// Peers of the own failure domain that one round of questions for proof goes to.
+const PROOF_NEAR_COUNT: usize = 1;
+
+/// Peers of other failure domains that it goes to besides: whoever watches the store
+/// may be in none but another.
+const PROOF_FAR_COUNT: usize = 1;
+
 /// Time between two messages that tell one peer that its list is behind, in
 /// milliseconds.
 const BEHIND_TOLD_EVERY_MS: u64 = 300;
@@ -281,6 +288,12 @@
         sample(near, far, PASSED_ON_NEAR_COUNT, PASSED_ON_FAR_COUNT)
     }
 
+    /// Chooses whom the next question for proof goes to.
+    pub fn proof_recipients(&self, now_ms: u64) -> Vec<Ipv4Addr> {
+        let (near, far) = self.alive_by_distance(now_ms);
+        sample(near, far, PROOF_NEAR_COUNT, PROOF_FAR_COUNT)
+    }
+
     /// Lists the others that live: of the own failure domain, and the rest.
     fn alive_by_distance(&self, now_ms: u64) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
         let alive = self.members.alive(now_ms);
--- /dev/null
+++ b/crates/cranereach-gateway/src/proofs.rs
@@ -0,0 +1,62 @@
+//! Asks peers for proof that the configuration in force is the newest.
+//!
+//! See [`cranereach_fleet::proof`]. Those who watch the store prove it to whoever asks
+//! them, and these to others: each instance asks a few by chance, some times a
+//! second, so that messages for each don't grow with the fleet.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::bodies;
+use crate::messages::Message;
+use crate::node::Node;
+use crate::node::lock;
+use crate::node::pause;
+use cranereach_fleet::proof::ProofAnswer;
+use cranereach_fleet::proof::ProofQuestion;
+
+/// Time between two rounds of questions, in milliseconds: news that each instance
+/// asks two others for reach nearly all of some hundred within five rounds.
+const ASK_EVERY_MS: u64 = 200;
+
+/// Age below which a proof is young enough not to ask for another, in milliseconds.
+const YOUNG_MS: u64 = 300;
+
+/// Asks until the process ends.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        pause(ASK_EVERY_MS).await;
+        let now_ms = node.now_ms();
+        let (age_ms, question) = {
+            let proof = lock(&node.proof);
+            (proof.age_ms(now_ms), proof.question(now_ms))
+        };
+        let shown_ms = age_ms.unwrap_or(now_ms);
+        node.metrics.configuration_age_ms.set(shown_ms as i64);
+        if age_ms.is_some_and(|age_ms| age_ms < YOUNG_MS) {
+            continue;
+        }
+        let recipients = node.peers().proof_recipients(now_ms);
+        for peer in recipients {
+            let peer = SocketAddr::from((peer, node.peer_port()));
+            node.send_now(peer, Message::Prove(question));
+        }
+    }
+}
+
+/// Answers a peer's question.
+pub fn answer(node: &Node, peer: SocketAddr, question: ProofQuestion) {
+    let IpAddr::V4(ip) = peer.ip() else { return };
+    if node.peers().members().is_known(ip) {
+        let answer = lock(&node.proof).answer(node.now_ms(), question);
+        node.send_now(peer, Message::Proof(answer));
+    }
+}
+
+/// Takes a peer's answer; a newer configuration is fetched.
+pub fn take(node: &Arc<Node>, peer: Ipv4Addr, answer: &ProofAnswer) {
+    bodies::fetch_configuration_if_behind(node, peer, answer.version);
+    lock(&node.proof).take(answer);
+}
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::node::Node;
 use crate::node::pause;
 use crate::operators;
+use crate::proofs;
 use crate::roster_sync;
 use crate::settings::Settings;
 use cranereach_http::server;
@@ -128,6 +129,7 @@
         tasks.spawn(gossip::send(Arc::clone(&node), socket));
         tasks.spawn(bodies::serve(Arc::clone(&node), bodies));
         tasks.spawn(configuration_sync::run(Arc::clone(&node)));
+        tasks.spawn(proofs::run(Arc::clone(&node)));
         tasks.spawn(roster_sync::run(Arc::clone(&node)));
         tasks.spawn(controller::run(Arc::clone(&node)));
         let called = Arc::clone(&node);
--- a/crates/cranereach-gateway/src/settings.rs
+++ b/crates/cranereach-gateway/src/settings.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::adapter;
+use cranereach_fleet::limits::Tolerance;
 use cranereach_wire::jsonc;
 use cranereach_wire::jsonc::FileError;
 
@@ -103,6 +104,45 @@
     pub retry_allowance_count: f64,
     /// Window of the two, in seconds.
     pub retry_window_s: f64,
+    /// Whether a key that was taken away must open nothing after `revocation_ms`, also
+    /// on an instance that can't know of it. Otherwise only changes of the
+    /// configuration as such are bounded.
+    pub is_revocation_strict: bool,
+    /// Time after which a key that was taken away must open nothing, in milliseconds.
+    pub revocation_ms: u64,
+    /// Window that use of an account's limit is counted in, in seconds.
+    pub limit_window_s: f64,
+    /// Use that is tolerated beyond a limit, as a share of what it allows in a window.
+    pub limit_excess_share: f64,
+    /// Use that is tolerated besides, in the units of the limit.
+    pub limit_allowance: f64,
+}
+
+impl BoundSettings {
+    /// Checks that bounds make sense; otherwise returns the key of one that doesn't.
+    fn check(&self) -> Result<(), &'static str> {
+        let positive = [
+            ("revocation_ms", self.revocation_ms as f64),
+            ("limit_window_s", self.limit_window_s),
+            ("retry_window_s", self.retry_window_s),
+        ];
+        let not_negative = [
+            ("limit_excess_share", self.limit_excess_share),
+            ("limit_allowance", self.limit_allowance),
+        ];
+        let bad = positive.into_iter().find(|(_, value)| *value <= 0.0);
+        let bad = bad.or_else(|| not_negative.into_iter().find(|(_, value)| *value < 0.0));
+        bad.map_or(Ok(()), |(key, _)| Err(key))
+    }
+
+    /// Returns what is tolerated beyond accounts' limits.
+    pub fn tolerance(&self) -> Tolerance {
+        Tolerance {
+            window_s: self.limit_window_s,
+            excess_share: self.limit_excess_share,
+            allowance: self.limit_allowance,
+        }
+    }
 }
 
 impl Default for BoundSettings {
@@ -115,6 +155,11 @@
             retry_ratio: 0.1,
             retry_allowance_count: 10.0,
             retry_window_s: 10.0,
+            is_revocation_strict: false,
+            revocation_ms: 5_000,
+            limit_window_s: 10.0,
+            limit_excess_share: 0.1,
+            limit_allowance: 10.0,
         }
     }
 }
@@ -133,6 +178,14 @@
     /// The file can't be read or understood.
     #[error(transparent)]
     File(#[from] FileError),
+    /// A bound makes no sense.
+    #[error("{file}: bounds.{key}: must be more than zero")]
+    Bound {
+        /// The file.
+        file: String,
+        /// The bound.
+        key: &'static str,
+    },
     /// No such adapter.
     #[error("{file}: platform.adapter: {given:?} is not one of {valid}")]
     Adapter {
@@ -156,6 +209,13 @@
                 valid: adapter::names().join(", "),
             });
         }
+        settings
+            .bounds
+            .check()
+            .map_err(|key| SettingsError::Bound {
+                file: path.display().to_string(),
+                key,
+            })?;
         Ok(settings)
     }
 }
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! [`server`] accepts and stops gracefully, [`pool`] keeps connections to one
 //! upstream and says exactly whether a request was handed over, [`client`]
-//! calls JSON interfaces with a deadline, [`body`] reads and makes bodies.
+//! calls JSON interfaces with a deadline, [`body`] reads and makes bodies,
+//! [`bearer`] finds a request's key.
 
+pub mod bearer;
 pub mod body;
 pub mod client;
 pub mod pool;
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -30,7 +30,7 @@
 /// Checks what the options name.
 pub fn execute(options: &CheckArguments) -> Exit {
     if let Some(key) = &options.hash_key {
-        println!("{}", blake3::Hash::from_bytes(KeyHash::of(key).0).to_hex());
+        println!("{}", KeyHash::of(key).to_hex());
         return Exit::Done;
     }
     let has_settings = options.settings.is_some() || options.gateway_settings.is_some();
--- a/tests/testsuite/fixture.rs
+++ b/tests/testsuite/fixture.rs
@@ -43,7 +43,7 @@
 
 /// Returns the hash of a key, as declarations carry it.
 pub fn key_hash(key: &str) -> String {
-    blake3::Hash::from_bytes(KeyHash::of(key).0).to_string()
+    KeyHash::of(key).to_hex()
 }
 
 /// Returns declarations as JSON, for a test to change.
--- a/tests/testsuite/gateway_settings.rs
+++ b/tests/testsuite/gateway_settings.rs
@@ -30,7 +30,7 @@
 }
 
 /// Bounds that a deployment may leave out.
-const BOUNDS: [&str; 7] = [
+const BOUNDS: [&str; 12] = [
     "graceS",
     "drainMs",
     "configurationMs",
@@ -38,6 +38,11 @@
     "retryBudgetRatio",
     "retryBudgetAllowance",
     "budgetWindowS",
+    "revocationStrict",
+    "revocationMs",
+    "quotaWindowS",
+    "quotaExcess",
+    "quotaAllowance",
 ];
 
 /// Fills the template as the platform does, with figures of a test.
@@ -60,6 +65,10 @@
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.retryBudgetAllowance}}", "52"),
         ("{{bounds.budgetWindowS}}", "10"),
+        ("{{bounds.revocationMs}}", "5000"),
+        ("{{bounds.quotaWindowS}}", "8"),
+        ("{{bounds.quotaExcess}}", "0.1"),
+        ("{{bounds.quotaAllowance}}", "17000"),
     ];
     let mut text = template;
     for (gap, value) in gaps {
@@ -91,7 +100,11 @@
 fn bounds_that_a_deployment_does_not_name_keep_their_defaults() {
     let text: Vec<String> = filled()
         .lines()
-        .filter(|line| !line.contains("_ms\"") && !line.contains("retry_"))
+        .filter(|line| {
+            !["_ms\"", "retry_", "limit_", "is_"]
+                .iter()
+                .any(|key| line.contains(key))
+        })
         .map(str::to_owned)
         .collect();
     let output = check_text("filled-few-bounds", &text.join("\n"));
