--- a/crates/cranereach-fleet/src/limits.rs
+++ b/crates/cranereach-fleet/src/limits.rs
@@ -20,13 +20,13 @@
 
 /// Share of the tolerated excess that owners grant beyond the limit within a window:
 /// instances see requests in another order than their callers sent them.
-const BEYOND_SHARE: f64 = 0.25;
+const BEYOND_SHARE: f64 = 0.15;
 
 /// Share of it that all instances hold in advance together.
-const ADVANCE_SHARE: f64 = 0.25;
+const ADVANCE_SHARE: f64 = 0.15;
 
-/// Share of it that new owners begin with.
-const BEGINNING_SHARE: f64 = 0.25;
+/// Share of it that new owners begin with: a change may have two, there and back.
+const BEGINNING_SHARE: f64 = 0.15;
 
 /// Share of it that two owners of one part may grant in the time of a change of owner.
 const OVERLAP_SHARE: f64 = 0.25;
@@ -35,6 +35,13 @@
 /// long to reach all of some hundred instances (`tests/membership.rs`).
 const OVERLAP_S: f64 = 1.5;
 
+/// Share of its rate that a new owner grants at first: another one may still be asked
+/// by instances that don't know of it yet.
+const FIRST_RATE_SHARE: f64 = 0.3;
+
+/// Time for which it does so, in milliseconds: until all know of it.
+const FIRST_FOR_MS: u64 = 2_500;
+
 /// Parts of one limit at most.
 const PART_MAX_COUNT: u32 = 64;
 
@@ -141,9 +148,10 @@
 /// One part of a limit at its owner.
 #[derive(Clone, Debug)]
 struct OwnedPart {
-    limit: Limit,
     bucket: TokenBucket,
     asked_at_ms: u64,
+    /// Until when it grants a share of its rate only, in milliseconds.
+    first_until_ms: u64,
 }
 
 /// The parts that one instance owns.
@@ -154,6 +162,9 @@
 
 impl OwnedLimits {
     /// Grants what is asked for out of a part of a limit.
+    ///
+    /// `is_settled` says that this instance and the fleet have been the same for a
+    /// window: a part that nobody has asked for since then wasn't used.
     pub fn take(
         &mut self,
         now_ms: u64,
@@ -161,6 +172,7 @@
         limit: Limit,
         tolerance: &Tolerance,
         wanted: Wanted,
+        is_settled: bool,
     ) -> Grant {
         if self.parts.len() >= OWNED_MAX_COUNT {
             self.forget(now_ms);
@@ -172,17 +184,18 @@
         let rate_per_s = (limit.rate_per_s + beyond_per_s) / count;
         let part = self.parts.entry(key).or_insert_with(|| {
             let beginning = (excess * BEGINNING_SHARE / count).min(capacity);
+            let level = if is_settled { capacity } else { beginning };
+            let first_for_ms = if is_settled { 0 } else { FIRST_FOR_MS };
             OwnedPart {
-                limit,
-                bucket: TokenBucket::new(rate_per_s, capacity, now_ms).with_level(beginning),
+                bucket: TokenBucket::new(0.0, capacity, now_ms).with_level(level),
                 asked_at_ms: now_ms,
+                first_until_ms: now_ms + first_for_ms,
             }
         });
         part.asked_at_ms = now_ms;
-        if part.limit != limit {
-            part.limit = limit;
-            part.bucket.change(now_ms, rate_per_s, capacity);
-        }
+        let is_first = now_ms < part.first_until_ms;
+        let share = if is_first { FIRST_RATE_SHARE } else { 1.0 };
+        part.bucket.change(now_ms, rate_per_s * share, capacity);
         // A request larger than the bucket goes when it is full, and is paid off after.
         let least = wanted.least.min(capacity);
         match part.bucket.wait_ms(now_ms, least) {
--- a/crates/cranereach-fleet/src/membership.rs
+++ b/crates/cranereach-fleet/src/membership.rs
@@ -90,6 +90,10 @@
     is_seed: bool,
     /// The other seeds.
     seeds: Vec<Ipv4Addr>,
+    /// Sum over the members that lived at the last look, and since when it is the same,
+    /// in milliseconds.
+    alive_sum: u64,
+    same_since_ms: u64,
     known: HashMap<Ipv4Addr, Member>,
 }
 
@@ -107,6 +111,8 @@
         Self {
             own,
             is_seed,
+            alive_sum: 0,
+            same_since_ms: 0,
             known: known.collect(),
             seeds,
         }
@@ -222,6 +228,21 @@
         before.count() as u64
     }
 
+    /// Looks whether the members that live are still the same.
+    pub fn look(&mut self, now_ms: u64) {
+        let alive = self.alive(now_ms).map(|address| weight(0, address));
+        let sum = alive.fold(0, u64::wrapping_add);
+        if sum != self.alive_sum {
+            self.alive_sum = sum;
+            self.same_since_ms = now_ms;
+        }
+    }
+
+    /// Returns the time for which the same members have lived, in milliseconds.
+    pub fn same_for_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.same_since_ms)
+    }
+
     /// Lists the first other members in the order for a purpose.
     pub fn first(&self, now_ms: u64, purpose: u64, count: usize) -> Vec<Ipv4Addr> {
         let mut weighed: Vec<(u64, Ipv4Addr)> = self
--- /dev/null
+++ b/crates/cranereach-fleet/tests/proof.rs
@@ -0,0 +1,346 @@
+//! No instance serves a withdrawn key beyond the bound, and calm ones always serve: in
+//! a simulated network with delay, loss, doubling, freezes, cuts and restarts.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use cranereach_fleet::proof::Proof;
+use cranereach_fleet::proof::ProofAnswer;
+use cranereach_fleet::proof::ProofQuestion;
+
+/// Time after which a withdrawn key must open nothing, in milliseconds.
+const BOUND_MS: u64 = 5_000;
+
+/// Time within which a change is in force in calm times, in milliseconds.
+const CHANGE_MS: u64 = 3_000;
+
+/// Time between two rounds of questions, in milliseconds, as in the gateway.
+const ASK_EVERY_MS: u64 = 200;
+
+/// Time that a watch waits at the store, in milliseconds, as in the gateway.
+const WATCH_MS: u64 = 1_200;
+
+/// Length of a step of the simulation, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// How the network treats messages.
+#[derive(Clone, Copy, Debug)]
+struct Network {
+    delay_max_ms: u64,
+    lost_share: f64,
+    doubled_share: f64,
+}
+
+const CALM: Network = Network {
+    delay_max_ms: 3,
+    lost_share: 0.03,
+    doubled_share: 0.0,
+};
+
+/// What is on its way.
+#[derive(Clone, Copy, Debug)]
+enum Parcel {
+    Question(usize, ProofQuestion),
+    Answer(ProofAnswer),
+    /// The store's answer to a read begun at a time of the reader's clock, of a start:
+    /// the newest version then.
+    Read {
+        boot: u64,
+        begun_ms: u64,
+        version: u64,
+    },
+}
+
+/// One instance.
+struct Instance {
+    proof: Proof,
+    boot: u64,
+    version: u64,
+    /// Time of the world at which its clock showed zero.
+    started_ms: u64,
+    frozen_until_ms: u64,
+    cut_until_ms: u64,
+    asks_next_ms: u64,
+    reads_next_ms: u64,
+    waiting: Vec<Parcel>,
+}
+
+/// Instances and the store.
+struct World {
+    instances: Vec<Instance>,
+    watcher_count: usize,
+    network: Network,
+    now_ms: u64,
+    /// When each version was acknowledged; the index is the version.
+    acknowledged_ms: Vec<u64>,
+    on_the_way: BTreeMap<u64, Vec<(usize, Parcel)>>,
+    rng: StdRng,
+}
+
+impl World {
+    fn start(count: usize, watcher_count: usize, network: Network, seed: u64) -> Self {
+        let mut world = Self {
+            instances: Vec::new(),
+            watcher_count,
+            network,
+            now_ms: 100_000,
+            acknowledged_ms: vec![0],
+            on_the_way: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+        };
+        for _ in 0..count {
+            let instance = world.fresh();
+            world.instances.push(instance);
+        }
+        world
+    }
+
+    /// Makes an instance that has just started.
+    fn fresh(&mut self) -> Instance {
+        let boot = self.rng.random();
+        Instance {
+            proof: Proof::new(boot, CHANGE_MS),
+            boot,
+            version: 0,
+            started_ms: self.now_ms - self.rng.random_range(0..50_000),
+            frozen_until_ms: 0,
+            cut_until_ms: 0,
+            asks_next_ms: self.now_ms + self.rng.random_range(0..ASK_EVERY_MS),
+            reads_next_ms: self.now_ms,
+            waiting: Vec::new(),
+        }
+    }
+
+    fn newest(&self) -> u64 {
+        self.acknowledged_ms.len() as u64 - 1
+    }
+
+    fn send(&mut self, to: usize, parcel: Parcel, extra_ms: u64) {
+        if self.rng.random_bool(self.network.lost_share) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.network.doubled_share));
+        for _ in 0..copies {
+            let delay_ms = extra_ms + self.rng.random_range(1..=self.network.delay_max_ms);
+            let due = self.on_the_way.entry(self.now_ms + delay_ms).or_default();
+            due.push((to, parcel));
+        }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let later = self.on_the_way.split_off(&(self.now_ms + 1));
+        for (to, parcel) in std::mem::replace(&mut self.on_the_way, later)
+            .into_values()
+            .flatten()
+        {
+            let instance = &mut self.instances[to];
+            if self.now_ms >= instance.cut_until_ms {
+                instance.waiting.push(parcel);
+            }
+        }
+        for number in 0..self.instances.len() {
+            if self.now_ms >= self.instances[number].frozen_until_ms {
+                self.run(number);
+            }
+        }
+    }
+
+    /// Lets one instance do what is due: what waited in its socket comes first.
+    fn run(&mut self, number: usize) {
+        let newest = self.newest();
+        for parcel in std::mem::take(&mut self.instances[number].waiting) {
+            let now_ms = self.now_ms - self.instances[number].started_ms;
+            let instance = &mut self.instances[number];
+            match parcel {
+                Parcel::Question(from, question) => {
+                    let answer = instance.proof.answer(now_ms, question);
+                    self.send(from, Parcel::Answer(answer), 0);
+                }
+                Parcel::Answer(answer) => {
+                    // A newer version is fetched from the peer.
+                    instance.version = instance.version.max(answer.version);
+                    instance.proof.in_force(instance.version);
+                    instance.proof.take(&answer);
+                }
+                Parcel::Read {
+                    boot,
+                    begun_ms,
+                    version,
+                } if boot == instance.boot => {
+                    instance.version = instance.version.max(version);
+                    instance.proof.in_force(instance.version);
+                    instance.proof.read(begun_ms);
+                }
+                Parcel::Read { .. } => {}
+            }
+        }
+        let is_cut = self.now_ms < self.instances[number].cut_until_ms;
+        let instance = &mut self.instances[number];
+        let now_ms = self.now_ms - instance.started_ms;
+        let is_watching = number < self.watcher_count;
+        let is_reading = is_watching || instance.version == 0;
+        if is_reading && self.now_ms >= instance.reads_next_ms {
+            instance.reads_next_ms = self.now_ms + WATCH_MS;
+            let read = Parcel::Read {
+                boot: instance.boot,
+                begun_ms: now_ms,
+                version: newest,
+            };
+            if !is_cut {
+                self.send(number, read, 0);
+            }
+        }
+        let instance = &mut self.instances[number];
+        if self.now_ms >= instance.asks_next_ms {
+            instance.asks_next_ms = self.now_ms + ASK_EVERY_MS;
+            let question = instance.proof.question(now_ms);
+            for _ in 0..2 {
+                let peer = self.rng.random_range(0..self.instances.len());
+                if !is_cut {
+                    self.send(peer, Parcel::Question(number, question), 0);
+                }
+            }
+        }
+    }
+
+    /// Whether an instance would serve a key of its version now.
+    fn serves(&self, number: usize) -> bool {
+        let instance = &self.instances[number];
+        let now_ms = self.now_ms - instance.started_ms;
+        let is_awake = self.now_ms >= instance.frozen_until_ms;
+        is_awake && instance.version > 0 && instance.proof.is_proven(now_ms, BOUND_MS)
+    }
+
+    /// Checks that whoever serves has missed no version acknowledged before the bound.
+    fn check(&self) {
+        for number in 0..self.instances.len() {
+            let next = self.instances[number].version as usize + 1;
+            let missed_ms = self.acknowledged_ms.get(next);
+            if let (true, Some(missed_ms)) = (self.serves(number), missed_ms) {
+                assert!(
+                    self.now_ms <= missed_ms + BOUND_MS,
+                    "instance {number} serves version {} at {}, {next} came at {missed_ms}",
+                    next - 1,
+                    self.now_ms
+                );
+            }
+        }
+    }
+}
+
+/// What happens to an instance, or to the store's content.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Change,
+    Freeze(u64),
+    Cut(u64),
+    Restart,
+    /// Others watch the store from now on.
+    Watchers(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => Just(Event::Change),
+        2 => (500_u64..12_000).prop_map(Event::Freeze),
+        2 => (500_u64..12_000).prop_map(Event::Cut),
+        1 => Just(Event::Restart),
+        1 => (0_usize..4).prop_map(Event::Watchers),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn nobody_serves_a_withdrawn_key_beyond_the_bound(
+        seed in any::<u64>(),
+        delay_max_ms in 2_u64..6_000,
+        lost_share in 0.0..0.5,
+        doubled_share in 0.0..0.5,
+        events in prop::collection::vec((0_u64..2_500, 0_usize..9, event()), 1..40),
+    ) {
+        let network = Network { delay_max_ms, lost_share, doubled_share };
+        let mut world = World::start(9, 2, network, seed);
+        world.acknowledged_ms.push(world.now_ms);
+        for (pause_ms, number, event) in events {
+            let until_ms = world.now_ms + pause_ms;
+            while world.now_ms < until_ms {
+                world.step();
+                world.check();
+            }
+            match event {
+                Event::Change => world.acknowledged_ms.push(world.now_ms),
+                Event::Freeze(for_ms) => {
+                    world.instances[number].frozen_until_ms = world.now_ms + for_ms;
+                }
+                Event::Cut(for_ms) => {
+                    world.instances[number].cut_until_ms = world.now_ms + for_ms;
+                }
+                Event::Restart => {
+                    world.instances[number] = world.fresh();
+                }
+                Event::Watchers(count) => world.watcher_count = count,
+            }
+        }
+        for _ in 0..1_000 {
+            world.step();
+            world.check();
+        }
+    }
+}
+
+#[test]
+fn calm_instances_always_serve_also_after_a_takeover_of_the_watchers() {
+    for (count, seed) in [(3, 1), (90, 2), (300, 3)] {
+        let mut world = World::start(count, 2, CALM, seed);
+        world.acknowledged_ms.push(world.now_ms);
+        for _ in 0..500 {
+            world.step();
+        }
+        for step in 0..2_000 {
+            world.step();
+            if step % 300 == 0 {
+                world.acknowledged_ms.push(world.now_ms);
+            }
+            if step == 1_000 && count > 2 {
+                // The first watcher is lost; the other one goes on alone.
+                world.instances[0].cut_until_ms = u64::MAX;
+                world.instances[0].frozen_until_ms = u64::MAX;
+            }
+            let calm = (0..count).filter(|number| world.instances[*number].cut_until_ms == 0);
+            for number in calm {
+                assert!(
+                    world.serves(number),
+                    "instance {number} of {count}, step {step}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_counts_only_for_the_start_that_asked_and_for_what_is_in_force() {
+    let mut proof = Proof::new(1, CHANGE_MS);
+    proof.in_force(7);
+    let question = proof.question(10_000);
+    let answer = |boot: u64, version: u64, age_ms: Option<u64>| ProofAnswer {
+        question: ProofQuestion { boot, ..question },
+        version,
+        age_ms,
+    };
+    assert!(!proof.take(&answer(2, 7, Some(0))));
+    assert!(!proof.take(&answer(1, 8, Some(0))));
+    assert!(!proof.take(&answer(1, 7, None)));
+    assert!(!proof.take(&answer(1, 7, Some(10_001))));
+    assert_eq!(proof.age_ms(10_000), None);
+    assert!(proof.take(&answer(1, 6, Some(400))));
+    assert_eq!(proof.age_ms(10_000), Some(400));
+    // An older moment changes nothing.
+    assert!(!proof.take(&answer(1, 7, Some(900))));
+    assert_eq!(proof.age_ms(10_000), Some(400));
+}
--- a/crates/cranereach-gateway/src/limits.rs
+++ b/crates/cranereach-gateway/src/limits.rs
@@ -200,7 +200,11 @@
 /// Takes units out of a part that this instance owns.
 fn take(node: &Node, key: PartKey, limit: Limit, wanted: Wanted) -> Grant {
     let tolerance = node.settings.bounds.tolerance();
-    lock(&node.owned_limits).take(node.now_ms(), key, limit, &tolerance, wanted)
+    let now_ms = node.now_ms();
+    let same_for_ms = node.peers().members().same_for_ms(now_ms);
+    let is_settled = same_for_ms as f64 >= tolerance.window_s * 1_000.0;
+    let mut owned = lock(&node.owned_limits);
+    owned.take(now_ms, key, limit, &tolerance, wanted, is_settled)
 }
 
 /// Returns the instance that owns a part of a limit.
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -355,6 +355,7 @@
     /// Forgets what is old.
     fn forget(&mut self, now_ms: u64) {
         self.members.forget(now_ms);
+        self.members.look(now_ms);
         let members = &self.members;
         self.said.retain(|address, _| members.is_known(*address));
         self.demand.retain(|address, _| members.is_known(*address));
