Plain services: calls admitted by their predicted answer, and workers put aside are probed

Calls of plain services were chosen and admitted as if they took no time. Then, with admission alone, a sound worker stood idle for up to 5 s at a time beside a full one, because its owner had put it aside and nothing told it otherwise. An owner lets one call that may be repeated through to a worker put aside each 200 ms, and three whole answers in a row bring it back.

--- a/crates/cranereach-fleet/src/health.rs
+++ b/crates/cranereach-fleet/src/health.rs
@@ -26,6 +26,13 @@
 /// milliseconds: each one holds a request up for as long as connecting may take.
 const PROBE_EVERY_MS: u64 = 800;
 
+/// Time between two calls that a worker gets while it is put aside, in milliseconds:
+/// calls that may be repeated elsewhere, to see whether it is sound again.
+const ASIDE_PROBE_EVERY_MS: u64 = 200;
+
+/// Whole answers in a row that bring a worker back which was put aside.
+const WHOLE_IN_A_ROW: u32 = 3;
+
 /// Longest time that a worker is put aside for, in milliseconds.
 const ASIDE_MAX_MS: u64 = 5_000;
 
@@ -36,6 +43,8 @@
     whole: f64,
     decayed_at_ms: u64,
     failed_in_a_row: u32,
+    whole_in_a_row: u32,
+    aside_probe_at_ms: u64,
     aside_count: u32,
     aside_until_ms: u64,
     unreachable_until_ms: u64,
@@ -49,6 +58,10 @@
         self.decay(now_ms);
         self.whole += 1.0;
         self.failed_in_a_row = 0;
+        self.whole_in_a_row += 1;
+        if now_ms < self.aside_until_ms && self.whole_in_a_row >= WHOLE_IN_A_ROW {
+            self.aside_until_ms = now_ms;
+        }
         if self.failed < 0.5 {
             self.aside_count = 0;
         }
@@ -59,6 +72,7 @@
         self.decay(now_ms);
         self.failed += 1.0;
         self.failed_in_a_row += 1;
+        self.whole_in_a_row = 0;
         let share = self.failed / (self.failed + self.whole);
         let is_often = self.failed >= FAILED_LEAST && share >= FAILED_SHARE;
         if is_often || self.failed_in_a_row >= FAILURES_IN_A_ROW {
@@ -111,6 +125,16 @@
         self.probe_at_ms = now_ms + PROBE_EVERY_MS;
     }
 
+    /// Whether a call that may be repeated is to be sent to a worker that is put aside;
+    /// notes that it is.
+    pub fn may_probe_aside(&mut self, now_ms: u64) -> bool {
+        let may_probe = !self.is_unreachable(now_ms) && now_ms >= self.aside_probe_at_ms;
+        if may_probe {
+            self.aside_probe_at_ms = now_ms + ASIDE_PROBE_EVERY_MS;
+        }
+        may_probe
+    }
+
     /// Whether calls should go elsewhere for now.
     pub fn is_aside(&self, now_ms: u64) -> bool {
         now_ms < self.aside_until_ms || self.is_unreachable(now_ms)
@@ -128,6 +152,8 @@
         }
         let doubled = ASIDE_FIRST_MS << self.aside_count.min(4);
         self.aside_until_ms = now_ms + doubled.min(ASIDE_MAX_MS);
+        self.aside_probe_at_ms = now_ms + ASIDE_PROBE_EVERY_MS;
+        self.whole_in_a_row = 0;
         self.aside_count += 1;
     }
 
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //! carries, [`proof`] whether that is still known to hold, [`limits`] whether its
 //! account may run it. [`roster`] keeps what
 //! is known of every [`worker`] and picks one; it builds on [`load`], [`health`],
-//! [`pace`], [`stay`] and [`prefixes`]. [`membership`] says which instances live and which
+//! [`pace`], [`stay`], [`service_time`] and [`prefixes`]. [`membership`] says which instances live and which
 //! of them owns a worker, [`owned`] what an owner knows, [`bursts`] when it lets prompts
 //! through. [`freshness`] says who reads the list of workers and when,
 //! [`listing`] keeps its rows and what peers are told of them.
@@ -37,6 +37,7 @@
 pub mod proof;
 pub mod retry_window;
 pub mod roster;
+pub mod service_time;
 pub mod stay;
 pub mod tenure;
 pub mod worker;
--- a/crates/cranereach-fleet/src/owned.rs
+++ b/crates/cranereach-fleet/src/owned.rs
@@ -223,6 +223,22 @@
         }
     }
 
+    /// Returns how a worker stands for a call that may be sent elsewhere should it
+    /// fail: now and then one such call is let through to a worker that is put aside.
+    pub fn standing_for_repeatable(
+        &mut self,
+        now_ms: u64,
+        worker: u64,
+        parts: &[u64],
+        reading_ms: f64,
+    ) -> Standing {
+        let mut standing = self.standing(now_ms, worker, parts, reading_ms);
+        if let (true, Some(known)) = (standing.is_aside, self.by_key.get_mut(&worker)) {
+            standing.is_aside = !known.health.may_probe_aside(now_ms);
+        }
+        standing
+    }
+
     /// Notes that a request is sent to a worker.
     pub fn begun(
         &mut self,
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -38,6 +38,8 @@
     pub send_in_ms: u64,
     /// The load that the choice was made by.
     pub load: Load,
+    /// Requests that the worker runs at once.
+    pub slot_count: u32,
 }
 
 /// Why no worker was chosen; the one that came closest counts.
@@ -114,6 +116,7 @@
         is_first: estimate.is_first,
         begins_in_ms: estimate.begins_in_ms,
         send_in_ms: estimate.send_in_ms,
+        slot_count: estimate.slot_count,
         load: estimate.load,
     }
 }
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -155,6 +155,8 @@
     pub is_first: bool,
     /// Weight against sending the request there, in milliseconds.
     pub cost_ms: f64,
+    /// Requests that the worker runs at once.
+    pub slot_count: u32,
     /// The load that this was worked out from.
     pub load: Load,
 }
@@ -321,8 +323,10 @@
         let kept_tokens = self.kept_tokens(standing, wanted).min(wanted.prompt_tokens);
         let token_ms = wanted.token_ms * standing.map_or(1.0, |standing| standing.pace_ratio);
         let unread_tokens = wanted.prompt_tokens - kept_tokens;
-        let slot_count = engine.map_or(0, |engine| engine.slot_count);
-        let slot_wait_ms = load.slot_wait_ms(wanted.rank, slot_count);
+        let slot_count = engine.map_or(self.record.slot_count, |engine| engine.slot_count);
+        // Workers without an engine take calls in the order in which they come.
+        let rank = engine.map_or(RANK_COUNT, |_| wanted.rank);
+        let slot_wait_ms = load.slot_wait_ms(rank, slot_count);
         // Prompts ahead are read while this one waits for its slot.
         let queued_ms = load.ahead_ms(wanted.rank).max(slot_wait_ms);
         let send_in_ms = standing.map_or(0.0, |standing| standing.send_in_ms);
@@ -331,6 +335,7 @@
             unread_tokens,
             begins_in_ms: queued_ms + wanted.fixed_ms + f64::from(unread_tokens) * token_ms,
             send_in_ms: send_in_ms as u64,
+            slot_count,
             is_first: load.ahead_ms(usize::MAX) < FIRST_BELOW_MS && slot_wait_ms <= 0.0,
             cost_ms: 0.0,
             load,
@@ -345,7 +350,9 @@
                 + f64::from(said.1) * WAITING_WEIGHS_MS
                 + over_tokens.max(0.0) * token_ms;
         } else {
-            let slots = f64::from(self.record.slot_count.max(1));
+            // Such an answer is passed on whole: it begins when the call has run.
+            estimate.begins_in_ms += wanted.stay_ms;
+            let slots = f64::from(slot_count.max(1));
             estimate.cost_ms = f64::from(open_count + said.1) / slots * 50.0;
         }
         estimate.cost_ms = self.weigh(now_ms, wanted, estimate.cost_ms);
--- a/crates/cranereach-fleet/tests/owned.rs
+++ b/crates/cranereach-fleet/tests/owned.rs
@@ -128,6 +128,45 @@
     assert!(!owned.standing(9_000, WORKER, &[], 0.0).is_aside);
 }
 
+#[test]
+fn calls_that_may_be_repeated_probe_a_worker_put_aside_and_bring_it_back() {
+    let mut owned = OwnedWorkers::default();
+    let mut ticket = 0;
+    let mut call = |owned: &mut OwnedWorkers, now_ms: u64, outcome: Outcome| {
+        ticket += 1;
+        owned.begun(now_ms, WORKER, (1, ticket), opening(0.0), &[]);
+        owned.ended(now_ms + 10, WORKER, (1, ticket), outcome);
+    };
+    // Each time it is put aside for longer: four times here, the last for 4.8 s.
+    let mut now_ms = 0;
+    for _round in 0..4 {
+        for _call in 0..3 {
+            call(&mut owned, now_ms, Outcome::Failed);
+        }
+        now_ms += 5_000;
+    }
+    for _call in 0..3 {
+        call(&mut owned, now_ms, Outcome::Failed);
+    }
+    let may_go = |owned: &mut OwnedWorkers, now_ms: u64| {
+        !owned
+            .standing_for_repeatable(now_ms, WORKER, &[], 0.0)
+            .is_aside
+    };
+    // Calls that may not be repeated go elsewhere all the while; others one by one.
+    assert!(!may_go(&mut owned, now_ms + 100));
+    assert!(may_go(&mut owned, now_ms + 300));
+    assert!(!may_go(&mut owned, now_ms + 301));
+    call(&mut owned, now_ms + 300, Outcome::Failed);
+    assert!(may_go(&mut owned, now_ms + 600));
+    for number in 0..3 {
+        let at_ms = now_ms + 600 + number * 200;
+        assert!(owned.standing(at_ms, WORKER, &[], 0.0).is_aside, "{number}");
+        call(&mut owned, at_ms, Outcome::Whole);
+    }
+    assert!(!owned.standing(now_ms + 1_100, WORKER, &[], 0.0).is_aside);
+}
+
 /// A prompt of a service whose streams may pause for 500 ms.
 fn streamed(unread_ms: f32) -> Opening {
     Opening {
--- /dev/null
+++ b/crates/cranereach-fleet/tests/service_time.rs
@@ -0,0 +1,52 @@
+//! What calls of a plain service take, learned from answers that waited in a queue.
+
+use std::sync::Arc;
+
+use cranereach_fleet::service_time::ServiceTimes;
+
+/// Returns what a service's calls are expected to take, in whole milliseconds.
+fn expected_ms(times: &ServiceTimes, service: &str) -> u64 {
+    times.expected_ms(service).round() as u64
+}
+
+#[test]
+fn few_answers_say_nothing_and_services_are_told_apart() {
+    let mut times = ServiceTimes::default();
+    let (quick, slow) = (Arc::from("quick"), Arc::from("slow"));
+    for number in 0..20 {
+        assert_eq!(expected_ms(&times, "quick"), 0, "after {number}");
+        times.learn(&quick, 10.0, 0, 6);
+        times.learn(&slow, 200.0, 3, 6);
+    }
+    assert_eq!(expected_ms(&times, "quick"), 10);
+    assert_eq!(expected_ms(&times, "slow"), 200);
+    assert_eq!(expected_ms(&times, "unknown"), 0);
+}
+
+#[test]
+fn the_time_in_the_queue_is_taken_off_and_a_change_is_followed() {
+    let mut times = ServiceTimes::default();
+    let service = Arc::from("registry");
+    for _answer in 0..200 {
+        // Five times as many calls as slots: five turns.
+        times.learn(&service, 250.0, 29, 6);
+    }
+    assert_eq!(expected_ms(&times, "registry"), 50);
+    for _answer in 0..300 {
+        times.learn(&service, 100.0, 2, 6);
+    }
+    assert!((times.expected_ms("registry") - 100.0).abs() < 1.0);
+}
+
+#[test]
+fn the_number_of_services_is_bounded() {
+    let mut times = ServiceTimes::default();
+    for number in 0..10_000 {
+        let service = Arc::from(format!("service-{number}"));
+        for _answer in 0..20 {
+            times.learn(&service, 10.0, 0, 1);
+        }
+    }
+    assert_eq!(expected_ms(&times, "service-9999"), 0);
+    assert!(times.expected_ms("service-0") > 0.0);
+}
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -24,6 +24,11 @@
 /// Share of the aim up to which a call is offered, by the time predicted until it begins.
 const LATE_SHARE: f64 = 1.3;
 
+/// Share of the aim up to which a call is offered that is answered whole, by the time
+/// predicted until its answer. Callers of a service all wait in one queue: in overload
+/// it stands just there, and a longer one would make all answers late.
+const WHOLE_LATE_SHARE: f64 = 0.7;
+
 /// Workers whose owners are asked before one is chosen: with exact loads of three by
 /// chance, a call rarely meets a queue while others are idle.
 const CANDIDATE_COUNT: usize = 3;
@@ -89,16 +94,34 @@
             node.roster()
                 .candidates(now_ms, wanted, engine, CANDIDATE_COUNT, &mut rand::rng())?;
         let reading_ms = f64::from(wanted.prompt_tokens) * wanted.token_ms;
-        owners::ask(node, &candidates, wanted.parts, reading_ms).await;
+        owners::ask(
+            node,
+            &candidates,
+            wanted.parts,
+            reading_ms,
+            self.may_repeat(),
+        )
+        .await;
         let now_ms = node.now_ms();
         let roster = node.roster();
         roster.choose_among(now_ms, &candidates, wanted, engine, &mut rand::rng())
     }
 
+    /// Whether the call may be sent to another worker should this one fail.
+    fn may_repeat(&self) -> bool {
+        let route = &self.call.route;
+        route.may_repeat() && self.run_count + 1 < route.attempt_max_count
+    }
+
     /// Refuses a call that would begin so late that coming back is better.
     fn admit(&self, choice: Choice) -> Result<Choice, Refusal> {
         let aim_ms = self.call.route.aim_ms as f64;
-        if choice.begins_in_ms <= aim_ms * LATE_SHARE || self.may_have_run {
+        let late_share = if self.call.service.engine.is_some() {
+            LATE_SHARE
+        } else {
+            WHOLE_LATE_SHARE
+        };
+        if choice.begins_in_ms <= aim_ms * late_share || self.may_have_run {
             return Ok(choice);
         }
         let detail = format!("begins in {:.0} ms", choice.begins_in_ms);
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -58,7 +58,7 @@
     /// A worker's whole answer of a failure, kept while a repeat is hoped for.
     failed_answer: Option<Response<AnswerBody>>,
     offer_count: usize,
-    run_count: u32,
+    pub(super) run_count: u32,
     pub(super) may_have_run: bool,
     may_run_now: bool,
 }
@@ -186,7 +186,14 @@
         let node = self.node;
         let call = self.call;
         let wanted = self.wanted();
-        let mut open = OpenCall::begin(node, choice, &wanted, call.answer_tokens, call.end_by_ms);
+        let mut open = OpenCall::begin(
+            node,
+            choice,
+            &wanted,
+            &call.service.name,
+            call.answer_tokens,
+            call.end_by_ms,
+        );
         let hold_max_ms = (call.route.aim_ms as f64 * HOLD_MAX_SHARE) as u64;
         pause(choice.send_in_ms.min(hold_max_ms)).await;
         let pool = node.pool(&choice.id, &choice.address);
--- a/crates/cranereach-gateway/src/forward/open.rs
+++ b/crates/cranereach-gateway/src/forward/open.rs
@@ -21,6 +21,8 @@
     /// When the answer began.
     answering_since: Option<Instant>,
     model: Option<String>,
+    /// Where no model is named: the service, and what was at the worker before.
+    plain: Option<Plain>,
     answer_tokens: u32,
     held_tokens: u32,
     stay_ms: f64,
@@ -29,6 +31,15 @@
     outcome: Outcome,
 }
 
+/// A call of a plain service.
+#[derive(Debug)]
+struct Plain {
+    service: Arc<str>,
+    before_count: u32,
+    slot_count: u32,
+    begun: Instant,
+}
+
 /// A prompt that the worker is believed to read.
 #[derive(Debug)]
 struct Unread {
@@ -47,6 +58,7 @@
         node: &Arc<Node>,
         choice: &Choice,
         wanted: &Wanted<'_>,
+        service: &Arc<str>,
         answer_tokens: u32,
         end_by_ms: u64,
     ) -> Self {
@@ -79,6 +91,12 @@
             }),
             answering_since: None,
             model: wanted.model.map(|(model, _)| model.to_owned()),
+            plain: wanted.model.is_none().then(|| Plain {
+                service: Arc::clone(service),
+                before_count: choice.load.open_count,
+                slot_count: choice.slot_count,
+                begun: Instant::now(),
+            }),
             answer_tokens,
             held_tokens: wanted.held_tokens,
             stay_ms: wanted.stay_ms + reading_ms,
@@ -129,6 +147,16 @@
             let mut stays = self.node.stays();
             stays.learn(model, self.answer_tokens, stayed_ms);
         }
+        if let Some(plain) = &self.plain {
+            let took_ms = plain.begun.elapsed().as_secs_f64() * 1_000.0;
+            let mut times = self.node.service_times();
+            times.learn(
+                &plain.service,
+                took_ms,
+                plain.before_count,
+                plain.slot_count,
+            );
+        }
     }
 
     /// Notes a call that failed after it was sent.
--- a/crates/cranereach-gateway/src/forward/work.rs
+++ b/crates/cranereach-gateway/src/forward/work.rs
@@ -39,12 +39,13 @@
     model.map_or(Pace::default(), |(model, _)| node.paces().of(model))
 }
 
-/// Returns for how long the call's answer is expected to stay, in milliseconds.
+/// Returns for how long the call is expected to keep a slot once it runs, in
+/// milliseconds.
 pub fn stay_ms(node: &Node, call: &Call) -> f64 {
-    let model = call.model();
-    model.map_or(0.0, |(model, _)| {
-        node.stays().expected_ms(model, call.answer_tokens)
-    })
+    match call.model() {
+        Some((model, _)) => node.stays().expected_ms(model, call.answer_tokens),
+        None => node.service_times().expected_ms(&call.service.name),
+    }
 }
 
 /// Returns the place of the model and adapter that a call names.
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -133,8 +133,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OwnerEvent {
     /// How does the worker stand for a prompt of these parts that takes so many
-    /// milliseconds to read?
-    Ask(Vec<u64>, u32),
+    /// milliseconds to read, of a call that may or may not be repeated?
+    Ask(Vec<u64>, u32, bool),
     /// A request of these parts is sent to the worker.
     Begun(Opening, Vec<u64>),
     /// The worker has read the request's prompt, after so many milliseconds.
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -47,6 +47,7 @@
 use cranereach_fleet::proof::Proof;
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
+use cranereach_fleet::service_time::ServiceTimes;
 use cranereach_fleet::stay::Stays;
 use cranereach_fleet::tenure::EndedTerm;
 use cranereach_http::pool::Pool;
@@ -107,6 +108,7 @@
     roster: Mutex<Roster>,
     paces: Mutex<Paces>,
     stays: Mutex<Stays>,
+    service_times: Mutex<ServiceTimes>,
     demand: Mutex<HashMap<Arc<str>, Demand>>,
     peers: Mutex<Peers>,
     announced: Mutex<HashMap<Arc<str>, Announced>>,
@@ -186,6 +188,7 @@
             roster: Mutex::default(),
             paces: Mutex::default(),
             stays: Mutex::default(),
+            service_times: Mutex::default(),
             demand: Mutex::default(),
             peers: Mutex::new(Peers::new(
                 own_ip,
@@ -303,6 +306,11 @@
         lock(&self.stays)
     }
 
+    /// Returns how long calls of plain services run.
+    pub fn service_times(&self) -> MutexGuard<'_, ServiceTimes> {
+        lock(&self.service_times)
+    }
+
     /// Returns what is known of peers.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         lock(&self.peers)
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -41,7 +41,13 @@
 
 /// Asks the owners of some workers how these stand for a prompt that takes a time to
 /// read, and notes it.
-pub async fn ask(node: &Node, workers: &[Arc<str>], parts: &[PromptPart], reading_ms: f64) {
+pub async fn ask(
+    node: &Node,
+    workers: &[Arc<str>],
+    parts: &[PromptPart],
+    reading_ms: f64,
+    may_repeat: bool,
+) {
     let chains: Vec<u64> = parts.iter().map(|part| part.chain).collect();
     let chains = &chains[..chains.len().min(PART_MAX_COUNT)];
     let mut asked: HashMap<u64, (Ipv4Addr, &Arc<str>)> = HashMap::new();
@@ -50,12 +56,11 @@
         let key = worker_key(worker);
         let owner = owner_of(node, key);
         if owner == node.own_ip() {
-            let now_ms = node.now_ms();
-            let standing = lock(&node.owned).standing(now_ms, key, chains, reading_ms);
+            let standing = own_standing(node, key, chains, reading_ms, may_repeat);
             note(node, worker, standing);
         } else {
             asked.insert(key, (owner, worker));
-            let event = OwnerEvent::Ask(chains.to_vec(), reading_ms as u32);
+            let event = OwnerEvent::Ask(chains.to_vec(), reading_ms as u32, may_repeat);
             tell(node, owner, key, question.ticket, event);
         }
     }
@@ -143,9 +148,11 @@
     let of = (u32::from(sender), ticket);
     let mut owned = lock(&node.owned);
     match event {
-        OwnerEvent::Ask(chains, reading_ms) => {
+        OwnerEvent::Ask(chains, reading_ms, may_repeat) => {
             let chains = &chains[..chains.len().min(PART_MAX_COUNT)];
-            let standing = owned.standing(now_ms, worker, chains, f64::from(reading_ms));
+            drop(owned);
+            let reading_ms = f64::from(reading_ms);
+            let standing = own_standing(node, worker, chains, reading_ms, may_repeat);
             return Some(quote(worker, ticket, &standing));
         }
         OwnerEvent::Begun(opening, chains) => {
@@ -164,6 +171,23 @@
     None
 }
 
+/// Returns how a worker stands that this instance owns.
+fn own_standing(
+    node: &Node,
+    worker: u64,
+    chains: &[u64],
+    reading_ms: f64,
+    may_repeat: bool,
+) -> Standing {
+    let now_ms = node.now_ms();
+    let mut owned = lock(&node.owned);
+    if may_repeat {
+        owned.standing_for_repeatable(now_ms, worker, chains, reading_ms)
+    } else {
+        owned.standing(now_ms, worker, chains, reading_ms)
+    }
+}
+
 /// Takes an owner's answer.
 pub fn take_quote(node: &Node, quote: Quote) {
     node.questions.answered(quote.ticket, quote);
