A call waits for its model only if the holder expects it in time; Retry-After says when

Cause: a call whose model nobody held waited 0.22 of its aim, a share that followed the price of holding calls back, and then was told to come back after 1.5 s whatever was loaded. Hypothesis: the holder knows what it is loading and for how much longer. Change: an instance names the models that its calls lack in its message of demand, the holder answers at once which are being loaded and for how long; a call waits if that is within its aim, and is refused at once otherwise, with the time until the model is there, or the time of a load where none is under way.

--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -29,6 +29,9 @@
 /// Time between two reports of a busy worker, in milliseconds.
 const BUSY_LOOK_EVERY_MS: u64 = 1_200;
 
+/// Time after a load should be over until the first look at it, in milliseconds.
+const LOADED_SLACK_MS: u64 = 600;
+
 /// First look at an unload, in milliseconds.
 const UNLOAD_LOOK_MS: u64 = 350;
 
@@ -97,6 +100,8 @@
     is_serving: bool,
     phase: Phase,
     open: Option<OpenOrder>,
+    /// When the last load that was taken should be over, in milliseconds.
+    loaded_at_ms: u64,
     /// Adapters whose loads were taken, and when they are there, in milliseconds.
     arriving: Vec<(ModelKey, u64)>,
     row_version: u64,
@@ -146,6 +151,7 @@
                 is_serving: true,
                 phase: Phase::Unknown { ask_at_ms: now_ms },
                 open: None,
+                loaded_at_ms: 0,
                 arriving: Vec::new(),
                 row_version: 0,
             });
@@ -265,9 +271,12 @@
             OrderEnd::Taken => {
                 entry.sequence = open.expected_sequence + 1;
                 match open.order {
-                    Order::Load(_) => Phase::Busy {
-                        look_at_ms: now_ms + load_ms + 600,
-                    },
+                    Order::Load(_) => {
+                        entry.loaded_at_ms = now_ms + load_ms;
+                        Phase::Busy {
+                            look_at_ms: entry.loaded_at_ms + LOADED_SLACK_MS,
+                        }
+                    }
                     Order::Unload(_) => Phase::Busy {
                         look_at_ms: now_ms + UNLOAD_LOOK_MS,
                     },
@@ -336,6 +345,22 @@
         held
     }
 
+    /// Lists the models that are being loaded, and when each should be there, in
+    /// milliseconds: the first of several workers.
+    pub fn coming(&self, now_ms: u64) -> HashMap<u16, u64> {
+        let mut coming: HashMap<u16, u64> = HashMap::new();
+        for entry in self.entries.values() {
+            let busy = matches!(entry.phase, Phase::Busy { .. });
+            let open = entry.open.filter(|_| busy);
+            if let Some(Order::Load(model)) = open.map(|open| open.order) {
+                let at_ms = entry.loaded_at_ms.max(now_ms);
+                let first_ms = coming.entry(model).or_insert(at_ms);
+                *first_ms = at_ms.min(*first_ms);
+            }
+        }
+        coming
+    }
+
     /// Lists the models that are being unloaded.
     pub fn going(&self) -> impl Iterator<Item = (&Arc<str>, u16)> {
         self.entries.iter().flat_map(|(id, entry)| {
--- a/crates/cranereach-gateway/src/controller/mod.rs
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -291,6 +291,7 @@
         let mut announced = Announced {
             adapters: self.unlisted_adapters(node, engine),
             withheld: Vec::new(),
+            coming: self.ledger.coming(node.now_ms()),
         };
         let going = self.ledger.going();
         announced.withheld = going.map(|(id, model)| (worker_key(id), model)).collect();
--- /dev/null
+++ b/crates/cranereach-gateway/src/expected.rs
@@ -0,0 +1,124 @@
+//! When models that requests lack are expected at some worker, as holders say.
+//!
+//! An instance tells the holder of a lease which models its requests lack, and the
+//! holder answers which of them are being loaded and for how much longer. So a
+//! request waits for its model only if that comes in time, and the others are told
+//! when to come back.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use crate::messages::ExpectedModel;
+use crate::messages::Message;
+use crate::node::Announced;
+use crate::node::Node;
+use crate::node::lock;
+use cranereach_fleet::roster::worker_key;
+
+/// Time for which a holder's word counts, in milliseconds: plans change with demand.
+const WORD_FOR_MS: u64 = 1_000;
+
+/// Models that one message asks for or answers at most.
+pub const ASKED_MAX_COUNT: usize = 64;
+
+/// Models that words are remembered of at most.
+const REMEMBERED_MAX_COUNT: usize = 4_096;
+
+/// A holder's word on one model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// It should be there at a time, in milliseconds.
+    At(u64),
+    /// It isn't being loaded.
+    NotComing,
+}
+
+/// Words by service and model, each with the time at which it was heard.
+#[derive(Clone, Debug, Default)]
+pub struct ExpectedModels {
+    words: HashMap<(u64, u16), (u64, Word)>,
+}
+
+impl ExpectedModels {
+    /// Notes a holder's word.
+    ///
+    /// ```
+    /// use cranereach_gateway::expected::ExpectedModels;
+    /// use cranereach_gateway::expected::Word;
+    ///
+    /// let mut expected = ExpectedModels::default();
+    /// expected.note(1_000, (7, 3), Word::At(4_000));
+    /// assert_eq!(expected.word(1_500, (7, 3)), Some(Word::At(4_000)));
+    /// assert_eq!(expected.word(2_500, (7, 3)), None);
+    /// ```
+    pub fn note(&mut self, now_ms: u64, model: (u64, u16), word: Word) {
+        if self.words.len() >= REMEMBERED_MAX_COUNT {
+            self.words
+                .retain(|_, (heard_ms, _)| now_ms < *heard_ms + WORD_FOR_MS);
+        }
+        if self.words.len() < REMEMBERED_MAX_COUNT {
+            self.words.insert(model, (now_ms, word));
+        }
+    }
+
+    /// Returns what was heard lately of a model.
+    pub fn word(&self, now_ms: u64, model: (u64, u16)) -> Option<Word> {
+        let heard = self.words.get(&model);
+        let recent = heard.filter(|(heard_ms, _)| now_ms < heard_ms + WORD_FOR_MS);
+        recent.map(|(_, word)| *word)
+    }
+}
+
+/// Returns a holder's word on a model, be this instance the holder.
+pub fn word(node: &Node, service: &str, model: u16) -> Option<Word> {
+    if let Some(announced) = node.announced().get(service) {
+        return Some(of_holder(announced, model));
+    }
+    lock(&node.expected).word(node.now_ms(), (worker_key(service), model))
+}
+
+/// Returns what a holder knows of a model.
+fn of_holder(announced: &Announced, model: u16) -> Word {
+    let at_ms = announced.coming.get(&model).copied();
+    at_ms.map_or(Word::NotComing, Word::At)
+}
+
+/// Answers a peer whose requests lack some models, for those leases that are held here.
+pub fn answer(node: &Node, peer: Ipv4Addr, lacks: &[(u64, u16)]) {
+    let now_ms = node.now_ms();
+    let mut answers = Vec::new();
+    for (service, announced) in node.announced().iter() {
+        let key = worker_key(service);
+        let asked = lacks.iter().take(ASKED_MAX_COUNT);
+        for (_, model) in asked.filter(|(of, _)| *of == key) {
+            let in_ms = match of_holder(announced, *model) {
+                Word::At(at_ms) => Some(at_ms.saturating_sub(now_ms) as u32),
+                Word::NotComing => None,
+            };
+            answers.push(ExpectedModel {
+                service: key,
+                model: *model,
+                in_ms,
+            });
+        }
+    }
+    if !answers.is_empty() {
+        let peer = SocketAddr::from((peer, node.peer_port()));
+        node.send_now(peer, Message::Expected(answers));
+    }
+}
+
+/// Takes a holder's answer.
+pub fn take(node: &Node, answers: &[ExpectedModel]) {
+    let now_ms = node.now_ms();
+    let mut expected = lock(&node.expected);
+    for of in answers.iter().take(ASKED_MAX_COUNT) {
+        let word = of
+            .in_ms
+            .map_or(Word::NotComing, |in_ms| Word::At(now_ms + u64::from(in_ms)));
+        expected.note(now_ms, (of.service, of.model), word);
+    }
+    drop(expected);
+    node.expected_changed.notify_waiters();
+}
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -4,8 +4,10 @@
 
 use super::exchange::Exchange;
 use super::refusal::MODEL_BACK_AFTER_MS;
+use super::refusal::RETRY_AFTER_DEFAULT_MS;
 use super::refusal::Refusal;
 use super::work;
+use crate::expected::Word;
 use crate::owners;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::configuration::Engine;
@@ -13,9 +15,12 @@
 use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::worker::Wanted;
 
-/// Share of the aim for which a call waits for its model: below the quarter from
-/// which holding it back without an offer is priced.
-const WAIT_SHARE: f64 = 0.22;
+/// Time within which the holder of a lease says when a model is expected, in
+/// milliseconds: it answers at once, and demand is told every 20 ms at the most.
+const WORD_WITHIN_MS: u64 = 40;
+
+/// Time from a model's load to its worker's row here, in milliseconds.
+const LISTED_WITHIN_MS: u64 = 400;
 
 /// Share of the aim for which a call waits for its adapter: one is loaded within
 /// some hundred milliseconds, so that most calls that wait are served in time.
@@ -46,6 +51,7 @@
             let wanted = self.wanted();
             let engine = call.service.engine.as_ref();
             let changed = self.node.roster_changed.notified();
+            let expected = self.node.expected_changed.notified();
             let chosen = self.choose_by_owners(&wanted, engine).await;
             let why = match chosen {
                 Ok(choice) => return self.admit(choice),
@@ -54,17 +60,11 @@
             if !has_asked {
                 has_asked = true;
                 // The holder learns of the demand at once.
-                work::note_wait(self.node, call);
+                work::note_lack(self.node, call, why);
                 self.node.demand_wanted.notify_one();
                 self.node.controller_wanted.notify_one();
             }
-            let wait_share = match why {
-                NoWorker::None | NoWorker::Unreachable => 0.0,
-                NoWorker::NoModel => WAIT_SHARE,
-                NoWorker::NoAdapter => ADAPTER_WAIT_SHARE,
-            };
-            let wait_ms = (call.route.aim_ms as f64 * wait_share) as u64;
-            let wait_until_ms = (call.received_ms + wait_ms).min(call.end_by_ms);
+            let wait_until_ms = self.wait_until_ms(why).min(call.end_by_ms);
             if now_ms >= wait_until_ms {
                 let code = match why {
                     _ if self.may_have_run => ResultCode::OutcomeUnknown,
@@ -72,16 +72,52 @@
                     NoWorker::NoModel | NoWorker::NoAdapter => ResultCode::NotResident,
                 };
                 let mut refusal = self.refusal(code, &format!("{why:?} {:?}", call.model()));
-                if matches!(why, NoWorker::NoModel | NoWorker::Unreachable) {
-                    refusal.retry_after_ms = MODEL_BACK_AFTER_MS;
+                match why {
+                    NoWorker::NoModel => refusal.retry_after_ms = self.model_back_after_ms(),
+                    NoWorker::Unreachable => refusal.retry_after_ms = MODEL_BACK_AFTER_MS,
+                    NoWorker::None | NoWorker::NoAdapter => {}
                 }
                 return Err(refusal);
             }
             let look = Duration::from_millis(LOOK_EVERY_MS.min(wait_until_ms - now_ms + 1));
-            let _changed = tokio::time::timeout(look, changed).await;
+            tokio::select! {
+                _changed = tokio::time::timeout(look, changed) => {}
+                () = expected => {}
+            }
         }
     }
 
+    /// Returns until when the call waits for what it lacks, in milliseconds: for a model
+    /// only if it is expected while the answer would still be in time.
+    fn wait_until_ms(&self, why: NoWorker) -> u64 {
+        let received_ms = self.call.received_ms;
+        let aim_at_ms = received_ms + self.call.route.aim_ms;
+        match why {
+            NoWorker::None | NoWorker::Unreachable => received_ms,
+            NoWorker::NoAdapter => {
+                received_ms + (self.call.route.aim_ms as f64 * ADAPTER_WAIT_SHARE) as u64
+            }
+            NoWorker::NoModel => match work::word(self.node, self.call) {
+                Some(Word::At(at_ms)) if at_ms < aim_at_ms => {
+                    aim_at_ms.min(at_ms + LISTED_WITHIN_MS)
+                }
+                Some(Word::At(_) | Word::NotComing) => received_ms,
+                None => received_ms + WORD_WITHIN_MS,
+            },
+        }
+    }
+
+    /// Returns when a call whose model isn't there should come back, in milliseconds:
+    /// when it is expected, or after the time of a load.
+    fn model_back_after_ms(&self) -> u64 {
+        let now_ms = self.node.now_ms();
+        let back_after_ms = match work::word(self.node, self.call) {
+            Some(Word::At(at_ms)) => at_ms.saturating_sub(now_ms) + LISTED_WITHIN_MS,
+            Some(Word::NotComing) | None => work::load_ms(self.call).unwrap_or_default(),
+        };
+        back_after_ms.max(RETRY_AFTER_DEFAULT_MS)
+    }
+
     /// Chooses among a few workers by what their owners say of them now.
     async fn choose_by_owners(
         &self,
--- a/crates/cranereach-gateway/src/forward/refusal.rs
+++ b/crates/cranereach-gateway/src/forward/refusal.rs
@@ -19,7 +19,7 @@
 /// Retry-After of a refusal without a better estimate, in milliseconds.
 pub const RETRY_AFTER_DEFAULT_MS: u64 = 300;
 
-/// Retry-After where no worker serves the model now, in milliseconds.
+/// Retry-After where the workers that hold the model can't be reached, in milliseconds.
 pub const MODEL_BACK_AFTER_MS: u64 = 1_500;
 
 /// A request that gets an error in place of an answer.
--- a/crates/cranereach-gateway/src/forward/work.rs
+++ b/crates/cranereach-gateway/src/forward/work.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 
 use super::request::Call;
+use crate::expected;
+use crate::expected::Word;
 use crate::node::Node;
 use crate::node::lock;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::pace::Pace;
+use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::worker_key;
 
 /// Notes what the call asks for, so that it is loaded where that is needed.
@@ -23,16 +26,35 @@
     of_service.asked(now_ms, key, work_ms);
 }
 
-/// Notes that the call waits for an adapter that nobody is known to hold.
-pub fn note_wait(node: &Node, call: &Call) {
-    if let Some((model, adapter)) = model_key(call)
-        && adapter > 0
-    {
-        let service = worker_key(&call.service.name);
+/// Notes that the call lacks a model, or an adapter, that nobody is known to hold.
+pub fn note_lack(node: &Node, call: &Call, why: NoWorker) {
+    let Some((model, adapter)) = model_key(call) else {
+        return;
+    };
+    let service = worker_key(&call.service.name);
+    if why == NoWorker::NoModel {
+        lock(&node.lacks).insert((service, model));
+    }
+    if adapter > 0 {
         lock(&node.waits_for).insert((service, (model, adapter)));
     }
 }
 
+/// Returns what the holder of the lease says of the model that a call lacks.
+pub fn word(node: &Node, call: &Call) -> Option<Word> {
+    let (model, _) = model_key(call)?;
+    expected::word(node, &call.service.name, model)
+}
+
+/// Returns for how long a load of the call's model takes from the weight store, in
+/// milliseconds.
+pub fn load_ms(call: &Call) -> Option<u64> {
+    let (model, _) = model_key(call)?;
+    let engine = call.service.engine.as_ref()?;
+    let model = engine.models.get(usize::from(model))?;
+    Some((model.load_s * 1_000.0) as u64)
+}
+
 /// Returns how fast the call's model is read; at once where there is none.
 pub fn pace(node: &Node, call: &Call) -> Pace {
     let model = call.model();
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -14,6 +14,8 @@
 use tokio::net::UdpSocket;
 
 use crate::bodies;
+use crate::expected;
+use crate::expected::ASKED_MAX_COUNT;
 use crate::limits;
 use crate::messages::DATAGRAM_MAX_BYTES;
 use crate::messages::Datagram;
@@ -89,10 +91,12 @@
         let now_ms = node.now_ms();
         count += 1;
         let waits_for = mem::take(&mut *lock(&node.waits_for));
+        let lacks = mem::take(&mut *lock(&node.lacks));
         let message = DemandMessage {
             boot: node.boot,
             count,
             waits_for: waits_for.into_iter().collect(),
+            lacks: lacks.into_iter().take(ASKED_MAX_COUNT).collect(),
             parts: demand_parts(&node, now_ms),
         };
         let holders = node.peers().holders(now_ms);
@@ -273,6 +277,7 @@
                     }
                     Message::Quote(quote) => owners::take_quote(&node, quote),
                     Message::Placed(placed) => news::take_placed(&node, &placed),
+                    Message::Expected(answers) => expected::take(&node, &answers),
                     Message::Prove(question) => proofs::answer(&node, sender, question),
                     Message::Proof(answer) => proofs::take(&node, ip, &answer),
                     Message::Limit(ask) => limits::answer(&node, sender, &ask),
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod bodies;
 pub mod configuration_sync;
 pub mod controller;
+pub mod expected;
 pub mod forward;
 pub mod gossip;
 pub mod heard_leases;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -82,6 +82,8 @@
     /// Adapters that are there now, for whoever waits for them: worker, model and
     /// adapter.
     Placed(Vec<(u64, ModelKey)>),
+    /// A holder's word on models that the receiver's requests lack.
+    Expected(Vec<ExpectedModel>),
     /// A question for proof that the sender's configuration is the newest.
     Prove(ProofQuestion),
     /// The answer.
@@ -92,6 +94,17 @@
     Granted(LimitGrant),
 }
 
+/// When a model is expected at some worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpectedModel {
+    /// Key of the service.
+    pub service: u64,
+    /// The model's place in the declared list.
+    pub model: u16,
+    /// Time until then, in milliseconds; none if it isn't being loaded.
+    pub in_ms: Option<u32>,
+}
+
 /// What an owner of a part of a limit is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitAsk {
@@ -174,6 +187,8 @@
     /// Adapters that requests wait for here since nobody is known to hold them:
     /// service, model and adapter.
     pub waits_for: Vec<(u64, ModelKey)>,
+    /// Models that requests lack here: service, model.
+    pub lacks: Vec<(u64, u16)>,
     /// The demand.
     pub parts: Vec<DemandPart>,
 }
--- a/crates/cranereach-gateway/src/news.rs
+++ b/crates/cranereach-gateway/src/news.rs
@@ -8,6 +8,7 @@
 use slog::info;
 
 use crate::bodies;
+use crate::expected;
 use crate::messages::DemandMessage;
 use crate::messages::Digest;
 use crate::messages::Message;
@@ -105,6 +106,9 @@
 /// Takes a peer's demand.
 pub fn take_demand(node: &Node, sender: Ipv4Addr, demand: &DemandMessage) {
     let is_new = node.peers().heard_demand(node.now_ms(), sender, demand);
+    if is_new && !demand.lacks.is_empty() {
+        expected::answer(node, sender, &demand.lacks);
+    }
     if !is_new || demand.waits_for.is_empty() {
         return;
     }
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -25,6 +25,7 @@
 use crate::adapter;
 use crate::adapter::Adapter;
 use crate::adapter::FormatError;
+use crate::expected::ExpectedModels;
 use crate::messages::LimitGrant;
 use crate::messages::Message;
 use crate::messages::Quote;
@@ -65,6 +66,8 @@
     pub adapters: Vec<(u64, ModelKey)>,
     /// Models that are being unloaded: worker key, model.
     pub withheld: Vec<(u64, u16)>,
+    /// Models that are being loaded, and when each should be there, in milliseconds.
+    pub coming: HashMap<u16, u64>,
 }
 
 /// What all parts share.
@@ -90,6 +93,12 @@
     pub demand_wanted: Notify,
     /// Adapters that requests wait for here: service, model and adapter.
     pub waits_for: Mutex<HashSet<(u64, ModelKey)>>,
+    /// Models that requests lacked here since holders were told last: service, model.
+    pub lacks: Mutex<HashSet<(u64, u16)>>,
+    /// What holders say of such models.
+    pub expected: Mutex<ExpectedModels>,
+    /// Wakes whoever waits for a holder's word on them.
+    pub expected_changed: Notify,
     /// Wakes the controller.
     pub controller_wanted: Notify,
     /// Rows of the list of workers, and what peers are told of them.
@@ -177,6 +186,9 @@
             digest_wanted: Notify::new(),
             demand_wanted: Notify::new(),
             waits_for: Mutex::default(),
+            lacks: Mutex::default(),
+            expected: Mutex::default(),
+            expected_changed: Notify::new(),
             controller_wanted: Notify::new(),
             listing: Mutex::default(),
             list: Mutex::new(Freshness::new(settings.bounds.drain_ms)),
--- a/crates/cranereach-gateway/tests/peers.rs
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -180,6 +180,7 @@
     DemandMessage {
         boot: 1,
         count,
+        lacks: Vec::new(),
         waits_for: Vec::new(),
         parts: vec![DemandPart {
             service: SERVICE,
