Demand no longer runs ahead along the declared list of models

Cause: a part of a busy model's demand was given to the eight models declared behind it. Nothing observed says that demand moves along that list; it bets on how a configuration happens to be written. Change: taken out; what is asked for counts, and a little for every model.

--- a/crates/cranereach-fleet/src/pressure.rs
+++ b/crates/cranereach-fleet/src/pressure.rs
@@ -6,8 +6,7 @@
 //! its time is asked for serves `u^3` badly while `u` is below one, and
 //! `u (2 u - 1)` above, where queues grow, up to where nothing more is served. A
 //! model that no worker holds has all of its demand served badly, several times
-//! over. Demand moves on along the declared list: the models right behind a busy
-//! one get a part of its demand ahead of time.
+//! over.
 
 use std::collections::HashMap;
 
@@ -27,27 +26,12 @@
 /// Times that the demand of each model is laid out anew, given that of the others.
 const SWEEP_COUNT: usize = 6;
 
-/// Demand that models behind a busy one are given, as a share of its own.
-const AHEAD_SHARE: f64 = 0.6;
-
-/// Models behind a busy one that are given demand ahead of time.
-const AHEAD_COUNT: usize = 3;
-
-/// Models further behind a busy one that are given a little demand.
-const FURTHER_COUNT: usize = 5;
-
-/// That little demand, as a share of the busy model's own.
-const FURTHER_SHARE: f64 = 0.03;
-
 /// Demand that is spread over all models alike, as a share of all demand.
 ///
 /// It keeps a model that nobody asks for on its last worker, but no longer than a
 /// busy one needs the place.
 const EVERYBODYS_SHARE: f64 = 0.05;
 
-/// Share of the demand from which a model counts as busy.
-const BUSY_SHARE: f64 = 0.1;
-
 /// A model on a worker.
 #[derive(Clone, Copy, Debug)]
 struct Holding {
@@ -239,7 +223,7 @@
     0.0
 }
 
-/// Returns the demand per model, with what is expected to come.
+/// Returns the demand per model, with a little of all for models that nobody asks for.
 fn expected_demand(model_count: usize, asked: &HashMap<ModelKey, f64>) -> Vec<f64> {
     let mut by_model = vec![0.0; model_count];
     for ((model, _adapter), rate) in asked {
@@ -248,23 +232,9 @@
         }
     }
     let total: f64 = by_model.iter().sum();
-    let is_busy = |demand: f64| total > 0.0 && demand >= BUSY_SHARE * total;
     let least = EVERYBODYS_SHARE * total / model_count.max(1) as f64;
     let mut expected: Vec<f64> = by_model.iter().map(|own| own.max(least)).collect();
-    for (model, demand) in by_model
-        .iter()
-        .enumerate()
-        .filter(|(_, own)| is_busy(**own))
-    {
-        for next in expected.iter_mut().skip(model + 1).take(AHEAD_COUNT) {
-            *next = next.max(AHEAD_SHARE * demand);
-        }
-        let further = expected.iter_mut().skip(model + 1 + AHEAD_COUNT);
-        for next in further.take(FURTHER_COUNT) {
-            *next = next.max(FURTHER_SHARE * demand);
-        }
-    }
-    // What is expected to come takes the place of what goes.
+    // That little is taken off the others.
     let expected_total: f64 = expected.iter().sum();
     if expected_total > 0.0 {
         for demand in &mut expected {
