--- a/crates/cranereach-gateway/src/forward/caller.rs
+++ b/crates/cranereach-gateway/src/forward/caller.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// Says by what a key is refused, for the log: the age of the proof, and the newest
+/// version that peers have told of.
+pub fn inputs(node: &Node) -> String {
+    let age_ms = lock(&node.proof).age_ms(node.now_ms());
+    let age = age_ms.map_or("never".to_owned(), |age_ms| format!("{age_ms} ms ago"));
+    let heard = node.configuration_heard.load(Ordering::Acquire);
+    format!("key; configuration last proved the newest: {age}; version heard of: {heard}")
+}
+
 /// Waits for a configuration that peers have told of; none if there is none, or it
 /// doesn't come soon. Requests that can't be served cost no call to the store.
 pub async fn newer_configuration(node: &Node, than: u64) -> Option<Arc<Configuration>> {
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -122,7 +122,7 @@
         if id.is_empty() {
             return Err(refuse(ResultCode::BadRequest, "no identity"));
         }
-        let account = account.map_err(|code| refuse(code, "key"))?;
+        let account = account.map_err(|code| refuse(code, &caller::inputs(node)))?;
         let cost = cost(account.as_deref(), text(names.tokens))
             .map_err(|detail| refuse(ResultCode::BadRequest, detail))?;
         let label = account
