--- a/crates/cranereach-bench/src/slopes.rs
+++ b/crates/cranereach-bench/src/slopes.rs
@@ -5,6 +5,7 @@
 //! value. [`kernel`] looks at the kernel alone, [`gateway`] at the decisions of a
 //! gateway, [`system`] at whole deployments.
 
+pub mod accounts;
 mod fixtures;
 pub mod gateway;
 pub mod kernel;
--- /dev/null
+++ b/crates/cranereach-bench/src/slopes/accounts.rs
@@ -0,0 +1,110 @@
+//! Costs of what a gateway decides about client accounts, by size.
+
+use std::hint::black_box;
+use std::sync::Arc;
+
+use super::Slope;
+use super::kernel::per_size;
+use super::kernel::time_us;
+use cranereach_core::snapshot::KeyHash;
+use cranereach_fleet::accounts::Account;
+use cranereach_fleet::accounts::Accounts;
+use cranereach_fleet::accounts::Limit;
+use cranereach_fleet::accounts::LimitUnit;
+use cranereach_fleet::limits::OwnedLimits;
+use cranereach_fleet::limits::PartKey;
+use cranereach_fleet::limits::Tolerance;
+use cranereach_fleet::limits::Uses;
+use cranereach_fleet::limits::Wanted;
+
+/// What a deployment tolerates; any will do.
+const TOLERANCE: Tolerance = Tolerance {
+    window_s: 8.0,
+    excess_share: 0.1,
+    allowance: 17_000.0,
+};
+
+/// A limit that no measurement reaches.
+const LIMIT: Limit = Limit {
+    rate_per_s: 1e9,
+    burst: 1e11,
+    smallest_cost: 1.0,
+};
+
+/// Units that a request counts.
+const COST: f64 = 2_000.0;
+
+/// Measures all slopes of decisions about accounts.
+pub fn measure() -> Vec<Slope> {
+    vec![
+        per_size(
+            "find the account of a key",
+            "accounts",
+            "us",
+            &[16, 300, 1_000, 10_000],
+            find_us,
+        ),
+        per_size(
+            "decide about a request by what is held in advance",
+            "accounts in use",
+            "us",
+            &[16, 300, 1_000, 10_000],
+            decide_us,
+        ),
+        per_size(
+            "grant units as the owner of a part",
+            "parts owned",
+            "us",
+            &[16, 300, 1_000, 10_000],
+            grant_us,
+        ),
+    ]
+}
+
+/// Time to find an account by the key that a caller presents.
+fn find_us(count: usize) -> f64 {
+    let account = |number: usize| Account {
+        name: Arc::from(format!("account-{number}")),
+        keys: vec![KeyHash::of(&format!("key-{number}"))],
+        rank: None,
+        unit: LimitUnit::Requests,
+        limit: None,
+    };
+    let accounts = Accounts::new((0..count).map(account).collect()).unwrap_or_default();
+    time_us(|| {
+        black_box(accounts.by_secret("key-7"));
+    })
+}
+
+/// Time to decide about a request whose units are held already.
+fn decide_us(count: usize) -> f64 {
+    let mut uses = Uses::default();
+    for account in 0..count as u64 {
+        uses.decide(0, account, LIMIT, &TOLERANCE, COST);
+        uses.granted(0, account, 1e15, COST);
+    }
+    let mut account = 0;
+    time_us(|| {
+        account = (account + 1) % count as u64;
+        black_box(uses.decide(1, account, LIMIT, &TOLERANCE, COST));
+    })
+}
+
+/// Time to grant units.
+fn grant_us(count: usize) -> f64 {
+    let mut owned = OwnedLimits::default();
+    let wanted = Wanted {
+        least: COST,
+        most: COST,
+    };
+    let mut account = 0;
+    let mut take = || {
+        account = (account + 1) % count as u64;
+        let key = PartKey { account, part: 0 };
+        black_box(owned.take(1, key, LIMIT, &TOLERANCE, wanted, true));
+    };
+    for _account in 0..count {
+        take();
+    }
+    time_us(take)
+}
--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -132,6 +132,7 @@
     slopes::kernel::measure(scenario)
         .iter()
         .chain(&slopes::gateway::measure())
+        .chain(&slopes::accounts::measure())
         .for_each(super::print_json);
     match super::block_on(slopes::system::measure(scenario)) {
         Ok(system) => {
