Node, ledger and the simulated fleet of limits split: one job a module

Moves only: what is in force at an instance, what the ledger shows, and the world of the tests of limits stand in modules of their own. No decision changes, no test is touched beyond its place.

--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -6,13 +6,14 @@
 //! that sequence fail, or fails itself. A worker whose state isn't known at its
 //! sequence is asked for a report before it gets an order.
 
+mod views;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::demand::ModelKey;
 use crate::placement::Order;
 use crate::placement::Place;
-use crate::placement::WorkerView;
 
 /// Time after which an order without an answer is sent again, in milliseconds.
 const RESEND_AFTER_MS: u64 = 40;
@@ -313,61 +314,6 @@
             }
         };
     }
-
-    /// Returns the workers as the plan sees them, in the order of their names.
-    pub fn views(&self) -> (Vec<Arc<str>>, Vec<WorkerView>) {
-        let mut ids: Vec<Arc<str>> = self.entries.keys().cloned().collect();
-        ids.sort_unstable();
-        let views = ids.iter().filter_map(|id| self.entries.get(id));
-        let views = views.map(|entry| WorkerView {
-            places: entry.places.clone(),
-            is_free: entry.phase == Phase::Free,
-            is_serving: entry.is_serving,
-            copies: entry.copies.clone(),
-        });
-        let views = views.collect();
-        (ids, views)
-    }
-
-    /// Lists the adapters that workers hold by these orders, those still on their
-    /// way left out.
-    pub fn adapters(&mut self, now_ms: u64) -> Vec<(Arc<str>, ModelKey)> {
-        let mut held = Vec::new();
-        for (id, entry) in &mut self.entries {
-            entry.arriving.retain(|(_, at_ms)| now_ms < *at_ms);
-            let of_places = entry.places.iter().flat_map(|place| {
-                let adapters = place.adapters.iter();
-                adapters.map(|adapter| (place.model, *adapter))
-            });
-            let there = of_places.filter(|adapter| !entry.is_on_its_way(*adapter));
-            held.extend(there.map(|adapter| (Arc::clone(id), adapter)));
-        }
-        held
-    }
-
-    /// Lists the models that are being loaded, and when each should be there, in
-    /// milliseconds: the first of several workers.
-    pub fn coming(&self, now_ms: u64) -> HashMap<u16, u64> {
-        let mut coming: HashMap<u16, u64> = HashMap::new();
-        for entry in self.entries.values() {
-            let busy = matches!(entry.phase, Phase::Busy { .. });
-            let open = entry.open.filter(|_| busy);
-            if let Some(Order::Load(model)) = open.map(|open| open.order) {
-                let at_ms = entry.loaded_at_ms.max(now_ms);
-                let first_ms = coming.entry(model).or_insert(at_ms);
-                *first_ms = at_ms.min(*first_ms);
-            }
-        }
-        coming
-    }
-
-    /// Lists the models that are being unloaded.
-    pub fn going(&self) -> impl Iterator<Item = (&Arc<str>, u16)> {
-        self.entries.iter().flat_map(|(id, entry)| {
-            let places = entry.places.iter().filter(|place| place.is_going);
-            places.map(move |place| (id, place.model))
-        })
-    }
 }
 
 impl Entry {
--- a/crates/cranereach-fleet/tests/limits.rs
+++ b/crates/cranereach-fleet/tests/limits/fleet.rs
@@ -1,5 +1,4 @@
-//! Limits over simulated fleets: what may be used beyond them, and that what lies
-//! within isn't refused, while owners die, are cut off and come back.
+//! A simulated fleet whose callers use one account with a limit.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -19,22 +18,22 @@
 use cranereach_fleet::limits::Wanted;
 use cranereach_fleet::membership::Membership;
 
-const TOLERANCE: Tolerance = Tolerance {
+pub const TOLERANCE: Tolerance = Tolerance {
     window_s: 8.0,
     excess_share: 0.1,
     allowance: 17_000.0,
 };
 
 /// Account that all use.
-const ACCOUNT: u64 = 77;
+pub const ACCOUNT: u64 = 77;
 
 /// Time between two rounds of signs of life, in milliseconds.
-const ROUND_MS: u64 = 250;
+pub const ROUND_MS: u64 = 250;
 
 /// Rounds that a sign of life takes at most to reach another instance.
-const SIGN_ROUNDS: u64 = 5;
+pub const SIGN_ROUNDS: u64 = 5;
 
-fn limit(rate_per_s: f64) -> Limit {
+pub fn limit(rate_per_s: f64) -> Limit {
     Limit {
         rate_per_s,
         burst: rate_per_s,
@@ -42,45 +41,45 @@
     }
 }
 
-fn address(number: usize) -> Ipv4Addr {
+pub fn address(number: usize) -> Ipv4Addr {
     Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 0, 0, 1)) + number as u32)
 }
 
 /// One instance.
-struct Instance {
-    members: Membership,
-    uses: Uses,
-    owned: OwnedLimits,
-    down_until_ms: u64,
-    started_ms: u64,
+pub struct Instance {
+    pub members: Membership,
+    pub uses: Uses,
+    pub owned: OwnedLimits,
+    pub down_until_ms: u64,
+    pub started_ms: u64,
 }
 
 /// What came of requests.
 #[derive(Clone, Copy, Debug, Default)]
-struct Counts {
-    run: u64,
-    refused: u64,
-    unknown: u64,
-    asked: u64,
+pub struct Counts {
+    pub run: u64,
+    pub refused: u64,
+    pub unknown: u64,
+    pub asked: u64,
 }
 
 /// A fleet whose callers use one account.
-struct Fleet {
-    instances: Vec<Instance>,
-    number_of: HashMap<Ipv4Addr, usize>,
-    limit: Limit,
-    now_ms: u64,
+pub struct Fleet {
+    pub instances: Vec<Instance>,
+    pub number_of: HashMap<Ipv4Addr, usize>,
+    pub limit: Limit,
+    pub now_ms: u64,
     /// When how much was run.
-    run: VecDeque<(u64, f64)>,
-    run_sum: f64,
+    pub run: VecDeque<(u64, f64)>,
+    pub run_sum: f64,
     /// The most that was run within one window.
-    most: f64,
-    counts: Counts,
-    rng: StdRng,
+    pub most: f64,
+    pub counts: Counts,
+    pub rng: StdRng,
 }
 
 impl Fleet {
-    fn start(count: usize, limit: Limit, seed: u64) -> Self {
+    pub fn start(count: usize, limit: Limit, seed: u64) -> Self {
         let mut fleet = Self {
             instances: Vec::new(),
             number_of: (0..count).map(|number| (address(number), number)).collect(),
@@ -99,7 +98,7 @@
         fleet
     }
 
-    fn fresh(&self, number: usize) -> Instance {
+    pub fn fresh(&self, number: usize) -> Instance {
         let seeds = [address(0), address(1), address(2)];
         Instance {
             members: Membership::new(address(number), &seeds),
@@ -110,12 +109,12 @@
         }
     }
 
-    fn is_up(&self, number: usize) -> bool {
+    pub fn is_up(&self, number: usize) -> bool {
         self.now_ms >= self.instances[number].down_until_ms
     }
 
     /// Ends some instances at once; they start again a while later.
-    fn kill(&mut self, share: f64, for_ms: u64) {
+    pub fn kill(&mut self, share: f64, for_ms: u64) {
         for number in 0..self.instances.len() {
             if self.rng.random_bool(share) {
                 self.instances[number] = self.fresh(number);
@@ -127,7 +126,7 @@
 
     /// Spreads signs of life: each instance knows some of each other from a few rounds
     /// ago, as long as that one was up then.
-    fn round(&mut self) {
+    pub fn round(&mut self) {
         for number in 0..self.instances.len() {
             if !self.is_up(number) {
                 continue;
@@ -146,7 +145,7 @@
     }
 
     /// Lets callers ask for so many units a second for a while.
-    fn demand(&mut self, units_per_s: f64, for_ms: u64) {
+    pub fn demand(&mut self, units_per_s: f64, for_ms: u64) {
         let until_ms = self.now_ms + for_ms;
         let mut owed = 0.0;
         while self.now_ms < until_ms {
@@ -164,7 +163,7 @@
     }
 
     /// One request at some instance that is up.
-    fn request(&mut self, cost: f64) {
+    pub fn request(&mut self, cost: f64) {
         let number = self.rng.random_range(0..self.instances.len());
         if !self.is_up(number) {
             return;
@@ -205,7 +204,7 @@
     }
 
     /// Asks owners as the gateway does.
-    fn ask(&mut self, number: usize, wanted: Wanted) -> Option<Grant> {
+    pub fn ask(&mut self, number: usize, wanted: Wanted) -> Option<Grant> {
         let part_count = TOLERANCE.part_count(self.limit);
         let first: u32 = self.rng.random();
         let mut refusal = None;
@@ -247,7 +246,7 @@
         refusal
     }
 
-    fn ran(&mut self, cost: f64) {
+    pub fn ran(&mut self, cost: f64) {
         self.counts.run += 1;
         self.run.push_back((self.now_ms, cost));
         self.run_sum += cost;
@@ -262,187 +261,12 @@
     }
 
     /// Forgets what was counted so far.
-    fn count_anew(&mut self) {
+    pub fn count_anew(&mut self) {
         self.counts = Counts::default();
     }
 
     /// Returns the most that was run within a window, as a share of what is tolerated.
-    fn most_share(&self) -> f64 {
+    pub fn most_share(&self) -> f64 {
         self.most / (TOLERANCE.whole(self.limit) + TOLERANCE.excess(self.limit))
     }
 }
-
-#[test]
-fn a_greedy_account_gets_its_limit_and_no_more() {
-    for (count, rate_per_s) in [
-        (3, 4_200.0),
-        (90, 35_000.0),
-        (90, 311_000.0),
-        (300, 311_000.0),
-    ] {
-        let mut fleet = Fleet::start(count, limit(rate_per_s), 1);
-        fleet.demand(0.5 * rate_per_s, 5_000);
-        fleet.demand(8.0 * rate_per_s, 20_000);
-        let share = fleet.most_share();
-        assert!(share <= 1.0, "{count} instances, {rate_per_s}: {share}");
-        let of_limit = fleet.most / TOLERANCE.whole(fleet.limit);
-        assert!(
-            of_limit >= 0.9,
-            "{count} instances, {rate_per_s}: {of_limit}"
-        );
-    }
-}
-
-#[test]
-fn what_lies_within_the_limit_is_not_refused() {
-    for (count, rate_per_s) in [(3, 60_000.0), (90, 60_000.0), (300, 311_000.0)] {
-        let mut fleet = Fleet::start(count, limit(rate_per_s), 2);
-        fleet.demand(0.3 * rate_per_s, 4_000);
-        fleet.count_anew();
-        fleet.demand(0.55 * rate_per_s, 30_000);
-        let counts = fleet.counts;
-        let refused = (counts.refused + counts.unknown) as f64 / counts.run as f64;
-        assert!(
-            refused < 0.01,
-            "{count} instances, {rate_per_s}: {counts:?}"
-        );
-    }
-}
-
-#[test]
-fn owners_that_die_and_come_back_add_less_than_what_is_tolerated() {
-    for seed in 0..16 {
-        for (share, for_ms) in [(0.2, 3_500), (0.6, 2_000), (1.0, 1_000)] {
-            let mut fleet = Fleet::start(90, limit(200_000.0), seed);
-            fleet.demand(100_000.0, 5_000);
-            fleet.demand(800_000.0, 7_000);
-            fleet.kill(share, for_ms);
-            fleet.demand(800_000.0, 12_000);
-            let most = fleet.most_share();
-            assert!(most <= 1.0, "seed {seed}, {share} killed: {most}");
-        }
-    }
-}
-
-#[test]
-fn accounts_within_their_limit_get_through_the_death_of_owners() {
-    for seed in 0..4 {
-        let mut fleet = Fleet::start(90, limit(60_000.0), seed);
-        fleet.demand(30_000.0, 6_000);
-        fleet.count_anew();
-        fleet.kill(0.2, 3_500);
-        fleet.demand(30_000.0, 8_000);
-        let counts = fleet.counts;
-        let refused = (counts.refused + counts.unknown) as f64 / counts.run as f64;
-        assert!(refused < 0.05, "seed {seed}: {counts:?}");
-    }
-}
-
-#[test]
-fn messages_of_an_account_follow_its_requests_and_not_the_fleet() {
-    for count in [90, 300, 1_000] {
-        let mut fleet = Fleet::start(count, limit(311_000.0), 3);
-        fleet.demand(150_000.0, 5_000);
-        fleet.count_anew();
-        fleet.demand(150_000.0, 3_000);
-        let counts = fleet.counts;
-        assert!(
-            counts.asked <= counts.run + counts.run / 10,
-            "{count}: {counts:?}"
-        );
-        fleet.count_anew();
-        // Far beyond the limit, most requests are refused without a question.
-        fleet.demand(2_500_000.0, 6_000);
-        let counts = fleet.counts;
-        let requests = counts.run + counts.refused;
-        let asks_per_s = counts.asked as f64 / count as f64 / 6.0;
-        assert!(
-            asks_per_s < 60.0 && counts.asked < 3 * requests,
-            "{count}: {counts:?}"
-        );
-    }
-    let mut at_rest = Fleet::start(90, limit(311_000.0), 4);
-    at_rest.demand(0.0, 2_000);
-    assert_eq!(at_rest.counts.asked, 0);
-}
-
-#[test]
-fn a_changed_limit_binds_at_once_and_what_was_held_is_forgotten() {
-    let mut fleet = Fleet::start(30, limit(311_000.0), 5);
-    fleet.demand(250_000.0, 5_000);
-    fleet.limit = limit(20_000.0);
-    fleet.demand(250_000.0, 2_000);
-    fleet.run.clear();
-    fleet.run_sum = 0.0;
-    fleet.most = 0.0;
-    fleet.demand(250_000.0, 12_000);
-    let share = fleet.most_share();
-    assert!((0.5..=1.0).contains(&share), "{share}");
-    fleet.limit = limit(500_000.0);
-    fleet.demand(250_000.0, 1_000);
-    fleet.count_anew();
-    fleet.demand(250_000.0, 5_000);
-    assert!(
-        fleet.counts.refused * 50 < fleet.counts.run,
-        "{:?}",
-        fleet.counts
-    );
-}
-
-#[test]
-fn a_settled_fleet_serves_an_account_from_its_first_request_on() {
-    let mut fleet = Fleet::start(90, limit(60_000.0), 6);
-    fleet.demand(0.0, 12_000);
-    fleet.demand(33_000.0, 3_000);
-    let counts = fleet.counts;
-    assert!(counts.refused * 50 <= counts.run, "{counts:?}");
-}
-
-#[test]
-fn units_that_one_request_set_aside_pay_for_no_other() {
-    let limit = limit(100_000.0);
-    let mut uses = Uses::default();
-    let ask = |decision: Decision| match decision {
-        Decision::Ask { wanted, held } => (wanted, held),
-        other => panic!("{other:?}"),
-    };
-    let (first, held) = ask(uses.decide(0, ACCOUNT, limit, &TOLERANCE, 1_000.0));
-    assert_eq!((first.least, held), (1_000.0, 0.0));
-    uses.granted(0, ACCOUNT, 2_900.0, 1_000.0);
-    let (second, held) = ask(uses.decide(1, ACCOUNT, limit, &TOLERANCE, 2_000.0));
-    assert_eq!((second.least, held), (100.0, 1_900.0));
-    let (third, held) = ask(uses.decide(1, ACCOUNT, limit, &TOLERANCE, 2_000.0));
-    assert_eq!((third.least, held), (2_000.0, 0.0));
-    uses.give_back(ACCOUNT, 1_900.0);
-    assert_eq!(
-        uses.decide(2, ACCOUNT, limit, &TOLERANCE, 1_900.0),
-        Decision::Paid
-    );
-}
-
-#[test]
-fn a_request_beyond_the_whole_limit_is_hopeless_and_one_beyond_the_burst_is_not() {
-    let limit = limit(1_000.0);
-    let mut uses = Uses::default();
-    let hopeless = uses.decide(0, ACCOUNT, limit, &TOLERANCE, 9_001.0);
-    assert!(matches!(hopeless, Decision::Beyond(_)), "{hopeless:?}");
-    let mut owned = OwnedLimits::default();
-    let key = PartKey {
-        account: ACCOUNT,
-        part: 0,
-    };
-    let wanted = Wanted {
-        least: 5_000.0,
-        most: 5_000.0,
-    };
-    let take = |owned: &mut OwnedLimits, now_ms: u64| {
-        owned.take(now_ms, key, limit, &TOLERANCE, wanted, false)
-    };
-    let first = take(&mut owned, 0);
-    let Grant::After(wait_ms) = first else {
-        assert_eq!(first, Grant::Units(5_000.0));
-        return;
-    };
-    assert_eq!(take(&mut owned, wait_ms), Grant::Units(5_000.0));
-    assert!(matches!(take(&mut owned, wait_ms), Grant::After(_)));
-}
--- /dev/null
+++ b/crates/cranereach-fleet/tests/limits/main.rs
@@ -0,0 +1,191 @@
+//! Limits over simulated fleets: what may be used beyond them, and that what lies
+//! within isn't refused, while owners die, are cut off and come back.
+
+mod fleet;
+
+use cranereach_fleet::limits::Decision;
+use cranereach_fleet::limits::Grant;
+use cranereach_fleet::limits::OwnedLimits;
+use cranereach_fleet::limits::PartKey;
+use cranereach_fleet::limits::Uses;
+use cranereach_fleet::limits::Wanted;
+
+use crate::fleet::ACCOUNT;
+use crate::fleet::Fleet;
+use crate::fleet::TOLERANCE;
+use crate::fleet::limit;
+
+#[test]
+fn a_greedy_account_gets_its_limit_and_no_more() {
+    for (count, rate_per_s) in [
+        (3, 4_200.0),
+        (90, 35_000.0),
+        (90, 311_000.0),
+        (300, 311_000.0),
+    ] {
+        let mut fleet = Fleet::start(count, limit(rate_per_s), 1);
+        fleet.demand(0.5 * rate_per_s, 5_000);
+        fleet.demand(8.0 * rate_per_s, 20_000);
+        let share = fleet.most_share();
+        assert!(share <= 1.0, "{count} instances, {rate_per_s}: {share}");
+        let of_limit = fleet.most / TOLERANCE.whole(fleet.limit);
+        assert!(
+            of_limit >= 0.9,
+            "{count} instances, {rate_per_s}: {of_limit}"
+        );
+    }
+}
+
+#[test]
+fn what_lies_within_the_limit_is_not_refused() {
+    for (count, rate_per_s) in [(3, 60_000.0), (90, 60_000.0), (300, 311_000.0)] {
+        let mut fleet = Fleet::start(count, limit(rate_per_s), 2);
+        fleet.demand(0.3 * rate_per_s, 4_000);
+        fleet.count_anew();
+        fleet.demand(0.55 * rate_per_s, 30_000);
+        let counts = fleet.counts;
+        let refused = (counts.refused + counts.unknown) as f64 / counts.run as f64;
+        assert!(
+            refused < 0.01,
+            "{count} instances, {rate_per_s}: {counts:?}"
+        );
+    }
+}
+
+#[test]
+fn owners_that_die_and_come_back_add_less_than_what_is_tolerated() {
+    for seed in 0..16 {
+        for (share, for_ms) in [(0.2, 3_500), (0.6, 2_000), (1.0, 1_000)] {
+            let mut fleet = Fleet::start(90, limit(200_000.0), seed);
+            fleet.demand(100_000.0, 5_000);
+            fleet.demand(800_000.0, 7_000);
+            fleet.kill(share, for_ms);
+            fleet.demand(800_000.0, 12_000);
+            let most = fleet.most_share();
+            assert!(most <= 1.0, "seed {seed}, {share} killed: {most}");
+        }
+    }
+}
+
+#[test]
+fn accounts_within_their_limit_get_through_the_death_of_owners() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::start(90, limit(60_000.0), seed);
+        fleet.demand(30_000.0, 6_000);
+        fleet.count_anew();
+        fleet.kill(0.2, 3_500);
+        fleet.demand(30_000.0, 8_000);
+        let counts = fleet.counts;
+        let refused = (counts.refused + counts.unknown) as f64 / counts.run as f64;
+        assert!(refused < 0.05, "seed {seed}: {counts:?}");
+    }
+}
+
+#[test]
+fn messages_of_an_account_follow_its_requests_and_not_the_fleet() {
+    for count in [90, 300, 1_000] {
+        let mut fleet = Fleet::start(count, limit(311_000.0), 3);
+        fleet.demand(150_000.0, 5_000);
+        fleet.count_anew();
+        fleet.demand(150_000.0, 3_000);
+        let counts = fleet.counts;
+        assert!(
+            counts.asked <= counts.run + counts.run / 10,
+            "{count}: {counts:?}"
+        );
+        fleet.count_anew();
+        // Far beyond the limit, most requests are refused without a question.
+        fleet.demand(2_500_000.0, 6_000);
+        let counts = fleet.counts;
+        let requests = counts.run + counts.refused;
+        let asks_per_s = counts.asked as f64 / count as f64 / 6.0;
+        assert!(
+            asks_per_s < 60.0 && counts.asked < 3 * requests,
+            "{count}: {counts:?}"
+        );
+    }
+    let mut at_rest = Fleet::start(90, limit(311_000.0), 4);
+    at_rest.demand(0.0, 2_000);
+    assert_eq!(at_rest.counts.asked, 0);
+}
+
+#[test]
+fn a_changed_limit_binds_at_once_and_what_was_held_is_forgotten() {
+    let mut fleet = Fleet::start(30, limit(311_000.0), 5);
+    fleet.demand(250_000.0, 5_000);
+    fleet.limit = limit(20_000.0);
+    fleet.demand(250_000.0, 2_000);
+    fleet.run.clear();
+    fleet.run_sum = 0.0;
+    fleet.most = 0.0;
+    fleet.demand(250_000.0, 12_000);
+    let share = fleet.most_share();
+    assert!((0.5..=1.0).contains(&share), "{share}");
+    fleet.limit = limit(500_000.0);
+    fleet.demand(250_000.0, 1_000);
+    fleet.count_anew();
+    fleet.demand(250_000.0, 5_000);
+    assert!(
+        fleet.counts.refused * 50 < fleet.counts.run,
+        "{:?}",
+        fleet.counts
+    );
+}
+
+#[test]
+fn a_settled_fleet_serves_an_account_from_its_first_request_on() {
+    let mut fleet = Fleet::start(90, limit(60_000.0), 6);
+    fleet.demand(0.0, 12_000);
+    fleet.demand(33_000.0, 3_000);
+    let counts = fleet.counts;
+    assert!(counts.refused * 50 <= counts.run, "{counts:?}");
+}
+
+#[test]
+fn units_that_one_request_set_aside_pay_for_no_other() {
+    let limit = limit(100_000.0);
+    let mut uses = Uses::default();
+    let ask = |decision: Decision| match decision {
+        Decision::Ask { wanted, held } => (wanted, held),
+        other => panic!("{other:?}"),
+    };
+    let (first, held) = ask(uses.decide(0, ACCOUNT, limit, &TOLERANCE, 1_000.0));
+    assert_eq!((first.least, held), (1_000.0, 0.0));
+    uses.granted(0, ACCOUNT, 2_900.0, 1_000.0);
+    let (second, held) = ask(uses.decide(1, ACCOUNT, limit, &TOLERANCE, 2_000.0));
+    assert_eq!((second.least, held), (100.0, 1_900.0));
+    let (third, held) = ask(uses.decide(1, ACCOUNT, limit, &TOLERANCE, 2_000.0));
+    assert_eq!((third.least, held), (2_000.0, 0.0));
+    uses.give_back(ACCOUNT, 1_900.0);
+    assert_eq!(
+        uses.decide(2, ACCOUNT, limit, &TOLERANCE, 1_900.0),
+        Decision::Paid
+    );
+}
+
+#[test]
+fn a_request_beyond_the_whole_limit_is_hopeless_and_one_beyond_the_burst_is_not() {
+    let limit = limit(1_000.0);
+    let mut uses = Uses::default();
+    let hopeless = uses.decide(0, ACCOUNT, limit, &TOLERANCE, 9_001.0);
+    assert!(matches!(hopeless, Decision::Beyond(_)), "{hopeless:?}");
+    let mut owned = OwnedLimits::default();
+    let key = PartKey {
+        account: ACCOUNT,
+        part: 0,
+    };
+    let wanted = Wanted {
+        least: 5_000.0,
+        most: 5_000.0,
+    };
+    let take = |owned: &mut OwnedLimits, now_ms: u64| {
+        owned.take(now_ms, key, limit, &TOLERANCE, wanted, false)
+    };
+    let first = take(&mut owned, 0);
+    let Grant::After(wait_ms) = first else {
+        assert_eq!(first, Grant::Units(5_000.0));
+        return;
+    };
+    assert_eq!(take(&mut owned, wait_ms), Grant::Units(5_000.0));
+    assert!(matches!(take(&mut owned, wait_ms), Grant::After(_)));
+}
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -1,5 +1,7 @@
 //! What all parts of an instance share.
 
+mod in_force;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::Ipv4Addr;
@@ -18,13 +20,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use slog::Logger;
-use slog::info;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::adapter;
 use crate::adapter::Adapter;
-use crate::adapter::FormatError;
 use crate::expected::ExpectedModels;
 use crate::messages::LimitGrant;
 use crate::messages::Message;
@@ -36,7 +36,6 @@
 use crate::settings::Settings;
 use crate::store::Store;
 use cranereach_fleet::configuration::Configuration;
-use cranereach_fleet::configuration::Service;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
 use cranereach_fleet::freshness::Freshness;
@@ -258,51 +257,6 @@
         (self.started + Duration::from_millis(at_ms)).into()
     }
 
-    /// Returns the configuration in force.
-    pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        lock(&self.configuration).clone()
-    }
-
-    /// Returns the version in force; zero if none is known.
-    pub fn configuration_version(&self) -> u64 {
-        lock(&self.configuration)
-            .as_ref()
-            .map_or(0, |known| known.version)
-    }
-
-    /// Puts a configuration in force, unless it is not newer than the one that is.
-    pub fn offer_configuration(&self, body: &Bytes, from: &str) -> Result<bool, FormatError> {
-        let offered = (self.adapter.parse_configuration)(body)?;
-        // Peers are told hashes, never keys.
-        let told = (self.adapter.conceal_keys)(body)?;
-        let version = offered.version;
-        let mut configuration = lock(&self.configuration);
-        if configuration
-            .as_ref()
-            .is_some_and(|known| known.version >= offered.version)
-        {
-            return Ok(false);
-        }
-        info!(self.log, "configuration in force";
-            "version" => offered.version, "from" => from, "routes" => offered.route_count(),
-            "accounts" => offered.accounts.count());
-        self.metrics
-            .configuration_version
-            .set(offered.version as i64);
-        *configuration = Some(Arc::new(offered));
-        drop(configuration);
-        *lock(&self.configuration_body) = Bytes::from(told);
-        lock(&self.proof).in_force(version);
-        self.configuration_changed.notify_waiters();
-        self.digest_wanted.notify_one();
-        Ok(true)
-    }
-
-    /// Returns a service of the configuration in force.
-    pub fn service(&self, name: &str) -> Option<Arc<Service>> {
-        self.configuration()?.services.get(name).cloned()
-    }
-
     /// Returns what is known of workers.
     pub fn roster(&self) -> MutexGuard<'_, Roster> {
         lock(&self.roster)
@@ -395,21 +349,4 @@
         self.digest_wanted.notify_one();
         self.controller_wanted.notify_one();
     }
-
-    /// Whether keys may be served: what is known of them was the newest lately.
-    pub fn may_serve_keys(&self) -> bool {
-        let bounds = self.settings.bounds;
-        let is_proven = || lock(&self.proof).is_proven(self.now_ms(), bounds.revocation_ms);
-        !bounds.is_revocation_strict || is_proven()
-    }
-
-    /// Whether the platform should send callers here: not while each call that
-    /// carries a key would have to be refused.
-    pub fn is_ready(&self) -> bool {
-        let Some(configuration) = self.configuration() else {
-            return false;
-        };
-        let may_serve = !configuration.accounts.are_declared() || self.may_serve_keys();
-        !self.is_stopping() && may_serve
-    }
 }
--- /dev/null
+++ b/crates/cranereach-gateway/src/node/in_force.rs
@@ -0,0 +1,76 @@
+//! The configuration in force at an instance, and what it allows to be served.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use slog::info;
+
+use super::Node;
+use super::lock;
+use crate::adapter::FormatError;
+use cranereach_fleet::configuration::Configuration;
+use cranereach_fleet::configuration::Service;
+
+impl Node {
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        lock(&self.configuration).clone()
+    }
+
+    /// Returns the version in force; zero if none is known.
+    pub fn configuration_version(&self) -> u64 {
+        lock(&self.configuration)
+            .as_ref()
+            .map_or(0, |known| known.version)
+    }
+
+    /// Puts a configuration in force, unless it is not newer than the one that is.
+    pub fn offer_configuration(&self, body: &Bytes, from: &str) -> Result<bool, FormatError> {
+        let offered = (self.adapter.parse_configuration)(body)?;
+        // Peers are told hashes, never keys.
+        let told = (self.adapter.conceal_keys)(body)?;
+        let version = offered.version;
+        let mut configuration = lock(&self.configuration);
+        if configuration
+            .as_ref()
+            .is_some_and(|known| known.version >= offered.version)
+        {
+            return Ok(false);
+        }
+        info!(self.log, "configuration in force";
+            "version" => offered.version, "from" => from, "routes" => offered.route_count(),
+            "accounts" => offered.accounts.count());
+        self.metrics
+            .configuration_version
+            .set(offered.version as i64);
+        *configuration = Some(Arc::new(offered));
+        drop(configuration);
+        *lock(&self.configuration_body) = Bytes::from(told);
+        lock(&self.proof).in_force(version);
+        self.configuration_changed.notify_waiters();
+        self.digest_wanted.notify_one();
+        Ok(true)
+    }
+
+    /// Returns a service of the configuration in force.
+    pub fn service(&self, name: &str) -> Option<Arc<Service>> {
+        self.configuration()?.services.get(name).cloned()
+    }
+
+    /// Whether keys may be served: what is known of them was the newest lately.
+    pub fn may_serve_keys(&self) -> bool {
+        let bounds = self.settings.bounds;
+        let is_proven = || lock(&self.proof).is_proven(self.now_ms(), bounds.revocation_ms);
+        !bounds.is_revocation_strict || is_proven()
+    }
+
+    /// Whether the platform should send callers here: not while each call that
+    /// carries a key would have to be refused.
+    pub fn is_ready(&self) -> bool {
+        let Some(configuration) = self.configuration() else {
+            return false;
+        };
+        let may_serve = !configuration.accounts.are_declared() || self.may_serve_keys();
+        !self.is_stopping() && may_serve
+    }
+}
