--- a/crates/cranereach-fleet/src/limits.rs
+++ b/crates/cranereach-fleet/src/limits.rs
@@ -214,11 +214,6 @@
         self.parts
             .retain(|_, part| now_ms < part.asked_at_ms + FORGOTTEN_AFTER_MS);
     }
-
-    /// Counts the parts that are known.
-    pub fn count(&self) -> usize {
-        self.parts.len()
-    }
 }
 
 /// What an instance does with a request of an account.
--- a/crates/cranereach-gateway/src/forward/caller.rs
+++ b/crates/cranereach-gateway/src/forward/caller.rs
@@ -13,7 +13,7 @@
 use cranereach_fleet::configuration::Route;
 use cranereach_http::bearer::bearer;
 
-/// Longest time for which a request with an unknown key or path waits for a
+/// Longest time for which a request with an unknown key waits for a
 /// configuration that peers have told of and that is being fetched, in milliseconds.
 const NEWER_WITHIN_MS: u64 = 400;
 
@@ -44,7 +44,7 @@
 
 /// Returns the code of a refusal that rests on the configuration: where that may be
 /// behind, the request may well be proper.
-pub fn refusal_code(node: &Node, code: ResultCode) -> ResultCode {
+fn refusal_code(node: &Node, code: ResultCode) -> ResultCode {
     let bound_ms = node.settings.bounds.configuration_ms;
     if lock(&node.proof).may_be_behind(node.now_ms(), bound_ms) {
         ResultCode::ConfigUnknown
@@ -64,7 +64,7 @@
 
 /// Waits for a configuration that peers have told of; none if there is none, or it
 /// doesn't come soon. Requests that can't be served cost no call to the store.
-pub async fn newer_configuration(node: &Node, than: u64) -> Option<Arc<Configuration>> {
+async fn newer_configuration(node: &Node, than: u64) -> Option<Arc<Configuration>> {
     let is_newer = |known: &Arc<Configuration>| known.version > than;
     let until_ms = node.now_ms() + NEWER_WITHIN_MS;
     loop {
