Equal requests can be told in logs, and whether a worker that broke off has ended

Cause: lines of failed offers name a request by its caller's identity alone, which is new each time, and nothing tells a worker that ended from one that failed a single answer. So a request that ends its workers can't be told from bad luck. Change: a keyed fingerprint of what is asked for, made when it is first needed; a worker whose connection broke is tried once, and the connection kept if it takes it; a line and a counter say what was found. BrokenOff is told from Unknown. One offer moves into a module of its own. Nothing is decided by it yet. Run: 79 tests of the platform's instances, those of fingerprints, all pass.

--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/broken.rs
@@ -0,0 +1,30 @@
+//! Calls whose connection to their worker broke: whether the worker ended under them.
+
+use std::sync::Arc;
+
+use slog::info;
+use tokio::task::JoinHandle;
+
+use super::request::Call;
+use crate::node::Node;
+use crate::worker_ends;
+use crate::worker_ends::Found;
+
+/// Finds out, beside the call, what became of the worker that a call broke off at.
+pub(super) fn note(node: &Arc<Node>, call: &Arc<Call>, worker: &Arc<str>) -> JoinHandle<Found> {
+    let node = Arc::clone(node);
+    let call = Arc::clone(call);
+    let worker = Arc::clone(worker);
+    tokio::spawn(async move {
+        let found = worker_ends::find(&node, &worker).await;
+        let counter = &node.metrics.broken_off_total;
+        counter.with_label_values(&[found.name()]).inc();
+        if found.has_ended() {
+            info!(node.log, "worker ended under request"; "request" => call.id.clone(),
+                "route" => call.route.name.as_ref(), "worker" => worker.as_ref(),
+                "found" => found.name(),
+                "fingerprint" => call.fingerprint(&node).to_string());
+        }
+        found
+    })
+}
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -5,50 +5,26 @@
 //! repeats. One that may have run goes elsewhere only if it may be repeated.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use http_body_util::Full;
 use hyper::Response;
-use hyper::StatusCode;
 use slog::info;
 
 use super::AnswerBody;
+use super::broken;
 use super::head::Failure;
-use super::head::Head;
-use super::head::REST_UNSAID_MS;
-use super::head::check_head;
-use super::head::rest_ms;
-use super::open::OpenCall;
-use super::passing::Passing;
 use super::record;
 use super::refusal::MODEL_BACK_AFTER_MS;
 use super::refusal::Refusal;
 use super::request::Call;
-use super::request::passed_headers;
 use super::taking_up::Begun;
 use super::work;
-use crate::cold;
 use crate::node::Node;
-use crate::node::pause;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::roster::Choice;
-use cranereach_http::body;
-use cranereach_http::pool::SendError;
-
-/// Largest answer that is kept whole before it is passed on, in bytes.
-const WHOLE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
-
-/// Time to connect to a worker, in milliseconds.
-const CONNECT_WITHIN_MS: u64 = 250;
 
 /// Workers that one call is offered to at most.
 const OFFER_MAX_COUNT: usize = 5;
 
-/// Share of the aim for which a call is held until no stream pauses for too long by its
-/// prompt. At half of it, prompts that were sent before their place made half of all
-/// pauses.
-const HOLD_MAX_SHARE: f64 = 1.0;
-
 /// Workers at most that a call was chosen for and then wasn't to be sent to: a question
 /// each.
 const NO_LEAVE_MAX_COUNT: usize = 6;
@@ -63,15 +39,15 @@
     pub(super) tried: Vec<Arc<str>>,
     last_choice: Option<Choice>,
     /// The last event that the caller has, where a stream is taken up.
-    last_event: Option<String>,
+    pub(super) last_event: Option<String>,
     /// A worker's whole answer of a failure, kept while a repeat is hoped for.
-    failed_answer: Option<Response<AnswerBody>>,
+    pub(super) failed_answer: Option<Response<AnswerBody>>,
     offer_count: usize,
     /// Choices that were not to be sent any more.
     no_leave_count: usize,
     pub(super) run_count: u32,
     pub(super) may_have_run: bool,
-    may_run_now: bool,
+    pub(super) may_run_now: bool,
 }
 
 /// What a call has taken so far, so that its stream may be taken up within its bounds.
@@ -130,7 +106,7 @@
     exchange.offer_count = taken.offer_count;
     exchange.run_count = taken.run_count;
     exchange.last_event = last_event;
-    exchange.judge(Failure::Unknown)?;
+    exchange.judge(Failure::BrokenOff)?;
     loop {
         let choice = exchange.next_choice().await?;
         let failure = match exchange.offer_rest(&choice).await {
@@ -162,7 +138,7 @@
 
 impl Exchange<'_> {
     /// Returns what the call has taken so far.
-    fn taken(&self) -> Taken {
+    pub(super) fn taken(&self) -> Taken {
         Taken {
             tried: self.tried.clone(),
             offer_count: self.offer_count,
@@ -222,6 +198,10 @@
         info!(self.node.log, "offer failed"; "request" => self.call.id.clone(),
             "worker" => choice.id.as_ref(), "failure" => format!("{failure:?}"),
             "offer" => self.offer_count);
+        if failure == Failure::BrokenOff {
+            // What it finds is for the log and the metrics.
+            drop(broken::note(self.node, self.call, &choice.id));
+        }
         self.judge(failure)
     }
 
@@ -236,7 +216,7 @@
 
     /// Decides whether a failed call goes to another worker.
     fn judge(&mut self, failure: Failure) -> Result<(), Refusal> {
-        if failure == Failure::Unknown {
+        if failure.may_have_run() {
             self.may_have_run = true;
             self.run_count += 1;
             let may_repeat = self.call.route.may_repeat();
@@ -262,132 +242,6 @@
         Ok(())
     }
 
-    /// Offers the call to one worker and makes the answer.
-    async fn offer(&mut self, choice: &Choice) -> Result<Response<AnswerBody>, Failure> {
-        let head = self.send(choice).await?;
-        let status = head.answer.status();
-        if self.call.is_stream() && status == StatusCode::OK {
-            return self.begin_stream(head).await;
-        }
-        self.read_whole(head).await
-    }
-
-    /// Sends the call to one worker and waits for the head of the answer.
-    async fn send(&mut self, choice: &Choice) -> Result<Head, Failure> {
-        let node = self.node;
-        let call = self.call;
-        let wanted = self.wanted();
-        let hold_max_ms = (call.route.aim_ms as f64 * HOLD_MAX_SHARE) as u64;
-        let hold_ms = choice.send_in_ms.min(hold_max_ms);
-        let mut open = OpenCall::begin(
-            node,
-            choice,
-            &wanted,
-            (&call.service.name, &call.route.name),
-            call.answer_tokens,
-            call.end_by_ms,
-            hold_ms,
-        );
-        if hold_ms > 0 {
-            node.metrics.prompts_held_total.inc();
-        }
-        pause(hold_ms).await;
-        let pool = node.pool(&choice.id, &choice.address);
-        let within = Duration::from_millis(CONNECT_WITHIN_MS);
-        let taken = tokio::time::timeout(within, pool.take()).await;
-        let Ok(Ok(mut connection)) = taken else {
-            open.unreachable();
-            return Err(Failure::NotSent);
-        };
-        if !connection.is_reused() {
-            node.metrics.connections_total.inc();
-            cold::note_reached(node, &choice.id);
-        }
-        if !self.has_leave(choice).await {
-            if !connection.is_reused() {
-                connection.keep_for(REST_UNSAID_MS);
-            }
-            return Err(Failure::NoLeave);
-        }
-        self.count_send(choice);
-        let request = self
-            .call
-            .to_worker(node, &choice.id, self.last_event.as_deref())
-            .ok_or(Failure::NotSent)?;
-        self.may_run_now = true;
-        open.sent(self.call.body.len());
-        let answer = match connection.send(request).await {
-            Ok(answer) => answer,
-            Err(SendError::Unsent(_)) => return Err(Failure::NotSent),
-            Err(SendError::Broken(_)) => {
-                open.failed();
-                return Err(Failure::Unknown);
-            }
-        };
-        check_head(node, self.call, &mut open, &answer)?;
-        Ok(Head {
-            answer,
-            connection,
-            open,
-        })
-    }
-
-    /// Offers the rest of a stream to one worker and waits until it goes on.
-    async fn offer_rest(&mut self, choice: &Choice) -> Result<Begun, Failure> {
-        let mut head = self.send(choice).await?;
-        if head.answer.status() != StatusCode::OK {
-            head.open.failed();
-            return Err(Failure::Unknown);
-        }
-        let (_head, begun) = Begun::of(head).await?;
-        Ok(begun)
-    }
-
-    /// Waits for the first piece, so that a stream that never began can be repeated.
-    async fn begin_stream(&self, head: Head) -> Result<Response<AnswerBody>, Failure> {
-        let (parts, begun) = Begun::of(head).await?;
-        let passing = Passing::new(self.node, self.call, begun, self.taken());
-        let mut answer = Response::new(AnswerBody::Passing(Box::new(passing)));
-        *answer.status_mut() = parts.status;
-        *answer.headers_mut() = passed_headers(&parts.headers, &[]);
-        Ok(answer)
-    }
-
-    /// Reads a whole answer before any of it is passed on.
-    async fn read_whole(&mut self, head: Head) -> Result<Response<AnswerBody>, Failure> {
-        let Head {
-            answer,
-            connection,
-            mut open,
-        } = head;
-        let (parts, incoming) = answer.into_parts();
-        let left_ms = self.call.end_by_ms.saturating_sub(self.node.now_ms()) + 1_000;
-        let collected = body::collect(incoming, WHOLE_ANSWER_MAX_BYTES, left_ms).await;
-        let Ok(bytes) = collected else {
-            open.failed();
-            return Err(Failure::Unknown);
-        };
-        open.received(bytes.len());
-        let is_failure = parts.status.is_server_error();
-        if is_failure {
-            open.failed();
-        } else {
-            open.succeeded();
-        }
-        if let Some(rest_ms) = rest_ms(&parts.headers) {
-            connection.keep_for(rest_ms);
-        }
-        let mut answer = Response::new(AnswerBody::Whole(Full::new(bytes)));
-        *answer.status_mut() = parts.status;
-        *answer.headers_mut() = passed_headers(&parts.headers, &[]);
-        let may_repeat = self.call.route.may_repeat();
-        if is_failure && may_repeat && self.run_count + 1 < self.call.route.attempt_max_count {
-            self.failed_answer = Some(answer);
-            return Err(Failure::Unknown);
-        }
-        Ok(answer)
-    }
-
     /// Makes the refusal of the call.
     pub(super) fn refusal(&self, code: ResultCode, detail: &str) -> Refusal {
         let mut refusal = Refusal::of(code, &self.call.id);
--- a/crates/cranereach-gateway/src/forward/head.rs
+++ b/crates/cranereach-gateway/src/forward/head.rs
@@ -32,10 +32,19 @@
     NotRun,
     /// The worker does not hold the model, or is another one.
     NotThere,
+    /// The connection broke: it may have run.
+    BrokenOff,
     /// It may have run.
     Unknown,
 }
 
+impl Failure {
+    /// Whether the call may have run.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::BrokenOff | Self::Unknown)
+    }
+}
+
 /// The head of a worker's answer with all that belongs to it.
 pub struct Head {
     /// The answer.
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -1,12 +1,14 @@
 //! A caller's request on its way: route, send, answer.
 //!
 //! [`request`] reads what the caller asks for, [`caller`] finds whose key it is,
-//! [`exchange`] sends it to workers
-//! until there is an answer or an end, [`choosing`] picks each one, [`work`] says how much work a call makes,
+//! [`exchange`] offers it to workers
+//! until there is an answer or an end, [`choosing`] picks each one, [`sending`] is one offer,
+//! [`broken`] notes a worker that ended under it, [`work`] says how much work a call makes,
 //! [`leave`] asks whether it may still be sent, [`head`] checks an answer's head, [`passing`] hands
 //! a stream on as it comes and lets [`taking_up`] take it up elsewhere,
 //! [`record`] counts it, and [`refusal`] answers what could not be served.
 
+mod broken;
 mod caller;
 mod choosing;
 mod exchange;
@@ -17,6 +19,7 @@
 mod record;
 mod refusal;
 mod request;
+mod sending;
 mod taking_up;
 mod work;
 
@@ -37,6 +40,7 @@
 use hyper::header::HeaderValue;
 use slog::info;
 
+pub(crate) use self::head::REST_UNSAID_MS;
 use self::passing::BrokenOff;
 use self::passing::Passing;
 use self::refusal::Refusal;
--- a/crates/cranereach-gateway/src/forward/passing.rs
+++ b/crates/cranereach-gateway/src/forward/passing.rs
@@ -20,6 +20,7 @@
 use thiserror::Error;
 use tokio::time::Sleep;
 
+use super::broken;
 use super::exchange::Taken;
 use super::open::OpenCall;
 use super::request::Call;
@@ -141,6 +142,7 @@
                 Some(Err(_broken)) => {
                     if let Some(open) = &mut self.open {
                         open.failed();
+                        drop(broken::note(&self.node, &self.call, open.worker()));
                     }
                     if !self.seek_rest() {
                         return Poll::Ready(Some(Err(self.break_off("worker broke off"))));
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -1,6 +1,7 @@
 //! What a caller asks for, read from the head and body of the request.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,6 +28,8 @@
 use cranereach_fleet::configuration::Route;
 use cranereach_fleet::configuration::RouteKind;
 use cranereach_fleet::configuration::Service;
+use cranereach_fleet::fingerprint::Content;
+use cranereach_fleet::fingerprint::Fingerprint;
 use cranereach_fleet::prefixes;
 use cranereach_fleet::prefixes::PromptPart;
 use cranereach_fleet::regions::AllowedRegions;
@@ -96,6 +99,8 @@
     uri: Uri,
     headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Made when it is first asked for.
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Call {
@@ -190,6 +195,29 @@
             uri: head.uri,
             headers: passed_headers(&head.headers, names.reserved),
             body,
+            fingerprint: OnceLock::new(),
+        })
+    }
+
+    /// Returns the fingerprint of what is asked for, equal for equal calls.
+    pub fn fingerprint(&self, node: &Node) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let names = &node.adapter.headers;
+            let header = |name: &str| {
+                self.headers
+                    .get(name)
+                    .map_or(&[][..], HeaderValue::as_bytes)
+            };
+            let content = Content {
+                account: self.account.as_ref().map(|account| account.name.as_ref()),
+                method: self.method.as_str(),
+                host: header(HOST.as_str()),
+                target: self.uri.path_and_query().map_or("/", |path| path.as_str()),
+                model: header(names.model),
+                prompt_parts: header(names.prompt_parts),
+                body: &self.body,
+            };
+            content.fingerprint(&node.fingerprint_key)
         })
     }
 
--- a/crates/cranereach-gateway/src/forward/taking_up.rs
+++ b/crates/cranereach-gateway/src/forward/taking_up.rs
@@ -54,9 +54,16 @@
             mut open,
         } = head;
         let (parts, mut incoming) = answer.into_parts();
-        let Some(Ok(first)) = incoming.frame().await else {
-            open.failed();
-            return Err(Failure::Unknown);
+        let first = match incoming.frame().await {
+            Some(Ok(first)) => first,
+            Some(Err(_broken)) => {
+                open.failed();
+                return Err(Failure::BrokenOff);
+            }
+            None => {
+                open.failed();
+                return Err(Failure::Unknown);
+            }
         };
         open.read();
         let begun = Self {
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`run`] starts and stops the parts. A caller's request runs through
 //! [`forward`]. Beside that path [`configuration_sync`] and [`roster_sync`]
 //! follow the store, [`evacuations`] takes which failure domains are to be emptied,
-//! [`proofs`] and [`limits`] ask peers what accounts may do, [`cold`] asks whether a cold
+//! [`worker_ends`] finds out whether a worker that broke off has ended, [`proofs`] and [`limits`] ask peers what accounts may do, [`cold`] asks whether a cold
 //! worker may be sent something, [`gossip`] and [`bodies`] tell peers what they can't see
 //! (all that they send is counted in [`traffic`]), and
 //! [`controller`] holds the leases and orders workers. Everything that a
@@ -39,3 +39,4 @@
 pub mod store_failures;
 pub mod store_pace;
 pub mod traffic;
+pub mod worker_ends;
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub repeats_total: IntCounterVec,
     /// Streams whose worker broke off, by what became of them.
     pub streams_broken_total: IntCounterVec,
+    /// Calls whose connection to their worker broke, by what became of the worker.
+    pub broken_off_total: IntCounterVec,
     /// Prompts held back so that no stream pauses for too long by them.
     pub prompts_held_total: IntCounter,
     /// Whole streams with a pause longer than their route aims at.
@@ -132,6 +134,7 @@
                 "streams that broke off midway",
                 &["outcome"],
             ),
+            broken_off_total: counters("broken_off_total", "broken calls", &["worker"]),
             store_calls_total: counters("store_calls_total", "store calls", &["kind", "outcome"]),
             orders_total: counters("orders_total", "orders to workers", &["kind", "outcome"]),
             bad_input_total: counters("bad_input_total", "input not understood", &["source"]),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -34,10 +34,12 @@
 use crate::recipients::Origin;
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::worker_ends::Tries;
 use cranereach_fleet::cold::ColdGrants;
 use cranereach_fleet::configuration::Configuration;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::fingerprint::FingerprintKey;
 use cranereach_fleet::freshness::Freshness;
 use cranereach_fleet::limits::OwnedLimits;
 use cranereach_fleet::limits::Uses;
@@ -87,6 +89,10 @@
     pub metrics: Metrics,
     /// The platform's store.
     pub store: Store,
+    /// Key of the fingerprints of requests.
+    pub fingerprint_key: FingerprintKey,
+    /// Tries of workers whose connections broke.
+    pub tries: Tries,
     /// Number of this start.
     pub boot: u64,
     /// Wakes whoever waits for a worker that holds something.
@@ -202,6 +208,8 @@
             log,
             metrics: Metrics::new(),
             store: Store::new(&settings.platform.store, adapter),
+            fingerprint_key: FingerprintKey::new(&settings.peers.fingerprint_secret),
+            tries: Tries::default(),
             boot,
             roster_changed: Notify::new(),
             digest_wanted: Notify::new(),
--- a/crates/cranereach-gateway/src/settings.rs
+++ b/crates/cranereach-gateway/src/settings.rs
@@ -99,6 +99,10 @@
     /// Time between two digests, in milliseconds.
     #[serde(default = "default_digest_every_ms")]
     pub digest_every_ms: u64,
+    /// Secret that fingerprints of requests are keyed with, the same on all instances:
+    /// without it nobody can check guesses of a content against the fingerprints in logs.
+    #[serde(default)]
+    pub fingerprint_secret: String,
 }
 
 /// Four digests a second.
