--- a/crates/cranereach-bench/src/slopes/gateway.rs
+++ b/crates/cranereach-bench/src/slopes/gateway.rs
@@ -88,6 +88,7 @@
         });
         let record = WorkerRecord {
             id: Arc::from(format!("w{number}")),
+            started_unix_ms: 0,
             service: Arc::from("models"),
             address: "10.0.0.1:1".to_owned(),
             failure_domain: Arc::from("z1"),
@@ -132,6 +133,7 @@
         topology: &topology,
         crossings_ms: [0.0; 3],
         regions: &regions,
+        end_count: 0,
         tried: &[],
     };
     let mut rng = rand::rng();
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -10,7 +10,8 @@
 //! [`pausing`] where that is needed. [`admission`] says who leaves room for whom, [`shortage`]
 //! when who is refused had better come back. [`freshness`] says who reads the list of workers and when,
 //! [`listing`] keeps its rows and what peers are told of them.
-//! [`retry_window`] bounds repeats, [`fingerprint`] tells equal requests. [`topology`] says how far instances and workers
+//! [`retry_window`] bounds repeats, [`fingerprint`] tells equal
+//! requests, [`quarantine`] which of them end their workers. [`topology`] says how far instances and workers
 //! stand, [`regions`] where requests may be served, [`evacuation`] which failure domains
 //! are to get none, [`cold`] how many workers get that have just started. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
@@ -44,6 +45,7 @@
 pub mod prefixes;
 pub mod pressure;
 pub mod proof;
+pub mod quarantine;
 pub mod reading_plan;
 pub mod regions;
 pub mod retry_window;
--- a/crates/cranereach-fleet/src/owned.rs
+++ b/crates/cranereach-fleet/src/owned.rs
@@ -81,6 +81,8 @@
     pub event_tokens: u32,
     /// Time for which it is held back before it is sent, in milliseconds.
     pub send_in_ms: u32,
+    /// Whether it runs apart from others under which workers ended.
+    pub runs_alone: bool,
 }
 
 /// Longest time that is believed of a request, in milliseconds.
@@ -131,6 +133,8 @@
     pub failed_share: f64,
     /// Whether calls should go elsewhere for now.
     pub is_aside: bool,
+    /// Whether a request is there that runs apart from others under which workers ended.
+    pub has_suspect: bool,
     /// Time until the prompt is to be sent, so that no stream pauses for too long by it,
     /// in milliseconds; mostly none.
     pub send_in_ms: f64,
@@ -231,6 +235,7 @@
             pace_ratio: known.pace_ratio(now_ms),
             failed_share: known.health.failed_share(),
             is_aside: known.health.is_aside(now_ms),
+            has_suspect: known.open.values().any(|open| open.of.runs_alone),
             pause_ms: place.pause_ms,
         }
     }
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -15,6 +15,7 @@
 use crate::configuration::Engine;
 use crate::evacuation::Evacuations;
 use crate::load::Load;
+use crate::quarantine::ALONE_FROM_COUNT;
 use crate::wanted::Wanted;
 use crate::worker::Estimate;
 use crate::worker::UNSOUND_FROM_MS;
@@ -70,6 +71,9 @@
     Cold,
     /// No worker holds the adapter.
     NoAdapter,
+    /// Workers end under requests equal to it, and at each that holds what is wanted
+    /// another such request runs.
+    NotAlone,
 }
 
 /// A worker with what speaks against sending a request there.
@@ -117,6 +121,10 @@
             why = why.max(NoWorker::Cold);
             continue;
         }
+        if wanted.end_count >= ALONE_FROM_COUNT && worker.has_suspect(now_ms) {
+            why = why.max(NoWorker::NotAlone);
+            continue;
+        }
         let mut estimate = worker.estimate(now_ms, wanted, engine);
         if evacuations.is_asked(worker.domain_key) {
             estimate.cost_ms += EVACUATED_WEIGHS_MS;
--- a/crates/cranereach-fleet/src/wanted.rs
+++ b/crates/cranereach-fleet/src/wanted.rs
@@ -38,6 +38,8 @@
     pub crossings_ms: [f64; 3],
     /// Regions in which the request may be served.
     pub regions: &'a AllowedRegions,
+    /// Workers that ended in a row under requests equal to it.
+    pub end_count: usize,
     /// Workers that were tried already.
     pub tried: &'a [Arc<str>],
 }
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -3,10 +3,14 @@
 //! Load is what the worker's owner says of it, what this instance sent, and what the
 //! worker says in its answers.
 
+mod record;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 
+pub use self::record::HeldModel;
+pub use self::record::WorkerRecord;
 use crate::cold::Coldness;
 use crate::configuration::Engine;
 use crate::health::Health;
@@ -46,6 +50,10 @@
 /// Time that one running request weighs as, when workers are compared.
 const RUNNING_WEIGHS_MS: f64 = 2.0;
 
+/// Time that one request besides weighs as, for a request under which a worker ended: it
+/// goes where its end would break off the fewest.
+const ENDANGERED_WEIGHS_MS: f64 = 50.0;
+
 /// Time that one waiting request weighs as, where a worker says that some wait.
 const WAITING_WEIGHS_MS: f64 = 75.0;
 
@@ -59,40 +67,6 @@
 /// there on no other reason counts.
 pub(crate) const UNSOUND_FROM_MS: f64 = 100_000.0;
 
-/// A model on a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HeldModel {
-    /// Name.
-    pub name: Arc<str>,
-    /// Adapters of it.
-    pub adapters: Vec<Arc<str>>,
-}
-
-/// What the list says of a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerRecord {
-    /// Identity of this start of the worker.
-    pub id: Arc<str>,
-    /// Its service.
-    pub service: Arc<str>,
-    /// Address, `ip:port`.
-    pub address: String,
-    /// Failure domain.
-    pub failure_domain: Arc<str>,
-    /// Requests at once.
-    pub slot_count: u32,
-    /// Time for which it was still cold when it wrote the row, in milliseconds.
-    pub cold_for_ms: u64,
-    /// Whether it takes no new work.
-    pub is_leaving: bool,
-    /// What it holds.
-    pub models: Vec<HeldModel>,
-    /// Models with a copy in its host memory.
-    pub in_memory: Vec<Arc<str>>,
-    /// Models with a copy on its disk.
-    pub on_disk: Vec<Arc<str>>,
-}
-
 /// One worker as this instance sees it.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -240,6 +214,12 @@
         fresh.map(|(_, standing)| standing)
     }
 
+    /// Whether a request is there that runs apart from others under which workers ended.
+    pub(crate) fn has_suspect(&self, now_ms: u64) -> bool {
+        self.standing(now_ms)
+            .is_some_and(|standing| standing.has_suspect)
+    }
+
     /// Returns the time until a prompt is to be sent by its owner's word, in milliseconds.
     fn send_in_ms(&self, now_ms: u64) -> f64 {
         let standing = self.standing(now_ms);
@@ -346,6 +326,9 @@
             let slots = f64::from(slot_count.max(1));
             estimate.cost_ms = f64::from(open_count + said.1) / slots * 50.0;
         }
+        if wanted.end_count > 0 {
+            estimate.cost_ms += f64::from(open_count) * ENDANGERED_WEIGHS_MS;
+        }
         estimate.cost_ms = self.weigh(now_ms, wanted, estimate.cost_ms);
         estimate
     }
--- a/crates/cranereach-fleet/tests/choice.rs
+++ b/crates/cranereach-fleet/tests/choice.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use assert_matches::assert_matches;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -13,8 +14,12 @@
 use cranereach_fleet::evacuation::EvacuationList;
 use cranereach_fleet::load::Load;
 use cranereach_fleet::owned::Standing;
+use cranereach_fleet::prefixes::PromptPart;
+use cranereach_fleet::quarantine::ALONE_FROM_COUNT;
+use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::wanted::Wanted;
 
 fn engine(slot_count: u32) -> Engine {
     Engine {
@@ -77,3 +82,74 @@
     roster.get_mut("b").unwrap().stands(3_000, aside);
     assert_eq!(chosen(&roster, 3_010), "a");
 }
+
+#[test]
+fn a_request_under_which_workers_ended_runs_apart_from_others_like_it() {
+    let mut roster = Roster::default();
+    for id in ["a", "b"] {
+        roster.put(1, record(id, &[]));
+    }
+    let mut choose = |end_count: usize, suspects: [bool; 2]| {
+        for (id, has_suspect) in ["a", "b"].into_iter().zip(suspects) {
+            let standing = Standing {
+                pace_ratio: 1.0,
+                has_suspect,
+                ..Standing::default()
+            };
+            roster.get_mut(id).unwrap().stands(1_000, standing);
+        }
+        let request = Wanted {
+            end_count,
+            ..wanted(None)
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        let chosen = roster.choose(1_000, &request, None, &mut rng);
+        chosen.map(|choice| choice.id)
+    };
+    assert_eq!(choose(ALONE_FROM_COUNT, [true, false]), Ok("b".into()));
+    assert_eq!(choose(ALONE_FROM_COUNT, [false, true]), Ok("a".into()));
+    assert_eq!(
+        choose(ALONE_FROM_COUNT, [true, true]),
+        Err(NoWorker::NotAlone)
+    );
+    // Others run beside such ones.
+    assert_matches!(choose(0, [true, true]), Ok(_));
+}
+
+#[test]
+fn a_request_under_which_a_worker_ended_goes_where_the_fewest_run() {
+    let mut roster = Roster::default();
+    for (id, open_count) in [("busy", 6), ("idle", 0)] {
+        roster.put(1, record(id, &[("m", &[])]));
+        let load = Load {
+            open_count,
+            ..Load::default()
+        };
+        let standing = Standing {
+            pace_ratio: 1.0,
+            load,
+            // The busy one has read most of the prompt before.
+            kept_part_count: usize::from(id == "busy"),
+            ..Standing::default()
+        };
+        roster.get_mut(id).unwrap().stands(1_000, standing);
+    }
+    let parts = [PromptPart {
+        chain: 1,
+        tokens: 1_000,
+    }];
+    let choose = |end_count: usize| {
+        let request = Wanted {
+            end_count,
+            parts: &parts,
+            ..wanted(Some(("m", None)))
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        roster
+            .choose(1_000, &request, Some(&engine(64)), &mut rng)
+            .unwrap()
+            .id
+    };
+    assert_eq!(choose(0).as_ref(), "busy");
+    assert_eq!(choose(1).as_ref(), "idle");
+}
--- a/crates/cranereach-fleet/tests/owned.rs
+++ b/crates/cranereach-fleet/tests/owned.rs
@@ -20,6 +20,7 @@
         gap_aim_ms: 0,
         event_tokens: 0,
         send_in_ms: 0,
+        runs_alone: false,
     }
 }
 
@@ -280,3 +281,18 @@
         prop_assert_eq!(owned.standing(now_ms + 20_000, 0, &[], 0.0).load.open_count, 0);
     }
 }
+
+#[test]
+fn an_owner_says_whether_a_request_runs_there_that_runs_alone() {
+    let mut owned = OwnedWorkers::default();
+    owned.begun(1_000, WORKER, (1, 1), opening(10.0), &[]);
+    assert!(!owned.standing(1_010, WORKER, &[], 0.0).has_suspect);
+    let alone = Opening {
+        runs_alone: true,
+        ..opening(10.0)
+    };
+    owned.begun(1_020, WORKER, (2, 2), alone, &[]);
+    assert!(owned.standing(1_030, WORKER, &[], 0.0).has_suspect);
+    owned.ended(1_040, WORKER, (2, 2), Outcome::Whole);
+    assert!(!owned.standing(1_050, WORKER, &[], 0.0).has_suspect);
+}
--- /dev/null
+++ b/crates/cranereach-fleet/tests/quarantine/joining.rs
@@ -0,0 +1,181 @@
+//! What instances make of what they see and hear, in whatever order.
+
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::proptest;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::fleet::mark;
+use cranereach_fleet::quarantine::Change;
+use cranereach_fleet::quarantine::END_MAX_COUNT;
+use cranereach_fleet::quarantine::Quarantine;
+use cranereach_fleet::quarantine::SUSPECT_MAX_COUNT;
+use cranereach_fleet::quarantine::SuspectNews;
+use cranereach_fleet::quarantine::Suspicion;
+use cranereach_fleet::quarantine::TOLD_MAX_COUNT;
+
+const QUARANTINED: Suspicion = Suspicion {
+    end_count: END_MAX_COUNT,
+    is_quarantined: true,
+};
+
+/// Returns what an instance that saw ends of some workers one after the other tells.
+fn seen(workers: impl IntoIterator<Item = u64>) -> Quarantine {
+    let mut instance = Quarantine::default();
+    for (place, worker) in (0_i64..).zip(workers) {
+        let knew_of_others = instance.suspicion(mark(1)).end_count > 0;
+        instance.ended(1_000 + place * 1_000, mark(1), worker, knew_of_others);
+    }
+    instance
+}
+
+fn news(of: &Quarantine, now_ms: i64) -> SuspectNews {
+    of.news_of(now_ms, mark(1)).unwrap()
+}
+
+#[test]
+fn ends_that_three_instances_saw_add_up() {
+    let mut counting = Quarantine::default();
+    for worker in 1..=2 {
+        counting.take(9_000, &news(&seen([worker]), 9_000));
+        assert!(!counting.suspicion(mark(1)).is_quarantined);
+    }
+    // The third came under a try whose sender knew of the others.
+    let mut third = Quarantine::default();
+    third.take(9_000, &news(&counting, 9_000));
+    third.ended(9_500, mark(1), 3, true);
+    assert_eq!(third.suspicion(mark(1)), QUARANTINED);
+    assert_eq!(
+        counting.take(9_600, &news(&third, 9_600)),
+        Change::Suspicion
+    );
+    assert_eq!(counting.suspicion(mark(1)), QUARANTINED);
+}
+
+#[test]
+fn one_end_that_many_saw_and_told_counts_once() {
+    let mut instance = seen([7]);
+    let told = news(&instance, 1_000);
+    // Also where it was told by someone who stood still meanwhile.
+    for now_ms in [1_000, 1_010, 3_000, 9_000] {
+        assert_eq!(instance.take(now_ms, &told), Change::None);
+    }
+    assert_eq!(instance.suspicion(mark(1)).end_count, 1);
+}
+
+#[test]
+fn many_workers_lost_at_once_quarantine_nothing() {
+    let mut instance = Quarantine::default();
+    for worker in 0..20 {
+        instance.ended(1_000, mark(1), worker, false);
+    }
+    assert!(!instance.suspicion(mark(1)).is_quarantined);
+    // The next that comes tells whether it was they or the request.
+    instance.clear(2_000, mark(1));
+    assert_eq!(instance.suspicion(mark(1)), Suspicion::default());
+}
+
+#[test]
+fn a_whole_answer_ends_the_suspicion_wherever_it_is_told() {
+    let mut instance = seen([1, 2, 3]);
+    let mut other = Quarantine::default();
+    other.take(5_000, &news(&instance, 5_000));
+    assert_eq!(other.suspicion(mark(1)), QUARANTINED);
+    instance.clear(6_000, mark(1));
+    assert_eq!(
+        other.take(6_100, &news(&instance, 6_100)),
+        Change::Suspicion
+    );
+    assert_eq!(other.suspicion(mark(1)), Suspicion::default());
+    // Who was cut off meanwhile doesn't bring it back.
+    let behind = news(&seen([1, 2, 3]), 5_000);
+    other.take(5_500, &behind);
+    assert_eq!(other.suspicion(mark(1)), Suspicion::default());
+}
+
+#[test]
+fn what_speaks_least_goes_first_when_too_many_are_known() {
+    let mut instance = seen([1, 2, 3]);
+    for number in 0..3 * SUSPECT_MAX_COUNT as u64 {
+        instance.ended(10_000 + number as i64, mark(number + 2), number, false);
+    }
+    assert_eq!(instance.known_count(), SUSPECT_MAX_COUNT);
+    assert_eq!(instance.suspicion(mark(1)), QUARANTINED);
+    let newest = mark(3 * SUSPECT_MAX_COUNT as u64 + 1);
+    assert_eq!(instance.suspicion(newest).end_count, 1);
+    let told = instance.news(23_000, &mut StdRng::seed_from_u64(1));
+    assert_eq!(told.len(), TOLD_MAX_COUNT);
+    assert_eq!(
+        told[0].fingerprint,
+        mark(1).fingerprint,
+        "it is told of first"
+    );
+}
+
+#[test]
+fn a_suspicion_is_forgotten_and_a_quarantine_lasts_while_it_is_asked_for() {
+    let minutes = |count: i64| count * 60_000;
+    let mut instance = seen([1, 2]);
+    instance.forget(minutes(9));
+    assert_eq!(instance.suspicion(mark(1)).end_count, 2);
+    instance.forget(minutes(11));
+    assert_eq!(instance.known_count(), 0);
+    let mut instance = seen([1, 2, 3]);
+    for hour in 1..5 {
+        instance.refused(minutes(hour * 50), mark(1));
+        instance.forget(minutes(hour * 50 + 49));
+        assert_eq!(instance.suspicion(mark(1)), QUARANTINED);
+    }
+    instance.forget(minutes(4 * 50 + 61));
+    assert_eq!(instance.known_count(), 0);
+}
+
+#[test]
+fn requests_of_other_sizes_need_no_fingerprint() {
+    let instance = seen([1]);
+    assert!(instance.may_know(8));
+    assert!(!instance.may_know(7) && !instance.may_know(9));
+}
+
+/// Some news of one request, as several instances may tell them.
+fn any_news() -> impl Strategy<Value = Vec<(u64, u32, bool)>> {
+    let one = (0_u64..5, 0_u32..50_000, any::<bool>());
+    proptest::collection::vec(one, 1..8)
+}
+
+proptest! {
+    #[test]
+    fn the_order_in_which_it_is_told_makes_no_difference(
+        told in any_news(),
+        order in Just((0..8).collect::<Vec<usize>>()).prop_shuffle(),
+    ) {
+        let of = |(worker, age_ms, is_repeated): (u64, u32, bool)| {
+            let mut told = news(&seen([worker]), 1_000);
+            told.ends[0].age_ms = age_ms;
+            told.is_repeated = is_repeated;
+            told
+        };
+        // Ends of one worker are the same here: starts of one are told apart by their key.
+        let mut worker_seen = std::collections::HashSet::new();
+        let told: Vec<SuspectNews> = told
+            .into_iter()
+            .filter(|(worker, ..)| worker_seen.insert(*worker))
+            .map(of)
+            .collect();
+        let told: Vec<SuspectNews> = told.into_iter().take(END_MAX_COUNT).collect();
+        let mut forward = Quarantine::default();
+        let mut shuffled = Quarantine::default();
+        for news in &told {
+            forward.take(60_000, news);
+        }
+        for place in order {
+            if let Some(news) = told.get(place) {
+                shuffled.take(60_000, news);
+                shuffled.take(60_000, news);
+            }
+        }
+        assert_eq!(forward.suspicion(mark(1)), shuffled.suspicion(mark(1)));
+    }
+}
--- a/crates/cranereach-fleet/tests/workers/mod.rs
+++ b/crates/cranereach-fleet/tests/workers/mod.rs
@@ -18,6 +18,7 @@
 pub fn record(id: &str, models: &[(&str, &[&str])]) -> WorkerRecord {
     WorkerRecord {
         id: Arc::from(id),
+        started_unix_ms: 0,
         service: Arc::from("s"),
         address: format!("{id}:1"),
         failure_domain: Arc::from("z"),
@@ -52,6 +53,7 @@
         topology: &TOPOLOGY,
         crossings_ms: [0.0; 3],
         regions: &ANY_REGION,
+        end_count: 0,
         tried: &[],
     }
 }
--- a/crates/cranereach-gateway/src/forward/broken.rs
+++ b/crates/cranereach-gateway/src/forward/broken.rs
@@ -7,11 +7,23 @@
 
 use super::request::Call;
 use crate::node::Node;
+use crate::quarantine;
 use crate::worker_ends;
 use crate::worker_ends::Found;
 
-/// Finds out, beside the call, what became of the worker that a call broke off at.
-pub(super) fn note(node: &Arc<Node>, call: &Arc<Call>, worker: &Arc<str>) -> JoinHandle<Found> {
+/// Finds out, beside the call, what became of the worker that a call broke off at, and
+/// holds its end against the call. `knew_of_others` says whether an earlier end under it
+/// was known when it was sent.
+pub(super) fn note(
+    node: &Arc<Node>,
+    call: &Arc<Call>,
+    worker: &Arc<str>,
+    knew_of_others: bool,
+) -> JoinHandle<Found> {
+    let start = node
+        .roster()
+        .get(worker)
+        .map(|known| known.record.start_key());
     let node = Arc::clone(node);
     let call = Arc::clone(call);
     let worker = Arc::clone(worker);
@@ -24,6 +36,10 @@
                 "route" => call.route.name.as_ref(), "worker" => worker.as_ref(),
                 "found" => found.name(),
                 "fingerprint" => call.fingerprint(&node).to_string());
+            // One that isn't listed any more was to end.
+            if let Some(start) = start {
+                quarantine::ended(&node, &call, start, knew_of_others);
+            }
         }
         found
     })
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -12,6 +12,7 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::owners;
+use crate::quarantine;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::admission::Admission;
 use cranereach_fleet::admission::Verdict;
@@ -35,6 +36,15 @@
 /// Share of the aim for which a call waits until a cold worker may be sent something.
 const COLD_WAIT_SHARE: f64 = 0.4;
 
+/// Share of the aim for which a call under whose like workers ended waits until none of
+/// the others runs where it could: one that ends its worker does so within some tenths of
+/// a second.
+const ALONE_WAIT_SHARE: f64 = 0.4;
+
+/// When such a call should come back, in milliseconds: a worker that has ended is back,
+/// and the answers of the others are whole, after some seconds.
+const ALONE_AFTER_MS: u64 = 1_500;
+
 /// Workers whose owners are asked before one is chosen: with exact loads of three by
 /// chance, a call rarely meets a queue while others are idle.
 const CANDIDATE_COUNT: usize = 3;
@@ -80,6 +90,7 @@
                     NoWorker::Evacuated => ResultCode::DomainEvacuated,
                     NoWorker::Cold => ResultCode::WorkersCold,
                     NoWorker::NoModel | NoWorker::NoAdapter => ResultCode::NotResident,
+                    NoWorker::NotAlone => ResultCode::NotAlone,
                 };
                 let mut refusal = self.refusal(code, &format!("{why:?} {:?}", call.model()));
                 match why {
@@ -87,6 +98,7 @@
                         refusal.retry_after_ms = self.model_back_after_ms();
                     }
                     NoWorker::Cold => refusal.retry_after_ms = self.warm_after_ms(&wanted),
+                    NoWorker::NotAlone => refusal.retry_after_ms = ALONE_AFTER_MS,
                     NoWorker::Unreachable => refusal.retry_after_ms = MODEL_BACK_AFTER_MS,
                     NoWorker::None | NoWorker::NotAllowed | NoWorker::NoAdapter => {}
                 }
@@ -118,6 +130,9 @@
             NoWorker::NoAdapter => {
                 received_ms + (self.call.route.aim_ms as f64 * ADAPTER_WAIT_SHARE) as u64
             }
+            NoWorker::NotAlone => {
+                received_ms + (self.call.route.aim_ms as f64 * ALONE_WAIT_SHARE) as u64
+            }
             NoWorker::NoModel | NoWorker::Evacuated => match work::word(self.node, self.call) {
                 Some(Word::At(at_ms)) if at_ms < aim_at_ms => {
                     aim_at_ms.min(at_ms + LISTED_WITHIN_MS)
@@ -253,6 +268,7 @@
             topology: &self.node.topology,
             crossings_ms: lock(&self.node.ways).crossings_ms(),
             regions: &self.call.regions,
+            end_count: quarantine::suspicion(self.node, self.call).end_count,
             tried: &self.tried,
         }
     }
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -5,6 +5,7 @@
 //! repeats. One that may have run goes elsewhere only if it may be repeated.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Response;
 use slog::info;
@@ -19,6 +20,7 @@
 use super::taking_up::Begun;
 use super::work;
 use crate::node::Node;
+use crate::quarantine;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::roster::Choice;
 
@@ -32,6 +34,10 @@
 /// Offers of one call to the same worker at most.
 const SAME_WORKER_MAX_COUNT: usize = 2;
 
+/// Time for which a repeat waits until it is known whether the worker that broke off has
+/// ended, in milliseconds: one that refuses connections is known for it within 25.
+const FOUND_WITHIN_MS: u64 = 60;
+
 /// A call on its way.
 pub(super) struct Exchange<'a> {
     pub(super) node: &'a Arc<Node>,
@@ -48,6 +54,8 @@
     pub(super) run_count: u32,
     pub(super) may_have_run: bool,
     pub(super) may_run_now: bool,
+    /// Whether an end of a worker under equal calls was known when it was sent last.
+    pub(super) knew_of_end: bool,
 }
 
 /// What a call has taken so far, so that its stream may be taken up within its bounds.
@@ -56,6 +64,8 @@
     tried: Vec<Arc<str>>,
     offer_count: usize,
     run_count: u32,
+    /// Whether an end of a worker under equal calls was known when it was sent last.
+    pub(super) knew_of_end: bool,
 }
 
 /// Runs a call to its answer or refusal, both in time.
@@ -94,18 +104,21 @@
 }
 
 /// Takes a stream up at another worker after the last event that its caller has, once
-/// its worker has broken off; returns how it goes on.
+/// its worker, `broken`, has broken off; returns how it goes on.
 pub(super) async fn take_up(
     node: &Arc<Node>,
     call: &Arc<Call>,
     taken: Taken,
     last_event: Option<String>,
+    broken: &Arc<str>,
 ) -> Result<(Begun, Taken), Refusal> {
     let mut exchange = Exchange::new(node, call);
     exchange.tried = taken.tried;
     exchange.offer_count = taken.offer_count;
     exchange.run_count = taken.run_count;
     exchange.last_event = last_event;
+    exchange.knew_of_end = taken.knew_of_end;
+    exchange.find_end(broken).await;
     exchange.judge(Failure::BrokenOff)?;
     loop {
         let choice = exchange.next_choice().await?;
@@ -113,7 +126,7 @@
             Ok(begun) => return Ok((begun, exchange.taken())),
             Err(failure) => failure,
         };
-        exchange.after_failure(&choice, failure)?;
+        exchange.after_failure(&choice, failure).await?;
     }
 }
 
@@ -132,6 +145,7 @@
             run_count: 0,
             may_have_run: false,
             may_run_now: false,
+            knew_of_end: false,
         }
     }
 }
@@ -143,6 +157,7 @@
             tried: self.tried.clone(),
             offer_count: self.offer_count,
             run_count: self.run_count,
+            knew_of_end: self.knew_of_end,
         }
     }
 
@@ -154,7 +169,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
-            self.after_failure(&choice, failure)?;
+            self.after_failure(&choice, failure).await?;
         }
     }
 
@@ -190,7 +205,7 @@
     }
 
     /// Decides what follows an offer that failed: another one, or the end.
-    fn after_failure(&mut self, choice: &Choice, failure: Failure) -> Result<(), Refusal> {
+    async fn after_failure(&mut self, choice: &Choice, failure: Failure) -> Result<(), Refusal> {
         self.may_run_now = false;
         if failure == Failure::NoLeave {
             return self.without_leave();
@@ -198,13 +213,29 @@
         info!(self.node.log, "offer failed"; "request" => self.call.id.clone(),
             "worker" => choice.id.as_ref(), "failure" => format!("{failure:?}"),
             "offer" => self.offer_count);
+        if failure == Failure::Quarantined {
+            let code = if self.may_have_run {
+                ResultCode::OutcomeUnknown
+            } else {
+                ResultCode::Quarantined
+            };
+            return Err(self.refusal(code, &quarantine::refused(self.node, self.call)));
+        }
         if failure == Failure::BrokenOff {
-            // What it finds is for the log and the metrics.
-            drop(broken::note(self.node, self.call, &choice.id));
+            self.find_end(&choice.id).await;
         }
         self.judge(failure)
     }
 
+    /// Waits for what became of a worker that broke the call off: before the call is sent
+    /// once more, it must be known whether workers end under it.
+    async fn find_end(&self, worker: &Arc<str>) {
+        let finding = broken::note(self.node, self.call, worker, self.knew_of_end);
+        let within = Duration::from_millis(FOUND_WITHIN_MS);
+        // One that takes longer is waited for by its own task alone.
+        let _found = tokio::time::timeout(within, finding).await;
+    }
+
     /// Returns the code of a call that nobody is left for.
     fn end_code(&self) -> ResultCode {
         if self.may_have_run {
@@ -224,6 +255,12 @@
                 return Err(self.refusal(ResultCode::OutcomeUnknown, "no whole answer"));
             }
         }
+        // Others that broke off with it come again now, too: what ends their workers shows
+        // only once they come one at a time.
+        if failure.may_have_run() && quarantine::suspicion(self.node, self.call).runs_alone() {
+            let detail = "workers ended under it";
+            return Err(self.refusal(ResultCode::OutcomeUnknown, detail));
+        }
         let is_counted = failure != Failure::NotSent;
         if self.offer_count >= OFFER_MAX_COUNT {
             return Err(self.refusal(self.end_code(), "offered too often"));
--- a/crates/cranereach-gateway/src/forward/head.rs
+++ b/crates/cranereach-gateway/src/forward/head.rs
@@ -7,6 +7,8 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 
 use super::open::OpenCall;
 use super::request::Call;
@@ -28,6 +30,8 @@
     /// It isn't to be sent any more: the worker's failure domain is evacuated, or the
     /// worker is cold and its owner grants nothing.
     NoLeave,
+    /// It isn't to be sent any more: workers end under requests equal to it.
+    Quarantined,
     /// The worker says that it did not run it.
     NotRun,
     /// The worker does not hold the model, or is another one.
@@ -113,6 +117,12 @@
     }
 }
 
+/// Whether the answer's head says where it ends: only then does its end show that the
+/// worker lived to make it.
+pub fn says_its_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns how long a connection may rest, in milliseconds; none if it closes.
 pub fn rest_ms(headers: &HeaderMap) -> Option<u64> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -44,12 +44,13 @@
 use self::passing::BrokenOff;
 use self::passing::Passing;
 use self::refusal::Refusal;
-use self::request::Call;
+pub use self::request::Call;
 use crate::limits;
 use crate::limits::Charge;
 use crate::limits::Denied;
 use crate::node::Node;
 use crate::node::lock;
+use crate::quarantine;
 use cranereach_core::codes::Ran;
 use cranereach_core::codes::ResultCode;
 use cranereach_http::server::Closed;
@@ -122,6 +123,9 @@
     received_ms: u64,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let call = Arc::new(Call::read(node, request, received_ms).await?);
+    if quarantine::suspicion(node, &call).is_quarantined {
+        return Err(quarantined(node, &call));
+    }
     let charge = charge(node, &call).await?;
     let result = exchange::run(node, &call).await;
     if result
@@ -134,6 +138,14 @@
     result
 }
 
+/// Refuses a call that is like those under which worker after worker ended.
+fn quarantined(node: &Node, call: &Call) -> Refusal {
+    let mut refusal = Refusal::of(ResultCode::Quarantined, &call.id);
+    refusal.detail = quarantine::refused(node, call);
+    refusal.route = Some(Arc::clone(&call.route.name));
+    refusal
+}
+
 /// Charges a call to its account's limit, or refuses it.
 async fn charge(node: &Node, call: &Call) -> Result<Charge, Refusal> {
     let Some(account) = &call.account else {
--- a/crates/cranereach-gateway/src/forward/open.rs
+++ b/crates/cranereach-gateway/src/forward/open.rs
@@ -9,6 +9,7 @@
 use cranereach_fleet::load::RANK_COUNT;
 use cranereach_fleet::owned::Opening;
 use cranereach_fleet::owned::Outcome;
+use cranereach_fleet::quarantine::ALONE_FROM_COUNT;
 use cranereach_fleet::roster::Choice;
 use cranereach_fleet::topology::Distance;
 use cranereach_fleet::wanted::Wanted;
@@ -90,6 +91,7 @@
             gap_aim_ms: wanted.gap_aim_ms.unwrap_or_default() as u32,
             event_tokens: wanted.event_tokens,
             send_in_ms: send_in_ms as u32,
+            runs_alone: wanted.end_count >= ALONE_FROM_COUNT,
         };
         let told = owners::begun(node, &choice.id, opening, wanted.parts);
         Self {
--- a/crates/cranereach-gateway/src/forward/passing.rs
+++ b/crates/cranereach-gateway/src/forward/passing.rs
@@ -28,6 +28,7 @@
 use super::taking_up::Kept;
 use super::taking_up::TakingUp;
 use crate::node::Node;
+use crate::quarantine;
 use cranereach_http::events::Reached;
 use cranereach_http::events::WholeEvents;
 
@@ -49,6 +50,8 @@
     pauses: Pauses,
     /// The events, if the stream may go on elsewhere.
     events: Option<WholeEvents>,
+    /// Whether the head of the present worker's answer says where it ends.
+    says_its_end: bool,
     /// What the call has taken so far.
     taken: Taken,
     taking_up: Option<TakingUp>,
@@ -93,6 +96,7 @@
                 last_piece: Instant::now(),
                 longest_ms: 0,
             },
+            says_its_end: begun.says_its_end,
             events: call.route.may_repeat().then(WholeEvents::default),
             taken,
             taking_up: None,
@@ -140,11 +144,8 @@
                     return Poll::Ready(Some(Ok(frame)));
                 }
                 Some(Err(_broken)) => {
-                    if let Some(open) = &mut self.open {
-                        open.failed();
-                        drop(broken::note(&self.node, &self.call, open.worker()));
-                    }
                     if !self.seek_rest() {
+                        self.note_broken();
                         return Poll::Ready(Some(Err(self.break_off("worker broke off"))));
                     }
                 }
@@ -170,6 +171,11 @@
 
     /// Begins to look for a worker that goes on; returns whether one may.
     fn seek_rest(&mut self) -> bool {
+        let Some(open) = &mut self.open else {
+            return false;
+        };
+        open.failed();
+        let broken = Arc::clone(open.worker());
         let Some(events) = &mut self.events else {
             return false;
         };
@@ -183,10 +189,25 @@
         self.open = None;
         self.connection = None;
         let taken = std::mem::take(&mut self.taken);
-        self.taking_up = Some(TakingUp::begin(&self.node, &self.call, taken, last_event));
+        let begun = TakingUp::begin(&self.node, &self.call, taken, last_event, &broken);
+        self.taking_up = Some(begun);
         true
     }
 
+    /// Notes that the worker broke off and nobody goes on.
+    fn note_broken(&self) {
+        if let Some(open) = &self.open {
+            let knew_of_end = self.taken.knew_of_end;
+            // Nobody waits for what is found.
+            drop(broken::note(
+                &self.node,
+                &self.call,
+                open.worker(),
+                knew_of_end,
+            ));
+        }
+    }
+
     /// Goes on with the stream of another worker.
     fn go_on(&mut self, begun: Begun, taken: Taken, took_ms: u64) {
         info!(self.node.log, "stream taken up"; "request" => self.call.id.clone(),
@@ -199,6 +220,7 @@
         self.incoming = begun.incoming;
         self.connection = Some(begun.connection);
         self.open = Some(begun.open);
+        self.says_its_end = begun.says_its_end;
         self.taken = taken;
         // The pause until here says nothing of the worker that goes on.
         self.pauses.last_piece = Instant::now();
@@ -208,6 +230,9 @@
     /// Notes a whole answer, and its pauses if they were longer than the route aims at;
     /// returns what is still to be passed on.
     fn end(&mut self) -> Option<Bytes> {
+        if self.says_its_end {
+            quarantine::answered(&self.node, &self.call);
+        }
         if let Some(mut open) = self.open.take() {
             if self.pauses.are_too_long() {
                 open.paused();
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -32,6 +32,7 @@
 use cranereach_fleet::fingerprint::Fingerprint;
 use cranereach_fleet::prefixes;
 use cranereach_fleet::prefixes::PromptPart;
+use cranereach_fleet::quarantine::RequestMark;
 use cranereach_fleet::regions::AllowedRegions;
 use cranereach_http::body;
 use cranereach_http::body::BodyError;
@@ -199,6 +200,19 @@
         })
     }
 
+    /// Returns the size of the body, in bytes.
+    pub fn body_bytes(&self) -> u32 {
+        u32::try_from(self.body.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns what equal calls are known by.
+    pub fn mark(&self, node: &Node) -> RequestMark {
+        RequestMark {
+            body_bytes: self.body_bytes(),
+            fingerprint: self.fingerprint(node),
+        }
+    }
+
     /// Returns the fingerprint of what is asked for, equal for equal calls.
     pub fn fingerprint(&self, node: &Node) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -13,12 +13,14 @@
 use super::head::REST_UNSAID_MS;
 use super::head::check_head;
 use super::head::rest_ms;
+use super::head::says_its_end;
 use super::open::OpenCall;
 use super::passing::Passing;
 use super::request::passed_headers;
 use super::taking_up::Begun;
 use crate::cold;
 use crate::node::pause;
+use crate::quarantine;
 use cranereach_fleet::roster::Choice;
 use cranereach_http::body;
 use cranereach_http::body::BodyError;
@@ -83,6 +85,11 @@
             }
             return Err(Failure::NoLeave);
         }
+        let suspicion = quarantine::suspicion(node, call);
+        if suspicion.is_quarantined {
+            return Err(Failure::Quarantined);
+        }
+        self.knew_of_end = suspicion.end_count > 0;
         self.count_send(choice);
         let request = self
             .call
@@ -151,6 +158,9 @@
         } else {
             open.succeeded();
         }
+        if says_its_end(&parts.headers) {
+            quarantine::answered(self.node, self.call);
+        }
         if let Some(rest_ms) = rest_ms(&parts.headers) {
             connection.keep_for(rest_ms);
         }
--- a/crates/cranereach-gateway/src/forward/taking_up.rs
+++ b/crates/cranereach-gateway/src/forward/taking_up.rs
@@ -23,6 +23,7 @@
 use super::head::Failure;
 use super::head::Head;
 use super::head::rest_ms;
+use super::head::says_its_end;
 use super::open::OpenCall;
 use super::refusal::Refusal;
 use super::request::Call;
@@ -43,6 +44,8 @@
     pub connection: Kept,
     /// The count of the call at the worker.
     pub open: OpenCall,
+    /// Whether its head says where it ends.
+    pub says_its_end: bool,
 }
 
 impl Begun {
@@ -71,6 +74,7 @@
             incoming,
             connection: (connection, rest_ms(&parts.headers)),
             open,
+            says_its_end: says_its_end(&parts.headers),
         };
         Ok((parts, begun))
     }
@@ -87,18 +91,21 @@
 }
 
 impl TakingUp {
-    /// Begins to look for a worker that goes on after an event; from the start if the
-    /// caller has none yet.
+    /// Begins to look for a worker that goes on after an event where `broken` broke off;
+    /// from the start if the caller has none yet.
     pub(super) fn begin(
         node: &Arc<Node>,
         call: &Arc<Call>,
         taken: Taken,
         last_event: Option<String>,
+        broken: &Arc<str>,
     ) -> Self {
         let node = Arc::clone(node);
         let call = Arc::clone(call);
-        let found =
-            tokio::spawn(async move { exchange::take_up(&node, &call, taken, last_event).await });
+        let broken = Arc::clone(broken);
+        let found = tokio::spawn(async move {
+            exchange::take_up(&node, &call, taken, last_event, &broken).await
+        });
         Self {
             found,
             since: Instant::now(),
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -35,6 +35,7 @@
 use crate::node::pause;
 use crate::owners;
 use crate::proofs;
+use crate::quarantine;
 use crate::recipients::Origin;
 use crate::roster_sync;
 use cranereach_fleet::freshness::Freshness;
@@ -268,6 +269,7 @@
         adapters,
         withheld,
         evacuations,
+        suspects: quarantine::news(node),
     }
 }
 
@@ -337,6 +339,7 @@
                     Message::ColdGranted(grant) => {
                         node.cold_questions.answered(grant.ticket, grant);
                     }
+                    Message::Suspect(news) => quarantine::take(&node, ip, &[*news]),
                     Message::List(changes) => roster_sync::take_message(&node, ip, changes),
                 }
             }
@@ -368,6 +371,7 @@
     }
     bodies::fetch_configuration_if_behind(node, sender, digest.configuration_version);
     evacuations::take(node, &digest.evacuations, origin(node, sender));
+    quarantine::take(node, sender, &digest.suspects);
     let has_changed = news::take_roster(node, now_ms, sender, digest);
     if has_changed {
         node.roster_changed.notify_waiters();
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`run`] starts and stops the parts. A caller's request runs through
 //! [`forward`]. Beside that path [`configuration_sync`] and [`roster_sync`]
 //! follow the store, [`evacuations`] takes which failure domains are to be emptied,
-//! [`worker_ends`] finds out whether a worker that broke off has ended, [`proofs`] and [`limits`] ask peers what accounts may do, [`cold`] asks whether a cold
+//! [`worker_ends`] finds out whether a worker that broke off has ended, [`quarantine`] which requests end
+//! theirs, [`proofs`] and [`limits`] ask peers what accounts may do, [`cold`] asks whether a cold
 //! worker may be sent something, [`gossip`] and [`bodies`] tell peers what they can't see
 //! (all that they send is counted in [`traffic`]), and
 //! [`controller`] holds the leases and orders workers. Everything that a
@@ -30,6 +31,7 @@
 pub mod owners;
 pub mod peers;
 pub mod proofs;
+pub mod quarantine;
 pub mod questions;
 pub mod recipients;
 pub mod roster_sync;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -24,9 +24,10 @@
 use cranereach_fleet::owned::Outcome;
 use cranereach_fleet::proof::ProofAnswer;
 use cranereach_fleet::proof::ProofQuestion;
+use cranereach_fleet::quarantine::SuspectNews;
 
 /// Version of the messages; others are dropped.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 7;
 
 /// Largest datagram that is taken, in bytes.
 pub const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
@@ -103,6 +104,8 @@
     Cold(ColdAsk),
     /// The answer.
     ColdGranted(ColdGrant),
+    /// A request under which a worker ended, for those who count its ends.
+    Suspect(Box<SuspectNews>),
 }
 
 /// A request that is to be sent to a cold worker.
@@ -228,6 +231,8 @@
     pub failed_percent: u32,
     /// Whether calls should go elsewhere for now.
     pub is_aside: bool,
+    /// Whether a request is there that runs apart from others under which workers ended.
+    pub has_suspect: bool,
     /// Time until the prompt is to be sent, in milliseconds.
     pub send_in_ms: u32,
     /// Longest pause that its reading makes in streams that run, in milliseconds.
@@ -383,4 +388,6 @@
     pub withheld: Vec<(u64, u16)>,
     /// Failure domains that are to be evacuated, as far as it knows.
     pub evacuations: EvacuationList,
+    /// Some of the requests under which workers ended.
+    pub suspects: Vec<SuspectNews>,
 }
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -29,6 +29,10 @@
     pub streams_broken_total: IntCounterVec,
     /// Calls whose connection to their worker broke, by what became of the worker.
     pub broken_off_total: IntCounterVec,
+    /// Requests that are quarantined, as far as this instance knows.
+    pub quarantined_requests: IntGauge,
+    /// Requests under which workers ended that it remembers.
+    pub suspected_requests: IntGauge,
     /// Prompts held back so that no stream pauses for too long by them.
     pub prompts_held_total: IntCounter,
     /// Whole streams with a pause longer than their route aims at.
@@ -168,6 +172,8 @@
             peers_heard: gauge("peers_heard", "peers heard lately"),
             open_in_domain: gauges("open_in_domain", "requests open at workers", &["domain"]),
             models_missing: gauges("models_missing", "models no worker serves", &["service"]),
+            quarantined_requests: gauge("quarantined_requests", "requests sent to no worker"),
+            suspected_requests: gauge("suspected_requests", "requests workers ended under"),
             evacuated_domains: gauge("evacuated_domains", "failure domains to be evacuated"),
             sends_total: counters("sends_total", "requests sent to workers", &["domain"]),
             cold_sends_total: counters("cold_sends_total", "sends to cold workers", &["outcome"]),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -47,6 +47,7 @@
 use cranereach_fleet::owned::OwnedWorkers;
 use cranereach_fleet::pace::Paces;
 use cranereach_fleet::proof::Proof;
+use cranereach_fleet::quarantine::Quarantine;
 use cranereach_fleet::retry_window::RetryWindow;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::service_time::ServiceTimes;
@@ -93,6 +94,8 @@
     pub fingerprint_key: FingerprintKey,
     /// Tries of workers whose connections broke.
     pub tries: Tries,
+    /// Requests under which workers ended.
+    pub quarantine: Mutex<Quarantine>,
     /// Number of this start.
     pub boot: u64,
     /// Wakes whoever waits for a worker that holds something.
@@ -210,6 +213,7 @@
             store: Store::new(&settings.platform.store, adapter),
             fingerprint_key: FingerprintKey::new(&settings.peers.fingerprint_secret),
             tries: Tries::default(),
+            quarantine: Mutex::default(),
             boot,
             roster_changed: Notify::new(),
             digest_wanted: Notify::new(),
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -263,6 +263,7 @@
         pace_percent: (standing.pace_ratio * 100.0) as u32,
         failed_percent: (standing.failed_share * 100.0) as u32,
         is_aside: standing.is_aside,
+        has_suspect: standing.has_suspect,
         send_in_ms: standing.send_in_ms as u32,
         pause_ms: standing.pause_ms as u32,
     }
@@ -276,6 +277,7 @@
         pace_ratio: f64::from(quote.pace_percent.max(100)) / 100.0,
         failed_share: f64::from(quote.failed_percent.min(100)) / 100.0,
         is_aside: quote.is_aside,
+        has_suspect: quote.has_suspect,
         send_in_ms: f64::from(quote.send_in_ms),
         pause_ms: f64::from(quote.pause_ms),
     }
--- /dev/null
+++ b/crates/cranereach-gateway/src/quarantine.rs
@@ -0,0 +1,205 @@
+//! Requests under which workers ended: what this instance sees of them, and what it
+//! tells and hears.
+//!
+//! See [`cranereach_fleet::quarantine`]. Each end goes to two instances that the request's
+//! fingerprint picks, so that it is counted wherever the request comes to next; from two
+//! ends on all are told, in digests. A call costs a look at the sizes of the requests
+//! that are known, mostly none.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use slog::info;
+use slog::warn;
+
+use crate::forward::Call;
+use crate::messages::Message;
+use crate::node::Node;
+use crate::node::lock;
+use crate::recipients::Origin;
+use cranereach_fleet::fingerprint::Fingerprint;
+use cranereach_fleet::quarantine::Change;
+use cranereach_fleet::quarantine::RequestMark;
+use cranereach_fleet::quarantine::SuspectNews;
+use cranereach_fleet::quarantine::Suspicion;
+use cranereach_fleet::quarantine::TOLD_MAX_COUNT;
+
+/// Instances that an end is told to beside digests: one may be stopping, or the datagram
+/// be lost.
+const COUNTED_BY_COUNT: usize = 2;
+
+/// A request under which workers ended, as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Shown {
+    /// Fingerprint of what is asked for.
+    pub fingerprint: String,
+    /// Whether it is refused.
+    pub is_quarantined: bool,
+    /// Keys of the workers that ended under it, and how long ago, in milliseconds.
+    pub ends: Vec<ShownEnd>,
+    /// Times that it was refused here.
+    pub refused_count: u64,
+}
+
+/// An end of a worker, as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ShownEnd {
+    /// Key of the worker's start.
+    pub worker: String,
+    /// How long ago, in milliseconds.
+    pub age_ms: i64,
+}
+
+/// Returns what is held against a call.
+pub fn suspicion(node: &Node, call: &Call) -> Suspicion {
+    let may_know = lock(&node.quarantine).may_know(call.body_bytes());
+    if !may_know {
+        return Suspicion::default();
+    }
+    lock(&node.quarantine).suspicion(call.mark(node))
+}
+
+/// Notes that a worker ended under a call. `knew_of_others` says whether an earlier end
+/// was known here when the call was sent.
+pub fn ended(node: &Node, call: &Call, worker: u64, knew_of_others: bool) {
+    let now_ms = node.now_ms() as i64;
+    let mark = call.mark(node);
+    let mut quarantine = lock(&node.quarantine);
+    let before = quarantine.suspicion(mark);
+    let after = quarantine.ended(now_ms, mark, worker, knew_of_others);
+    drop(quarantine);
+    if after.is_quarantined && !before.is_quarantined {
+        warn!(node.log, "request quarantined"; "request" => call.id.clone(),
+            "route" => call.route.name.as_ref(), "account" => call.account_label.clone(),
+            "fingerprint" => mark.fingerprint.to_string(), "ends" => after.end_count);
+    }
+    tell(node, mark, after);
+}
+
+/// Notes that a call was answered whole: it ends no workers.
+pub fn answered(node: &Node, call: &Call) {
+    if suspicion(node, call).end_count > 0 {
+        clear(node, call.mark(node), "whole answer");
+    }
+}
+
+/// Lets a request through again, as an operator asks; false if it isn't known here.
+pub fn release(node: &Node, fingerprint: Fingerprint) -> bool {
+    let mark = lock(&node.quarantine).find(fingerprint);
+    mark.is_some_and(|mark| clear(node, mark, "operator"))
+}
+
+/// Takes back what is held against a request; false if nothing is.
+fn clear(node: &Node, mark: RequestMark, why: &str) -> bool {
+    let now_ms = node.now_ms() as i64;
+    let cleared = lock(&node.quarantine).clear(now_ms, mark);
+    let Some(before) = cleared else {
+        return false;
+    };
+    info!(node.log, "request cleared"; "fingerprint" => mark.fingerprint.to_string(),
+        "ends" => before.end_count, "was_quarantined" => before.is_quarantined, "why" => why);
+    tell(node, mark, before);
+    true
+}
+
+/// Tells what has changed of a request against which something is or was held: those who
+/// count its ends, and everybody where it matters to all.
+fn tell(node: &Node, mark: RequestMark, held: Suspicion) {
+    let now_ms = node.now_ms();
+    let news = lock(&node.quarantine).news_of(now_ms as i64, mark);
+    let Some(news) = news else { return };
+    let purpose = mark.fingerprint.purpose();
+    let counting = node
+        .peers()
+        .members()
+        .first(now_ms, purpose, COUNTED_BY_COUNT);
+    for instance in counting {
+        let address = SocketAddr::from((instance, node.peer_port()));
+        node.send_now(address, Message::Suspect(Box::new(news.clone())));
+    }
+    note_counts(node);
+    if held.end_count > 1 {
+        node.tell_news(Origin::Own);
+    }
+}
+
+/// Takes what a peer tells of requests.
+pub fn take(node: &Node, sender: Ipv4Addr, told: &[SuspectNews]) {
+    if told.is_empty() || !node.peers().members().is_known(sender) {
+        return;
+    }
+    let now_ms = node.now_ms() as i64;
+    let mut change = Change::None;
+    for news in told.iter().take(TOLD_MAX_COUNT) {
+        let mut quarantine = lock(&node.quarantine);
+        let was_quarantined = quarantine.suspicion(news.mark()).is_quarantined;
+        change = change.max(quarantine.take(now_ms, news));
+        let is_quarantined = quarantine.suspicion(news.mark()).is_quarantined;
+        drop(quarantine);
+        if was_quarantined != is_quarantined {
+            info!(node.log, "quarantine heard of"; "fingerprint" => news.fingerprint.to_string(),
+                "quarantined" => is_quarantined, "from" => sender.to_string());
+        }
+    }
+    if change > Change::None {
+        note_counts(node);
+    }
+    if change == Change::Suspicion {
+        node.tell_news(Origin::at(node.distance_to(sender)));
+    }
+}
+
+/// Chooses what the next digest tells, and forgets what is old.
+pub fn news(node: &Node) -> Vec<SuspectNews> {
+    let now_ms = node.now_ms() as i64;
+    let mut quarantine = lock(&node.quarantine);
+    if quarantine.known_count() == 0 {
+        return Vec::new();
+    }
+    quarantine.forget(now_ms);
+    quarantine.news(now_ms, &mut rand::rng())
+}
+
+/// Notes that a call is refused; returns what the log is to say of it.
+pub fn refused(node: &Node, call: &Call) -> String {
+    let mark = call.mark(node);
+    let now_ms = node.now_ms() as i64;
+    let count = lock(&node.quarantine).refused(now_ms, mark);
+    format!(
+        "fingerprint {}, refused here {count} times",
+        mark.fingerprint
+    )
+}
+
+/// Lists the requests under which workers ended, for operators.
+pub fn show(node: &Node) -> Vec<Shown> {
+    let now_ms = node.now_ms() as i64;
+    let quarantine = lock(&node.quarantine);
+    let listed = quarantine.list().map(|listed| Shown {
+        fingerprint: listed.fingerprint.to_string(),
+        is_quarantined: listed.suspicion.is_quarantined,
+        ends: listed
+            .ends
+            .iter()
+            .map(|end| ShownEnd {
+                worker: format!("{:016x}", end.worker),
+                age_ms: now_ms - end.at_ms,
+            })
+            .collect(),
+        refused_count: listed.refused_count,
+    });
+    listed.collect()
+}
+
+/// Brings the gauges up to what is known.
+fn note_counts(node: &Node) {
+    let quarantine = lock(&node.quarantine);
+    let metrics = &node.metrics;
+    metrics
+        .quarantined_requests
+        .set(quarantine.quarantined_count() as i64);
+    metrics
+        .suspected_requests
+        .set(quarantine.known_count() as i64);
+}
--- a/crates/cranereach-gateway/src/traffic.rs
+++ b/crates/cranereach-gateway/src/traffic.rs
@@ -51,13 +51,15 @@
     Cold,
     /// Lists of the failure domains that are to be evacuated, beside digests.
     Evacuation,
+    /// Requests under which workers ended, beside digests.
+    Suspect,
     /// Anything else, such as what a body is asked for with.
     Other,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Digest,
         Self::List,
         Self::Configuration,
@@ -70,6 +72,7 @@
         Self::Proof,
         Self::Cold,
         Self::Evacuation,
+        Self::Suspect,
         Self::Other,
     ];
 
@@ -88,6 +91,7 @@
             Self::Proof => "proof",
             Self::Cold => "cold",
             Self::Evacuation => "evacuation",
+            Self::Suspect => "suspect",
             Self::Other => "other",
         }
     }
@@ -107,6 +111,7 @@
             Message::Limit(_) | Message::Granted(_) | Message::Returned(_) => Self::Limit,
             Message::Cold(_) | Message::ColdGranted(_) => Self::Cold,
             Message::Evacuations(_) => Self::Evacuation,
+            Message::Suspect(_) => Self::Suspect,
         }
     }
 }
--- /dev/null
+++ b/crates/cranereach-gateway/tests/suspects.rs
@@ -0,0 +1,64 @@
+//! What instances tell each other of requests under which workers ended, in bytes.
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use cranereach_fleet::fingerprint::Content;
+use cranereach_fleet::fingerprint::FingerprintKey;
+use cranereach_fleet::quarantine::Quarantine;
+use cranereach_fleet::quarantine::RequestMark;
+use cranereach_gateway::messages::Digest;
+use cranereach_gateway::messages::Message;
+use cranereach_gateway::messages::encode;
+
+/// Largest part of a digest that tells of such requests, in bytes.
+const TOLD_MAX_BYTES: usize = 1_536;
+
+/// Largest datagram that tells of one end, in bytes.
+const END_MAX_BYTES: usize = 64;
+
+fn mark(number: u64) -> RequestMark {
+    let content = Content {
+        account: None,
+        method: "POST",
+        host: b"h",
+        target: "/",
+        model: b"",
+        prompt_parts: b"",
+        body: &number.to_le_bytes(),
+    };
+    RequestMark {
+        body_bytes: u32::MAX,
+        fingerprint: content.fingerprint(&FingerprintKey::new("")),
+    }
+}
+
+#[test]
+fn a_digest_tells_a_bounded_part_however_many_are_known() {
+    let mut sizes_bytes = Vec::new();
+    for known_count in [0, 3, 100, 10_000] {
+        let mut quarantine = Quarantine::default();
+        for number in 0..known_count {
+            for worker in 0..8 {
+                let key = u64::MAX - worker;
+                quarantine.ended(worker as i64, mark(number), key, true);
+            }
+        }
+        let digest = Digest {
+            suspects: quarantine.news(i64::from(u32::MAX), &mut StdRng::seed_from_u64(1)),
+            ..Digest::default()
+        };
+        sizes_bytes.push(encode(Message::Digest(Box::new(digest))).len());
+    }
+    let told_bytes = sizes_bytes.iter().map(|bytes| bytes - sizes_bytes[0]).max();
+    assert!(told_bytes.unwrap() <= TOLD_MAX_BYTES, "{sizes_bytes:?}");
+}
+
+#[test]
+fn an_end_is_told_in_a_small_datagram() {
+    let mut quarantine = Quarantine::default();
+    quarantine.ended(1_000, mark(1), u64::MAX, true);
+    let news = quarantine.news_of(601_000, mark(1)).unwrap();
+    let byte_count = encode(Message::Suspect(Box::new(news))).len();
+    assert!(byte_count <= END_MAX_BYTES, "{byte_count}");
+}
