Operators see which requests end their workers, and let one through again

Cause: a refusal that nobody can explain or take back is a fault of its own. Change: GET /quarantine and POST /quarantine/release/FINGERPRINT at the metrics address, the command cranereach quarantine, fingerprints in refusals, and explain lists the ends under equal requests. The platform's address answers its question alone. Conclusion: shown are fingerprint, route, account, workers, since when and how often refused, never a body.

--- a/crates/cranereach-fleet/src/quarantine.rs
+++ b/crates/cranereach-fleet/src/quarantine.rs
@@ -22,6 +22,7 @@
 mod news;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 pub use self::news::Change;
 pub use self::news::SuspectNews;
@@ -77,6 +78,19 @@
     pub at_ms: i64,
 }
 
+/// What this instance itself has seen of a request, for operators.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Its route.
+    pub route: Arc<str>,
+    /// Its client account in metrics; empty where there is none.
+    pub account: Arc<str>,
+    /// Workers that ended under it, with the keys of their starts.
+    pub workers: Vec<(u64, Arc<str>)>,
+    /// Times that it was refused.
+    pub refused_count: u64,
+}
+
 /// What is known of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Suspect {
@@ -92,8 +106,8 @@
     asked_at_ms: i64,
     /// When something of this last changed here, in milliseconds.
     changed_at_ms: i64,
-    /// Times that it was refused here.
-    refused_count: u64,
+    /// What this instance has seen of it.
+    seen: Seen,
 }
 
 /// What is held against a request.
@@ -121,8 +135,8 @@
     pub suspicion: Suspicion,
     /// The ends.
     pub ends: Vec<WorkerEnd>,
-    /// Times that it was refused here.
-    pub refused_count: u64,
+    /// What this instance has seen of it.
+    pub seen: Seen,
 }
 
 /// All requests under which workers ended lately.
@@ -276,11 +290,32 @@
     pub fn refused(&mut self, now_ms: i64, mark: RequestMark) -> u64 {
         self.suspects.get_mut(&mark).map_or(0, |suspect| {
             suspect.asked_at_ms = now_ms;
-            suspect.refused_count += 1;
-            suspect.refused_count
+            suspect.seen.refused_count += 1;
+            suspect.seen.refused_count
         })
     }
 
+    /// Notes what a known request looks like, and a worker that ended under it here.
+    pub fn note(
+        &mut self,
+        mark: RequestMark,
+        route: &Arc<str>,
+        account: &str,
+        worker: Option<(u64, &Arc<str>)>,
+    ) {
+        let Some(suspect) = self.suspects.get_mut(&mark) else {
+            return;
+        };
+        let seen = &mut suspect.seen;
+        seen.route = Arc::clone(route);
+        seen.account = Arc::from(account);
+        if let Some((key, id)) = worker
+            && seen.workers.len() < KEPT_END_COUNT
+        {
+            seen.workers.push((key, Arc::clone(id)));
+        }
+    }
+
     /// Finds a request by its fingerprint alone.
     pub fn find(&self, fingerprint: Fingerprint) -> Option<RequestMark> {
         self.suspects
@@ -299,7 +334,7 @@
             fingerprint: mark.fingerprint,
             suspicion: suspect.suspicion(),
             ends: suspect.ends.clone(),
-            refused_count: suspect.refused_count,
+            seen: suspect.seen.clone(),
         })
     }
 
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -219,7 +219,10 @@
             } else {
                 ResultCode::Quarantined
             };
-            return Err(self.refusal(code, &quarantine::refused(self.node, self.call)));
+            let detail = quarantine::refused(self.node, self.call);
+            let mut refusal = self.refusal(code, &detail);
+            refusal.fingerprint = Some(self.call.fingerprint(self.node));
+            return Err(refusal);
         }
         if failure == Failure::BrokenOff {
             self.find_end(&choice.id).await;
@@ -258,8 +261,9 @@
         // Others that broke off with it come again now, too: what ends their workers shows
         // only once they come one at a time.
         if failure.may_have_run() && quarantine::suspicion(self.node, self.call).runs_alone() {
-            let detail = "workers ended under it";
-            return Err(self.refusal(ResultCode::OutcomeUnknown, detail));
+            let mut refusal = self.refusal(ResultCode::OutcomeUnknown, "workers ended under it");
+            refusal.fingerprint = Some(self.call.fingerprint(self.node));
+            return Err(refusal);
         }
         let is_counted = failure != Failure::NotSent;
         if self.offer_count >= OFFER_MAX_COUNT {
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -142,6 +142,7 @@
 fn quarantined(node: &Node, call: &Call) -> Refusal {
     let mut refusal = Refusal::of(ResultCode::Quarantined, &call.id);
     refusal.detail = quarantine::refused(node, call);
+    refusal.fingerprint = Some(call.fingerprint(node));
     refusal.route = Some(Arc::clone(&call.route.name));
     refusal
 }
@@ -192,6 +193,7 @@
         info!(node.log, "refused"; "request" => refusal.request_id.clone(), "route" => route,
             "code" => row.number, "name" => row.name, "detail" => refusal.detail.clone(),
             "took_ms" => node.now_ms().saturating_sub(received_ms),
+            "fingerprint" => refusal.fingerprint.map(|of| of.to_string()),
             "configuration" => node.configuration_version(),
             "retry_after_ms" => refusal.retry_after_ms);
     }
--- a/crates/cranereach-gateway/src/forward/refusal.rs
+++ b/crates/cranereach-gateway/src/forward/refusal.rs
@@ -15,6 +15,7 @@
 use super::AnswerBody;
 use cranereach_core::codes::Repeat;
 use cranereach_core::codes::ResultCode;
+use cranereach_fleet::fingerprint::Fingerprint;
 
 /// Retry-After of a refusal without a better estimate, in milliseconds.
 pub const RETRY_AFTER_DEFAULT_MS: u64 = 300;
@@ -38,6 +39,8 @@
     pub request_id: String,
     /// Route, if there is one.
     pub route: Option<Arc<str>>,
+    /// Fingerprint of what was asked for, where that is the reason.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 impl Refusal {
@@ -50,6 +53,7 @@
             short_of: None,
             request_id: request_id.to_owned(),
             route: None,
+            fingerprint: None,
         }
     }
 
--- a/crates/cranereach-gateway/src/operators.rs
+++ b/crates/cranereach-gateway/src/operators.rs
@@ -1,40 +1,76 @@
-//! The question whether this instance is ready, and its metrics.
+//! What the platform and operators ask an instance: whether it is ready, its metrics, and
+//! which requests it sends to no worker.
 
 use std::future::Ready;
 use std::future::ready;
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 
 use crate::node::Node;
+use crate::quarantine;
+use cranereach_fleet::fingerprint::Fingerprint;
 use cranereach_http::server::Closed;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Answers either question; anything else is not found.
+/// Path of the requests under which workers ended.
+pub const QUARANTINE_PATH: &str = "/quarantine";
+
+/// Path at which one of them is let through again, before its fingerprint.
+pub const RELEASE_PATH: &str = "/quarantine/release/";
+
+/// Answers the question whether this instance is ready; anything else is not found.
+pub fn answer_ready(
+    node: &Node,
+    request: &Request<Incoming>,
+) -> Ready<Result<Response<Full<Bytes>>, Closed>> {
+    let is_asked = request.uri().path() == node.adapter.ready_path;
+    let status = match is_asked {
+        true if node.is_ready() => StatusCode::OK,
+        true => StatusCode::SERVICE_UNAVAILABLE,
+        false => StatusCode::NOT_FOUND,
+    };
+    ready(Ok(answer_with(status, String::new())))
+}
+
+/// Answers operators; anything else is not found.
 pub fn answer(
     node: &Node,
     request: &Request<Incoming>,
 ) -> Ready<Result<Response<Full<Bytes>>, Closed>> {
     let path = request.uri().path();
-    let (status, text) = if path == node.adapter.ready_path {
-        let status = if node.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        (status, String::new())
-    } else if path == METRICS_PATH {
-        (StatusCode::OK, node.metrics.text())
-    } else {
-        (StatusCode::NOT_FOUND, String::new())
+    let released = path.strip_prefix(RELEASE_PATH);
+    let (status, text) = match (request.method(), path, released) {
+        (&Method::GET, METRICS_PATH, _) => (StatusCode::OK, node.metrics.text()),
+        (&Method::GET, QUARANTINE_PATH, _) => {
+            let shown = serde_json::to_string(&quarantine::show(node));
+            (StatusCode::OK, shown.unwrap_or_default())
+        }
+        (&Method::POST, _, Some(fingerprint)) => (release(node, fingerprint), String::new()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
     };
+    ready(Ok(answer_with(status, text)))
+}
+
+/// Lets a request through again.
+fn release(node: &Node, fingerprint: &str) -> StatusCode {
+    match Fingerprint::read(fingerprint) {
+        None => StatusCode::BAD_REQUEST,
+        Some(fingerprint) if quarantine::release(node, fingerprint) => StatusCode::OK,
+        Some(_) => StatusCode::NOT_FOUND,
+    }
+}
+
+/// Makes an answer.
+fn answer_with(status: StatusCode, text: String) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::from(text)));
     *answer.status_mut() = status;
-    ready(Ok(answer))
+    answer
 }
--- a/crates/cranereach-gateway/src/quarantine.rs
+++ b/crates/cranereach-gateway/src/quarantine.rs
@@ -8,7 +8,9 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use serde::Deserialize;
 use serde::Serialize;
 use slog::info;
 use slog::warn;
@@ -20,6 +22,7 @@
 use crate::recipients::Origin;
 use cranereach_fleet::fingerprint::Fingerprint;
 use cranereach_fleet::quarantine::Change;
+use cranereach_fleet::quarantine::Listed;
 use cranereach_fleet::quarantine::RequestMark;
 use cranereach_fleet::quarantine::SuspectNews;
 use cranereach_fleet::quarantine::Suspicion;
@@ -30,22 +33,26 @@
 const COUNTED_BY_COUNT: usize = 2;
 
 /// A request under which workers ended, as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shown {
     /// Fingerprint of what is asked for.
     pub fingerprint: String,
+    /// Its route; empty where this instance only heard of it.
+    pub route: String,
+    /// Its client account in metrics; empty where there is none.
+    pub account: String,
     /// Whether it is refused.
     pub is_quarantined: bool,
-    /// Keys of the workers that ended under it, and how long ago, in milliseconds.
+    /// Workers that ended under it since the last whole answer.
     pub ends: Vec<ShownEnd>,
     /// Times that it was refused here.
     pub refused_count: u64,
 }
 
 /// An end of a worker, as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShownEnd {
-    /// Key of the worker's start.
+    /// The worker's identity where this instance saw its end, else the key of its start.
     pub worker: String,
     /// How long ago, in milliseconds.
     pub age_ms: i64,
@@ -60,14 +67,15 @@
     lock(&node.quarantine).suspicion(call.mark(node))
 }
 
-/// Notes that a worker ended under a call. `knew_of_others` says whether an earlier end
+/// Notes that a worker, of which the start's key is given, ended under a call. `knew_of_others` says whether an earlier end
 /// was known here when the call was sent.
-pub fn ended(node: &Node, call: &Call, worker: u64, knew_of_others: bool) {
+pub fn ended(node: &Node, call: &Call, worker: (u64, &Arc<str>), knew_of_others: bool) {
     let now_ms = node.now_ms() as i64;
     let mark = call.mark(node);
     let mut quarantine = lock(&node.quarantine);
     let before = quarantine.suspicion(mark);
-    let after = quarantine.ended(now_ms, mark, worker, knew_of_others);
+    let after = quarantine.ended(now_ms, mark, worker.0, knew_of_others);
+    quarantine.note(mark, &call.route.name, &call.account_label, Some(worker));
     drop(quarantine);
     if after.is_quarantined && !before.is_quarantined {
         warn!(node.log, "request quarantined"; "request" => call.id.clone(),
@@ -165,31 +173,39 @@
 pub fn refused(node: &Node, call: &Call) -> String {
     let mark = call.mark(node);
     let now_ms = node.now_ms() as i64;
-    let count = lock(&node.quarantine).refused(now_ms, mark);
-    format!(
-        "fingerprint {}, refused here {count} times",
-        mark.fingerprint
-    )
+    let mut quarantine = lock(&node.quarantine);
+    let count = quarantine.refused(now_ms, mark);
+    quarantine.note(mark, &call.route.name, &call.account_label, None);
+    format!("refused here {count} times")
 }
 
 /// Lists the requests under which workers ended, for operators.
 pub fn show(node: &Node) -> Vec<Shown> {
     let now_ms = node.now_ms() as i64;
     let quarantine = lock(&node.quarantine);
-    let listed = quarantine.list().map(|listed| Shown {
+    let listed = quarantine.list();
+    listed.map(|listed| shown(now_ms, &listed)).collect()
+}
+
+/// Writes one request for operators.
+fn shown(now_ms: i64, listed: &Listed) -> Shown {
+    let name = |key: u64| {
+        let mut seen = listed.seen.workers.iter();
+        let seen = seen.find(|(of, _)| *of == key);
+        seen.map_or_else(|| format!("{key:016x}"), |(_, id)| id.to_string())
+    };
+    let ends = listed.ends.iter().map(|end| ShownEnd {
+        worker: name(end.worker),
+        age_ms: now_ms - end.at_ms,
+    });
+    Shown {
         fingerprint: listed.fingerprint.to_string(),
+        route: listed.seen.route.to_string(),
+        account: listed.seen.account.to_string(),
         is_quarantined: listed.suspicion.is_quarantined,
-        ends: listed
-            .ends
-            .iter()
-            .map(|end| ShownEnd {
-                worker: format!("{:016x}", end.worker),
-                age_ms: now_ms - end.at_ms,
-            })
-            .collect(),
-        refused_count: listed.refused_count,
-    });
-    listed.collect()
+        ends: ends.collect(),
+        refused_count: listed.seen.refused_count,
+    }
 }
 
 /// Brings the gauges up to what is known.
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -111,16 +111,22 @@
         let node = Arc::new(node);
         let (stopping, stop) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        for listener in [ready, metrics] {
-            let asked = Arc::clone(&node);
-            let options = ServeOptions::default();
-            tasks.spawn(server::serve(
-                listener,
-                options,
-                stop.clone(),
-                move |request| operators::answer(&asked, &request),
-            ));
-        }
+        let asked = Arc::clone(&node);
+        let options = ServeOptions::default();
+        tasks.spawn(server::serve(
+            ready,
+            options,
+            stop.clone(),
+            move |request| operators::answer_ready(&asked, &request),
+        ));
+        let asked = Arc::clone(&node);
+        let options = ServeOptions::default();
+        tasks.spawn(server::serve(
+            metrics,
+            options,
+            stop.clone(),
+            move |request| operators::answer(&asked, &request),
+        ));
         let socket = Arc::new(digests);
         // Nothing has been sent before.
         let _first = node.peer_socket.set(Arc::clone(&socket));
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,6 +1,7 @@
 //! `explain`: the story of one request, or the causes of all failures, from logs.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -108,9 +109,40 @@
             rest(&line.fields)
         );
     }
+    tell_equal(logs, request);
     Exit::Done
 }
 
+/// Prints the lines about other requests that ask for the same as one that workers ended
+/// under, which tell why it was refused.
+fn tell_equal(logs: &Logs, request: &str) {
+    let is_own = |line: &&Line| line.request.as_deref() == Some(request);
+    let own = logs.lines.iter().filter(is_own);
+    let fingerprints: BTreeSet<&str> = own.filter_map(fingerprint).collect();
+    for of in fingerprints {
+        println!("Equal requests, fingerprint {of}:");
+        let equal = logs
+            .lines
+            .iter()
+            .filter(|line| fingerprint(line) == Some(of));
+        for line in equal.filter(|line| !is_own(line)) {
+            println!(
+                "{} {} {} {}: {}",
+                line.ts,
+                line.instance,
+                line.request.as_deref().unwrap_or("-"),
+                line.msg,
+                rest(&line.fields)
+            );
+        }
+    }
+}
+
+/// Returns the fingerprint that a line names.
+fn fingerprint(line: &Line) -> Option<&str> {
+    line.fields.get("fingerprint")?.as_str()
+}
+
 /// Prints how often each cause ended a request.
 fn summary(logs: &Logs) -> Exit {
     let mut counts: BTreeMap<String, usize> = BTreeMap::new();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod measure;
 mod plan;
 mod pull;
+mod quarantine;
 mod serve;
 mod soak;
 mod stand_in;
@@ -50,6 +51,8 @@
         help = "show failure domains: what is evacuated, workers, models with no copy elsewhere"
     )]
     Domains(domains::DomainsArguments),
+    #[options(help = "show requests that end their workers, or let one through again")]
+    Quarantine(quarantine::QuarantineArguments),
     #[options(help = "check declarations and settings, without a network")]
     Check(check::CheckArguments),
     #[options(help = "show what applying a folder would change")]
@@ -82,6 +85,7 @@
         Some(Command::Gateway(options)) => gateway::execute(options),
         Some(Command::Evacuate(options)) => evacuate::execute(options),
         Some(Command::Domains(options)) => domains::execute(options),
+        Some(Command::Quarantine(options)) => quarantine::execute(options),
         Some(Command::Check(options)) => check::execute(options),
         Some(Command::Explain(options)) => explain::execute(options),
         Some(Command::Plan(options)) => plan::execute(options),
--- /dev/null
+++ b/src/cmd/quarantine.rs
@@ -0,0 +1,113 @@
+//! `quarantine`: shows the requests that are sent to no worker, or lets one through again.
+
+use std::path::PathBuf;
+
+use bytes::Bytes;
+use gumdrop::Options;
+
+use super::gateway;
+use crate::exit::Exit;
+use cranereach_gateway::operators::QUARANTINE_PATH;
+use cranereach_gateway::operators::RELEASE_PATH;
+use cranereach_gateway::quarantine::Shown;
+use cranereach_http::client::CallError;
+use cranereach_http::client::JsonClient;
+// Linked for the adapter that it registers.
+use cranereach_platform as _;
+
+/// Time for an answer, in milliseconds.
+const ANSWER_WITHIN_MS: u64 = 3_000;
+
+/// Options of `quarantine`.
+#[derive(Debug, Options)]
+pub struct QuarantineArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "metrics address of a gateway; that of the settings otherwise",
+        meta = "IP:PORT"
+    )]
+    instance: Option<String>,
+    #[options(
+        help = "a gateway's settings file; CRANEREACH_CONFIG names it otherwise",
+        meta = "FILE"
+    )]
+    settings: Option<PathBuf>,
+    #[options(help = "let a request through again", meta = "FINGERPRINT")]
+    release: Option<String>,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Asks an instance.
+pub fn execute(options: &QuarantineArguments) -> Exit {
+    let address = match &options.instance {
+        Some(address) => address.clone(),
+        None => match gateway::settings(options.settings.as_ref()) {
+            Ok(settings) => settings.listen.metrics.to_string(),
+            Err(exit) => return exit,
+        },
+    };
+    let client = JsonClient::new(&address);
+    let asked = match &options.release {
+        Some(fingerprint) => super::block_on_one_core(release(&client, fingerprint)),
+        None => super::block_on_one_core(show(&client, options.json)),
+    };
+    asked.unwrap_or_else(|error| {
+        eprintln!("{address}: {error}");
+        match error {
+            CallError::NotSent { .. } => Exit::Unavailable,
+            CallError::Unanswered { .. } | CallError::Garbled { .. } => Exit::Unknown,
+        }
+    })
+}
+
+/// Shows what an instance knows.
+async fn show(client: &JsonClient, as_json: bool) -> Result<Exit, CallError> {
+    let answer = client.get(QUARANTINE_PATH, ANSWER_WITHIN_MS).await?;
+    let shown: Vec<Shown> = client.read(&answer)?;
+    if as_json {
+        super::print_json(&shown);
+    } else {
+        shown.iter().for_each(show_one);
+    }
+    Ok(Exit::Done)
+}
+
+/// Shows one request.
+fn show_one(shown: &Shown) {
+    let state = if shown.is_quarantined {
+        "refused"
+    } else {
+        "suspected"
+    };
+    println!(
+        "{} {state}; route {:?}, account {:?}; refused here {} times",
+        shown.fingerprint, shown.route, shown.account, shown.refused_count
+    );
+    for end in &shown.ends {
+        println!("  {} ended {} s ago", end.worker, end.age_ms / 1_000);
+    }
+}
+
+/// Lets a request through again.
+async fn release(client: &JsonClient, fingerprint: &str) -> Result<Exit, CallError> {
+    let path = format!("{RELEASE_PATH}{fingerprint}");
+    let answer = client
+        .post_bytes(&path, Bytes::new(), ANSWER_WITHIN_MS)
+        .await?;
+    Ok(match answer.status {
+        200 => {
+            println!("{fingerprint} is let through; the others hear of it within a second");
+            Exit::Done
+        }
+        404 => {
+            eprintln!("nothing is held against {fingerprint} there");
+            Exit::Faults
+        }
+        _ => {
+            eprintln!("{fingerprint:?} is no fingerprint: 32 hexadecimal digits");
+            Exit::Usage
+        }
+    })
+}
