Quarantined requests outlive a start of all instances

Cause: what instances know of them is in their memory alone; where all start at once a request ends three more workers, each with what others run there. Change: one row of the store holds up to 64 of them. It is written when one is quarantined or cleared, and read once by an instance when a worker first ends under a request there. The refusal's status is 501: a 4xx says that the caller is wrong, and callers' libraries try 500, 502 and 503 again. Ruled out: writing each end; reading the row at each start.

--- a/crates/cranereach-core/src/codes.rs
+++ b/crates/cranereach-core/src/codes.rs
@@ -101,7 +101,7 @@
     RegionNotAllowed = 2012, "region_not_allowed", 503, No, Later, "No worker stands in a region in which the request may be served.";
     DomainEvacuated = 2013, "domain_evacuated", 503, No, Later, "What the request needs stands only in failure domains that are being evacuated.";
     WorkersCold = 2014, "workers_cold", 503, No, Later, "The workers that hold what the request needs have just started, and get no more for now.";
-    Quarantined = 2015, "quarantined", 422, No, AfterChange, "Workers ended again and again while they ran requests equal to this one; it was sent to none.";
+    Quarantined = 2015, "quarantined", 501, No, AfterChange, "Workers ended again and again while they ran requests equal to this one; it was sent to none.";
     NotAlone = 2016, "not_alone", 503, No, Later, "Workers ended while they ran requests equal to this one, and others like it run wherever it could.";
     OutcomeUnknown = 3001, "outcome_unknown", 502, Unknown, OnlyIfSafe, "The upstream got the request, and no whole answer came.";
     BrokenMidway = 3002, "broken_midway", 502, Unknown, OnlyIfSafe, "The answer broke off after it had begun.";
--- a/crates/cranereach-fleet/src/quarantine.rs
+++ b/crates/cranereach-fleet/src/quarantine.rs
@@ -316,6 +316,18 @@
         }
     }
 
+    /// Whether anything is known of a request.
+    pub fn is_known(&self, mark: RequestMark) -> bool {
+        self.suspects.contains_key(&mark)
+    }
+
+    /// Whether a request was proved harmless, or let through, and nothing is held against
+    /// it since.
+    pub fn is_cleared(&self, mark: RequestMark) -> bool {
+        let suspect = self.suspects.get(&mark);
+        suspect.is_some_and(|suspect| suspect.cleared_at_ms.is_some() && suspect.ends.is_empty())
+    }
+
     /// Finds a request by its fingerprint alone.
     pub fn find(&self, fingerprint: Fingerprint) -> Option<RequestMark> {
         self.suspects
--- a/crates/cranereach-fleet/src/quarantine/news.rs
+++ b/crates/cranereach-fleet/src/quarantine/news.rs
@@ -150,6 +150,18 @@
         Some(SuspectNews::of(now_ms, mark, suspect))
     }
 
+    /// Lists some of the quarantined requests, those asked for last first.
+    pub fn lasting(&self, now_ms: i64, max_count: usize) -> Vec<SuspectNews> {
+        let suspects = self.suspects.iter();
+        let quarantined = suspects.filter(|(_, suspect)| suspect.suspicion().is_quarantined);
+        let mut quarantined: Vec<_> = quarantined.collect();
+        quarantined.sort_unstable_by_key(|(_, suspect)| -suspect.asked_at_ms);
+        let lasting = quarantined.into_iter().take(max_count);
+        lasting
+            .map(|(mark, suspect)| SuspectNews::of(now_ms, *mark, suspect))
+            .collect()
+    }
+
     /// Chooses what the next digest tells: what has changed lately, then what lasts, by
     /// chance, then single ends, the newest first.
     pub fn news<R: Rng>(&self, now_ms: i64, rng: &mut R) -> Vec<SuspectNews> {
--- a/crates/cranereach-gateway/src/forward/broken.rs
+++ b/crates/cranereach-gateway/src/forward/broken.rs
@@ -38,7 +38,7 @@
                 "fingerprint" => call.fingerprint(&node).to_string());
             // One that isn't listed any more was to end.
             if let Some(start) = start {
-                quarantine::ended(&node, &call, (start, &worker), knew_of_others);
+                quarantine::ended(&node, &call, (start, &worker), knew_of_others).await;
             }
         }
         found
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::messages::Quote;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::quarantine::lasting::Lasting;
 use crate::questions::Questions;
 use crate::recipients::Origin;
 use crate::settings::Settings;
@@ -96,6 +97,8 @@
     pub tries: Tries,
     /// Requests under which workers ended.
     pub quarantine: Mutex<Quarantine>,
+    /// Whether those kept in the store are known here.
+    pub lasting: Lasting,
     /// Number of this start.
     pub boot: u64,
     /// Wakes whoever waits for a worker that holds something.
@@ -214,6 +217,7 @@
             fingerprint_key: FingerprintKey::new(&settings.peers.fingerprint_secret),
             tries: Tries::default(),
             quarantine: Mutex::default(),
+            lasting: Lasting::default(),
             boot,
             roster_changed: Notify::new(),
             digest_wanted: Notify::new(),
--- a/crates/cranereach-gateway/src/operators.rs
+++ b/crates/cranereach-gateway/src/operators.rs
@@ -3,6 +3,7 @@
 
 use std::future::Ready;
 use std::future::ready;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -42,7 +43,7 @@
 
 /// Answers operators; anything else is not found.
 pub fn answer(
-    node: &Node,
+    node: &Arc<Node>,
     request: &Request<Incoming>,
 ) -> Ready<Result<Response<Full<Bytes>>, Closed>> {
     let path = request.uri().path();
@@ -60,7 +61,7 @@
 }
 
 /// Lets a request through again.
-fn release(node: &Node, fingerprint: &str) -> StatusCode {
+fn release(node: &Arc<Node>, fingerprint: &str) -> StatusCode {
     match Fingerprint::read(fingerprint) {
         None => StatusCode::BAD_REQUEST,
         Some(fingerprint) if quarantine::release(node, fingerprint) => StatusCode::OK,
--- a/crates/cranereach-gateway/src/quarantine.rs
+++ b/crates/cranereach-gateway/src/quarantine.rs
@@ -3,9 +3,11 @@
 //!
 //! See [`cranereach_fleet::quarantine`]. Each end goes to two instances that the request's
 //! fingerprint picks, so that it is counted wherever the request comes to next; from two
-//! ends on all are told, in digests. A call costs a look at the sizes of the requests
+//! ends on all are told, in digests. [`lasting`] keeps what must outlive all instances. A call costs a look at the sizes of the requests
 //! that are known, mostly none.
 
+pub mod lasting;
+
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -69,37 +71,52 @@
 
 /// Notes that a worker, of which the start's key is given, ended under a call. `knew_of_others` says whether an earlier end
 /// was known here when the call was sent.
-pub fn ended(node: &Node, call: &Call, worker: (u64, &Arc<str>), knew_of_others: bool) {
-    let now_ms = node.now_ms() as i64;
+pub async fn ended(node: &Arc<Node>, call: &Call, worker: (u64, &Arc<str>), knew_of_others: bool) {
     let mark = call.mark(node);
-    let mut quarantine = lock(&node.quarantine);
-    let before = quarantine.suspicion(mark);
-    let after = quarantine.ended(now_ms, mark, worker.0, knew_of_others);
-    quarantine.note(mark, &call.route.name, &call.account_label, Some(worker));
-    drop(quarantine);
+    let before = note_end(node, call, worker, knew_of_others);
+    lasting::recall(node).await;
+    let after = lock(&node.quarantine).suspicion(mark);
     if after.is_quarantined && !before.is_quarantined {
         warn!(node.log, "request quarantined"; "request" => call.id.clone(),
             "route" => call.route.name.as_ref(), "account" => call.account_label.clone(),
             "fingerprint" => mark.fingerprint.to_string(), "ends" => after.end_count);
+        tokio::spawn(lasting::keep(Arc::clone(node)));
     }
     tell(node, mark, after);
 }
 
+/// Notes the end of a worker; returns what was held against the request before.
+fn note_end(
+    node: &Node,
+    call: &Call,
+    (worker, id): (u64, &Arc<str>),
+    knew_of_others: bool,
+) -> Suspicion {
+    let now_ms = node.now_ms() as i64;
+    let mark = call.mark(node);
+    let mut quarantine = lock(&node.quarantine);
+    let before = quarantine.suspicion(mark);
+    quarantine.ended(now_ms, mark, worker, knew_of_others);
+    let account = &call.account_label;
+    quarantine.note(mark, &call.route.name, account, Some((worker, id)));
+    before
+}
+
 /// Notes that a call was answered whole: it ends no workers.
-pub fn answered(node: &Node, call: &Call) {
+pub fn answered(node: &Arc<Node>, call: &Call) {
     if suspicion(node, call).end_count > 0 {
         clear(node, call.mark(node), "whole answer");
     }
 }
 
 /// Lets a request through again, as an operator asks; false if it isn't known here.
-pub fn release(node: &Node, fingerprint: Fingerprint) -> bool {
+pub fn release(node: &Arc<Node>, fingerprint: Fingerprint) -> bool {
     let mark = lock(&node.quarantine).find(fingerprint);
     mark.is_some_and(|mark| clear(node, mark, "operator"))
 }
 
 /// Takes back what is held against a request; false if nothing is.
-fn clear(node: &Node, mark: RequestMark, why: &str) -> bool {
+fn clear(node: &Arc<Node>, mark: RequestMark, why: &str) -> bool {
     let now_ms = node.now_ms() as i64;
     let cleared = lock(&node.quarantine).clear(now_ms, mark);
     let Some(before) = cleared else {
@@ -108,6 +125,9 @@
     info!(node.log, "request cleared"; "fingerprint" => mark.fingerprint.to_string(),
         "ends" => before.end_count, "was_quarantined" => before.is_quarantined, "why" => why);
     tell(node, mark, before);
+    if before.is_quarantined {
+        tokio::spawn(lasting::keep(Arc::clone(node)));
+    }
     true
 }
 
--- /dev/null
+++ b/crates/cranereach-gateway/src/quarantine/lasting.rs
@@ -0,0 +1,164 @@
+//! Quarantined requests in a row of the platform's store, for a fleet all of which starts
+//! at once.
+//!
+//! Instances know of such requests from each other; the row saves two of three workers
+//! when all have forgotten. Whoever sees a request quarantined, or cleared, brings it up
+//! to date. An instance reads it once, when a worker first ends under a request there: in
+//! calm times it costs no call.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use slog::info;
+use slog::warn;
+use tokio::sync::OnceCell;
+
+use crate::adapter::RowName;
+use crate::adapter::WriteAnswer;
+use crate::node::Node;
+use crate::node::lock;
+use crate::node::pause;
+use crate::store::StoreError;
+use crate::store_pace;
+use cranereach_fleet::quarantine::SuspectNews;
+
+/// Table of the row.
+const TABLE: &str = "cranereach_quarantine";
+
+/// Key of the row.
+const KEY: &str = "requests";
+
+/// Requests that the row holds at most, those asked for last: some 16 KB.
+const LASTING_MAX_COUNT: usize = 64;
+
+/// Times that the row is written before it is left as it is: others, or the next
+/// change, bring it up to date.
+const WRITE_MAX_COUNT: usize = 5;
+
+/// Pause after a call that failed, in milliseconds.
+const FAILED_PAUSE_MS: u64 = 1_000;
+
+/// Whether the row has been read since the start.
+#[derive(Debug, Default)]
+pub struct Lasting {
+    is_read: OnceCell<()>,
+    /// Until when no other read is tried, in milliseconds.
+    wait_until_ms: AtomicU64,
+}
+
+/// The row as it was read.
+struct Row {
+    version: u64,
+    requests: Vec<SuspectNews>,
+}
+
+/// Reads the row unless it has been read.
+pub async fn recall(node: &Node) {
+    let lasting = &node.lasting;
+    let now_ms = node.now_ms();
+    if lasting.is_read.initialized() || now_ms < lasting.wait_until_ms.load(Ordering::Acquire) {
+        return;
+    }
+    let recalling = lasting.is_read.get_or_try_init(async || {
+        let row = read(node).await?;
+        let now_ms = node.now_ms() as i64;
+        let mut quarantine = lock(&node.quarantine);
+        for news in row.requests.iter().take(LASTING_MAX_COUNT) {
+            // One that has been cleared meanwhile isn't brought back.
+            if !quarantine.is_cleared(news.mark()) {
+                quarantine.take(now_ms, news);
+            }
+        }
+        drop(quarantine);
+        info!(node.log, "quarantine recalled"; "requests" => row.requests.len());
+        Ok::<(), StoreError>(())
+    });
+    if let Err(error) = recalling.await {
+        warn!(node.log, "quarantine not recalled"; "error" => error.to_string());
+        let wait_until_ms = node.now_ms() + FAILED_PAUSE_MS;
+        lasting
+            .wait_until_ms
+            .store(wait_until_ms, Ordering::Release);
+    }
+}
+
+/// Brings the row up to what is known here.
+pub async fn keep(node: Arc<Node>) {
+    for _try in 0..WRITE_MAX_COUNT {
+        match write(&node).await {
+            Ok(true) => return,
+            Ok(false) => {}
+            Err(error) => {
+                warn!(node.log, "quarantine not kept"; "error" => error.to_string());
+                pause(FAILED_PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+/// Reads the row.
+async fn read(node: &Node) -> Result<Row, StoreError> {
+    let rows = node.store.read(TABLE).await;
+    store_pace::note_call(node, "quarantine", &rows);
+    let rows = rows?;
+    let row = rows.rows.iter().find(|row| row.key == KEY);
+    let requests = row.and_then(|row| {
+        let parsed = serde_json::from_slice(&row.value);
+        parsed
+            .inspect_err(|error| {
+                let counter = &node.metrics.bad_input_total;
+                counter.with_label_values(&["quarantine"]).inc();
+                warn!(node.log, "quarantine not understood"; "error" => error.to_string());
+            })
+            .ok()
+    });
+    Ok(Row {
+        version: row.map_or(0, |row| row.version),
+        requests: requests.unwrap_or_default(),
+    })
+}
+
+/// Writes the row once unless it is up to date; false if somebody else wrote meanwhile.
+async fn write(node: &Node) -> Result<bool, StoreError> {
+    let row = read(node).await?;
+    let requests = joined(node, &row);
+    let are_same = requests.len() == row.requests.len()
+        && requests
+            .iter()
+            .all(|of| row.requests.iter().any(|held| held.mark() == of.mark()));
+    if are_same {
+        return Ok(true);
+    }
+    let name = RowName {
+        table: TABLE,
+        key: KEY.to_owned(),
+    };
+    let value = serde_json::to_vec(&requests).unwrap_or_default();
+    let written = node.store.write(&name, row.version, &value).await;
+    let outcome = match &written {
+        Ok(WriteAnswer::Done(_)) => "done",
+        Ok(WriteAnswer::Conflict | WriteAnswer::Refused(_)) => "conflict",
+        Err(StoreError::NotDone(_) | StoreError::HistoryGone) => "not_done",
+        Err(StoreError::Unknown(_)) => "unknown",
+    };
+    let counter = &node.metrics.store_calls_total;
+    counter
+        .with_label_values(&["quarantine_write", outcome])
+        .inc();
+    Ok(matches!(written?, WriteAnswer::Done(_)))
+}
+
+/// Returns what the row is to hold: what is quarantined here, and what it holds that isn't
+/// known here.
+fn joined(node: &Node, row: &Row) -> Vec<SuspectNews> {
+    let quarantine = lock(&node.quarantine);
+    let mut requests = quarantine.lasting(node.now_ms() as i64, LASTING_MAX_COUNT);
+    let others = row
+        .requests
+        .iter()
+        .filter(|of| !quarantine.is_known(of.mark()));
+    requests.extend(others.cloned());
+    requests.truncate(LASTING_MAX_COUNT);
+    requests
+}
