Time for which a machine is suspended counts

Cause: the clock that leases, deadlines and ages are kept by stands still while a machine is suspended. An instance that wakes believes that nothing has passed: a lease that others took over is its own still, and a kept connection that its worker closed long ago looks fresh. Change: CLOCK_BOOTTIME by the library nix; the clock of the two runtimes is one, in cranereach-http, and kept connections rest by it, too. Timers of the runtime still stand still: what fires late looks at the clock. Ruled out: the time of day, which steps. Run: the new test of a suspension, the tests of cranereach-http.

--- a/crates/cranereach-entry/src/lib.rs
+++ b/crates/cranereach-entry/src/lib.rs
@@ -9,7 +9,6 @@
 
 pub mod apply;
 pub mod callers;
-pub mod clock;
 pub mod config_sync;
 pub mod control_actor;
 pub mod discovery;
--- a/crates/cranereach-entry/src/shared.rs
+++ b/crates/cranereach-entry/src/shared.rs
@@ -15,7 +15,6 @@
 use tokio::sync::Notify;
 use xtra::Address;
 
-use crate::clock::Clock;
 use crate::dispatch_actor::DispatchActor;
 use crate::metrics::Metrics;
 use crate::platform::table::Table;
@@ -30,6 +29,8 @@
 use cranereach_core::names::RequestId;
 use cranereach_core::retry_budget::RetryBudget;
 use cranereach_core::snapshot::Snapshot;
+use cranereach_http::clock::Clock;
+use cranereach_http::clock::boot_number_ms;
 use cranereach_wire::peer::PeerKey;
 use cranereach_wire::platform::ListedInstance;
 
@@ -115,7 +116,7 @@
             clock,
             log,
             metrics: Metrics::new(),
-            boot_id: crate::clock::boot_number_ms(),
+            boot_id: boot_number_ms(),
             peer_key: PeerKey::derive(&secret),
             upstreams: Upstreams::default(),
             table: Table::new(&settings.platform.table),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -14,7 +14,6 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -57,6 +56,7 @@
 use cranereach_fleet::tenure::EndedTerm;
 use cranereach_fleet::topology::Topology;
 use cranereach_fleet::ways::Ways;
+use cranereach_http::clock::Clock;
 use cranereach_http::pool::Pool;
 
 /// Time after which unconfirmed bytes break a worker's connection, in milliseconds.
@@ -179,7 +179,7 @@
     pub configuration_heard: AtomicU64,
     own_ip: Ipv4Addr,
     is_stopping: AtomicBool,
-    started: Instant,
+    clock: Clock,
 }
 
 /// Locks a mutex, also after a panic elsewhere.
@@ -263,7 +263,7 @@
             configuration_heard: AtomicU64::new(0),
             own_ip,
             is_stopping: AtomicBool::new(false),
-            started: Instant::now(),
+            clock: Clock::start(),
             settings,
         })
     }
@@ -278,14 +278,15 @@
         self.settings.listen.peers.port()
     }
 
-    /// Returns now, in milliseconds since the start.
+    /// Returns now, in milliseconds since the start; time for which the machine was
+    /// suspended counts.
     pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.clock.now_ms()
     }
 
-    /// Returns the instant of a time in milliseconds.
+    /// Returns the instant of a time in milliseconds, for timers.
     pub fn instant(&self, at_ms: u64) -> tokio::time::Instant {
-        (self.started + Duration::from_millis(at_ms)).into()
+        self.clock.instant(at_ms)
     }
 
     /// Returns what is known of workers.
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -7,7 +7,6 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use hyper::Request;
 use hyper::Response;
@@ -20,6 +19,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::clock::since_boot;
+
 /// Most idle connections kept per upstream.
 const IDLE_MAX_COUNT: usize = 256;
 
@@ -51,8 +52,9 @@
 /// A connection that rests.
 struct Idle<B> {
     sender: SendRequest<B>,
-    /// Until when it may be used again; none for as long as it is open.
-    until: Option<Instant>,
+    /// Until when it may be used again, since the machine's start; none for as long as it
+    /// is open.
+    until: Option<Duration>,
 }
 
 /// Connections that rest, the one used last at the end.
@@ -166,7 +168,7 @@
     /// Removes a kept connection that is still good.
     fn pop_idle(&self) -> Option<SendRequest<B>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = Instant::now();
+        let now = since_boot();
         while let Some(rested) = idle.pop() {
             let is_fresh = rested.until.is_none_or(|until| now < until);
             if is_fresh && rested.sender.is_ready() {
@@ -204,17 +206,17 @@
 
     /// Keeps the connection for another request within `rest_max_ms`.
     pub fn keep_for(self, rest_max_ms: u64) {
-        let until = Instant::now() + Duration::from_millis(rest_max_ms);
+        let until = since_boot() + Duration::from_millis(rest_max_ms);
         self.keep_until(Some(until));
     }
 
     /// Keeps the connection for another request until a time.
-    fn keep_until(self, until: Option<Instant>) {
+    fn keep_until(self, until: Option<Duration>) {
         if self.sender.is_closed() {
             return;
         }
         let mut idle = self.home.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = Instant::now();
+        let now = since_boot();
         idle.retain(|rested| rested.until.is_none_or(|until| now < until));
         if idle.len() < IDLE_MAX_COUNT {
             idle.push(Idle {
--- /dev/null
+++ b/crates/cranereach-http/tests/clock.rs
@@ -0,0 +1,26 @@
+//! Time for which a machine is suspended counts.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cranereach_http::clock::Clock;
+
+/// Time that the machine was suspended for, in milliseconds; timers stood still.
+static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
+
+fn with_suspension() -> Duration {
+    let suspended_ms = SUSPENDED_MS.load(Ordering::Acquire);
+    cranereach_http::clock::since_boot() + Duration::from_millis(suspended_ms)
+}
+
+#[test]
+fn what_was_due_while_the_machine_was_suspended_is_due_at_once() {
+    let clock = Clock::of(with_suspension);
+    let due_ms = clock.now_ms() + 30_000;
+    let before = clock.instant(due_ms);
+    assert!(before > tokio::time::Instant::now() + Duration::from_secs(20));
+    SUSPENDED_MS.store(60_000, Ordering::Release);
+    assert!(clock.now_ms() > due_ms);
+    assert!(clock.instant(due_ms) <= tokio::time::Instant::now());
+}
