Cost of looking for quarantined requests measured; workers tried after 10 ms; deadlines of connections in milliseconds

Cause: repeats wait for the try of a worker that broke off, 20 ms of an aim that may be 100. Tests of the paths concerned pass.

--- a/crates/cranereach-bench/src/slopes/gateway.rs
+++ b/crates/cranereach-bench/src/slopes/gateway.rs
@@ -8,10 +8,14 @@
 use super::kernel::per_size;
 use super::kernel::time_us;
 use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::fingerprint::Content;
+use cranereach_fleet::fingerprint::FingerprintKey;
 use cranereach_fleet::membership::Membership;
 use cranereach_fleet::membership::TOLD_MAX_COUNT;
 use cranereach_fleet::owned::Opening;
 use cranereach_fleet::owned::OwnedWorkers;
+use cranereach_fleet::quarantine::Quarantine;
+use cranereach_fleet::quarantine::RequestMark;
 use cranereach_fleet::regions::AllowedRegions;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::topology::DomainTag;
@@ -60,6 +64,20 @@
             &[4, 16, 32, 64],
             answer_us,
         ),
+        per_size(
+            "look whether a call is quarantined, where others of its size are",
+            "requests known",
+            "us",
+            &[0, 64, 512, 4_096],
+            look_us,
+        ),
+        per_size(
+            "make the fingerprint of a call",
+            "bytes of its body",
+            "us",
+            &[0, 1_000, 32_000, 1_000_000],
+            fingerprint_us,
+        ),
     ]
 }
 
@@ -168,6 +186,46 @@
     })
 }
 
+/// Makes what a call with a body asks for.
+fn content(body: &[u8]) -> Content<'_> {
+    Content {
+        account: Some("account"),
+        method: "POST",
+        host: b"host.example",
+        target: "/path/of/a/call",
+        model: b"m0",
+        prompt_parts: b"8489254f5d59:351,97049fa8bd4f:304",
+        body,
+    }
+}
+
+/// Time to look whether a call is known whose size no other has, and one that is.
+fn look_us(known_count: usize) -> f64 {
+    let key = FingerprintKey::new("");
+    let mark = |number: usize| RequestMark {
+        body_bytes: number as u32,
+        fingerprint: content(&number.to_le_bytes()).fingerprint(&key),
+    };
+    let mut quarantine = Quarantine::default();
+    for number in 0..known_count {
+        quarantine.ended(1_000, mark(number), WORKER, false);
+    }
+    let known = mark(known_count / 2);
+    time_us(|| {
+        black_box(quarantine.may_know(u32::MAX));
+        black_box(quarantine.suspicion(known));
+    })
+}
+
+/// Time to make the fingerprint of a call.
+fn fingerprint_us(body_bytes: usize) -> f64 {
+    let key = FingerprintKey::new("");
+    let body = vec![7; body_bytes];
+    time_us(|| {
+        black_box(content(&body).fingerprint(&key));
+    })
+}
+
 /// Time to answer how a worker stands.
 fn answer_us(open_count: usize) -> f64 {
     let mut owned = OwnedWorkers::default();
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -35,7 +35,7 @@
 const SAME_WORKER_MAX_COUNT: usize = 2;
 
 /// Time for which a repeat waits until it is known whether the worker that broke off has
-/// ended, in milliseconds: one that refuses connections is known for it within 25.
+/// ended, in milliseconds: one that refuses connections is known for it within 15.
 const FOUND_WITHIN_MS: u64 = 60;
 
 /// A call on its way.
--- a/crates/cranereach-gateway/src/worker_ends.rs
+++ b/crates/cranereach-gateway/src/worker_ends.rs
@@ -19,8 +19,8 @@
 use cranereach_http::pool::ConnectError;
 
 /// Time from the break of a connection to the try, in milliseconds: a process that ends
-/// may close its open connections a little before it stops listening.
-const TRY_AFTER_MS: u64 = 20;
+/// may close its open connections a little before it stops listening. Repeats wait for it.
+const TRY_AFTER_MS: u64 = 10;
 
 /// Time to connect, in milliseconds.
 const CONNECT_WITHIN_MS: u64 = 250;
--- a/crates/cranereach-http/src/clock.rs
+++ b/crates/cranereach-http/src/clock.rs
@@ -12,27 +12,28 @@
 use nix::time::ClockId;
 use nix::time::clock_gettime;
 
-/// Where a clock reads the time.
-type Source = fn() -> Duration;
+/// Where a clock reads the time, in milliseconds.
+type Source = fn() -> u64;
 
 /// Milliseconds since the start of the process, as the kernel takes them.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     source: Source,
-    started: Duration,
+    /// When it was started, by its source, in milliseconds.
+    started_ms: u64,
 }
 
 impl Clock {
     /// Starts now.
     pub fn start() -> Self {
-        Self::of(since_boot)
+        Self::of(boot_ms)
     }
 
     /// Starts now by another source, for tests.
     pub fn of(source: Source) -> Self {
         Self {
             source,
-            started: source(),
+            started_ms: source(),
         }
     }
 
@@ -42,8 +43,7 @@
     /// assert!(cranereach_http::clock::Clock::start().now_ms() < 1_000);
     /// ```
     pub fn now_ms(&self) -> u64 {
-        let passed = (self.source)().saturating_sub(self.started);
-        passed.as_millis() as u64
+        (self.source)().saturating_sub(self.started_ms)
     }
 
     /// Returns the instant of a time in milliseconds, as long as the machine isn't
@@ -54,14 +54,14 @@
     }
 }
 
-/// Returns the time since the machine's start, suspended or not.
+/// Returns the time since the machine's start, suspended or not, in milliseconds.
 ///
 /// # Panics
 ///
 /// If the system has no such clock, which Linux has had since 2.6.39.
-pub fn since_boot() -> Duration {
+pub fn boot_ms() -> u64 {
     let read = clock_gettime(ClockId::CLOCK_BOOTTIME);
-    read.expect("Linux has this clock").into()
+    Duration::from(read.expect("Linux has this clock")).as_millis() as u64
 }
 
 /// Returns a number that grows with each boot of an instance, in milliseconds.
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -19,7 +19,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
-use crate::clock::since_boot;
+use crate::clock::boot_ms;
 
 /// Most idle connections kept per upstream.
 const IDLE_MAX_COUNT: usize = 256;
@@ -52,9 +52,9 @@
 /// A connection that rests.
 struct Idle<B> {
     sender: SendRequest<B>,
-    /// Until when it may be used again, since the machine's start; none for as long as it
-    /// is open.
-    until: Option<Duration>,
+    /// Until when it may be used again, in milliseconds since the machine's start; none
+    /// for as long as it is open.
+    until_ms: Option<u64>,
 }
 
 /// Connections that rest, the one used last at the end.
@@ -168,9 +168,9 @@
     /// Removes a kept connection that is still good.
     fn pop_idle(&self) -> Option<SendRequest<B>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = since_boot();
+        let now_ms = boot_ms();
         while let Some(rested) = idle.pop() {
-            let is_fresh = rested.until.is_none_or(|until| now < until);
+            let is_fresh = rested.until_ms.is_none_or(|until_ms| now_ms < until_ms);
             if is_fresh && rested.sender.is_ready() {
                 return Some(rested.sender);
             }
@@ -206,22 +206,21 @@
 
     /// Keeps the connection for another request within `rest_max_ms`.
     pub fn keep_for(self, rest_max_ms: u64) {
-        let until = since_boot() + Duration::from_millis(rest_max_ms);
-        self.keep_until(Some(until));
+        self.keep_until(Some(boot_ms() + rest_max_ms));
     }
 
     /// Keeps the connection for another request until a time.
-    fn keep_until(self, until: Option<Duration>) {
+    fn keep_until(self, until_ms: Option<u64>) {
         if self.sender.is_closed() {
             return;
         }
         let mut idle = self.home.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = since_boot();
-        idle.retain(|rested| rested.until.is_none_or(|until| now < until));
+        let now_ms = boot_ms();
+        idle.retain(|rested| rested.until_ms.is_none_or(|until_ms| now_ms < until_ms));
         if idle.len() < IDLE_MAX_COUNT {
             idle.push(Idle {
                 sender: self.sender,
-                until,
+                until_ms,
             });
         }
     }
