Soak: a request that ends its workers; a worker behind a proxy has ended once its row has

The soak, which now plays one in each run, found that ends behind a relay were not seen: it takes connections for a worker that is gone. Change: a connection speaks for a worker only if it stays open for 10 ms; else the end of its row tells. Ruled out: counting a connection that is closed at once as an end (a worker resets those beyond its limit).

--- a/crates/cranereach-gateway/src/worker_ends.rs
+++ b/crates/cranereach-gateway/src/worker_ends.rs
@@ -2,7 +2,9 @@
 //!
 //! Answers break off without an end too: a worker fails one request, a link is cut. So
 //! the worker is tried once: if its machine refuses the connection, nothing listens
-//! there any more. If it takes the connection, that one is kept for the next request.
+//! there any more. If it takes the connection and keeps it, that one is kept for the next
+//! request. Anything else says nothing: what stands before a worker takes connections for
+//! it, a worker resets those beyond its limit. There the end of its row tells.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -25,6 +27,9 @@
 /// Time to connect, in milliseconds.
 const CONNECT_WITHIN_MS: u64 = 250;
 
+/// Time for which a connection must stay open, in milliseconds, to speak for the worker.
+const HELD_FOR_MS: u64 = 10;
+
 /// Time for which one try answers for all connections to the worker that break, in
 /// milliseconds: the requests that an end breaks off come to light within some.
 const TRIED_FOR_MS: u64 = 500;
@@ -41,13 +46,14 @@
 pub enum Found {
     /// Its machine refuses connections: it has ended.
     Refused,
-    /// It could not be reached, and its row ended without its leaving: it has ended.
+    /// It took no connection for long, and its row ended without its leaving: it has
+    /// ended.
     Delisted,
-    /// It takes connections.
+    /// It takes connections and keeps them.
     Alive,
     /// It was to end: its row said so, or was gone.
     Planned,
-    /// It can't be reached, and is still listed: a link may be cut.
+    /// It takes no connection, or none for long, and is still listed: a link may be cut.
     OutOfReach,
 }
 
@@ -133,6 +139,10 @@
     match tokio::time::timeout(within, pool.make()).await {
         Ok(Ok(connection)) => {
             node.metrics.connections_total.inc();
+            pause(HELD_FOR_MS).await;
+            if connection.is_closed() {
+                return Found::OutOfReach;
+            }
             connection.keep_for(REST_UNSAID_MS);
             Found::Alive
         }
@@ -143,7 +153,7 @@
     }
 }
 
-/// Waits for the end of the row of a worker that can't be reached.
+/// Waits for the end of the row of a worker that takes no connection.
 async fn delisted(node: &Node, worker: &str) -> Found {
     let until_ms = node.now_ms() + LISTED_FOR_MS;
     while node.now_ms() < until_ms {
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -188,6 +188,11 @@
         self.is_reused
     }
 
+    /// Whether the other side has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub async fn send(&mut self, request: Request<B>) -> Result<Response<Incoming>, SendError<B>> {
         self.sender
--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -9,15 +9,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
 
 use crate::check::bounded::DRAIN_MS;
+use crate::ending::ENDING;
 use crate::gateways;
 use crate::journal::Journal;
 use crate::record::Arrival;
 use crate::record::Event;
+use crate::record::Whom;
 use crate::schedule::DOMAINS;
 use crate::schedule::KEYS;
 use crate::schedule::SERVICES;
@@ -48,6 +51,9 @@
 /// Time until the entry of a worker that says nothing more goes, in milliseconds.
 const LAPSES_AFTER_MS: u64 = 3 * BEAT_EVERY_MS;
 
+/// Time between two looks whether workers have ended by themselves, in milliseconds.
+const REPLACED_AFTER_MS: u64 = 300;
+
 /// Time for which a leaving worker serves beyond its bound, in milliseconds.
 const SERVES_ON_MS: u64 = 1_500;
 
@@ -192,6 +198,26 @@
         self.store.remove("servers", &occupant.worker.id);
     }
 
+    /// Replaces workers that ended under what they ran, until it is dropped.
+    pub async fn replace_ended(&self, journal: &Journal) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(REPLACED_AFTER_MS)).await;
+            let replacing = self.places.iter().map(|place| self.replace(place, journal));
+            join_all(replacing).await;
+        }
+    }
+
+    /// Replaces the worker at a place if it has ended by itself.
+    async fn replace(&self, place: &Place, journal: &Journal) {
+        let ended = lock(&place.now).take_if(|occupant| occupant.worker.has_ended());
+        let Some(occupant) = ended else { return };
+        let from_ms = journal.now_ms().saturating_sub(REPLACED_AFTER_MS);
+        tokio::time::sleep(Duration::from_millis(LAPSES_AFTER_MS)).await;
+        self.store.remove("servers", &occupant.worker.id);
+        self.refill(place, journal).await;
+        journal.trouble(Whom::Worker(place.number), false, from_ms);
+    }
+
     /// Lets a worker leave as it should, and another take its place.
     pub async fn leave(&self, number: usize, journal: &Journal) {
         let place = &self.places[number];
@@ -333,6 +359,7 @@
         let id = format!("w-{}-{start}", self.number);
         let mut worker = Worker::start(&id).await;
         worker.be_strict(WORK_MS);
+        worker.end_under(ENDING);
         worker.set_event_pause_ms(EVENT_PAUSES_MS[self.number % EVENT_PAUSES_MS.len()]);
         if self.service == "models" {
             let first = self.number % MODELS.len();
--- a/crates/cranereach-soak/src/callers.rs
+++ b/crates/cranereach-soak/src/callers.rs
@@ -163,6 +163,31 @@
     }
 }
 
+/// Sends one request on a connection of its own, and writes down what became of it.
+pub async fn ask_once(
+    gateway: &Gateway,
+    journal: &Journal,
+    (kind, key): (Kind, usize),
+    id: String,
+    request: Request<Full<Bytes>>,
+) {
+    let Some(mut connection) = connect(gateway.callers).await else {
+        return;
+    };
+    let sent_ms = journal.now_ms();
+    let limit = Duration::from_millis(deadline_ms(kind) + LEAVES_AFTER_MS);
+    let end = timeout(limit, exchange(&mut connection, request)).await;
+    journal.asked(Asked {
+        id,
+        kind,
+        key,
+        gateway: gateway.number,
+        sent_ms,
+        ended_ms: journal.now_ms(),
+        end: end.unwrap_or(End::GaveUp),
+    });
+}
+
 /// Returns how long a caller says that it waits, in milliseconds.
 fn deadline_ms(kind: Kind) -> u64 {
     match kind {
--- a/crates/cranereach-soak/src/lib.rs
+++ b/crates/cranereach-soak/src/lib.rs
@@ -1,13 +1,15 @@
 //! A soak: gateways as real processes, faults from outside, promises seen by callers.
 //!
 //! [`schedule`] makes the faults from a seed. [`gateways`] starts, signals and ends the
-//! processes, [`back_ends`] plays the platform's store and workers, [`callers`] asks.
+//! processes, [`back_ends`] plays the platform's store and workers, [`callers`] asks,
+//! [`ending`] comes back with a request that ends its workers.
 //! [`run`] lets them meet, [`faults`] strikes them. All write down what they saw ([`journal`], [`record`]), and each module
 //! of [`check`] judges one promise by these records alone.
 
 pub mod back_ends;
 pub mod callers;
 pub mod check;
+pub mod ending;
 pub mod faults;
 pub mod gateways;
 pub mod journal;
--- a/crates/cranereach-soak/src/run.rs
+++ b/crates/cranereach-soak/src/run.rs
@@ -15,6 +15,7 @@
 
 use crate::back_ends::BackEnds;
 use crate::callers::Caller;
+use crate::ending;
 use crate::faults;
 use crate::faults::Parts;
 use crate::faults::pause;
@@ -120,6 +121,8 @@
     let mut around = JoinSet::new();
     let beating = Arc::clone(&parts);
     around.spawn(async move { beating.back_ends.beat_on().await });
+    let replacing = Arc::clone(&parts);
+    around.spawn(async move { replacing.back_ends.replace_ended(&replacing.journal).await });
     let watching = Arc::clone(&parts);
     around.spawn(async move { watch(&watching).await });
     let mut callers = JoinSet::new();
@@ -127,6 +130,13 @@
         let caller = Caller::new(number, plan.seed, gateways, journal);
         callers.spawn(caller.run(plan.run_ms));
     }
+    let ending = ending::run(
+        plan.seed,
+        plan.run_ms,
+        gateways.to_vec(),
+        Arc::clone(journal),
+    );
+    callers.spawn(ending);
     strike_all(&parts, plan.steps()).await;
     finish(callers).await;
     around.shutdown().await;
--- a/crates/cranereach-soak/src/schedule.rs
+++ b/crates/cranereach-soak/src/schedule.rs
@@ -14,7 +14,7 @@
 use cranereach_standin::relay::Passage;
 
 /// Time without faults at the start, in milliseconds: callers are served by then.
-const CALM_AT_START_MS: u64 = 3_000;
+pub const CALM_AT_START_MS: u64 = 3_000;
 
 /// Longest time without faults at the end, in milliseconds: the bound on recovery and
 /// as long again to see what is served.
--- a/crates/cranereach-soak/tests/soak/main.rs
+++ b/crates/cranereach-soak/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! The schedule is its seed's; each checker finds what is planted and nothing else.
 
 mod bounded;
+mod ending;
 mod failing;
 mod planted;
 mod requests;
