Ends beyond those remembered count; streams that broke off are looked after at once

Cause: four ends of workers lost at one moment filled what is remembered of a request, so that those that came again weren't counted, and it was never quarantined. A stream whose caller left just as its worker broke off ended the look for what became of the worker. Change: the newest ends are remembered; the look begins before the search for who goes on. Ruled out: remembering more of them: any number can be lost at once. Run: the new test failed before, passes after; 18 tests of the paths concerned pass.

--- a/crates/cranereach-fleet/src/quarantine.rs
+++ b/crates/cranereach-fleet/src/quarantine.rs
@@ -38,7 +38,7 @@
 /// ran beside such ones, some 50 were quarantined with them otherwise.
 pub const ALONE_FROM_COUNT: usize = END_MAX_COUNT - 1;
 
-/// Ends that are remembered of one request at most: one more than decide.
+/// Ends that are remembered of one request at most, the newest: one more than decide.
 const KEPT_END_COUNT: usize = END_MAX_COUNT + 1;
 
 /// Ends of one start of a worker that are less apart than this are the same one, in
@@ -94,7 +94,7 @@
 /// What is known of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Suspect {
-    /// Ends since the last whole answer, in the order in which they were heard of.
+    /// Newest ends since the last whole answer.
     ends: Vec<WorkerEnd>,
     /// Whether one of them came under a try whose sender knew of an earlier one.
     is_repeated: bool,
@@ -183,12 +183,21 @@
             known.at_ms = known.at_ms.min(end.at_ms);
             return false;
         }
-        let has_room = self.ends.len() < KEPT_END_COUNT;
-        if has_room {
-            self.ends.push(end);
-            self.most_end_count = self.most_end_count.max(self.ends.len());
+        if self.ends.len() >= KEPT_END_COUNT {
+            let oldest = self
+                .ends
+                .iter()
+                .enumerate()
+                .min_by_key(|(_, end)| end.at_ms);
+            let oldest = oldest.filter(|(_, oldest)| oldest.at_ms < end.at_ms);
+            let Some((place, _)) = oldest else {
+                return false;
+            };
+            self.ends.remove(place);
         }
-        has_room
+        self.ends.push(end);
+        self.most_end_count = self.most_end_count.max(self.ends.len());
+        true
     }
 
     /// Notes that it was proved harmless at a time.
--- a/crates/cranereach-fleet/tests/quarantine/joining.rs
+++ b/crates/cranereach-fleet/tests/quarantine/joining.rs
@@ -77,6 +77,26 @@
     assert_eq!(instance.suspicion(mark(1)), Suspicion::default());
 }
 
+#[test]
+fn what_comes_again_after_many_were_lost_at_once_is_quarantined() {
+    let mut instance = Quarantine::default();
+    for worker in 0..20 {
+        instance.ended(1_000, mark(1), worker, false);
+    }
+    instance.ended(2_000, mark(1), 20, true);
+    assert!(instance.suspicion(mark(1)).is_quarantined);
+    // Also where others know of other ends of those many.
+    let mut other = Quarantine::default();
+    for worker in 10..20 {
+        other.ended(1_000, mark(1), worker, false);
+    }
+    assert_eq!(
+        other.take(2_100, &news(&instance, 2_100)),
+        Change::Suspicion
+    );
+    assert!(other.suspicion(mark(1)).is_quarantined);
+}
+
 #[test]
 fn a_whole_answer_ends_the_suspicion_wherever_it_is_told() {
     let mut instance = seen([1, 2, 3]);
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -9,6 +9,7 @@
 
 use hyper::Response;
 use slog::info;
+use tokio::task::JoinHandle;
 
 use super::AnswerBody;
 use super::broken;
@@ -21,6 +22,7 @@
 use super::work;
 use crate::node::Node;
 use crate::quarantine;
+use crate::worker_ends::Found;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::roster::Choice;
 
@@ -104,13 +106,14 @@
 }
 
 /// Takes a stream up at another worker after the last event that its caller has, once
-/// its worker, `broken`, has broken off; returns how it goes on.
+/// its worker has broken off, of which is being found out what became; returns how it goes
+/// on.
 pub(super) async fn take_up(
     node: &Arc<Node>,
     call: &Arc<Call>,
     taken: Taken,
     last_event: Option<String>,
-    broken: &Arc<str>,
+    finding: JoinHandle<Found>,
 ) -> Result<(Begun, Taken), Refusal> {
     let mut exchange = Exchange::new(node, call);
     exchange.tried = taken.tried;
@@ -118,7 +121,7 @@
     exchange.run_count = taken.run_count;
     exchange.last_event = last_event;
     exchange.knew_of_end = taken.knew_of_end;
-    exchange.find_end(broken).await;
+    until_found(finding).await;
     exchange.judge(Failure::BrokenOff)?;
     loop {
         let choice = exchange.next_choice().await?;
@@ -130,6 +133,14 @@
     }
 }
 
+/// Waits for what became of a worker that broke a call off: before the call is sent once
+/// more, it must be known whether workers end under it.
+async fn until_found(finding: JoinHandle<Found>) {
+    let within = Duration::from_millis(FOUND_WITHIN_MS);
+    // What takes longer goes on by itself.
+    let _found = tokio::time::timeout(within, finding).await;
+}
+
 impl<'a> Exchange<'a> {
     /// Makes the exchange of a call that nobody was offered yet.
     fn new(node: &'a Arc<Node>, call: &'a Arc<Call>) -> Self {
@@ -225,20 +236,12 @@
             return Err(refusal);
         }
         if failure == Failure::BrokenOff {
-            self.find_end(&choice.id).await;
+            let finding = broken::note(self.node, self.call, &choice.id, self.knew_of_end);
+            until_found(finding).await;
         }
         self.judge(failure)
     }
 
-    /// Waits for what became of a worker that broke the call off: before the call is sent
-    /// once more, it must be known whether workers end under it.
-    async fn find_end(&self, worker: &Arc<str>) {
-        let finding = broken::note(self.node, self.call, worker, self.knew_of_end);
-        let within = Duration::from_millis(FOUND_WITHIN_MS);
-        // One that takes longer is waited for by its own task alone.
-        let _found = tokio::time::timeout(within, finding).await;
-    }
-
     /// Returns the code of a call that nobody is left for.
     fn end_code(&self) -> ResultCode {
         if self.may_have_run {
--- a/crates/cranereach-gateway/src/forward/passing.rs
+++ b/crates/cranereach-gateway/src/forward/passing.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use slog::info;
 use thiserror::Error;
+use tokio::task::JoinHandle;
 use tokio::time::Sleep;
 
 use super::broken;
@@ -29,6 +30,7 @@
 use super::taking_up::TakingUp;
 use crate::node::Node;
 use crate::quarantine;
+use crate::worker_ends::Found;
 use cranereach_http::events::Reached;
 use cranereach_http::events::WholeEvents;
 
@@ -145,7 +147,8 @@
                 }
                 Some(Err(_broken)) => {
                     if !self.seek_rest() {
-                        self.note_broken();
+                        // Nobody goes on, so nobody waits for what is found.
+                        drop(self.note_broken());
                         return Poll::Ready(Some(Err(self.break_off("worker broke off"))));
                     }
                 }
@@ -175,7 +178,6 @@
             return false;
         };
         open.failed();
-        let broken = Arc::clone(open.worker());
         let Some(events) = &mut self.events else {
             return false;
         };
@@ -185,27 +187,23 @@
             Reached::Event(id) => Some(id.clone()),
             Reached::Unknown => return false,
         };
+        let Some(finding) = self.note_broken() else {
+            return false;
+        };
         // The count at the worker that broke off ends here.
         self.open = None;
         self.connection = None;
         let taken = std::mem::take(&mut self.taken);
-        let begun = TakingUp::begin(&self.node, &self.call, taken, last_event, &broken);
+        let begun = TakingUp::begin(&self.node, &self.call, taken, last_event, finding);
         self.taking_up = Some(begun);
         true
     }
 
-    /// Notes that the worker broke off and nobody goes on.
-    fn note_broken(&self) {
-        if let Some(open) = &self.open {
-            let knew_of_end = self.taken.knew_of_end;
-            // Nobody waits for what is found.
-            drop(broken::note(
-                &self.node,
-                &self.call,
-                open.worker(),
-                knew_of_end,
-            ));
-        }
+    /// Notes that the worker broke off, and finds out what became of it.
+    fn note_broken(&self) -> Option<JoinHandle<Found>> {
+        let worker = self.open.as_ref()?.worker();
+        let knew_of_end = self.taken.knew_of_end;
+        Some(broken::note(&self.node, &self.call, worker, knew_of_end))
     }
 
     /// Goes on with the stream of another worker.
--- a/crates/cranereach-gateway/src/forward/taking_up.rs
+++ b/crates/cranereach-gateway/src/forward/taking_up.rs
@@ -28,6 +28,7 @@
 use super::refusal::Refusal;
 use super::request::Call;
 use crate::node::Node;
+use crate::worker_ends;
 use cranereach_http::pool::Connection;
 
 /// A connection with the time that it may rest afterwards, if it may.
@@ -91,20 +92,19 @@
 }
 
 impl TakingUp {
-    /// Begins to look for a worker that goes on after an event where `broken` broke off;
-    /// from the start if the caller has none yet.
+    /// Begins to look for a worker that goes on after an event; from the start if the
+    /// caller has none yet. What became of the worker that broke off is being found out.
     pub(super) fn begin(
         node: &Arc<Node>,
         call: &Arc<Call>,
         taken: Taken,
         last_event: Option<String>,
-        broken: &Arc<str>,
+        finding: JoinHandle<worker_ends::Found>,
     ) -> Self {
         let node = Arc::clone(node);
         let call = Arc::clone(call);
-        let broken = Arc::clone(broken);
         let found = tokio::spawn(async move {
-            exchange::take_up(&node, &call, taken, last_event, &broken).await
+            exchange::take_up(&node, &call, taken, last_event, finding).await
         });
         Self {
             found,
--- a/crates/cranereach-gateway/src/quarantine.rs
+++ b/crates/cranereach-gateway/src/quarantine.rs
@@ -3,8 +3,8 @@
 //!
 //! See [`cranereach_fleet::quarantine`]. Each end goes to two instances that the request's
 //! fingerprint picks, so that it is counted wherever the request comes to next; from two
-//! ends on all are told, in digests. [`lasting`] keeps what must outlive all instances. A call costs a look at the sizes of the requests
-//! that are known, mostly none.
+//! ends on all are told, in digests. [`lasting`] keeps what must outlive all instances. A
+//! call costs a look at the sizes of the requests that are known, mostly none.
 
 pub mod lasting;
 
@@ -69,8 +69,9 @@
     lock(&node.quarantine).suspicion(call.mark(node))
 }
 
-/// Notes that a worker, of which the start's key is given, ended under a call. `knew_of_others` says whether an earlier end
-/// was known here when the call was sent.
+/// Notes that a worker, of which the key of its start and the identity are given, ended
+/// under a call. `knew_of_others` says whether an earlier end was known here when the
+/// call was sent.
 pub async fn ended(node: &Arc<Node>, call: &Call, worker: (u64, &Arc<str>), knew_of_others: bool) {
     let mark = call.mark(node);
     let before = note_end(node, call, worker, knew_of_others);
