A worker that starts again under its identity is another one

Cause: rows now tell when a worker started, and it may come back under the identity that it had. The roster kept its health and adapters, connections went to the address before, and the holder took its counts, which start anew, for an old report: it got no order any more. Ends of two of its starts counted as one. Change: another start in a row resets the worker, the ledger's entry and the connections. Ruled out: telling starts apart by sequences that go back: reports lag. Not shown: an order to the start before that is carried out by the next one, which the expected count alone keeps apart.

--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -106,6 +106,7 @@
     /// Adapters whose loads were taken, and when they are there, in milliseconds.
     arriving: Vec<(ModelKey, u64)>,
     row_version: u64,
+    started_unix_ms: u64,
 }
 
 /// All workers of one lease.
@@ -121,6 +122,8 @@
     pub id: &'a Arc<str>,
     /// Version of the row.
     pub version: u64,
+    /// When this start of it began, in milliseconds of Unix time; zero if unsaid.
+    pub started_unix_ms: u64,
     /// What it holds; a row doesn't say at which sequence.
     pub places: Vec<Place>,
     /// Models that it loads cheaply.
@@ -142,6 +145,11 @@
 
     /// Takes a worker's row.
     pub fn row(&mut self, now_ms: u64, row: WorkerRow<'_>) {
+        let known = self.entries.get(row.id);
+        if known.is_some_and(|known| known.started_unix_ms != row.started_unix_ms) {
+            // It started again: what it held, and its counts, are gone.
+            self.entries.remove(row.id);
+        }
         let entry = self
             .entries
             .entry(Arc::clone(row.id))
@@ -155,6 +163,7 @@
                 loaded_at_ms: 0,
                 arriving: Vec::new(),
                 row_version: 0,
+                started_unix_ms: row.started_unix_ms,
             });
         entry.copies = row.copies;
         entry.is_serving = row.is_serving;
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -204,6 +204,13 @@
             }
             // A peer may know already that a later row says so.
             record.is_leaving |= known.leaves_at_version > version;
+            if known.record.started_unix_ms != record.started_unix_ms {
+                // It holds and knows nothing of before.
+                let leaves_at_version = known.leaves_at_version;
+                *known = Worker::new(version, record);
+                known.leaves_at_version = leaves_at_version;
+                return true;
+            }
             let has_changed = known.record != record;
             known.version = version;
             known.lapsed = None;
--- a/crates/cranereach-fleet/tests/orders.rs
+++ b/crates/cranereach-fleet/tests/orders.rs
@@ -194,6 +194,7 @@
                 WorkerRow {
                     id: &ids[number],
                     version: step + 1,
+                    started_unix_ms: 0,
                     places: row.places,
                     copies: Vec::new(),
                     is_serving: true,
@@ -284,6 +285,7 @@
     let row = WorkerRow {
         id: &id,
         version: 1,
+        started_unix_ms: 0,
         places: Vec::new(),
         copies: Vec::new(),
         is_serving: true,
@@ -340,6 +342,7 @@
         WorkerRow {
             id: &id,
             version: 1,
+            started_unix_ms: 0,
             places: vec![Place {
                 model: 2,
                 adapters: vec![1],
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -18,6 +18,7 @@
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::wanted::Wanted;
+use cranereach_fleet::worker::WorkerRecord;
 
 fn engine(slot_count: u32) -> Engine {
     Engine {
@@ -354,3 +355,27 @@
     assert!(begins_in_ms(2) > 400.0);
     assert!(begins_in_ms(7) > 400.0, "lower ranks count as the last");
 }
+
+#[test]
+fn a_worker_that_starts_again_under_its_identity_is_another() {
+    let mut roster = Roster::default();
+    let started = |started_unix_ms: u64, held: &[(&str, &[&str])]| WorkerRecord {
+        started_unix_ms,
+        ..record("a", held)
+    };
+    roster.put(1, started(1_000, &[("m1", &["a1"])]));
+    let worker = roster.get_mut("a").unwrap();
+    for _ in 0..3 {
+        worker.health.failed(0);
+    }
+    worker.told_adapter(0, "m1", "a2");
+    assert!(worker.health.is_aside(10));
+    assert!(roster.put(2, started(2_000, &[("m1", &["a1"])])));
+    let worker = roster.get("a").unwrap();
+    assert!(!worker.health.is_aside(10));
+    let of_adapter = wanted(Some(("m1", Some("a2"))));
+    assert_eq!(choose(&roster, 10, &of_adapter), Err(NoWorker::NoAdapter));
+    // A row of the same start changes nothing of that.
+    roster.get_mut("a").unwrap().told_adapter(10, "m1", "a2");
+    assert!(!roster.put(3, started(2_000, &[("m1", &["a1"])])));
+}
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -49,6 +49,7 @@
             WorkerRow {
                 id: &record.id,
                 version: worker.version,
+                started_unix_ms: record.started_unix_ms,
                 places: places(engine, &record.models),
                 copies: copies.filter_map(|name| engine.model_index(name)).collect(),
                 is_serving: !record.is_leaving && !worker.health.is_aside(now_ms),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! What all parts of an instance share.
 
+mod connections;
 mod in_force;
 
 use std::collections::HashMap;
@@ -16,11 +17,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use slog::Logger;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use self::connections::Pools;
 use crate::adapter;
 use crate::adapter::Adapter;
 use crate::expected::ExpectedModels;
@@ -57,13 +58,6 @@
 use cranereach_fleet::topology::Topology;
 use cranereach_fleet::ways::Ways;
 use cranereach_http::clock::Clock;
-use cranereach_http::pool::Pool;
-
-/// Time after which unconfirmed bytes break a worker's connection, in milliseconds.
-const WORKER_SILENCE_MAX_MS: u64 = 1_200;
-
-/// Connections to each worker, by its identity.
-pub type Pools = HashMap<Arc<str>, Arc<Pool<Full<Bytes>>>>;
 
 /// What this instance's orders have changed at workers, for peers.
 #[derive(Clone, Debug, Default)]
@@ -353,23 +347,6 @@
         window.is_some_and(|window| window.spend(now_ms, instance_count))
     }
 
-    /// Returns the connections to a worker.
-    pub fn pool(&self, worker: &Arc<str>, address: &str) -> Arc<Pool<Full<Bytes>>> {
-        let mut pools = lock(&self.pools);
-        let pool = pools.entry(Arc::clone(worker)).or_insert_with(|| {
-            Arc::new(Pool::new(address).with_silence_max_ms(WORKER_SILENCE_MAX_MS))
-        });
-        Arc::clone(pool)
-    }
-
-    /// Forgets the connections to workers that are gone.
-    pub fn forget_pools(&self, gone: &[Arc<str>]) {
-        let mut pools = lock(&self.pools);
-        for worker in gone {
-            pools.remove(worker);
-        }
-    }
-
     /// Whether a stop was asked for.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Acquire)
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -247,7 +247,7 @@
 struct Departures {
     /// Workers that leave or are gone: version, key.
     leaving: Vec<(u64, u64)>,
-    /// Workers that are gone.
+    /// Workers that are gone, or have started again.
     ended: Vec<Arc<str>>,
     /// Whether workers that aren't known yet have just started.
     are_new: bool,
@@ -265,7 +265,13 @@
         if record.is_leaving {
             self.leaving.push((row.version, worker_key(&record.id)));
         }
-        let is_new = self.are_new && before.is_none();
+        let has_restarted =
+            before.is_some_and(|worker| worker.record.started_unix_ms != record.started_unix_ms);
+        if has_restarted {
+            // Connections to the start before are worth nothing.
+            self.ended.push(Arc::clone(&record.id));
+        }
+        let is_new = has_restarted || self.are_new && before.is_none();
         roster.put(row.version, record);
         cold::note_listed(node, roster, &row.key, is_new);
     }
--- a/crates/cranereach-gateway/src/worker_ends.rs
+++ b/crates/cranereach-gateway/src/worker_ends.rs
@@ -95,10 +95,11 @@
     if !is_meant_to_stay(node, worker) {
         return Found::Planned;
     }
+    let start = start_of(node, worker);
     let cell = node.tries.of(node.now_ms(), worker);
     let found = *cell.get_or_init(|| try_it(node, worker)).await;
     if found == Found::OutOfReach {
-        return delisted(node, worker).await;
+        return delisted(node, worker, start).await;
     }
     found
 }
@@ -116,6 +117,12 @@
     }
 }
 
+/// Returns the key of the start of a worker that is listed.
+fn start_of(node: &Node, worker: &str) -> Option<u64> {
+    let roster = node.roster();
+    roster.get(worker).map(|known| known.record.start_key())
+}
+
 /// Whether a worker is listed and doesn't leave.
 fn is_meant_to_stay(node: &Node, worker: &str) -> bool {
     let roster = node.roster();
@@ -153,11 +160,12 @@
     }
 }
 
-/// Waits for the end of the row of a worker that takes no connection.
-async fn delisted(node: &Node, worker: &str) -> Found {
+/// Waits for the end of the row of a worker that takes no connection, or for that of its
+/// next start.
+async fn delisted(node: &Node, worker: &str, start: Option<u64>) -> Found {
     let until_ms = node.now_ms() + LISTED_FOR_MS;
     while node.now_ms() < until_ms {
-        if node.roster().get(worker).is_none() {
+        if start_of(node, worker) != start {
             return Found::Delisted;
         }
         if !is_meant_to_stay(node, worker) {
