Instances that saw other ends of one moment come to rest

Cause: more ends than are remembered, told on some ten milliseconds younger at each hop, took each other's places for ever, and would at last have looked newer than a whole answer. Change: an end takes the place of one only if it is 500 ms newer. Ruled out: ages told as older than they are: they would drift the other way with each digest. Run: the new test failed before (first exchange), passes after; 12 tests of quarantine, 6 of ending requests.

--- a/crates/cranereach-fleet/src/quarantine.rs
+++ b/crates/cranereach-fleet/src/quarantine.rs
@@ -20,14 +20,16 @@
 //! first.
 
 mod news;
+mod seen;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 pub use self::news::Change;
 pub use self::news::SuspectNews;
 pub use self::news::TOLD_MAX_COUNT;
 pub use self::news::ToldEnd;
+pub use self::seen::Listed;
+pub use self::seen::Seen;
 use crate::fingerprint::Fingerprint;
 
 /// Ends in a row from which on a request is sent to no worker: two may be bad luck.
@@ -46,6 +48,11 @@
 /// seconds; what is told by an instance that stood still comes later than it was.
 const SAME_END_MS: i64 = 10_000;
 
+/// Time by which an end must be newer than the oldest of those remembered to take its
+/// place, in milliseconds: what is told on comes some ten milliseconds later at each hop,
+/// and instances that saw other ends of one moment would exchange them for ever.
+const REPLACED_FROM_MS: i64 = 500;
+
 /// Time from its last end after which a request that isn't quarantined is forgotten, in
 /// milliseconds: callers come back within minutes.
 const SUSPECTED_FOR_MS: i64 = 600_000;
@@ -78,19 +85,6 @@
     pub at_ms: i64,
 }
 
-/// What this instance itself has seen of a request, for operators.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Seen {
-    /// Its route.
-    pub route: Arc<str>,
-    /// Its client account in metrics; empty where there is none.
-    pub account: Arc<str>,
-    /// Workers that ended under it, with the keys of their starts.
-    pub workers: Vec<(u64, Arc<str>)>,
-    /// Times that it was refused.
-    pub refused_count: u64,
-}
-
 /// What is known of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Suspect {
@@ -126,19 +120,6 @@
     }
 }
 
-/// A request as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Listed {
-    /// What is asked for.
-    pub fingerprint: Fingerprint,
-    /// What is held against it.
-    pub suspicion: Suspicion,
-    /// The ends.
-    pub ends: Vec<WorkerEnd>,
-    /// What this instance has seen of it.
-    pub seen: Seen,
-}
-
 /// All requests under which workers ended lately.
 ///
 /// ```
@@ -189,7 +170,7 @@
                 .iter()
                 .enumerate()
                 .min_by_key(|(_, end)| end.at_ms);
-            let oldest = oldest.filter(|(_, oldest)| oldest.at_ms < end.at_ms);
+            let oldest = oldest.filter(|(_, of)| of.at_ms + REPLACED_FROM_MS < end.at_ms);
             let Some((place, _)) = oldest else {
                 return false;
             };
@@ -295,36 +276,6 @@
         Some(before)
     }
 
-    /// Notes that a request was refused; returns how often it was here.
-    pub fn refused(&mut self, now_ms: i64, mark: RequestMark) -> u64 {
-        self.suspects.get_mut(&mark).map_or(0, |suspect| {
-            suspect.asked_at_ms = now_ms;
-            suspect.seen.refused_count += 1;
-            suspect.seen.refused_count
-        })
-    }
-
-    /// Notes what a known request looks like, and a worker that ended under it here.
-    pub fn note(
-        &mut self,
-        mark: RequestMark,
-        route: &Arc<str>,
-        account: &str,
-        worker: Option<(u64, &Arc<str>)>,
-    ) {
-        let Some(suspect) = self.suspects.get_mut(&mark) else {
-            return;
-        };
-        let seen = &mut suspect.seen;
-        seen.route = Arc::clone(route);
-        seen.account = Arc::from(account);
-        if let Some((key, id)) = worker
-            && seen.workers.len() < KEPT_END_COUNT
-        {
-            seen.workers.push((key, Arc::clone(id)));
-        }
-    }
-
     /// Whether anything is known of a request.
     pub fn is_known(&self, mark: RequestMark) -> bool {
         self.suspects.contains_key(&mark)
@@ -337,28 +288,6 @@
         suspect.is_some_and(|suspect| suspect.cleared_at_ms.is_some() && suspect.ends.is_empty())
     }
 
-    /// Finds a request by its fingerprint alone.
-    pub fn find(&self, fingerprint: Fingerprint) -> Option<RequestMark> {
-        self.suspects
-            .keys()
-            .find(|mark| mark.fingerprint == fingerprint)
-            .copied()
-    }
-
-    /// Lists the requests that something is held against.
-    pub fn list(&self) -> impl Iterator<Item = Listed> {
-        let held = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| !suspect.ends.is_empty());
-        held.map(|(mark, suspect)| Listed {
-            fingerprint: mark.fingerprint,
-            suspicion: suspect.suspicion(),
-            ends: suspect.ends.clone(),
-            seen: suspect.seen.clone(),
-        })
-    }
-
     /// Counts the requests that are quarantined.
     pub fn quarantined_count(&self) -> usize {
         let held = self.suspects.values().map(Suspect::suspicion);
--- a/crates/cranereach-fleet/tests/quarantine/joining.rs
+++ b/crates/cranereach-fleet/tests/quarantine/joining.rs
@@ -97,6 +97,24 @@
     assert!(other.suspicion(mark(1)).is_quarantined);
 }
 
+#[test]
+fn instances_that_saw_other_ends_of_many_at_once_come_to_rest() {
+    let mut instances = [0_u64, 4].map(|first| {
+        let mut instance = Quarantine::default();
+        for worker in first..first + 4 {
+            instance.ended(1_000 + worker as i64, mark(1), worker, false);
+        }
+        instance
+    });
+    for round in 0..20_usize {
+        let now_ms = 1_100 + round as i64 * 50;
+        let told = news(&instances[round % 2], now_ms);
+        // On its way for a while, so that what it tells of looks younger.
+        let change = instances[(round + 1) % 2].take(now_ms + 40, &told);
+        assert_eq!(change, Change::None, "round {round}");
+    }
+}
+
 #[test]
 fn a_whole_answer_ends_the_suspicion_wherever_it_is_told() {
     let mut instance = seen([1, 2, 3]);
