Sight: what workers name as a limit is heard, and what leaves for them counted by purpose

Now each answer is read (calls, orders, reports), a change is logged ('worker limit'), and each request that leaves for such a worker is counted and logged with its purpose. Nothing is decided by it yet. How values are read, and which of several words holds, is in the kernel with its tests.

--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -14,7 +14,8 @@
 //! [`retry_window`] bounds repeats, [`fingerprint`] tells equal
 //! requests, [`quarantine`] which of them end their workers. [`topology`] says how far instances and workers
 //! stand, [`regions`] where requests may be served, [`evacuation`] which failure domains
-//! are to get none, [`cold`] how many workers get that have just started. [`tenure`] says whether this
+//! are to get none, [`cold`] how many workers get that have just started, [`named_limit`] how many take those
+//! that say so. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
 //! are open.
 //!
@@ -39,6 +40,7 @@
 pub mod listing;
 pub mod load;
 pub mod membership;
+pub mod named_limit;
 pub mod outage_pace;
 pub mod owned;
 pub mod pace;
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -17,6 +17,7 @@
 use crate::load::Load;
 use crate::load::RANK_COUNT;
 use crate::load::SaidLoad;
+use crate::named_limit::NamedLimit;
 use crate::owned::Standing;
 use crate::prefixes::KeptPrefixes;
 use crate::roster::NoWorker;
@@ -82,6 +83,8 @@
     pub(crate) leaves_at_version: u64,
     /// Whether it may be cold.
     pub coldness: Coldness,
+    /// What it says of the requests that it takes in a second.
+    pub limit: NamedLimit,
     /// Key of its failure domain.
     pub(crate) domain_key: u64,
     pub(crate) own: Load,
@@ -120,6 +123,7 @@
     pub(crate) fn new(version: u64, record: WorkerRecord) -> Self {
         Self {
             coldness: Coldness::default(),
+            limit: NamedLimit::default(),
             domain_key: worker_key(&record.failure_domain),
             record,
             version,
--- /dev/null
+++ b/crates/cranereach-fleet/tests/named_limits/words.rs
@@ -0,0 +1,150 @@
+//! Which of several words on a worker's limit holds, and what ends it.
+
+use proptest::prelude::*;
+
+use cranereach_fleet::named_limit::LAPSES_AFTER_MS;
+use cranereach_fleet::named_limit::LimitWord;
+use cranereach_fleet::named_limit::NamedLimit;
+use cranereach_fleet::named_limit::Said;
+
+/// Start of the worker.
+const START: u64 = 5;
+
+/// A limit heard at a time, to a request sent 50 ms before.
+fn named(rate: f64, at_ms: u64) -> NamedLimit {
+    let mut limit = NamedLimit::default();
+    limit.heard(Said::Limit(rate), true, at_ms - 50, at_ms);
+    limit
+}
+
+#[test]
+fn a_tighter_word_counts_at_once_a_looser_one_only_if_it_was_asked_for_later() {
+    let mut limit = named(10.0, 1_000);
+    assert!(limit.heard(Said::Limit(2.0), true, 900, 1_010));
+    // Its answer may have been made before the other.
+    assert!(!limit.heard(Said::Limit(10.0), true, 1_005, 1_020));
+    assert_eq!(limit.rate_per_s(1_030), Some(2.0));
+    assert!(limit.heard(Said::Limit(10.0), true, 1_011, 1_100));
+    assert_eq!(limit.rate_per_s(1_100), Some(10.0));
+}
+
+#[test]
+fn what_ends_a_limit() {
+    // An answer of success that names none, to a request sent after the limit was heard.
+    let mut limit = named(2.0, 1_000);
+    assert!(
+        !limit.heard(Said::Nothing, false, 1_500, 1_600),
+        "a failure"
+    );
+    assert!(!limit.heard(Said::Nothing, true, 999, 1_600), "sent before");
+    assert!(limit.heard(Said::Nothing, true, 1_500, 1_600));
+    assert_eq!(limit.rate_per_s(1_600), None);
+    // No word for a bounded time.
+    let limit = named(2.0, 1_000);
+    assert_eq!(limit.rate_per_s(999 + LAPSES_AFTER_MS), Some(2.0));
+    assert_eq!(limit.rate_per_s(1_000 + LAPSES_AFTER_MS), None);
+    // Another instance's word of its end.
+    let mut limit = named(2.0, 1_000);
+    let mut other = named(2.0, 1_000);
+    other.heard(Said::Nothing, true, 1_500, 1_600);
+    assert!(limit.told(1_610, &other.word(1_605, START).unwrap()));
+    assert_eq!(limit.rate_per_s(1_610), None);
+}
+
+#[test]
+fn a_worker_that_never_named_one_is_not_spoken_of() {
+    let mut limit = NamedLimit::default();
+    limit.heard(Said::Nothing, true, 900, 1_000);
+    assert_eq!(limit.word(1_000, START), None);
+    assert_eq!(named(2.0, 1_000).word(1_000 + LAPSES_AFTER_MS, START), None);
+}
+
+#[test]
+fn an_old_word_does_not_bring_back_what_has_ended() {
+    let old = named(2.0, 1_000);
+    let told = old.word(1_000, START).unwrap();
+    let mut limit = named(2.0, 1_000);
+    limit.heard(Said::Nothing, true, 1_500, 1_600);
+    let late = LimitWord {
+        asked_age_ms: 1_050,
+        heard_age_ms: 1_000,
+        ..told
+    };
+    assert!(!limit.told(2_000, &late));
+    assert_eq!(limit.rate_per_s(2_000), None);
+}
+
+#[test]
+fn words_that_go_round_do_not_keep_a_limit_alive() {
+    let mut first = named(2.0, 1_000);
+    let mut second = NamedLimit::default();
+    let mut now_ms = 1_000;
+    while now_ms < 1_000 + 2 * LAPSES_AFTER_MS {
+        if let Some(word) = first.word(now_ms, START) {
+            second.told(now_ms + 10, &word);
+        }
+        if let Some(word) = second.word(now_ms + 10, START) {
+            first.told(now_ms + 20, &word);
+        }
+        now_ms += 20;
+    }
+    assert_eq!(first.rate_per_s(now_ms), None);
+    assert_eq!(second.rate_per_s(now_ms), None);
+}
+
+#[test]
+fn senseless_words_of_others_change_nothing() {
+    let mut limit = named(2.0, 1_000);
+    for rate in [-1.0, f64::NAN, f64::INFINITY] {
+        let word = LimitWord {
+            start: START,
+            rate_per_s: Some(rate),
+            asked_age_ms: 0,
+            heard_age_ms: 0,
+        };
+        assert!(!limit.told(5_000, &word), "{rate}");
+        assert_eq!(limit.rate_per_s(5_000), Some(2.0));
+    }
+}
+
+proptest! {
+    /// Answers of one worker come to one instance in any order within their delay. Once
+    /// one has come to a request sent after the worker's last change, what it names holds,
+    /// and no older answer changes that.
+    #[test]
+    fn the_last_figure_holds_whatever_overtakes_it(
+        figures in prop::collection::vec((1_u64..400, prop::option::of(0_u8..5)), 1..12),
+        delays_ms in prop::collection::vec((0_u64..200, 0_u64..200), 1..60),
+    ) {
+        // What it names from when on.
+        let mut changes = vec![(0_u64, Some(1.0))];
+        let mut at_ms = 1_000;
+        for (for_ms, figure) in figures {
+            changes.push((at_ms, figure.map(f64::from)));
+            at_ms += for_ms;
+        }
+        let (last_ms, last) = *changes.last().unwrap();
+        let names = |at_ms: u64| changes.iter().rfind(|(from_ms, _)| *from_ms <= at_ms).unwrap().1;
+        let mut answers: Vec<(u64, u64, Option<f64>)> = Vec::new();
+        for (index, (way_ms, back_ms)) in (0_u64..).zip(&delays_ms) {
+            let asked_ms = 500 + index * 45;
+            answers.push((asked_ms + way_ms + back_ms, asked_ms, names(asked_ms + way_ms)));
+        }
+        answers.sort_by_key(|(heard_ms, ..)| *heard_ms);
+        let mut limit = NamedLimit::default();
+        let mut is_settled = false;
+        let mut tightest_since_ms = 0;
+        for (heard_ms, asked_ms, figure) in answers {
+            let said = figure.map_or(Said::Nothing, Said::Limit);
+            limit.heard(said, true, asked_ms, heard_ms);
+            // All answers made before the last change have come 200 ms after it.
+            is_settled |= asked_ms >= last_ms + 200 && asked_ms >= tightest_since_ms;
+            if asked_ms < last_ms {
+                tightest_since_ms = heard_ms;
+            }
+            if is_settled {
+                prop_assert_eq!(limit.rate_per_s(heard_ms), last);
+            }
+        }
+    }
+}
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -29,6 +29,8 @@
     pub not_run: &'static str,
     /// A worker's load: running, waiting, slots.
     pub load: &'static str,
+    /// Requests a second that a worker in need takes from all callers together.
+    pub limit: &'static str,
     /// Model, with an adapter behind a slash.
     pub model: &'static str,
     /// Tokens of the prompt and of the longest answer.
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hyper::StatusCode;
 use slog::info;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -12,6 +13,8 @@
 use crate::adapter::OrderKind;
 use crate::adapter::WorkerOrder;
 use crate::adapter::WorkerReport;
+use crate::named_limits;
+use crate::named_limits::Purpose;
 use crate::node::Node;
 use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::ledger::OpenOrder;
@@ -19,6 +22,7 @@
 use cranereach_fleet::ledger::WorkerState;
 use cranereach_fleet::placement::Order;
 use cranereach_fleet::tenure::Tenure;
+use cranereach_http::client::Answer;
 use cranereach_http::client::CallError;
 use cranereach_http::client::JsonClient;
 
@@ -77,7 +81,7 @@
         let worker = Arc::clone(worker);
         tokio::spawn(async move {
             let state = match client {
-                Some(client) => report(&node, &client, &service).await,
+                Some(client) => report(&node, &client, &service, &worker).await,
                 None => None,
             };
             let counter = &node.metrics.orders_total;
@@ -168,7 +172,7 @@
     node: &Node,
     client: &JsonClient,
     tenure: &Tenure,
-    worker: &str,
+    worker: &Arc<str>,
     model: String,
     open: OpenOrder,
     sent_count: u32,
@@ -191,9 +195,14 @@
     };
     let format = &node.adapter.engine;
     let body = Bytes::from((format.encode_order)(&order));
+    let sent_ms = node.now_ms();
+    named_limits::note_sent(node, worker, Purpose::Order);
     let answer = client
         .post_bytes(format.order_path, body, ORDER_WITHIN_MS)
         .await;
+    if let Ok(answer) = &answer {
+        note_limit(node, worker, Purpose::Order, answer, sent_ms);
+    }
     let end = match answer {
         Ok(answer) => match (format.parse_order)(answer.status) {
             OrderAnswer::Taken => OrderEnd::Taken,
@@ -204,7 +213,7 @@
         Err(CallError::NotSent { .. }) => OrderEnd::NotSent,
         Err(CallError::Unanswered { .. } | CallError::Garbled { .. }) => OrderEnd::Unanswered,
     };
-    info!(node.log, "order"; "worker" => worker, "order" => format!("{:?}", open.order),
+    info!(node.log, "order"; "worker" => worker.as_ref(), "order" => format!("{:?}", open.order),
         "model" => order.model, "expected_sequence" => open.expected_sequence,
         "token" => token, "end" => format!("{end:?}"), "sent" => sent_count);
     let counter = &node.metrics.orders_total;
@@ -215,12 +224,20 @@
 }
 
 /// Asks for a report and reads it.
-async fn report(node: &Node, client: &JsonClient, service: &str) -> Option<WorkerState> {
+async fn report(
+    node: &Node,
+    client: &JsonClient,
+    service: &str,
+    worker: &Arc<str>,
+) -> Option<WorkerState> {
     let format = &node.adapter.engine;
+    let sent_ms = node.now_ms();
+    named_limits::note_sent(node, worker, Purpose::Report);
     let answer = client
         .get(format.report_path, REPORT_WITHIN_MS)
         .await
         .ok()?;
+    note_limit(node, worker, Purpose::Report, &answer, sent_ms);
     if answer.status != 200 {
         return None;
     }
@@ -229,6 +246,14 @@
     Some(state(service.engine.as_ref()?, &report))
 }
 
+/// Takes what the answer to an order or question says of the worker's limit.
+fn note_limit(node: &Node, worker: &Arc<str>, purpose: Purpose, answer: &Answer, sent_ms: u64) {
+    // A status that none is can't be read: the client took it from one.
+    let status = StatusCode::from_u16(answer.status).unwrap_or_default();
+    let head = (status, &answer.headers);
+    named_limits::note_answer(node, worker, purpose, head, sent_ms);
+}
+
 /// Returns the state that a report shows, adapters on their way included.
 fn state(engine: &Engine, report: &WorkerReport) -> WorkerState {
     let mut places = view::places(engine, &report.models);
--- a/crates/cranereach-gateway/src/forward/head.rs
+++ b/crates/cranereach-gateway/src/forward/head.rs
@@ -12,6 +12,8 @@
 
 use super::open::OpenCall;
 use super::request::Call;
+use crate::named_limits;
+use crate::named_limits::Purpose;
 use crate::node::Node;
 use cranereach_fleet::load::SaidLoad;
 use cranereach_http::pool::Connection;
@@ -59,12 +61,14 @@
     pub open: OpenCall,
 }
 
-/// Checks that the answer is to this call and that something ran.
+/// Checks that the answer is to this call, which was sent at a time in milliseconds, and
+/// that something ran.
 pub fn check_head(
     node: &Node,
     call: &Call,
     open: &mut OpenCall,
     answer: &Response<Incoming>,
+    sent_ms: u64,
 ) -> Result<(), Failure> {
     let names = &node.adapter.headers;
     let headers = answer.headers();
@@ -84,6 +88,8 @@
         open.failed();
         return Err(Failure::Unknown);
     }
+    let worker = open.worker();
+    named_limits::note_answer(node, worker, Purpose::Call, (status, headers), sent_ms);
     if let Some(worker) = node.roster().get_mut(open.worker()) {
         if let Some(said) = headers
             .get(names.load)
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -19,6 +19,8 @@
 use super::request::passed_headers;
 use super::taking_up::Begun;
 use crate::cold;
+use crate::named_limits;
+use crate::named_limits::Purpose;
 use crate::node::pause;
 use crate::quarantine;
 use cranereach_fleet::roster::Choice;
@@ -97,6 +99,8 @@
             .ok_or(Failure::NotSent)?;
         self.may_run_now = true;
         open.sent(self.call.body.len());
+        let sent_ms = node.now_ms();
+        named_limits::note_sent(node, &choice.id, Purpose::Call);
         let answer = match connection.send(request).await {
             Ok(answer) => answer,
             Err(SendError::Unsent(_)) => return Err(Failure::NotSent),
@@ -105,7 +109,7 @@
                 return Err(Failure::BrokenOff);
             }
         };
-        check_head(node, self.call, &mut open, &answer)?;
+        check_head(node, self.call, &mut open, &answer, sent_ms)?;
         Ok(Head {
             answer,
             connection,
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`forward`]. Beside that path [`configuration_sync`] and [`roster_sync`]
 //! follow the store, [`evacuations`] takes which failure domains are to be emptied,
 //! [`worker_ends`] finds out whether a worker that broke off has ended, [`quarantine`] which requests end
-//! theirs, [`proofs`] and [`limits`] ask peers what accounts may do, [`cold`] asks whether a cold
+//! theirs, [`named_limits`] hears which requests a second workers take, [`proofs`] and [`limits`] ask peers what accounts may do, [`cold`] asks whether a cold
 //! worker may be sent something, [`gossip`], [`list_news`], [`bodies`] and [`list_bodies`] tell peers what they can't see
 //! (all that they send is counted in [`traffic`]), and
 //! [`controller`] holds the leases and orders workers. Everything that a
@@ -28,6 +28,7 @@
 pub mod log;
 pub mod messages;
 pub mod metrics;
+pub mod named_limits;
 pub mod news;
 pub mod node;
 pub mod operators;
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     pub sends_total: IntCounterVec,
     /// Questions whether a cold worker may be sent a request, by outcome.
     pub cold_sends_total: IntCounterVec,
+    /// Requests sent to workers that name a limit, by what they are for.
+    pub limited_sends_total: IntCounterVec,
     /// Connections made to workers.
     pub connections_total: IntCounter,
     /// Bytes sent to peers, by kind and distance.
@@ -177,6 +179,11 @@
             evacuated_domains: gauge("evacuated_domains", "failure domains to be evacuated"),
             sends_total: counters("sends_total", "requests sent to workers", &["domain"]),
             cold_sends_total: counters("cold_sends_total", "sends to cold workers", &["outcome"]),
+            limited_sends_total: counters(
+                "limited_sends_total",
+                "requests sent to workers that name a limit",
+                &["purpose"],
+            ),
             connections_total: counter("connections_total", "connections made to workers"),
             prompts_held_total: counter("prompts_held_total", "prompts held back"),
             streams_paused_total: counter("streams_paused_total", "streams that paused"),
--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::header::AUTHORIZATION;
@@ -56,6 +57,8 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -181,12 +184,15 @@
                 Err(SendError::Unsent(_)) => return Err(not_sent()),
                 Err(SendError::Broken(_)) => return Err(unanswered()),
             };
-            let status = head.status().as_u16();
-            let collected =
-                body::collect(head.into_body(), ANSWER_MAX_BYTES, u64::from(u32::MAX)).await;
+            let (head, incoming) = head.into_parts();
+            let collected = body::collect(incoming, ANSWER_MAX_BYTES, u64::from(u32::MAX)).await;
             let body = collected.map_err(|_broken| unanswered())?;
             connection.keep();
-            return Ok(Answer { status, body });
+            return Ok(Answer {
+                status: head.status.as_u16(),
+                headers: head.headers,
+                body,
+            });
         }
     }
 
