The soak judges workers that name a limit, over all gateways from what the worker saw

Sizes of words and grants have a test. Planted: too much for such a worker is found, what is allowed or excused passes.

--- /dev/null
+++ b/crates/cranereach-gateway/tests/limit_words.rs
@@ -0,0 +1,67 @@
+//! What instances tell each other of workers that name a limit, in bytes.
+
+use cranereach_fleet::named_limit::LimitWord;
+use cranereach_gateway::messages::GrantAsk;
+use cranereach_gateway::messages::Message;
+use cranereach_gateway::messages::OwnerAsk;
+use cranereach_gateway::messages::OwnerEvent;
+use cranereach_gateway::messages::OwnerMessage;
+use cranereach_gateway::messages::SendGrant;
+use cranereach_gateway::messages::encode;
+
+/// Largest word on a limit, in bytes.
+const WORD_MAX_BYTES: usize = 32;
+
+/// Largest question for a grant, and largest answer, in bytes.
+const GRANT_MAX_BYTES: usize = 64;
+
+/// A word as large as words get.
+const WORD: LimitWord = LimitWord {
+    start: u64::MAX,
+    rate_per_s: Some(1.2),
+    asked_age_ms: u32::MAX,
+    heard_age_ms: u32::MAX,
+};
+
+fn question_bytes(limit: Option<LimitWord>) -> usize {
+    let ask = OwnerAsk {
+        limit,
+        ..OwnerAsk::default()
+    };
+    let message = OwnerMessage {
+        worker: u64::MAX,
+        ticket: u64::MAX,
+        event: OwnerEvent::Ask(ask),
+    };
+    encode(Message::Owner(message)).len()
+}
+
+#[test]
+fn a_worker_that_names_none_costs_nothing_to_speak_of() {
+    let unspoken = question_bytes(None);
+    let spoken = question_bytes(Some(WORD));
+    println!("a word takes {} bytes", spoken - unspoken);
+    assert!(spoken - unspoken <= WORD_MAX_BYTES);
+}
+
+#[test]
+fn a_grant_is_two_small_messages() {
+    let ask = GrantAsk {
+        ticket: u64::MAX,
+        worker: u64::MAX,
+        rank: 2,
+        is_cold: true,
+        limit: Some(WORD),
+    };
+    let grant = SendGrant {
+        ticket: u64::MAX,
+        worker: u64::MAX,
+        wait_ms: Some(u32::MAX),
+        limit: Some(WORD),
+    };
+    let ask_bytes = encode(Message::MaySend(ask)).len();
+    let grant_bytes = encode(Message::SendGranted(grant)).len();
+    println!("asked with {ask_bytes} bytes, answered with {grant_bytes}");
+    assert!(ask_bytes <= GRANT_MAX_BYTES);
+    assert!(grant_bytes <= GRANT_MAX_BYTES);
+}
--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -170,6 +170,16 @@
         }
     }
 
+    /// Lets the worker at a place name a limit, or none any more; returns it, if there is
+    /// one.
+    pub fn name_limit(&self, number: usize, rate_per_s: Option<f64>) -> Option<Worker> {
+        let now = lock(&self.places[number].now);
+        let worker = &now.as_ref()?.worker;
+        let rate = rate_per_s.map(|rate| rate.to_string());
+        worker.name_limit(rate.as_deref());
+        Some(worker.clone())
+    }
+
     /// Returns the places of a service.
     pub fn places_of(&self, service: usize) -> Vec<usize> {
         let places = self.places.iter();
--- a/crates/cranereach-soak/src/check/mod.rs
+++ b/crates/cranereach-soak/src/check/mod.rs
@@ -4,6 +4,7 @@
 pub mod cold;
 pub mod contact;
 pub mod ending;
+pub mod limited;
 pub mod once;
 pub mod order;
 pub mod own;
@@ -60,7 +61,7 @@
 }
 
 /// All promises, in the order of the report.
-pub const PROMISES: [Promise; 16] = [
+pub const PROMISES: [Promise; 17] = [
     promise("whole-answers", Judged::Always, whole::check),
     promise("streams-in-order", Judged::Always, order::check),
     promise("at-most-once", Judged::Always, once::at_most_once),
@@ -77,4 +78,5 @@
     promise("evacuations", Judged::Timed, bounded::evacuated),
     promise("cold-workers", Judged::Timed, cold::check),
     promise("ending-requests", Judged::Timed, ending::check),
+    promise("limited-workers", Judged::Timed, limited::check),
 ];
--- a/crates/cranereach-soak/src/lib.rs
+++ b/crates/cranereach-soak/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`schedule`] makes the faults from a seed. [`gateways`] starts, signals and ends the
 //! processes, [`back_ends`] plays the platform's store and workers, [`callers`] asks,
-//! [`ending`] comes back with a request that ends its workers.
+//! [`ending`] comes back with a request that ends its workers, [`limited`] lets workers name limits.
 //! [`run`] lets them meet, [`faults`] strikes them. All write down what they saw ([`journal`], [`record`]), and each module
 //! of [`check`] judges one promise by these records alone.
 
@@ -13,6 +13,7 @@
 pub mod faults;
 pub mod gateways;
 pub mod journal;
+pub mod limited;
 pub mod record;
 pub mod report;
 pub mod run;
--- a/crates/cranereach-soak/src/record.rs
+++ b/crates/cranereach-soak/src/record.rs
@@ -125,7 +125,7 @@
 }
 
 /// What the operator, workers or signals asked for, and when that was acknowledged.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub enum Event {
     /// A gateway got SIGTERM.
     StopAsked {
@@ -148,6 +148,19 @@
         /// When.
         at_ms: u64,
     },
+    /// A worker named a limit for a while.
+    Limited {
+        /// Its identity.
+        worker_id: String,
+        /// Its place.
+        place: usize,
+        /// Requests a second.
+        rate_per_s: f64,
+        /// When it began to.
+        from_ms: u64,
+        /// When it ended.
+        to_ms: u64,
+    },
     /// A key was taken away.
     Revoked {
         /// Which.
--- a/crates/cranereach-soak/src/run.rs
+++ b/crates/cranereach-soak/src/run.rs
@@ -23,6 +23,7 @@
 use crate::gateways::Gateway;
 use crate::gateways::GatewayError;
 use crate::journal::Journal;
+use crate::limited;
 use crate::record::Event;
 use crate::record::Records;
 use crate::schedule;
@@ -137,6 +138,7 @@
         Arc::clone(journal),
     );
     callers.spawn(ending);
+    callers.spawn(limited::run(plan.seed, plan.run_ms, Arc::clone(&parts)));
     strike_all(&parts, plan.steps()).await;
     finish(callers).await;
     around.shutdown().await;
--- a/crates/cranereach-soak/tests/soak/bounded.rs
+++ b/crates/cranereach-soak/tests/soak/bounded.rs
@@ -7,6 +7,7 @@
 use cranereach_soak::check::bounded;
 use cranereach_soak::check::cold;
 use cranereach_soak::check::contact::CONTACT_MS;
+use cranereach_soak::check::limited;
 use cranereach_soak::check::stop;
 use cranereach_soak::record::End;
 use cranereach_soak::record::Event;
@@ -161,6 +162,38 @@
     passes(cold::check, |records| crowd(records, 30, 0));
 }
 
+#[test]
+fn too_much_for_a_worker_that_names_a_limit_is_found() {
+    let crowd = |records: &mut Records, step_ms: u64, rate_per_s: f64| {
+        records.events.push(Event::Limited {
+            worker_id: "w-0".to_owned(),
+            place: 0,
+            rate_per_s,
+            from_ms: FIRST_MS,
+            to_ms: FIRST_MS + 20_000,
+        });
+        for number in 0..100 {
+            let sent_ms = FIRST_MS + 1_000 + step_ms * number;
+            add(
+                records,
+                served(&format!("crowd-{number}"), Kind::Again, sent_ms),
+            );
+        }
+    };
+    finds(limited::check, |records| crowd(records, 100, 1.2));
+    passes(limited::check, |records| crowd(records, 100, 10.0));
+    passes(limited::check, |records| crowd(records, 900, 1.2));
+    passes(limited::check, |records| {
+        crowd(records, 100, 1.2);
+        records.troubles.push(Trouble {
+            whom: Whom::Gateway(0),
+            is_planned: false,
+            from_ms: 0,
+            to_ms: FIRST_MS + 60_000,
+        });
+    });
+}
+
 #[test]
 fn a_request_cut_by_a_planned_stop_is_found() {
     let cut = |records: &mut Records| {
