A refused grant holds back only requests of its rank and less urgent ones; postmortem

What callers saw: nothing yet, found while the distribution over ranks was measured. A refusal to one request set a pause for the worker at that instance, whatever the next one's rank, so that urgent requests waited for what had been refused to others. Pauses are kept by rank now.

--- a/crates/cranereach-fleet/src/roster/leave.rs
+++ b/crates/cranereach-fleet/src/roster/leave.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::Roster;
+use crate::load::RANK_COUNT;
 use crate::wanted::Wanted;
 use crate::worker::Worker;
 
@@ -41,11 +42,13 @@
         worker.is_none_or(|worker| self.evacuations.may_send(now_ms, worker.domain_key))
     }
 
-    /// Whether a worker may be sent an order, be it after asking its owner.
+    /// Whether a worker may be sent an order, the least urgent there is, be it after asking
+    /// its owner.
     pub fn may_order(&self, now_ms: u64, id: &str) -> bool {
         let worker = self.workers.get(id);
         worker.is_none_or(|worker| {
-            worker.limit.rate_per_s(now_ms).is_none() || worker.ask_pause.may_ask(now_ms)
+            worker.limit.rate_per_s(now_ms).is_none()
+                || worker.ask_pause.may_ask(now_ms, RANK_COUNT - 1)
         })
     }
 
@@ -63,7 +66,8 @@
     /// no such one.
     pub fn granted_from_ms(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<(u64, u64)> {
         let gets_none = |worker: &&Worker| {
-            worker.has(now_ms, wanted.model).is_ok() && !worker.ask_pause.may_ask(now_ms)
+            let may_ask = worker.ask_pause.may_ask(now_ms, wanted.rank);
+            worker.has(now_ms, wanted.model).is_ok() && !may_ask
         };
         let all: Vec<&Worker> = match wanted.model {
             Some((model, _adapter)) => {
@@ -73,7 +77,7 @@
             None => self.of_service(wanted.service).filter(gets_none).collect(),
         };
         let times = all.into_iter().map(|worker| {
-            let ask_at_ms = worker.ask_pause.ask_at_ms();
+            let ask_at_ms = worker.ask_pause.ask_at_ms(wanted.rank);
             let is_limited = worker.limit.rate_per_s(now_ms).is_some();
             // Nothing says when a limit ends: its next grants count.
             let free_at_ms = if is_limited {
--- a/crates/cranereach-fleet/src/send_grants.rs
+++ b/crates/cranereach-fleet/src/send_grants.rs
@@ -15,6 +15,7 @@
 use std::net::Ipv4Addr;
 
 pub use self::rule::SendRule;
+use crate::load::RANK_COUNT;
 use crate::membership::Membership;
 
 /// Time after its question in which a grant must be used, in milliseconds: an owner's
@@ -277,30 +278,44 @@
     }
 }
 
-/// Until when this instance doesn't ask for a worker's grants.
+/// Until when this instance doesn't ask for a worker's grants, by rank: what is refused to
+/// one may be kept for a more urgent one.
+///
+/// ```
+/// use cranereach_fleet::send_grants::AskPause;
+///
+/// let mut pause = AskPause::default();
+/// pause.refused_until(1, 5_000);
+/// assert!(pause.may_ask(4_000, 0));
+/// assert!(!pause.may_ask(4_000, 1));
+/// assert!(!pause.may_ask(4_000, 2));
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AskPause {
-    until_ms: u64,
+    until_ms: [u64; RANK_COUNT],
 }
 
 impl AskPause {
-    /// Notes that the worker's owner grants nothing, or doesn't answer, until a time.
-    pub fn refused_until(&mut self, at_ms: u64) {
-        self.until_ms = at_ms;
+    /// Notes that the worker's owner grants nothing, or doesn't answer, until a time for a
+    /// rank, and for those less urgent.
+    pub fn refused_until(&mut self, rank: usize, at_ms: u64) {
+        for until_ms in &mut self.until_ms[rank.min(RANK_COUNT - 1)..] {
+            *until_ms = at_ms;
+        }
     }
 
     /// Whether its owner was ever asked in vain.
     pub fn was_refused(&self) -> bool {
-        self.until_ms > 0
+        self.until_ms.iter().any(|until_ms| *until_ms > 0)
     }
 
-    /// Whether it is worth asking its owner.
-    pub fn may_ask(&self, now_ms: u64) -> bool {
-        now_ms >= self.until_ms
+    /// Whether it is worth asking its owner for a rank.
+    pub fn may_ask(&self, now_ms: u64, rank: usize) -> bool {
+        now_ms >= self.ask_at_ms(rank)
     }
 
-    /// Returns from when it is worth asking its owner, in milliseconds.
-    pub fn ask_at_ms(&self) -> u64 {
-        self.until_ms
+    /// Returns from when it is worth asking its owner for a rank, in milliseconds.
+    pub fn ask_at_ms(&self, rank: usize) -> u64 {
+        self.until_ms[rank.min(RANK_COUNT - 1)]
     }
 }
--- a/crates/cranereach-fleet/src/worker/limit.rs
+++ b/crates/cranereach-fleet/src/worker/limit.rs
@@ -13,7 +13,7 @@
     pub(crate) fn may_ask(&self, now_ms: u64, wanted: &Wanted<'_>) -> bool {
         let was_refused_cold = self.coldness.is_cold(now_ms) && self.ask_pause.was_refused();
         let needs_grant = was_refused_cold || self.limit.rate_per_s(now_ms).is_some();
-        self.ask_pause.may_ask(now_ms) && !(needs_grant && wanted.needs_no_grant)
+        self.ask_pause.may_ask(now_ms, wanted.rank) && !(needs_grant && wanted.needs_no_grant)
     }
 
     /// Returns what others are told of its limit, if one was named lately.
--- a/crates/cranereach-fleet/tests/sends/fleet.rs
+++ b/crates/cranereach-fleet/tests/sends/fleet.rs
@@ -12,10 +12,12 @@
 use rand::rngs::StdRng;
 
 use self::parcels::Parcel;
+use cranereach_fleet::load::RANK_COUNT;
 use cranereach_fleet::membership::Membership;
 use cranereach_fleet::named_limit::LimitWord;
 use cranereach_fleet::named_limit::NamedLimit;
 use cranereach_fleet::named_limit::Said;
+use cranereach_fleet::send_grants::AskPause;
 use cranereach_fleet::send_grants::Ownership;
 use cranereach_fleet::send_grants::SendAnswer;
 use cranereach_fleet::send_grants::SendGrants;
@@ -85,9 +87,9 @@
     limit: NamedLimit,
     /// When the worker first named its limit to it, in milliseconds.
     told_ms: Option<u64>,
-    /// Questions that wait, and when they were asked, in milliseconds.
-    open: BTreeMap<u64, u64>,
-    refused_until_ms: u64,
+    /// Questions that wait: for which rank, and when they were asked, in milliseconds.
+    open: BTreeMap<u64, (u8, u64)>,
+    pause: AskPause,
     started_ms: u64,
     down_until_ms: u64,
     frozen_until_ms: u64,
@@ -117,6 +119,8 @@
     pub arrivals: Vec<Arrival>,
     /// Questions to owners.
     pub asked_count: usize,
+    /// Grants by rank.
+    pub granted_counts: [usize; RANK_COUNT],
     rng: StdRng,
 }
 
@@ -145,6 +149,7 @@
             mutant: Mutant::None,
             arrivals: Vec::new(),
             asked_count: 0,
+            granted_counts: [0; RANK_COUNT],
             rng: StdRng::seed_from_u64(seed),
         };
         world.instances = (0..count).map(|number| world.fresh(number)).collect();
@@ -169,7 +174,7 @@
             limit: NamedLimit::default(),
             told_ms: None,
             open: BTreeMap::new(),
-            refused_until_ms: 0,
+            pause: AskPause::default(),
             started_ms: self.now_ms,
             down_until_ms: 0,
             frozen_until_ms: 0,
@@ -255,9 +260,8 @@
             .unwrap_or(owner)
     }
 
-    fn grant(&mut self, number: usize) -> SendAnswer {
+    fn grant(&mut self, number: usize, rank: u8) -> SendAnswer {
         let now_ms = self.now_ms;
-        let rank = self.rng.random_range(0..3);
         let mutant = self.mutant;
         let of = &mut self.instances[number];
         let rules = match self.regime {
@@ -276,11 +280,15 @@
         of.grants.ask(now_ms, WORKER, &rules, rank, ownership)
     }
 
-    fn answered(&mut self, number: usize, answer: SendAnswer) {
+    fn answered(&mut self, number: usize, rank: u8, answer: SendAnswer) {
         match answer {
-            SendAnswer::Send => self.leave(number),
+            SendAnswer::Send => {
+                self.granted_counts[usize::from(rank)] += 1;
+                self.leave(number);
+            }
             SendAnswer::After(wait_ms) => {
-                self.instances[number].refused_until_ms = self.now_ms + wait_ms;
+                let pause = &mut self.instances[number].pause;
+                pause.refused_until(usize::from(rank), self.now_ms + wait_ms);
             }
         }
     }
@@ -318,25 +326,28 @@
             self.leave(number);
             return;
         }
+        let rank = self.rng.random_range(0..RANK_COUNT as u8);
         let of = &self.instances[number];
-        if self.now_ms < of.refused_until_ms {
+        if !of.pause.may_ask(self.now_ms, usize::from(rank)) {
             return;
         }
         let other = other_owner(&of.members, self.now_ms, WORKER);
         let other = other.filter(|_| self.mutant != Mutant::OwnBuckets);
         let Some(owner) = other else {
-            let answer = self.grant(number);
-            self.answered(number, answer);
+            let answer = self.grant(number, rank);
+            self.answered(number, rank, answer);
             return;
         };
         let ticket = self.rng.random();
-        self.instances[number].open.insert(ticket, self.now_ms);
+        let asked = (rank, self.now_ms);
+        self.instances[number].open.insert(ticket, asked);
         if self.is_heard(number) {
             self.asked_count += 1;
             let to = self.number_of[&owner];
             let ask = Parcel::Ask {
                 from: number,
                 ticket,
+                rank,
                 limit: self.word(number),
             };
             self.send(to, ask);
--- a/crates/cranereach-fleet/tests/sends/fleet/parcels.rs
+++ b/crates/cranereach-fleet/tests/sends/fleet/parcels.rs
@@ -6,6 +6,7 @@
 use super::World;
 use cranereach_fleet::named_limit::LimitWord;
 use cranereach_fleet::named_limit::Said;
+use cranereach_fleet::send_grants::AskPause;
 use cranereach_fleet::send_grants::SendAnswer;
 use cranereach_fleet::send_grants::USE_WITHIN_MS;
 
@@ -15,6 +16,7 @@
     Ask {
         from: usize,
         ticket: u64,
+        rank: u8,
         limit: Option<LimitWord>,
     },
     Answer {
@@ -69,7 +71,7 @@
         let now_ms = self.now_ms;
         let of = &mut self.instances[number];
         of.open
-            .retain(|_, asked_ms| now_ms <= *asked_ms + USE_WITHIN_MS);
+            .retain(|_, (_, asked_ms)| now_ms <= *asked_ms + USE_WITHIN_MS);
     }
 
     fn take(&mut self, number: usize, parcel: Parcel) {
@@ -77,10 +79,11 @@
             Parcel::Ask {
                 from,
                 ticket,
+                rank,
                 limit,
             } => {
                 self.told(number, limit);
-                let answer = self.grant(number);
+                let answer = self.grant(number, rank);
                 if self.is_heard(number) {
                     let limit = self.word(number);
                     let answer = Parcel::Answer {
@@ -99,12 +102,12 @@
                 self.told(number, limit);
                 let now_ms = self.now_ms;
                 let of = &mut self.instances[number];
-                let Some(asked_ms) = of.open.remove(&ticket) else {
+                let Some((rank, asked_ms)) = of.open.remove(&ticket) else {
                     return;
                 };
                 // One that comes late, as after a freeze, isn't used.
                 if now_ms <= asked_ms + USE_WITHIN_MS {
-                    self.answered(number, answer);
+                    self.answered(number, rank, answer);
                 }
             }
             Parcel::Answered {
@@ -125,7 +128,7 @@
         if let Some(word) = word
             && of.limit.told(self.now_ms, &word)
         {
-            of.refused_until_ms = 0;
+            of.pause = AskPause::default();
         }
     }
 
@@ -141,7 +144,7 @@
         }
         let has_changed = of.limit.heard(said, true, sent_ms, now_ms);
         if has_changed {
-            of.refused_until_ms = 0;
+            of.pause = AskPause::default();
             let teller = self.teller();
             if let (Some(word), true) = (self.word(number), self.is_heard(number)) {
                 self.send(teller, Parcel::Told(word));
--- a/crates/cranereach-fleet/tests/sends/limited.rs
+++ b/crates/cranereach-fleet/tests/sends/limited.rs
@@ -149,6 +149,19 @@
     }
 }
 
+#[test]
+fn the_more_urgent_get_more_of_it() {
+    for (count, rate_per_s) in [(3, 1.2), (9, 1.2), (9, 10.0), (100, 10.0)] {
+        let world = World::with(one_rate(rate_per_s), count, (3, 0.02), 8);
+        let world = play(world, rate_per_s * 9.0, 60_000);
+        let counts = world.granted_counts;
+        println!("{count} instances, {rate_per_s}/s: {counts:?} by rank");
+        let all: usize = counts.iter().sum();
+        assert!(counts[0] * 2 > all, "{counts:?}");
+        assert!(counts[2] > 0, "{counts:?}");
+    }
+}
+
 #[test]
 fn a_steady_loss_of_members_does_not_starve_it() {
     let mut world = World::with(one_rate(1.2), 100, (3, 0.02), 5);
--- a/crates/cranereach-gateway/src/send_grants.rs
+++ b/crates/cranereach-gateway/src/send_grants.rs
@@ -63,7 +63,9 @@
     if wait_ms > 0
         && let Some(worker) = node.roster().get_mut(worker)
     {
-        worker.ask_pause.refused_until(now_ms + wait_ms);
+        worker
+            .ask_pause
+            .refused_until(usize::from(rank), now_ms + wait_ms);
     }
     wait_ms == 0
 }
