--- a/crates/cranereach-fleet/tests/sends/fleet.rs
+++ b/crates/cranereach-fleet/tests/sends/fleet.rs
@@ -1,5 +1,6 @@
 //! A simulated fleet that sends to one worker, which is cold or names a limit.
 
+mod arrivals;
 pub mod event;
 mod parcels;
 
@@ -11,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use self::arrivals::Arrival;
 use self::parcels::Parcel;
 use cranereach_fleet::load::RANK_COUNT;
 use cranereach_fleet::membership::Membership;
@@ -97,15 +99,6 @@
     waiting: Vec<Parcel>,
 }
 
-/// A request that arrived at the worker.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrival {
-    pub at_ms: u64,
-    /// Whether its sender had had an answer that names a limit for half a second, and no
-    /// trouble of its own for some.
-    pub is_judged: bool,
-}
-
 /// A fleet that sends to one worker.
 pub struct World {
     instances: Vec<Instance>,
@@ -383,23 +376,4 @@
             self.number_of[&of.members.owner(self.now_ms, WORKER)]
         })
     }
-
-    /// Returns the times of arrivals in their order, of the judged ones alone if asked for.
-    pub fn arrived_ms(&self, are_judged: bool) -> Vec<u64> {
-        let counted = self.arrivals.iter();
-        let counted = counted.filter(|arrival| arrival.is_judged || !are_judged);
-        let mut arrived_ms: Vec<u64> = counted.map(|arrival| arrival.at_ms).collect();
-        arrived_ms.sort_unstable();
-        arrived_ms
-    }
-
-    /// Returns the most that arrived in any one window.
-    pub fn most_count(&self, window_ms: u64) -> usize {
-        let arrived_ms = self.arrived_ms(false);
-        let counts = arrived_ms.iter().enumerate().map(|(index, first_ms)| {
-            let rest = &arrived_ms[index..];
-            rest.partition_point(|at_ms| *at_ms < first_ms + window_ms)
-        });
-        counts.max().unwrap_or(0)
-    }
 }
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -35,7 +35,7 @@
 const REPORT_WITHIN_MS: u64 = 600;
 
 /// Rank of orders and questions where a worker gets only so many requests: callers' ones
-/// go first, but for half of what it takes.
+/// go first.
 const LEAST_URGENT_RANK: u8 = (RANK_COUNT - 1) as u8;
 
 /// How an order or a question ended.
@@ -260,7 +260,7 @@
 
 /// Takes what the answer to an order or question says of the worker's limit.
 fn note_limit(node: &Node, worker: &Arc<str>, purpose: Purpose, answer: &Answer, sent_ms: u64) {
-    // A status that none is can't be read: the client took it from one.
+    // The client made the number from a status, so that it is one.
     let status = StatusCode::from_u16(answer.status).unwrap_or_default();
     let head = (status, &answer.headers);
     named_limits::note_answer(node, worker, purpose, head, sent_ms);
--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -1,5 +1,7 @@
 //! The platform's store and workers of a run, with relays before them.
 
+mod arrivals;
+
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,7 +20,6 @@
 use crate::ending::ENDING;
 use crate::gateways;
 use crate::journal::Journal;
-use crate::record::Arrival;
 use crate::record::Event;
 use crate::record::Whom;
 use crate::schedule::DOMAINS;
@@ -26,7 +27,6 @@
 use crate::schedule::SERVICES;
 use crate::schedule::Size;
 use crate::schedule::account_of;
-use cranereach_platform::requests::HEADERS;
 use cranereach_platform::standin::declared;
 use cranereach_platform::standin::declared::COLD_FOR_MS;
 use cranereach_platform::standin::declared::DeclaredAccount;
@@ -324,32 +324,6 @@
         let written = declared::configuration(declared.version, declared.moved_to, &accounts);
         self.store.put("op", "config", &written);
     }
-
-    /// Returns all requests that arrived at any worker.
-    pub fn arrivals(&self, journal: &Journal) -> Vec<Arrival> {
-        let mut arrivals = Vec::new();
-        for place in &self.places {
-            for worker in lock(&place.all).iter() {
-                let seen = worker.seen().into_iter().map(|seen| Arrival {
-                    id: seen
-                        .headers
-                        .get(HEADERS.request_id)
-                        .cloned()
-                        .unwrap_or_default(),
-                    worker: place.number,
-                    worker_id: worker.id.clone(),
-                    service: place.service.to_owned(),
-                    domain: place.number % DOMAINS.len(),
-                    account: seen.headers.get(HEADERS.account).cloned(),
-                    at_ms: journal.ms_of(seen.at),
-                    is_run: seen.is_run,
-                });
-                arrivals.extend(seen);
-            }
-        }
-        arrivals.sort_by_key(|arrival| arrival.at_ms);
-        arrivals
-    }
 }
 
 impl Occupant {
