Sight: headers by which workers seem to speak of themselves, and that nobody reads, are counted and logged

Where a worker's answers said that it leaves, or asked for rest, no line and no metric showed it, so that "nobody hears it" and "it is heard and lost" looked the same.

--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -45,6 +45,10 @@
     pub last_event: &'static str,
     /// Client account of the request, as the worker is told it.
     pub account: &'static str,
+    /// Beginnings of headers by which workers speak of themselves.
+    pub worker_prefixes: &'static [&'static str],
+    /// Headers with such a beginning whose meaning is known.
+    pub worker_known: &'static [&'static str],
     /// Headers that only this system may set; callers' ones are dropped.
     pub reserved: &'static [&'static str],
 }
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -17,6 +17,7 @@
 use crate::named_limits::Purpose;
 use crate::node::Node;
 use crate::send_grants;
+use crate::unknown_words;
 use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::ledger::OpenOrder;
 use cranereach_fleet::ledger::OrderEnd;
@@ -263,6 +264,7 @@
     // The client made the number from a status, so that it is one.
     let status = StatusCode::from_u16(answer.status).unwrap_or_default();
     let head = (status, &answer.headers);
+    unknown_words::note(node, worker, &answer.headers);
     named_limits::note_answer(node, worker, purpose, head, sent_ms);
 }
 
--- a/crates/cranereach-gateway/src/forward/head.rs
+++ b/crates/cranereach-gateway/src/forward/head.rs
@@ -15,6 +15,7 @@
 use crate::named_limits;
 use crate::named_limits::Purpose;
 use crate::node::Node;
+use crate::unknown_words;
 use cranereach_fleet::load::SaidLoad;
 use cranereach_http::pool::Connection;
 
@@ -73,6 +74,7 @@
     let names = &node.adapter.headers;
     let headers = answer.headers();
     let now_ms = node.now_ms();
+    unknown_words::note(node, open.worker(), headers);
     let is_ours = headers
         .get(names.request_id)
         .is_none_or(|id| id.as_bytes() == call.id.as_bytes());
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! follow the store, [`evacuations`] takes which failure domains are to be emptied,
 //! [`worker_ends`] finds out whether a worker that broke off has ended, [`quarantine`] which requests end
 //! theirs, [`proofs`] and [`limits`] ask peers what accounts may do. [`cold`] notes which
-//! workers have just started, [`named_limits`] how many requests others take, [`send_grants`] asks
+//! workers have just started, [`named_limits`] how many requests others take, [`unknown_words`] counts what else they say,
+//! [`send_grants`] asks
 //! whether one of them may be sent something; [`gossip`], [`list_news`], [`bodies`] and [`list_bodies`] tell peers what they can't see
 //! (all that they send is counted in [`traffic`]), and
 //! [`controller`] holds the leases and orders workers. Everything that a
@@ -47,4 +48,5 @@
 pub mod store_failures;
 pub mod store_pace;
 pub mod traffic;
+pub mod unknown_words;
 pub mod worker_ends;
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub limited_workers: IntGauge,
     /// Requests sent to workers that name a limit, by what they are for.
     pub limited_sends_total: IntCounterVec,
+    /// Headers by which workers seem to speak of themselves and that aren't read, by name.
+    pub unknown_words_total: IntCounterVec,
     /// Connections made to workers.
     pub connections_total: IntCounter,
     /// Bytes sent to peers, by kind and distance.
@@ -156,6 +158,11 @@
                 "grants asked for",
                 &["reason", "outcome"],
             ),
+            unknown_words_total: counters(
+                "unknown_words_total",
+                "headers of workers that aren't read",
+                &["header"],
+            ),
             limited_sends_total: counters(
                 "limited_sends_total",
                 "sends within limits",
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -36,6 +36,7 @@
 use crate::recipients::Origin;
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::unknown_words::UnknownWords;
 use crate::worker_ends::Tries;
 use cranereach_fleet::configuration::Configuration;
 use cranereach_fleet::demand::Demand;
@@ -90,6 +91,8 @@
     pub fingerprint_key: FingerprintKey,
     /// Tries of workers whose connections broke.
     pub tries: Tries,
+    /// What workers say of themselves that isn't read.
+    pub unknown_words: UnknownWords,
     /// Requests under which workers ended.
     pub quarantine: Mutex<Quarantine>,
     /// Whether those kept in the store are known here.
@@ -214,6 +217,7 @@
             store: Store::new(&settings.platform.store, adapter),
             fingerprint_key: FingerprintKey::new(&settings.peers.fingerprint_secret),
             tries: Tries::default(),
+            unknown_words: UnknownWords::default(),
             quarantine: Mutex::default(),
             lasting: Lasting::default(),
             boot,
