--- /dev/null
+++ b/crates/cranereach-fleet/src/departure.rs
@@ -0,0 +1,120 @@
+//! The word of a worker, in its answers, that it leaves.
+//!
+//! It is kept beside the worker's row and not in it: a row may have been written before the
+//! worker left, may come late, end, and come back. The word holds for the start of the worker
+//! that said so, and ends only with that start.
+
+use std::collections::HashMap;
+
+/// Starts of workers that aren't listed, of which it is remembered that they leave, at most.
+/// One that is listed again after so many others have left is heard from once more.
+const UNLISTED_MAX_COUNT: usize = 2_048;
+
+/// Value by which a worker says that it leaves.
+const LEAVES: &[u8] = b"1";
+
+/// Value by which it says that it doesn't.
+const STAYS: &[u8] = b"0";
+
+/// What one answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// Nothing of the kind, or that the worker stays.
+    Nothing,
+    /// The worker leaves.
+    Leaves,
+    /// What it says can't be read, and says nothing.
+    Unreadable,
+}
+
+/// Reads the values that an answer names: one that says so is enough.
+///
+/// ```
+/// use cranereach_fleet::departure::Said;
+/// use cranereach_fleet::departure::read;
+///
+/// assert_eq!(read([].into_iter()), Said::Nothing);
+/// assert_eq!(read([&b"1"[..]].into_iter()), Said::Leaves);
+/// assert_eq!(read([&b"0"[..]].into_iter()), Said::Nothing);
+/// assert_eq!(read([&b"true"[..]].into_iter()), Said::Unreadable);
+/// ```
+pub fn read<'a>(values: impl Iterator<Item = &'a [u8]>) -> Said {
+    let mut said = Said::Nothing;
+    for value in values {
+        match value.trim_ascii() {
+            LEAVES => return Said::Leaves,
+            STAYS => {}
+            _ => said = Said::Unreadable,
+        }
+    }
+    said
+}
+
+/// Who said that a worker leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// The worker, in an answer to this instance.
+    Worker,
+    /// Another instance.
+    Peer,
+}
+
+impl Teller {
+    /// Returns the name that logs and operators see.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Worker => "worker",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// That a worker leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Since when it is known here, in milliseconds.
+    pub since_ms: u64,
+    /// By whose word.
+    pub teller: Teller,
+}
+
+/// Starts of workers that leave and aren't listed, or not yet, by their keys.
+#[derive(Clone, Debug, Default)]
+pub struct Unlisted {
+    by_start: HashMap<u64, Departure>,
+}
+
+impl Unlisted {
+    /// Remembers that a start leaves; false if it is known.
+    pub(crate) fn keep(&mut self, start: u64, departure: Departure) -> bool {
+        if self.by_start.contains_key(&start) {
+            return false;
+        }
+        self.by_start.insert(start, departure);
+        if self.by_start.len() > UNLISTED_MAX_COUNT {
+            self.forget_older();
+        }
+        true
+    }
+
+    /// Takes out what is known of a start; its key is made only where some are known.
+    pub(crate) fn take(&mut self, start: impl FnOnce() -> u64) -> Option<Departure> {
+        if self.by_start.is_empty() {
+            return None;
+        }
+        self.by_start.remove(&start())
+    }
+
+    /// Counts them.
+    pub fn count(&self) -> usize {
+        self.by_start.len()
+    }
+
+    /// Forgets the older half.
+    fn forget_older(&mut self) {
+        let mut times: Vec<u64> = self.by_start.values().map(|of| of.since_ms).collect();
+        let middle = times.len() / 2;
+        let (_, &mut limit_ms, _) = times.select_nth_unstable(middle);
+        self.by_start.retain(|_, of| of.since_ms > limit_ms);
+    }
+}
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -14,8 +14,8 @@
 //! [`retry_window`] bounds repeats, [`fingerprint`] tells equal
 //! requests, [`quarantine`] which of them end their workers. [`topology`] says how far instances and workers
 //! stand, [`regions`] where requests may be served, [`evacuation`] which failure domains
-//! are to get none, [`cold`] which workers have just started, [`named_limit`] which say how
-//! many they take, [`send_grants`] who may send one of these a request. [`tenure`] says whether this
+//! are to get none, [`cold`] which workers have just started, [`departure`] which say that
+//! they leave, [`named_limit`] how many they take, for each [`purpose`], [`send_grants`] who may send one of these a request. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
 //! are open.
 //!
@@ -30,6 +30,7 @@
 pub mod cold;
 pub mod configuration;
 pub mod demand;
+pub mod departure;
 pub mod evacuation;
 pub mod fingerprint;
 pub mod first_read;
@@ -50,6 +51,7 @@
 pub mod prefixes;
 pub mod pressure;
 pub mod proof;
+pub mod purpose;
 pub mod quarantine;
 pub mod reading_plan;
 pub mod regions;
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -4,23 +4,27 @@
 //! that the table gave it, whoever passes it on.
 
 mod candidates;
+mod departures;
 mod holders;
 mod leave;
+mod weighing;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 
 use rand::Rng;
-use rand::RngExt;
 
+pub use self::departures::Barred;
 use self::holders::Holders;
+use self::weighing::Weighed;
+use self::weighing::first;
+use self::weighing::weigh;
 use crate::configuration::Engine;
+use crate::departure::Unlisted;
 use crate::evacuation::Evacuations;
 use crate::load::Load;
-use crate::quarantine::ALONE_FROM_COUNT;
 use crate::wanted::Wanted;
-use crate::worker::Estimate;
 use crate::worker::UNSOUND_FROM_MS;
 use crate::worker::Worker;
 use crate::worker::WorkerRecord;
@@ -28,14 +32,6 @@
 /// Ends of rows that are remembered at most, so that no older row brings one back.
 const GONE_MAX_COUNT: usize = 2_048;
 
-/// Time that a worker weighs more whose failure domain is to be evacuated, as long as
-/// it still gets requests: others that hold the model go first, until they are busy.
-const EVACUATED_WEIGHS_MS: f64 = 300.0;
-
-/// Time that a worker weighs more that may be cold: warm ones that hold the model go
-/// first, until they are busy.
-const COLD_WEIGHS_MS: f64 = 150.0;
-
 /// A worker that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -62,6 +58,8 @@
 pub enum NoWorker {
     /// The service has no worker that takes work.
     None,
+    /// All that hold what is wanted leave.
+    Leaving,
     /// All that take work stand in regions in which the request may not be served.
     NotAllowed,
     /// All that hold what is wanted could not be reached lately.
@@ -82,106 +80,6 @@
     NotAlone,
 }
 
-/// A worker with what speaks against sending a request there.
-struct Weighed<'a> {
-    cost: f64,
-    worker: &'a Worker,
-    estimate: Estimate,
-}
-
-/// Weighs the workers that could take a request; at least one, or why there is none.
-fn weigh<'a, R: Rng>(
-    now_ms: u64,
-    workers: impl Iterator<Item = &'a Worker>,
-    evacuations: &Evacuations,
-    wanted: &Wanted<'_>,
-    engine: Option<&Engine>,
-    rng: &mut R,
-) -> Result<Vec<Weighed<'a>>, NoWorker> {
-    let mut why = NoWorker::None;
-    let mut weighed = Vec::new();
-    for worker in workers.filter(|worker| !worker.record.is_leaving) {
-        if !wanted.may_be_served_at(&worker.record) {
-            why = why.max(NoWorker::NotAllowed);
-            continue;
-        }
-        let held = worker.has(now_ms, wanted.model);
-        if !evacuations.may_send(now_ms, worker.domain_key) {
-            let lacks_model = held == Err(NoWorker::NoModel);
-            why = why.max(if lacks_model {
-                NoWorker::NoModel
-            } else {
-                NoWorker::Evacuated
-            });
-            continue;
-        }
-        if let Err(lacks) = held {
-            why = why.max(lacks);
-            continue;
-        }
-        if !worker.health.may_try(now_ms) {
-            why = why.max(NoWorker::Unreachable);
-            continue;
-        }
-        if !worker.may_ask(now_ms, wanted) {
-            let is_limited = worker.limit.rate_per_s(now_ms).is_some();
-            why = why.max(if is_limited {
-                NoWorker::Limited
-            } else {
-                NoWorker::Cold
-            });
-            continue;
-        }
-        if wanted.end_count >= ALONE_FROM_COUNT && worker.has_suspect(now_ms) {
-            why = why.max(NoWorker::NotAlone);
-            continue;
-        }
-        let mut estimate = worker.estimate(now_ms, wanted, engine);
-        if evacuations.is_asked(worker.domain_key) {
-            estimate.cost_ms += EVACUATED_WEIGHS_MS;
-        }
-        if worker.coldness.is_cold(now_ms) {
-            estimate.cost_ms += COLD_WEIGHS_MS;
-        }
-        // A little noise keeps instances with the same view from herding.
-        let cost = estimate.cost_ms * (1.0 + 0.05 * rng.random::<f64>()) + rng.random::<f64>();
-        weighed.push(Weighed {
-            cost,
-            worker,
-            estimate,
-        });
-    }
-    if weighed.is_empty() {
-        Err(why)
-    } else {
-        Ok(weighed)
-    }
-}
-
-/// Returns the choice of the worker that least speaks against.
-///
-/// # Panics
-///
-/// If there is none, which [`weigh`] rules out.
-fn first(weighed: Vec<Weighed<'_>>) -> Choice {
-    let least = weighed
-        .into_iter()
-        .min_by(|left, right| left.cost.total_cmp(&right.cost));
-    let Weighed {
-        worker, estimate, ..
-    } = least.expect("at least one worker was weighed");
-    Choice {
-        id: Arc::clone(&worker.record.id),
-        address: worker.record.address.clone(),
-        unread_tokens: estimate.unread_tokens,
-        is_first: estimate.is_first,
-        begins_in_ms: estimate.begins_in_ms,
-        send_in_ms: estimate.send_in_ms,
-        slot_count: estimate.slot_count,
-        load: estimate.load,
-    }
-}
-
 /// All workers.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -193,6 +91,8 @@
     /// Workers whose rows ended and may come back.
     lapsing: HashSet<Arc<str>>,
     gone_at_version: HashMap<Arc<str>, u64>,
+    /// Starts that leave and aren't listed, or not yet.
+    departed: Unlisted,
     /// Failure domains that are to be evacuated.
     pub evacuations: Evacuations,
 }
@@ -222,10 +122,14 @@
             self.lapsing.remove(&record.id);
             self.holders.change(&known.record, &record);
             if known.record.started_unix_ms != record.started_unix_ms {
+                if let Some(departure) = known.departure {
+                    self.departed.keep(known.record.start_key(), departure);
+                }
                 // It holds and knows nothing of before.
                 let leaves_at_version = known.leaves_at_version;
                 *known = Worker::new(version, record);
                 known.leaves_at_version = leaves_at_version;
+                known.departure = self.departed.take(|| known.record.start_key());
                 return true;
             }
             let has_changed = known.record != record;
@@ -241,7 +145,9 @@
         self.holders.add(&record);
         let of_service = self.by_service.entry(Arc::clone(&record.service));
         of_service.or_default().push(Arc::clone(&id));
-        self.workers.insert(id, Worker::new(version, record));
+        let mut worker = Worker::new(version, record);
+        worker.departure = self.departed.take(|| worker.record.start_key());
+        self.workers.insert(id, worker);
         true
     }
 
@@ -261,6 +167,10 @@
         let Some(gone) = self.workers.remove(id) else {
             return false;
         };
+        if let Some(departure) = gone.departure {
+            // Its row may come back.
+            self.departed.keep(gone.record.start_key(), departure);
+        }
         self.by_key.remove(&worker_key(id));
         self.holders.remove(&gone.record);
         self.lapsing.remove(id);
@@ -283,23 +193,6 @@
         self.gone_at_version.len()
     }
 
-    /// Marks a worker as leaving because a peer has read so.
-    pub fn leaves(&mut self, version: u64, key: u64) -> bool {
-        let Some(worker) = self
-            .by_key
-            .get(&key)
-            .and_then(|id| self.workers.get_mut(id))
-        else {
-            return false;
-        };
-        if worker.version >= version || worker.record.is_leaving {
-            return false;
-        }
-        worker.record.is_leaving = true;
-        worker.leaves_at_version = version;
-        true
-    }
-
     /// Sets the models that are being unloaded, by the keys of their workers; all others
     /// serve what they hold.
     pub fn withhold(&mut self, by_worker: HashMap<u64, HashSet<Arc<str>>>) {
--- /dev/null
+++ b/crates/cranereach-fleet/src/roster/departures.rs
@@ -0,0 +1,102 @@
+//! Which workers leave by their own word, and what speaks against a send right before it.
+
+use super::Roster;
+use crate::departure::Departure;
+use crate::departure::Teller;
+use crate::purpose::Purpose;
+use crate::worker::start_key;
+
+/// Why nothing is sent to a worker that was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Barred {
+    /// It is no longer listed.
+    Gone,
+    /// It leaves.
+    Leaving,
+    /// Its failure domain is to be evacuated.
+    Evacuated,
+}
+
+impl Barred {
+    /// Returns the name that logs and metrics use.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Gone => "gone",
+            Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
+        }
+    }
+}
+
+impl Roster {
+    /// Returns what speaks against sending something to a worker now; what was chosen before
+    /// a wait is asked again.
+    pub fn barred(&self, now_ms: u64, id: &str, purpose: Purpose) -> Option<Barred> {
+        let Some(worker) = self.workers.get(id) else {
+            return Some(Barred::Gone);
+        };
+        if worker.is_leaving() {
+            return Some(Barred::Leaving);
+        }
+        // Orders empty what is evacuated.
+        let is_evacuated =
+            purpose == Purpose::Call && !self.evacuations.may_send(now_ms, worker.domain_key);
+        is_evacuated.then_some(Barred::Evacuated)
+    }
+
+    /// Marks a worker as leaving because a peer has read so.
+    pub fn leaves(&mut self, version: u64, key: u64) -> bool {
+        let Some(worker) = self
+            .by_key
+            .get(&key)
+            .and_then(|id| self.workers.get_mut(id))
+        else {
+            return false;
+        };
+        if worker.version >= version || worker.is_leaving() {
+            return false;
+        }
+        worker.record.is_leaving = true;
+        worker.leaves_at_version = version;
+        true
+    }
+
+    /// Takes the word of a start of a worker that it leaves; false if it is known.
+    pub fn heard_leaving(&mut self, now_ms: u64, id: &str, started_unix_ms: u64) -> bool {
+        let departure = Departure {
+            since_ms: now_ms,
+            teller: Teller::Worker,
+        };
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.record.started_unix_ms == started_unix_ms
+        {
+            let is_new = worker.departure.is_none();
+            worker.departure.get_or_insert(departure);
+            return is_new;
+        }
+        self.departed
+            .keep(start_key(id, started_unix_ms), departure)
+    }
+
+    /// Takes another instance's word that a start of a worker leaves, by their keys; false if
+    /// it is known. One that isn't listed yet will be taken for leaving.
+    pub fn told_leaving(&mut self, now_ms: u64, worker: u64, start: u64) -> bool {
+        let departure = Departure {
+            since_ms: now_ms,
+            teller: Teller::Peer,
+        };
+        if let Some(worker) = self.by_key_mut(worker)
+            && worker.record.start_key() == start
+        {
+            let is_new = worker.departure.is_none();
+            worker.departure.get_or_insert(departure);
+            return is_new;
+        }
+        self.departed.keep(start, departure)
+    }
+
+    /// Counts the starts that leave and aren't listed.
+    pub fn remembered_departure_count(&self) -> usize {
+        self.departed.count()
+    }
+}
--- a/crates/cranereach-fleet/src/roster/holders.rs
+++ b/crates/cranereach-fleet/src/roster/holders.rs
@@ -102,7 +102,7 @@
     fn why_no_other(&self, wanted: &Wanted<'_>, model: &str) -> NoWorker {
         let mut others = self.of_service(wanted.service).filter(|worker| {
             let mut held = worker.record.models.iter();
-            !worker.record.is_leaving && held.all(|held| held.name.as_ref() != model)
+            !worker.is_leaving() && held.all(|held| held.name.as_ref() != model)
         });
         let mut why = NoWorker::None;
         let is_allowed = others.any(|worker| {
--- a/crates/cranereach-fleet/src/roster/leave.rs
+++ b/crates/cranereach-fleet/src/roster/leave.rs
@@ -1,5 +1,5 @@
-//! Which workers may still be sent requests: those of failure domains that are being
-//! evacuated, cold ones, ones that name a limit, and those whose rows may only have lapsed.
+//! Which workers get only some requests: those of failure domains that are being evacuated,
+//! cold ones, ones that name a limit, and those whose rows may only have lapsed.
 
 use std::sync::Arc;
 
@@ -14,7 +14,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
-        if worker.version > version || worker.record.is_leaving {
+        if worker.version > version || worker.is_leaving() {
             return false;
         }
         worker.lapsed.get_or_insert((version, until_ms));
@@ -34,13 +34,6 @@
             .collect()
     }
 
-    /// Whether a request may be sent to a worker now, as far as evacuations go; what was
-    /// chosen before a wait is asked again.
-    pub fn may_send(&self, now_ms: u64, id: &str) -> bool {
-        let worker = self.workers.get(id);
-        worker.is_none_or(|worker| self.evacuations.may_send(now_ms, worker.domain_key))
-    }
-
     /// Whether a worker names a limit.
     pub fn names_limit(&self, now_ms: u64, id: &str) -> bool {
         let worker = self.workers.get(id);
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -12,8 +12,10 @@
 
 pub use self::record::HeldModel;
 pub use self::record::WorkerRecord;
+pub use self::record::start_key;
 use crate::cold::Coldness;
 use crate::configuration::Engine;
+use crate::departure::Departure;
 use crate::health::Health;
 use crate::load::Load;
 use crate::load::RANK_COUNT;
@@ -85,6 +87,8 @@
     pub(crate) leaves_at_version: u64,
     /// Whether it may be cold.
     pub coldness: Coldness,
+    /// That it leaves, as its answers say, whatever its row does.
+    pub departure: Option<Departure>,
     /// What it says of the requests that it takes in a second.
     pub limit: NamedLimit,
     /// Until when its owner isn't asked whether it may be sent something.
@@ -127,6 +131,7 @@
     pub(crate) fn new(version: u64, record: WorkerRecord) -> Self {
         Self {
             coldness: Coldness::default(),
+            departure: None,
             limit: NamedLimit::default(),
             ask_pause: AskPause::default(),
             domain_key: worker_key(&record.failure_domain),
@@ -146,6 +151,11 @@
         }
     }
 
+    /// Whether it takes no new work: its row says so, or its answers.
+    pub fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.departure.is_some()
+    }
+
     /// Notes a request that is sent to the worker.
     pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_ms: f64) {
         let rank = wanted.rank.min(RANK_COUNT - 1);
--- a/crates/cranereach-fleet/src/worker/record.rs
+++ b/crates/cranereach-fleet/src/worker/record.rs
@@ -31,7 +31,7 @@
     pub slot_count: u32,
     /// Time for which it was still cold when it wrote the row, in milliseconds.
     pub cold_for_ms: u64,
-    /// Whether it takes no new work.
+    /// Whether the row says that it takes no new work.
     pub is_leaving: bool,
     /// What it holds.
     pub models: Vec<HeldModel>,
@@ -44,6 +44,11 @@
 impl WorkerRecord {
     /// Returns the key of this start of the worker.
     pub fn start_key(&self) -> u64 {
-        worker_key(&format!("{} {}", self.id, self.started_unix_ms))
+        start_key(&self.id, self.started_unix_ms)
     }
 }
+
+/// Returns the key of a start of a worker.
+pub fn start_key(id: &str, started_unix_ms: u64) -> u64 {
+    worker_key(&format!("{id} {started_unix_ms}"))
+}
--- a/crates/cranereach-fleet/tests/choice.rs
+++ b/crates/cranereach-fleet/tests/choice.rs
@@ -15,7 +15,9 @@
 use cranereach_fleet::load::Load;
 use cranereach_fleet::owned::Standing;
 use cranereach_fleet::prefixes::PromptPart;
+use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::quarantine::ALONE_FROM_COUNT;
+use cranereach_fleet::roster::Barred;
 use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::roster::worker_key;
@@ -42,7 +44,9 @@
     roster.put(2, moved);
     let asked = EvacuationList::default().changed(worker_key("other"), 3, false);
     roster.evacuations.take(1_000, asked, None, 5_000);
-    assert!(!roster.may_send(1_001, "w"));
+    let barred = |purpose| roster.barred(1_001, "w", purpose);
+    assert_eq!(barred(Purpose::Call), Some(Barred::Evacuated));
+    assert_eq!(barred(Purpose::Order), None, "orders empty the domain");
     assert!(roster.is_evacuated("w"));
 }
 
--- /dev/null
+++ b/crates/cranereach-fleet/tests/departures.rs
@@ -0,0 +1,145 @@
+//! The word of a worker that it leaves, beside its rows.
+
+mod workers;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use self::workers::record;
+use self::workers::wanted;
+use cranereach_fleet::departure::Said;
+use cranereach_fleet::departure::Teller;
+use cranereach_fleet::departure::read;
+use cranereach_fleet::purpose::Purpose;
+use cranereach_fleet::roster::Barred;
+use cranereach_fleet::roster::NoWorker;
+use cranereach_fleet::roster::Roster;
+use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::worker::WorkerRecord;
+use cranereach_fleet::worker::start_key;
+
+/// The row of a start of a worker.
+fn start(id: &str, started_unix_ms: u64) -> WorkerRecord {
+    WorkerRecord {
+        started_unix_ms,
+        ..record(id, &[("m", &[])])
+    }
+}
+
+fn choose(roster: &Roster, model: Option<&'static str>) -> Result<String, NoWorker> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let wanted = wanted(model.map(|model| (model, None)));
+    let choice = roster.choose(1_000, &wanted, None, &mut rng);
+    choice.map(|choice| choice.id.to_string())
+}
+
+#[test]
+fn each_value_has_a_meaning() {
+    let said = |values: &[&[u8]]| read(values.iter().copied());
+    assert_eq!(said(&[]), Said::Nothing);
+    assert_eq!(said(&[b"1"]), Said::Leaves);
+    assert_eq!(said(&[b" 1 "]), Said::Leaves);
+    assert_eq!(said(&[b"0"]), Said::Nothing, "it stays");
+    assert_eq!(
+        said(&[b"0", b"1"]),
+        Said::Leaves,
+        "one that says so is enough"
+    );
+    assert_eq!(said(&[b"1", b"true"]), Said::Leaves);
+    let unreadable: [&[u8]; 6] = [b"", b"true", b"yes", b"-1", b"1.0", b"\xff"];
+    for value in unreadable {
+        assert_eq!(said(&[value]), Said::Unreadable, "{value:?}");
+    }
+    assert_eq!(said(&[&[b'1'; 4_000]]), Said::Unreadable);
+}
+
+#[test]
+fn it_holds_for_its_start_whatever_rows_come() {
+    let mut roster = Roster::default();
+    roster.put(5, start("w", 100));
+    assert!(roster.heard_leaving(1_000, "w", 100));
+    assert!(!roster.heard_leaving(1_100, "w", 100), "it is known");
+    let is_leaving = |roster: &Roster| roster.get("w").unwrap().is_leaving();
+    roster.put(6, start("w", 100));
+    assert!(is_leaving(&roster), "a newer row");
+    assert!(!roster.lapse(7, "w", 9_000), "its end is no lapse");
+    roster.remove(7, "w");
+    roster.put(8, start("w", 100));
+    assert!(is_leaving(&roster), "the row is back");
+    roster.put(9, start("w", 200));
+    assert!(!is_leaving(&roster), "it has started again");
+    roster.put(10, start("w", 100));
+    assert!(is_leaving(&roster), "the row of the start before is back");
+    roster.put(11, start("w", 200));
+    assert!(!is_leaving(&roster));
+}
+
+#[test]
+fn a_word_of_another_start_than_the_listed_one_counts_for_that_one() {
+    let mut roster = Roster::default();
+    roster.put(5, start("w", 100));
+    assert!(
+        roster.heard_leaving(1_000, "w", 200),
+        "its row isn't here yet"
+    );
+    assert!(!roster.get("w").unwrap().is_leaving());
+    roster.put(6, start("w", 200));
+    assert!(roster.get("w").unwrap().is_leaving());
+    assert_eq!(roster.remembered_departure_count(), 0);
+}
+
+#[test]
+fn a_peers_word_counts_for_the_start_that_it_names() {
+    let mut roster = Roster::default();
+    roster.put(5, start("w", 100));
+    let key = worker_key("w");
+    assert!(roster.told_leaving(1_000, key, start_key("w", 200)));
+    assert!(!roster.get("w").unwrap().is_leaving());
+    assert!(roster.told_leaving(1_000, key, start_key("w", 100)));
+    assert!(!roster.told_leaving(1_200, key, start_key("w", 100)));
+    let departure = roster.get("w").unwrap().departure.unwrap();
+    assert_eq!(
+        (departure.since_ms, departure.teller),
+        (1_000, Teller::Peer)
+    );
+    // A worker that isn't listed here yet.
+    assert!(roster.told_leaving(1_000, worker_key("late"), start_key("late", 1)));
+    roster.put(6, start("late", 1));
+    assert!(roster.get("late").unwrap().is_leaving());
+}
+
+#[test]
+fn nothing_is_sent_to_one_that_leaves_or_is_gone() {
+    let mut roster = Roster::default();
+    roster.put(5, start("w", 100));
+    for purpose in [Purpose::Call, Purpose::Order, Purpose::Report] {
+        assert_eq!(roster.barred(900, "w", purpose), None);
+        assert_eq!(roster.barred(900, "other", purpose), Some(Barred::Gone));
+    }
+    assert_eq!(choose(&roster, Some("m")), Ok("w".to_owned()));
+    roster.heard_leaving(1_000, "w", 100);
+    for purpose in [Purpose::Call, Purpose::Order, Purpose::Report] {
+        assert_eq!(roster.barred(1_000, "w", purpose), Some(Barred::Leaving));
+    }
+    assert_eq!(choose(&roster, Some("m")), Err(NoWorker::Leaving));
+    assert_eq!(choose(&roster, None), Err(NoWorker::Leaving));
+    roster.put(6, record("other", &[]));
+    assert_eq!(
+        choose(&roster, Some("m")),
+        Err(NoWorker::NoModel),
+        "another one could load it"
+    );
+}
+
+#[test]
+fn what_is_remembered_of_unlisted_workers_is_bounded() {
+    let mut roster = Roster::default();
+    for number in 0..10_000_u64 {
+        roster.heard_leaving(number, &format!("w{number}"), 1);
+    }
+    assert!(roster.remembered_departure_count() <= 2_048);
+    assert!(
+        !roster.heard_leaving(10_000, "w9999", 1),
+        "the newest are kept"
+    );
+}
--- a/crates/cranereach-fleet/tests/holders.rs
+++ b/crates/cranereach-fleet/tests/holders.rs
@@ -12,17 +12,21 @@
 use self::workers::wanted;
 use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
+use cranereach_fleet::worker::Worker;
 
 const MODELS: [&str; 4] = ["a", "b", "c", "d"];
 const WORKER_COUNT: usize = 8;
 
 /// What a look at all workers finds for a model.
 fn look_at_all(roster: &Roster, model: &str) -> Result<Vec<Arc<str>>, NoWorker> {
-    let ready = roster.workers().filter(|worker| !worker.record.is_leaving);
-    let (holders, others): (Vec<_>, Vec<_>) = ready.partition(|worker| {
+    let (holders, others): (Vec<_>, Vec<_>) = roster.workers().partition(|worker| {
         let mut held = worker.record.models.iter();
         held.any(|held| held.name.as_ref() == model)
     });
+    let is_ready = |worker: &&Worker| !worker.is_leaving();
+    let has_holder = !holders.is_empty();
+    let holders: Vec<&Worker> = holders.into_iter().filter(is_ready).collect();
+    let others: Vec<&Worker> = others.into_iter().filter(is_ready).collect();
     let mut ids: Vec<Arc<str>> = holders
         .iter()
         .map(|worker| Arc::clone(&worker.record.id))
@@ -31,6 +35,7 @@
     match (ids.is_empty(), others.is_empty()) {
         (false, _) => Ok(ids),
         (true, false) => Err(NoWorker::NoModel),
+        (true, true) if has_holder => Err(NoWorker::Leaving),
         (true, true) => Err(NoWorker::None),
     }
 }
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -102,7 +102,7 @@
     assert!(roster.leaves(7, worker_key("a")));
     // A row from before it left comes late.
     roster.put(6, record("a", &[]));
-    assert_eq!(choose(&roster, 0, &wanted(None)), Err(NoWorker::None));
+    assert_eq!(choose(&roster, 0, &wanted(None)), Err(NoWorker::Leaving));
     // A newer row that says it is ready counts again.
     roster.put(7, record("a", &[]));
     assert_eq!(choose(&roster, 0, &wanted(None)).as_deref(), Ok("a"));
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -29,6 +29,10 @@
     pub not_run: &'static str,
     /// A worker's load: running, waiting, slots.
     pub load: &'static str,
+    /// Says that a worker leaves.
+    pub leaving: &'static str,
+    /// Worker that answers.
+    pub answered_by: &'static str,
     /// Requests a second that a worker in need takes from all callers together.
     pub limit: &'static str,
     /// Model, with an adapter behind a slash.
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -13,17 +13,17 @@
 use crate::adapter::OrderKind;
 use crate::adapter::WorkerOrder;
 use crate::adapter::WorkerReport;
-use crate::named_limits;
-use crate::named_limits::Purpose;
 use crate::node::Node;
-use crate::send_grants;
-use crate::unknown_words;
+use crate::send_permit;
+use crate::send_permit::Permit;
+use crate::worker_words;
 use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::ledger::OpenOrder;
 use cranereach_fleet::ledger::OrderEnd;
 use cranereach_fleet::ledger::WorkerState;
 use cranereach_fleet::load::RANK_COUNT;
 use cranereach_fleet::placement::Order;
+use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::tenure::Tenure;
 use cranereach_http::client::Answer;
 use cranereach_http::client::CallError;
@@ -184,10 +184,6 @@
     open: OpenOrder,
     sent_count: u32,
 ) -> OrderEnd {
-    if !send_grants::may_send(node, worker, Purpose::Order, LEAST_URGENT_RANK).await {
-        return OrderEnd::NotSent;
-    }
-    // The last look at the lease before the order leaves.
     let Some(token) = tenure.token(node.now_ms()) else {
         return OrderEnd::NotSent;
     };
@@ -205,16 +201,19 @@
     };
     let format = &node.adapter.engine;
     let body = Bytes::from((format.encode_order)(&order));
-    let sent_ms = node.now_ms();
-    named_limits::note_sent(node, worker, Purpose::Order);
+    let permit = || async {
+        let permit = send_permit::ask(node, worker, Purpose::Order, LEAST_URGENT_RANK).await?;
+        // The last look at the lease before the order leaves.
+        (tenure.token(node.now_ms()) == Some(token)).then_some(permit)
+    };
     let answer = client
-        .post_bytes(format.order_path, body, ORDER_WITHIN_MS)
+        .post_bytes_when(format.order_path, body, ORDER_WITHIN_MS, permit)
         .await;
-    if let Ok(answer) = &answer {
-        note_limit(node, worker, Purpose::Order, answer, sent_ms);
+    if let Ok((answer, permit)) = &answer {
+        hear(node, permit, answer);
     }
     let end = match answer {
-        Ok(answer) => match (format.parse_order)(answer.status) {
+        Ok((answer, _permit)) => match (format.parse_order)(answer.status) {
             OrderAnswer::Taken => OrderEnd::Taken,
             OrderAnswer::AlreadyDone => OrderEnd::AlreadyDone,
             OrderAnswer::Conflict => OrderEnd::Conflict,
@@ -240,17 +239,13 @@
     service: &str,
     worker: &Arc<str>,
 ) -> Option<WorkerState> {
-    if !send_grants::may_send(node, worker, Purpose::Report, LEAST_URGENT_RANK).await {
-        return None;
-    }
     let format = &node.adapter.engine;
-    let sent_ms = node.now_ms();
-    named_limits::note_sent(node, worker, Purpose::Report);
-    let answer = client
-        .get(format.report_path, REPORT_WITHIN_MS)
+    let permit = || send_permit::ask(node, worker, Purpose::Report, LEAST_URGENT_RANK);
+    let (answer, permit) = client
+        .get_when(format.report_path, REPORT_WITHIN_MS, permit)
         .await
         .ok()?;
-    note_limit(node, worker, Purpose::Report, &answer, sent_ms);
+    hear(node, &permit, &answer);
     if answer.status != 200 {
         return None;
     }
@@ -259,13 +254,11 @@
     Some(state(service.engine.as_ref()?, &report))
 }
 
-/// Takes what the answer to an order or question says of the worker's limit.
-fn note_limit(node: &Node, worker: &Arc<str>, purpose: Purpose, answer: &Answer, sent_ms: u64) {
+/// Hears what the answer to an order or question says of the worker.
+fn hear(node: &Node, permit: &Permit, answer: &Answer) {
     // The client made the number from a status, so that it is one.
     let status = StatusCode::from_u16(answer.status).unwrap_or_default();
-    let head = (status, &answer.headers);
-    unknown_words::note(node, worker, &answer.headers);
-    named_limits::note_answer(node, worker, purpose, head, sent_ms);
+    worker_words::hear(node, permit, (status, &answer.headers), true);
 }
 
 /// Returns the state that a report shows, adapters on their way included.
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -43,7 +43,7 @@
     ledger.retain(|id| roster.get(id).is_some());
     for worker in roster.of_service(service) {
         let record = &worker.record;
-        let is_serving = !record.is_leaving && !worker.health.is_aside(now_ms);
+        let is_serving = !worker.is_leaving() && !worker.health.is_aside(now_ms);
         if ledger.knows(&record.id, worker.version, is_serving) {
             // Looking the names of its models up again takes most of a look.
             continue;
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -87,6 +87,7 @@
                 let code = match why {
                     _ if self.may_have_run => ResultCode::OutcomeUnknown,
                     NoWorker::None | NoWorker::Unreachable => ResultCode::NoUpstream,
+                    NoWorker::Leaving => ResultCode::WorkersLeaving,
                     NoWorker::NotAllowed => ResultCode::RegionNotAllowed,
                     NoWorker::Evacuated => ResultCode::DomainEvacuated,
                     NoWorker::Cold => ResultCode::WorkersCold,
@@ -104,7 +105,9 @@
                         refusal.short_of = (why == NoWorker::Limited).then(|| self.shortage());
                     }
                     NoWorker::NotAlone => refusal.retry_after_ms = ALONE_AFTER_MS,
-                    NoWorker::Unreachable => refusal.retry_after_ms = MODEL_BACK_AFTER_MS,
+                    NoWorker::Unreachable | NoWorker::Leaving => {
+                        refusal.retry_after_ms = MODEL_BACK_AFTER_MS;
+                    }
                     NoWorker::None | NoWorker::NotAllowed | NoWorker::NoAdapter => {}
                 }
                 return Err(refusal);
@@ -123,7 +126,9 @@
         let received_ms = self.call.received_ms;
         let aim_at_ms = received_ms + self.call.route.aim_ms;
         match why {
-            NoWorker::None | NoWorker::NotAllowed | NoWorker::Unreachable => received_ms,
+            NoWorker::None | NoWorker::Leaving | NoWorker::NotAllowed | NoWorker::Unreachable => {
+                received_ms
+            }
             NoWorker::Cold | NoWorker::Limited => {
                 let latest_ms =
                     received_ms + (self.call.route.aim_ms as f64 * GRANT_WAIT_SHARE) as u64;
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -31,7 +31,7 @@
 
 /// Workers at most that a call was chosen for and then wasn't to be sent to: a question
 /// each.
-const NO_LEAVE_MAX_COUNT: usize = 6;
+const NO_PERMIT_MAX_COUNT: usize = 6;
 
 /// Offers of one call to the same worker at most.
 const SAME_WORKER_MAX_COUNT: usize = 2;
@@ -52,7 +52,7 @@
     pub(super) failed_answer: Option<Response<AnswerBody>>,
     offer_count: usize,
     /// Choices that were not to be sent any more.
-    no_leave_count: usize,
+    no_permit_count: usize,
     pub(super) run_count: u32,
     pub(super) may_have_run: bool,
     pub(super) may_run_now: bool,
@@ -152,7 +152,7 @@
             last_event: None,
             failed_answer: None,
             offer_count: 0,
-            no_leave_count: 0,
+            no_permit_count: 0,
             run_count: 0,
             may_have_run: false,
             may_run_now: false,
@@ -185,16 +185,16 @@
     }
 
     /// Takes an offer back that wasn't to be sent any more: another worker is chosen.
-    fn without_leave(&mut self) {
+    fn without_permit(&mut self) {
         self.offer_count -= 1;
         self.tried.pop();
-        self.no_leave_count += 1;
+        self.no_permit_count += 1;
     }
 
     /// Whether so many workers were asked for in vain that only those count now that need
     /// no grant.
     pub(super) fn has_asked_enough(&self) -> bool {
-        self.no_leave_count >= NO_LEAVE_MAX_COUNT
+        self.no_permit_count >= NO_PERMIT_MAX_COUNT
     }
 
     /// Chooses the next worker and notes that the call is offered to it.
@@ -215,8 +215,8 @@
     /// Decides what follows an offer that failed: another one, or the end.
     async fn after_failure(&mut self, choice: &Choice, failure: Failure) -> Result<(), Refusal> {
         self.may_run_now = false;
-        if failure == Failure::NoLeave {
-            self.without_leave();
+        if failure == Failure::NoPermit {
+            self.without_permit();
             return Ok(());
         }
         info!(self.node.log, "offer failed"; "request" => self.call.id.clone(),
--- a/crates/cranereach-gateway/src/forward/head.rs
+++ b/crates/cranereach-gateway/src/forward/head.rs
@@ -6,33 +6,24 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 
 use super::open::OpenCall;
 use super::request::Call;
-use crate::named_limits;
-use crate::named_limits::Purpose;
 use crate::node::Node;
-use crate::unknown_words;
-use cranereach_fleet::load::SaidLoad;
+use crate::send_permit::Permit;
+use crate::worker_words;
+use crate::worker_words::WorkerWords;
 use cranereach_http::pool::Connection;
 
-/// Time that an idle connection is used again for, where the worker says none.
-pub const REST_UNSAID_MS: u64 = 300;
-
-/// Time before a worker's own limit from which a connection isn't used again.
-const REST_MARGIN_MS: u64 = 150;
-
 /// How one offer to one worker failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
     /// It never left: no connection, or the connection closed before.
     NotSent,
-    /// It isn't to be sent any more: the worker's failure domain is evacuated, or the
-    /// worker is cold and its owner grants nothing.
-    NoLeave,
+    /// It isn't to be sent to that worker any more (see [`crate::send_permit`]).
+    NoPermit,
     /// It isn't to be sent any more: workers end under requests equal to it.
     Quarantined,
     /// The worker says that it did not run it.
@@ -58,31 +49,27 @@
     pub answer: Response<Incoming>,
     /// The connection that it came on.
     pub connection: Connection<Full<Bytes>>,
+    /// How long that may rest, in milliseconds; none if it closes.
+    pub rest_ms: Option<u64>,
     /// The count of the call at the worker.
     pub open: OpenCall,
 }
 
-/// Checks that the answer is to this call, which was sent at a time in milliseconds, and
-/// that something ran.
+/// Hears an answer's head, and checks that it is to this call and that something ran;
+/// returns what it says of its worker.
 pub fn check_head(
     node: &Node,
     call: &Call,
+    permit: &Permit,
     open: &mut OpenCall,
     answer: &Response<Incoming>,
-    sent_ms: u64,
-) -> Result<(), Failure> {
-    let names = &node.adapter.headers;
+) -> Result<WorkerWords, Failure> {
     let headers = answer.headers();
-    let now_ms = node.now_ms();
-    unknown_words::note(node, open.worker(), headers);
-    let is_ours = headers
-        .get(names.request_id)
-        .is_none_or(|id| id.as_bytes() == call.id.as_bytes());
-    let is_named = headers.contains_key(names.request_id);
     let status = answer.status();
-    let is_not_run =
-        headers.contains_key(names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
-    if !is_ours || (!is_named && !is_not_run) {
+    let request_id = headers.get(node.adapter.headers.request_id);
+    let is_ours = request_id.is_none_or(|id| id.as_bytes() == call.id.as_bytes());
+    let words = worker_words::hear(node, permit, (status, headers), is_ours);
+    if !is_ours || (request_id.is_none() && !words.is_not_run) {
         node.metrics
             .bad_input_total
             .with_label_values(&["answer"])
@@ -90,38 +77,22 @@
         open.failed();
         return Err(Failure::Unknown);
     }
-    let worker = open.worker();
-    named_limits::note_answer(node, worker, Purpose::Call, (status, headers), sent_ms);
-    if let Some(worker) = node.roster().get_mut(open.worker()) {
-        if let Some(said) = headers
-            .get(names.load)
-            .and_then(|value| value.to_str().ok())
-        {
-            worker.said(now_ms, said_load(said));
-        }
-        if status == StatusCode::MISDIRECTED_REQUEST
-            && let Some((model, adapter)) = call.model()
-        {
-            worker.lacks(now_ms, model, adapter);
-        }
-    }
     if status == StatusCode::MISDIRECTED_REQUEST {
+        note_lacking(node, call, permit);
         return Err(Failure::NotThere);
     }
-    if is_not_run {
+    if words.is_not_run {
         return Err(Failure::NotRun);
     }
-    Ok(())
+    Ok(words)
 }
 
-/// Reads a worker's load: running, waiting, slots.
-fn said_load(text: &str) -> SaidLoad {
-    let mut counts = text
-        .split(',')
-        .map(|count| count.trim().parse().unwrap_or(0));
-    SaidLoad {
-        running_count: counts.next().unwrap_or(0),
-        waiting_count: counts.next().unwrap_or(0),
+/// Notes that a worker lacks the model of a call, or is another one.
+fn note_lacking(node: &Node, call: &Call, permit: &Permit) {
+    let now_ms = node.now_ms();
+    let mut roster = node.roster();
+    if let (Some(worker), Some((model, adapter))) = (roster.get_mut(&permit.worker), call.model()) {
+        worker.lacks(now_ms, model, adapter);
     }
 }
 
@@ -130,20 +101,3 @@
 pub fn says_its_end(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
-
-/// Returns how long a connection may rest, in milliseconds; none if it closes.
-pub fn rest_ms(headers: &HeaderMap) -> Option<u64> {
-    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    if text(CONNECTION.as_str()).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
-        return None;
-    }
-    let said_s = text("keep-alive").and_then(|value| {
-        let parts = value.split(',');
-        let mut given = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
-        given.next()?.trim().parse::<u64>().ok()
-    });
-    let rest_ms = said_s.map_or(REST_UNSAID_MS, |said_s| {
-        (said_s * 1_000).saturating_sub(REST_MARGIN_MS)
-    });
-    (rest_ms > 0).then_some(rest_ms)
-}
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -4,7 +4,7 @@
 //! [`exchange`] offers it to workers
 //! until there is an answer or an end, [`choosing`] picks each one, [`sending`] is one offer,
 //! [`broken`] notes a worker that ended under it, [`work`] says how much work a call makes,
-//! [`leave`] asks whether it may still be sent, [`head`] checks an answer's head, [`passing`] hands
+//! [`head`] checks an answer's head, [`passing`] hands
 //! a stream on as it comes and lets [`taking_up`] take it up elsewhere,
 //! [`record`] counts it, and [`refusal`] answers what could not be served.
 
@@ -13,7 +13,6 @@
 mod choosing;
 mod exchange;
 mod head;
-mod leave;
 mod open;
 mod passing;
 mod record;
@@ -40,7 +39,6 @@
 use hyper::header::HeaderValue;
 use slog::info;
 
-pub(crate) use self::head::REST_UNSAID_MS;
 use self::passing::BrokenOff;
 use self::passing::Passing;
 use self::refusal::Refusal;
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -10,19 +10,17 @@
 use super::exchange::Exchange;
 use super::head::Failure;
 use super::head::Head;
-use super::head::REST_UNSAID_MS;
 use super::head::check_head;
-use super::head::rest_ms;
 use super::head::says_its_end;
 use super::open::OpenCall;
 use super::passing::Passing;
 use super::request::passed_headers;
 use super::taking_up::Begun;
 use crate::cold;
-use crate::named_limits;
-use crate::named_limits::Purpose;
-use crate::node::pause;
 use crate::quarantine;
+use crate::send_permit;
+use crate::worker_words::REST_UNSAID_MS;
+use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::Choice;
 use cranereach_http::body;
 use cranereach_http::body::BodyError;
@@ -69,7 +67,7 @@
         if hold_ms > 0 {
             node.metrics.prompts_held_total.inc();
         }
-        pause(hold_ms).await;
+        self.hold(choice, hold_ms).await?;
         let pool = node.pool(&choice.id, &choice.address);
         let within = Duration::from_millis(CONNECT_WITHIN_MS);
         let taken = tokio::time::timeout(within, pool.take()).await;
@@ -81,12 +79,13 @@
             node.metrics.connections_total.inc();
             cold::note_reached(node, &choice.id);
         }
-        if !self.has_leave(choice).await {
+        let permit = send_permit::ask(node, &choice.id, Purpose::Call, call.rank).await;
+        let Some(permit) = permit else {
             if !connection.is_reused() {
                 connection.keep_for(REST_UNSAID_MS);
             }
-            return Err(Failure::NoLeave);
-        }
+            return Err(Failure::NoPermit);
+        };
         let suspicion = quarantine::suspicion(node, call);
         if suspicion.is_quarantined {
             return Err(Failure::Quarantined);
@@ -99,8 +98,6 @@
             .ok_or(Failure::NotSent)?;
         self.may_run_now = true;
         open.sent(self.call.body.len());
-        let sent_ms = node.now_ms();
-        named_limits::note_sent(node, &choice.id, Purpose::Call);
         let answer = match connection.send(request).await {
             Ok(answer) => answer,
             Err(SendError::Unsent(_)) => return Err(Failure::NotSent),
@@ -109,14 +106,39 @@
                 return Err(Failure::BrokenOff);
             }
         };
-        check_head(node, self.call, &mut open, &answer, sent_ms)?;
+        let words = check_head(node, self.call, &permit, &mut open, &answer)?;
         Ok(Head {
             answer,
             connection,
+            rest_ms: words.connection_rest_ms,
             open,
         })
     }
 
+    /// Counts the call as sent to the failure domain of its worker.
+    fn count_send(&self, choice: &Choice) {
+        let roster = self.node.roster();
+        if let Some(worker) = roster.get(&choice.id) {
+            let domain = worker.record.failure_domain.as_ref();
+            let counter = &self.node.metrics.sends_total;
+            counter.with_label_values(&[domain]).inc();
+        }
+    }
+
+    /// Holds the call back for a time; ends early if its worker isn't to get it any more.
+    async fn hold(&self, choice: &Choice, hold_ms: u64) -> Result<(), Failure> {
+        let due = self.node.instant(self.node.now_ms() + hold_ms);
+        loop {
+            let changed = self.node.roster_changed.notified();
+            if send_permit::barred(self.node, &choice.id, Purpose::Call).is_some() {
+                return Err(Failure::NoPermit);
+            }
+            if tokio::time::timeout_at(due, changed).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+
     /// Offers the rest of a stream to one worker and waits until it goes on.
     pub(super) async fn offer_rest(&mut self, choice: &Choice) -> Result<Begun, Failure> {
         let mut head = self.send(choice).await?;
@@ -143,6 +165,7 @@
         let Head {
             answer,
             connection,
+            rest_ms,
             mut open,
         } = head;
         let (parts, incoming) = answer.into_parts();
@@ -165,7 +188,7 @@
         if says_its_end(&parts.headers) {
             quarantine::answered(self.node, self.call);
         }
-        if let Some(rest_ms) = rest_ms(&parts.headers) {
+        if let Some(rest_ms) = rest_ms {
             connection.keep_for(rest_ms);
         }
         let mut answer = Response::new(AnswerBody::Whole(Full::new(bytes)));
--- a/crates/cranereach-gateway/src/forward/taking_up.rs
+++ b/crates/cranereach-gateway/src/forward/taking_up.rs
@@ -22,7 +22,6 @@
 use super::exchange::Taken;
 use super::head::Failure;
 use super::head::Head;
-use super::head::rest_ms;
 use super::head::says_its_end;
 use super::open::OpenCall;
 use super::refusal::Refusal;
@@ -55,6 +54,7 @@
         let Head {
             answer,
             connection,
+            rest_ms,
             mut open,
         } = head;
         let (parts, mut incoming) = answer.into_parts();
@@ -73,7 +73,7 @@
         let begun = Self {
             first: first.into_data().unwrap_or_default(),
             incoming,
-            connection: (connection, rest_ms(&parts.headers)),
+            connection: (connection, rest_ms),
             open,
             says_its_end: says_its_end(&parts.headers),
         };
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -153,7 +153,7 @@
     let unreachable = roster.unreachable(now_ms);
     let evacuations = roster.evacuations.list().clone();
     drop(roster);
-    let recent = lock(&node.recent_leaving).clone();
+    let leaving = lock(&node.recent_leaving).told().collect();
     let announced = node.announced();
     let adapters = announced.values().flat_map(|of| &of.adapters);
     let adapters = adapters.copied().take(TOLD_ADAPTER_MAX_COUNT).collect();
@@ -181,10 +181,7 @@
         ended: ended_leases(node, now_ms),
         store_failed,
         members,
-        leaving: recent
-            .into_iter()
-            .map(|(_, key, version)| (key, version))
-            .collect(),
+        leaving,
         unreachable,
         adapters,
         withheld,
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub limited_workers: IntGauge,
     /// Requests sent to workers that name a limit, by what they are for.
     pub limited_sends_total: IntCounterVec,
+    /// Requests that weren't sent to the worker that was chosen, by why and by what they are for.
+    pub sends_barred_total: IntCounterVec,
     /// Headers by which workers seem to speak of themselves and that aren't read, by name.
     pub unknown_words_total: IntCounterVec,
     /// Connections made to workers.
@@ -158,6 +160,11 @@
                 "grants asked for",
                 &["reason", "outcome"],
             ),
+            sends_barred_total: counters(
+                "sends_barred_total",
+                "requests not sent to their worker",
+                &["reason", "purpose"],
+            ),
             unknown_words_total: counters(
                 "unknown_words_total",
                 "headers of workers that aren't read",
--- a/crates/cranereach-gateway/src/named_limits.rs
+++ b/crates/cranereach-gateway/src/named_limits.rs
@@ -5,9 +5,7 @@
 
 use std::sync::Arc;
 
-use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::header::HeaderValue;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::info;
@@ -15,9 +13,10 @@
 use crate::node::Node;
 use crate::node::lock;
 use crate::owners;
-use cranereach_fleet::named_limit;
+use crate::send_permit::Permit;
 use cranereach_fleet::named_limit::LimitWord;
 use cranereach_fleet::named_limit::Said;
+use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::worker_key;
 
 /// A worker that names a limit, as operators see it.
@@ -76,28 +75,6 @@
         .count()
 }
 
-/// What a request to a worker is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Purpose {
-    /// A caller's request.
-    Call,
-    /// An order of the holder of a lease.
-    Order,
-    /// A question for a report.
-    Report,
-}
-
-impl Purpose {
-    /// Returns the name that logs and metrics use.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Call => "call",
-            Self::Order => "order",
-            Self::Report => "report",
-        }
-    }
-}
-
 /// Counts and logs a request that is sent to a worker which names a limit.
 pub fn note_sent(node: &Node, worker: &str, purpose: Purpose) {
     let now_ms = node.now_ms();
@@ -114,33 +91,20 @@
         "rate_per_s" => rate_per_s);
 }
 
-/// Takes what a worker's answer says to a request that was sent at `asked_ms`. One that is
-/// misdirected may come from another worker at the same address, and says nothing.
+/// Takes what a worker's answer says.
 ///
 /// Any answer may name a limit. Only a caller's answer of success ends one by naming none:
-/// what refuses, fails or reports may leave it out.
-pub fn note_answer(
-    node: &Node,
-    worker: &Arc<str>,
-    purpose: Purpose,
-    (status, headers): (StatusCode, &HeaderMap),
-    asked_ms: u64,
-) {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return;
-    }
-    let values = headers.get_all(node.adapter.headers.limit);
-    let said = named_limit::read(values.iter().map(HeaderValue::as_bytes));
-    if said == Said::Unreadable {
-        let counter = &node.metrics.bad_input_total;
-        counter.with_label_values(&["limit"]).inc();
-    }
+/// what refuses, fails or reports may leave it out, and so may one to an earlier request.
+pub fn heard(node: &Node, permit: &Permit, said: Said, status: StatusCode, is_asked_for: bool) {
+    let worker = &permit.worker;
     let now_ms = node.now_ms();
     let mut roster = node.roster();
     let Some(known) = roster.get_mut(worker) else {
         return;
     };
-    let may_end = purpose == Purpose::Call && status.is_success();
+    let may_end = is_asked_for && permit.purpose == Purpose::Call && status.is_success();
+    // Nobody knows when an earlier request was sent: its answer loosens nothing.
+    let asked_ms = if is_asked_for { permit.sent_ms } else { 0 };
     let has_changed = known.heard_limit(said, may_end, asked_ms, now_ms);
     if has_changed {
         let word = known.limit_word(now_ms);
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -33,6 +33,7 @@
 use crate::peers::Peers;
 use crate::quarantine::lasting::Lasting;
 use crate::questions::Questions;
+use crate::recent::Recent;
 use crate::recipients::Origin;
 use crate::settings::Settings;
 use crate::store::Store;
@@ -129,8 +130,8 @@
     pub list_told: Notify,
     /// Where the changes came from that it is to tell; none once it has.
     pub list_origin: Mutex<Option<Origin>>,
-    /// Workers read as leaving or gone: when, key, version.
-    pub recent_leaving: Mutex<Vec<(u64, u64, u64)>>,
+    /// Workers read as leaving or gone: key, version.
+    pub recent_leaving: Mutex<Recent<(u64, u64)>>,
     /// Body of the configuration in force, as peers are told it: without keys.
     pub configuration_body: Mutex<Bytes>,
     /// That body, and the same packed; empty until a peer first asks for it.
--- a/crates/cranereach-gateway/src/roster_sync.rs
+++ b/crates/cranereach-gateway/src/roster_sync.rs
@@ -37,9 +37,6 @@
 /// take more processor time than all else.
 const TOLD_MAX_COUNT: usize = 64;
 
-/// Time for which peers are told of a worker that leaves, in milliseconds.
-const TOLD_FOR_MS: u64 = 4_000;
-
 /// Time by which a word that the list is still the newest must be younger than what is
 /// known to be passed on, in milliseconds: much less than the bound, and much more than
 /// what words from several peers differ by.
@@ -247,20 +244,13 @@
 
 /// Passes on that a worker leaves, as a peer has told.
 pub fn pass_leaving_on(node: &Node, key: u64, version: u64) {
-    note_leaving(node, node.now_ms(), &[(version, key)]);
+    note_leaving(node, node.now_ms(), &[(key, version)]);
 }
 
 /// Remembers who leaves or is gone, so that peers are told.
 fn note_leaving(node: &Node, now_ms: u64, leaving: &[(u64, u64)]) {
-    let mut recent = lock(&node.recent_leaving);
-    recent.retain(|(at_ms, ..)| now_ms < at_ms + TOLD_FOR_MS);
-    let before = recent.len();
-    for (version, key) in leaving {
-        if !recent.iter().any(|(_, known, _)| known == key) {
-            recent.push((now_ms, *key, *version));
-        }
-    }
-    if recent.len() > before {
+    let is_same = |(known, _): &(u64, u64), (key, _): &(u64, u64)| known == key;
+    if lock(&node.recent_leaving).learn(now_ms, leaving, is_same) {
         node.digest_wanted.notify_one();
     }
 }
--- a/crates/cranereach-gateway/src/roster_sync/departures.rs
+++ b/crates/cranereach-gateway/src/roster_sync/departures.rs
@@ -15,7 +15,7 @@
 /// Workers that changed rows say to be leaving or gone.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
-    /// Workers that leave or are gone: version, key.
+    /// Workers that leave or are gone: key, version.
     pub(super) leaving: Vec<(u64, u64)>,
     /// Workers that are gone, or have started again.
     pub(super) ended: Vec<Arc<str>>,
@@ -41,7 +41,7 @@
                 "leaving" => record.is_leaving, "address" => &record.address);
         }
         if record.is_leaving {
-            self.leaving.push((row.version, worker_key(&record.id)));
+            self.leaving.push((worker_key(&record.id), row.version));
         }
         let has_restarted =
             before.is_some_and(|worker| worker.record.started_unix_ms != record.started_unix_ms);
@@ -65,7 +65,7 @@
             return;
         }
         if roster.remove(row.version, &row.key) {
-            self.leaving.push((row.version, worker_key(&row.key)));
+            self.leaving.push((worker_key(&row.key), row.version));
             self.ended.push(Arc::from(row.key.as_str()));
         }
     }
--- a/crates/cranereach-gateway/src/unknown_words.rs
+++ b/crates/cranereach-gateway/src/unknown_words.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 pub struct UnknownWords {
     names: Mutex<BTreeSet<String>>,
+    unreadable: Mutex<BTreeSet<&'static str>>,
 }
 
 /// Counts the headers of a worker's answer that seem to speak of it and aren't known.
@@ -33,6 +34,13 @@
     }
 }
 
+/// Logs a word that can't be read, once for each header.
+pub fn note_unreadable(node: &Node, worker: &str, header: &'static str) {
+    if lock(&node.unknown_words.unreadable).insert(header) {
+        warn!(node.log, "word of a worker not understood"; "worker" => worker, "header" => header);
+    }
+}
+
 /// Whether a header seems to be a worker's word on itself, and isn't read.
 fn is_unknown(node: &Node, name: &HeaderName) -> bool {
     let names = &node.adapter.headers;
--- a/crates/cranereach-gateway/src/worker_ends.rs
+++ b/crates/cranereach-gateway/src/worker_ends.rs
@@ -14,10 +14,10 @@
 
 use tokio::sync::OnceCell;
 
-use crate::forward::REST_UNSAID_MS;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
+use crate::worker_words::REST_UNSAID_MS;
 use cranereach_http::pool::ConnectError;
 
 /// Time from the break of a connection to the try, in milliseconds: a process that ends
@@ -126,9 +126,7 @@
 /// Whether a worker is listed and doesn't leave.
 fn is_meant_to_stay(node: &Node, worker: &str) -> bool {
     let roster = node.roster();
-    roster
-        .get(worker)
-        .is_some_and(|known| !known.record.is_leaving)
+    roster.get(worker).is_some_and(|known| !known.is_leaving())
 }
 
 /// Tries to connect to a worker.
--- /dev/null
+++ b/crates/cranereach-gateway/src/worker_words.rs
@@ -0,0 +1,171 @@
+//! The one place that hears what an answer says of the worker that made it, whatever the
+//! answer is to and whether or not that can use it.
+//!
+//! Not believed are answers of another worker at the same address, and words of another
+//! start than the one that was meant count for that one alone.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use crate::adapter::HeaderNames;
+use crate::departures;
+use crate::named_limits;
+use crate::node::Node;
+use crate::send_permit::Permit;
+use crate::unknown_words;
+use cranereach_fleet::departure;
+use cranereach_fleet::load::SaidLoad;
+use cranereach_fleet::named_limit;
+
+/// Time that an idle connection is used again for, where the worker says none, in
+/// milliseconds.
+pub const REST_UNSAID_MS: u64 = 300;
+
+/// Time before a worker's own limit from which a connection isn't used again, in
+/// milliseconds.
+const REST_MARGIN_MS: u64 = 150;
+
+/// Header by which a server tells how long a connection may rest.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// What the head of an answer says of the worker that made it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WorkerWords {
+    /// Whether another worker made it than the one that was meant.
+    pub is_of_another: bool,
+    /// Whether it says that nothing ran.
+    pub is_not_run: bool,
+    /// The worker's load, if it can be read.
+    pub load: Option<SaidLoad>,
+    /// Whether it names a load that can't be read.
+    pub is_load_unreadable: bool,
+    /// The requests a second that it takes.
+    pub limit: named_limit::Said,
+    /// Whether it leaves.
+    pub leaving: departure::Said,
+    /// How long the connection may rest, in milliseconds; none if it closes.
+    pub connection_rest_ms: Option<u64>,
+}
+
+impl WorkerWords {
+    /// Reads the head of an answer to a request that was meant for a worker.
+    pub fn read(
+        names: &HeaderNames,
+        worker: &str,
+        (status, headers): (StatusCode, &HeaderMap),
+    ) -> Self {
+        let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let author = headers.get(names.answered_by);
+        let is_other = author.is_some_and(|author| author.as_bytes() != worker.as_bytes());
+        let load = text(headers, names.load).map(said_load);
+        Self {
+            is_of_another: is_misdirected || is_other,
+            is_not_run: is_misdirected || headers.contains_key(names.not_run),
+            load: load.flatten(),
+            is_load_unreadable: load == Some(None),
+            limit: named_limit::read(values(headers, names.limit)),
+            leaving: departure::read(values(headers, names.leaving)),
+            connection_rest_ms: connection_rest_ms(headers),
+        }
+    }
+}
+
+/// Hears the head of an answer. `is_asked_for` says whether it is the answer to the request
+/// that was permitted, and not one to an earlier one that came late.
+pub fn hear(
+    node: &Node,
+    permit: &Permit,
+    head: (StatusCode, &HeaderMap),
+    is_asked_for: bool,
+) -> WorkerWords {
+    let (status, headers) = head;
+    let words = WorkerWords::read(&node.adapter.headers, &permit.worker, head);
+    if words.is_of_another {
+        return words;
+    }
+    unknown_words::note(node, &permit.worker, headers);
+    note_unreadable(node, &permit.worker, &words);
+    if let (Some(load), true) = (words.load, is_asked_for) {
+        let now_ms = node.now_ms();
+        if let Some(worker) = node.roster().get_mut(&permit.worker) {
+            worker.said(now_ms, load);
+        }
+    }
+    named_limits::heard(node, permit, words.limit, status, is_asked_for);
+    if words.leaving == departure::Said::Leaves {
+        departures::heard(node, permit);
+    }
+    words
+}
+
+/// Counts and logs what can't be read.
+fn note_unreadable(node: &Node, worker: &str, words: &WorkerWords) {
+    let names = &node.adapter.headers;
+    let unreadable = [
+        (words.is_load_unreadable, "load", names.load),
+        (
+            words.limit == named_limit::Said::Unreadable,
+            "limit",
+            names.limit,
+        ),
+        (
+            words.leaving == departure::Said::Unreadable,
+            "leaving",
+            names.leaving,
+        ),
+    ];
+    for (_, source, header) in unreadable.iter().filter(|(is_so, ..)| *is_so) {
+        let counter = &node.metrics.bad_input_total;
+        counter.with_label_values(&[source]).inc();
+        unknown_words::note_unreadable(node, worker, header);
+    }
+}
+
+/// Returns the values of a header.
+fn values<'a>(headers: &'a HeaderMap, name: &'static str) -> impl Iterator<Item = &'a [u8]> {
+    let values = headers.get_all(name).into_iter();
+    values.map(HeaderValue::as_bytes)
+}
+
+/// Returns a header's first value as text.
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Reads a worker's load: running, waiting, slots.
+fn said_load(text: &str) -> Option<SaidLoad> {
+    let mut counts = text.split(',').map(|count| count.trim().parse().ok());
+    Some(SaidLoad {
+        running_count: counts.next()??,
+        waiting_count: counts.next()??,
+    })
+}
+
+/// Returns how long a connection may rest, in milliseconds; none if it closes.
+fn connection_rest_ms(headers: &HeaderMap) -> Option<u64> {
+    if has_option(headers, &CONNECTION, "close") {
+        return None;
+    }
+    let said_s = text(headers, KEEP_ALIVE).and_then(|value| {
+        let mut given = value
+            .split(',')
+            .filter_map(|part| part.trim().strip_prefix("timeout="));
+        given.next()?.trim().parse::<u64>().ok()
+    });
+    let rest_ms = said_s.map_or(REST_UNSAID_MS, |said_s| {
+        said_s.saturating_mul(1_000).saturating_sub(REST_MARGIN_MS)
+    });
+    (rest_ms > 0).then_some(rest_ms)
+}
+
+/// Whether a header lists an option.
+fn has_option(headers: &HeaderMap, name: &HeaderName, option: &str) -> bool {
+    let values = headers.get_all(name).into_iter();
+    let mut listed = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    listed.any(|listed| listed.trim().eq_ignore_ascii_case(option))
+}
--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -1,5 +1,6 @@
 //! Calls to JSON interfaces, each with a deadline.
 
+use std::future::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -106,6 +107,20 @@
         self.call(Method::GET, path, Bytes::new(), within_ms).await
     }
 
+    /// Asks without a body if there is a permit, as [`JsonClient::post_bytes_when`].
+    pub async fn get_when<T, F>(
+        &self,
+        path: &str,
+        within_ms: u64,
+        permit: impl Fn() -> F,
+    ) -> Result<(Answer, T), CallError>
+    where
+        F: Future<Output = Option<T>>,
+    {
+        self.call_when(Method::GET, path, Bytes::new(), within_ms, permit)
+            .await
+    }
+
     /// Sends a value.
     pub async fn post<T: Serialize>(
         &self,
@@ -129,6 +144,22 @@
         self.call(Method::POST, path, bytes, within_ms).await
     }
 
+    /// Sends bytes by POST if there is a permit, which is asked for on an open connection
+    /// right before the request leaves; returns it with the answer.
+    pub async fn post_bytes_when<T, F>(
+        &self,
+        path: &str,
+        bytes: Bytes,
+        within_ms: u64,
+        permit: impl Fn() -> F,
+    ) -> Result<(Answer, T), CallError>
+    where
+        F: Future<Output = Option<T>>,
+    {
+        self.call_when(Method::POST, path, bytes, within_ms, permit)
+            .await
+    }
+
     /// Sends bytes.
     pub async fn put(&self, path: &str, bytes: Bytes, within_ms: u64) -> Result<Answer, CallError> {
         self.call(Method::PUT, path, bytes, within_ms).await
@@ -140,7 +171,7 @@
             .map_err(|error| self.garbled(answer.status, &error.to_string()))
     }
 
-    /// Makes one call; a connection that closed unused is replaced once.
+    /// Makes one call that needs no permit.
     async fn call(
         &self,
         method: Method,
@@ -148,7 +179,24 @@
         bytes: Bytes,
         within_ms: u64,
     ) -> Result<Answer, CallError> {
-        let calling = self.exchange(method, path, bytes);
+        let permit = || ready(Some(()));
+        let called = self.call_when(method, path, bytes, within_ms, permit);
+        called.await.map(|(answer, ())| answer)
+    }
+
+    /// Makes one call with a permit; a connection that closed unused is replaced.
+    async fn call_when<T, F>(
+        &self,
+        method: Method,
+        path: &str,
+        bytes: Bytes,
+        within_ms: u64,
+        permit: impl Fn() -> F,
+    ) -> Result<(Answer, T), CallError>
+    where
+        F: Future<Output = Option<T>>,
+    {
+        let calling = self.exchange(method, path, bytes, permit);
         tokio::time::timeout(Duration::from_millis(within_ms), calling)
             .await
             .map_err(|_elapsed| CallError::Unanswered {
@@ -157,12 +205,16 @@
     }
 
     /// Sends the request and reads the whole answer.
-    async fn exchange(
+    async fn exchange<T, F>(
         &self,
         method: Method,
         path: &str,
         bytes: Bytes,
-    ) -> Result<Answer, CallError> {
+        permit: impl Fn() -> F,
+    ) -> Result<(Answer, T), CallError>
+    where
+        F: Future<Output = Option<T>>,
+    {
         let mut request = self.request(method, path, bytes)?;
         let not_sent = || CallError::NotSent {
             address: self.address().to_owned(),
@@ -175,6 +227,10 @@
             let taken = tokio::time::timeout(within, self.pool.take()).await;
             let taken = taken.map_err(|_elapsed| not_sent())?;
             let mut connection = taken.map_err(|_refused| not_sent())?;
+            let Some(permit) = permit().await else {
+                connection.keep();
+                return Err(not_sent());
+            };
             let head = match connection.send(request).await {
                 Ok(head) => head,
                 Err(SendError::Unsent(unsent)) if connection.is_reused() => {
@@ -188,11 +244,12 @@
             let collected = body::collect(incoming, ANSWER_MAX_BYTES, u64::from(u32::MAX)).await;
             let body = collected.map_err(|_broken| unanswered())?;
             connection.keep();
-            return Ok(Answer {
+            let answer = Answer {
                 status: head.status.as_u16(),
                 headers: head.headers,
                 body,
-            });
+            };
+            return Ok((answer, permit));
         }
     }
 
