Who hears that a worker leaves tells the others

Callers saw: with the store silent each instance learnt only by its own answer that a worker leaves, so that at many instances most sent it requests once more, and the holder of the lease ordered it.

Cause: what peers told of leaving workers named the version of the store at which their rows said so. A word heard in an answer has none. Now digests carry such words by the worker's start, 64 at most, for 4 s from each who has just learnt of it; whoever comes up and knows no worker is told all; and an owner tells whoever asks it how the worker stands. A word on a start that isn't listed here yet is kept until it is (2,048 at most).

--- a/crates/cranereach-fleet/src/departure.rs
+++ b/crates/cranereach-fleet/src/departure.rs
@@ -6,6 +6,9 @@
 
 use std::collections::HashMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Starts of workers that aren't listed, of which it is remembered that they leave, at most.
 /// One that is listed again after so many others have left is heard from once more.
 const UNLISTED_MAX_COUNT: usize = 2_048;
@@ -69,6 +72,15 @@
     }
 }
 
+/// That a start of a worker leaves, as instances tell it each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureNews {
+    /// Key of the worker.
+    pub worker: u64,
+    /// Key of its start.
+    pub start: u64,
+}
+
 /// That a worker leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Departure {
--- a/crates/cranereach-fleet/src/roster/departures.rs
+++ b/crates/cranereach-fleet/src/roster/departures.rs
@@ -1,7 +1,9 @@
 //! Which workers leave by their own word, and what speaks against a send right before it.
 
 use super::Roster;
+use super::worker_key;
 use crate::departure::Departure;
+use crate::departure::DepartureNews;
 use crate::departure::Teller;
 use crate::purpose::Purpose;
 use crate::worker::start_key;
@@ -78,21 +80,27 @@
             .keep(start_key(id, started_unix_ms), departure)
     }
 
-    /// Takes another instance's word that a start of a worker leaves, by their keys; false if
-    /// it is known. One that isn't listed yet will be taken for leaving.
-    pub fn told_leaving(&mut self, now_ms: u64, worker: u64, start: u64) -> bool {
+    /// Takes another instance's word that a start of a worker leaves; false if it is known. One that isn't listed yet will be taken for leaving.
+    pub fn told_leaving(&mut self, now_ms: u64, news: &DepartureNews) -> bool {
         let departure = Departure {
             since_ms: now_ms,
             teller: Teller::Peer,
         };
-        if let Some(worker) = self.by_key_mut(worker)
-            && worker.record.start_key() == start
+        if let Some(worker) = self.by_key_mut(news.worker)
+            && worker.record.start_key() == news.start
         {
             let is_new = worker.departure.is_none();
             worker.departure.get_or_insert(departure);
             return is_new;
         }
-        self.departed.keep(start, departure)
+        self.departed.keep(news.start, departure)
+    }
+
+    /// Returns what others are told of a worker that leaves by its own word.
+    pub fn departure_news(&self, id: &str) -> Option<DepartureNews> {
+        let start = self.workers.get(id)?.leaving_start()?;
+        let worker = worker_key(id);
+        Some(DepartureNews { worker, start })
     }
 
     /// Counts the starts that leave and aren't listed.
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -156,6 +156,11 @@
         self.record.is_leaving || self.departure.is_some()
     }
 
+    /// Returns the key of its start if it leaves by its own word.
+    pub fn leaving_start(&self) -> Option<u64> {
+        self.departure.map(|_| self.record.start_key())
+    }
+
     /// Notes a request that is sent to the worker.
     pub fn began(&mut self, now_ms: u64, wanted: &Wanted<'_>, unread_ms: f64) {
         let rank = wanted.rank.min(RANK_COUNT - 1);
--- a/crates/cranereach-fleet/tests/departures.rs
+++ b/crates/cranereach-fleet/tests/departures.rs
@@ -7,6 +7,7 @@
 
 use self::workers::record;
 use self::workers::wanted;
+use cranereach_fleet::departure::DepartureNews;
 use cranereach_fleet::departure::Said;
 use cranereach_fleet::departure::Teller;
 use cranereach_fleet::departure::read;
@@ -92,18 +93,22 @@
 fn a_peers_word_counts_for_the_start_that_it_names() {
     let mut roster = Roster::default();
     roster.put(5, start("w", 100));
-    let key = worker_key("w");
-    assert!(roster.told_leaving(1_000, key, start_key("w", 200)));
+    let news = |id: &str, started_unix_ms| DepartureNews {
+        worker: worker_key(id),
+        start: start_key(id, started_unix_ms),
+    };
+    assert!(roster.told_leaving(1_000, &news("w", 200)));
     assert!(!roster.get("w").unwrap().is_leaving());
-    assert!(roster.told_leaving(1_000, key, start_key("w", 100)));
-    assert!(!roster.told_leaving(1_200, key, start_key("w", 100)));
+    assert!(roster.told_leaving(1_000, &news("w", 100)));
+    assert!(!roster.told_leaving(1_200, &news("w", 100)));
     let departure = roster.get("w").unwrap().departure.unwrap();
     assert_eq!(
         (departure.since_ms, departure.teller),
         (1_000, Teller::Peer)
     );
+    assert_eq!(roster.departure_news("w"), Some(news("w", 100)));
     // A worker that isn't listed here yet.
-    assert!(roster.told_leaving(1_000, worker_key("late"), start_key("late", 1)));
+    assert!(roster.told_leaving(1_000, &news("late", 1)));
     roster.put(6, start("late", 1));
     assert!(roster.get("late").unwrap().is_leaving());
 }
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use tokio::net::UdpSocket;
 
 use crate::bodies;
+use crate::departures;
 use crate::evacuations;
 use crate::expected;
 use crate::expected::ASKED_MAX_COUNT;
@@ -182,6 +183,7 @@
         store_failed,
         members,
         leaving,
+        departures: departures::news(node),
         unreachable,
         adapters,
         withheld,
@@ -278,7 +280,11 @@
         }
         peers.member_news_for(now_ms, DomainTag::from_key(heard.domain))
     };
-    let digest = make(node, now_ms, members);
+    let digest = Digest {
+        // What was told before it came up.
+        departures: departures::all(node),
+        ..make(node, now_ms, members)
+    };
     let newcomer = SocketAddr::from((newcomer, node.peer_port()));
     node.send_now(newcomer, Message::Digest(Box::new(digest)));
 }
@@ -307,6 +313,7 @@
     bodies::fetch_configuration_if_behind(node, sender, digest.configuration_version);
     evacuations::take(node, &digest.evacuations, origin(node, sender));
     quarantine::take(node, sender, &digest.suspects);
+    departures::take(node, &digest.departures);
     let has_changed = news::take_roster(node, now_ms, sender, digest);
     if has_changed {
         node.roster_changed.notify_waiters();
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -18,6 +18,7 @@
 pub use self::grants::GrantAsk;
 pub use self::grants::SendGrant;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::departure::DepartureNews;
 use cranereach_fleet::evacuation::EvacuationList;
 use cranereach_fleet::listing::ChangedRow;
 use cranereach_fleet::listing::Span;
@@ -31,7 +32,7 @@
 use cranereach_fleet::quarantine::SuspectNews;
 
 /// Version of the messages; others are dropped.
-pub const VERSION: u8 = 8;
+pub const VERSION: u8 = 9;
 
 /// Largest datagram that is taken, in bytes.
 pub const DATAGRAM_MAX_BYTES: usize = 32 * 1024;
@@ -226,6 +227,8 @@
     pub pause_ms: u32,
     /// What the owner knows of the worker's limit.
     pub limit: Option<LimitWord>,
+    /// Key of the start of the worker that leaves by its own word, as the owner knows.
+    pub leaving_start: Option<u64>,
 }
 
 /// What an instance is asked for.
@@ -369,6 +372,8 @@
     pub members: Vec<MemberNews>,
     /// Workers that were read as leaving or gone: key, version.
     pub leaving: Vec<(u64, u64)>,
+    /// Some of the workers that were lately heard to leave, by their own word.
+    pub departures: Vec<DepartureNews>,
     /// Keys of the workers that it could not reach lately.
     pub unreachable: Vec<u64>,
     /// Adapters that it has loaded: worker, model and adapter.
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -42,6 +42,7 @@
 use cranereach_fleet::configuration::Configuration;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::departure::DepartureNews;
 use cranereach_fleet::fingerprint::FingerprintKey;
 use cranereach_fleet::freshness::Freshness;
 use cranereach_fleet::limits::OwnedLimits;
@@ -132,6 +133,8 @@
     pub list_origin: Mutex<Option<Origin>>,
     /// Workers read as leaving or gone: key, version.
     pub recent_leaving: Mutex<Recent<(u64, u64)>>,
+    /// Workers that were heard to leave by their own word.
+    pub recent_departures: Mutex<Recent<DepartureNews>>,
     /// Body of the configuration in force, as peers are told it: without keys.
     pub configuration_body: Mutex<Bytes>,
     /// That body, and the same packed; empty until a peer first asks for it.
@@ -238,6 +241,7 @@
             list_told: Notify::new(),
             list_origin: Mutex::default(),
             recent_leaving: Mutex::default(),
+            recent_departures: Mutex::default(),
             configuration_body: Mutex::default(),
             packed_configuration: Mutex::default(),
             configuration: Mutex::default(),
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use crate::departures;
 use crate::messages::LoadPart;
 use crate::messages::Message;
 use crate::messages::OwnerAsk;
@@ -28,6 +29,7 @@
 use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::send_grants;
 use cranereach_fleet::topology::Distance;
+use cranereach_fleet::worker::Worker;
 
 /// Parts of a prompt that an owner is asked about at most.
 const PART_MAX_COUNT: usize = 16;
@@ -128,6 +130,7 @@
             if let Some(limit) = &quote.limit {
                 named_limits::note_told(node, quote.worker, limit);
             }
+            departures::take_owners(node, quote.worker, quote.leaving_start);
         }
     }
 }
@@ -208,9 +211,13 @@
                 named_limits::note_told(node, worker, limit);
             }
             let standing = own_standing(node, worker, &ask);
-            let known = node.roster();
-            let limit = known.by_key(worker).and_then(|of| of.limit_word(now_ms));
-            return Some(quote(worker, ticket, &standing, limit));
+            let roster = node.roster();
+            let known = roster.by_key(worker);
+            return Some(Quote {
+                limit: known.and_then(|of| of.limit_word(now_ms)),
+                leaving_start: known.and_then(Worker::leaving_start),
+                ..quote(worker, ticket, &standing)
+            });
         }
         OwnerEvent::Begun(opening, chains) => {
             let chains = chains.iter().take(PART_MAX_COUNT);
@@ -290,7 +297,7 @@
 }
 
 /// Writes how a worker stands.
-fn quote(worker: u64, ticket: u64, standing: &Standing, limit: Option<LimitWord>) -> Quote {
+fn quote(worker: u64, ticket: u64, standing: &Standing) -> Quote {
     Quote {
         ticket,
         worker,
@@ -302,7 +309,8 @@
         has_suspect: standing.has_suspect,
         send_in_ms: standing.send_in_ms as u32,
         pause_ms: standing.pause_ms as u32,
-        limit,
+        limit: None,
+        leaving_start: None,
     }
 }
 
