A worker that asks for rest gets nothing until its end; then one request goes first

Callers saw: while four of twelve workers turned everything away for 3 s at a time, a tenth to a fifth of the requests were refused, most for want of repeats that had been spent on these four, though eight others could serve. One worker got 7 requests of one instance in the rest that it had asked for.

Cause: nobody read Retry-After in a worker's answer; a worker that turned a request away was left out for that one request alone. Ruled out: repeats alone (5 of 7 and 3 of 3 are first offers), what was on its way (1.6 s later).

Now the rest is kept per worker, as a deadline, beside its row, by its start: calls, orders and questions for reports alike get no permit until its end, the choice passes it over, and calls that wait are moved on. The latest end holds. At the end one request goes first, of the most urgent rank, and one each 40 ms until one has been taken. Where all that could serve rest, the call is refused at once with code 2019 and the first end as Retry-After, or waits where that is within 0.4 of its aim.

Only a 503 asks for rest: elsewhere the header is the caller's or one account's (counted as unknown where it is neither). What is no time says nothing and is counted; an hour is believed at most.

--- a/crates/cranereach-core/src/codes.rs
+++ b/crates/cranereach-core/src/codes.rs
@@ -105,6 +105,7 @@
     NotAlone = 2016, "not_alone", 503, No, Later, "Workers ended while they ran requests equal to this one, and others like it run wherever it could.";
     WorkersLimited = 2017, "workers_limited", 503, No, Later, "The workers that hold what the request needs say how many requests they take, and get no more for now.";
     WorkersLeaving = 2018, "workers_leaving", 503, No, Later, "The workers that could serve the request say that they leave, and others aren't there yet.";
+    WorkersResting = 2019, "workers_resting", 503, No, Later, "The workers that hold what the request needs asked for rest, and get nothing until its end.";
     OutcomeUnknown = 3001, "outcome_unknown", 502, Unknown, OnlyIfSafe, "The upstream got the request, and no whole answer came.";
     BrokenMidway = 3002, "broken_midway", 502, Unknown, OnlyIfSafe, "The answer broke off after it had begun.";
     DeadlinePassedRunning = 3003, "deadline_passed_running", 504, Unknown, OnlyIfSafe, "The deadline passed while the upstream worked.";
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -15,7 +15,7 @@
 //! requests, [`quarantine`] which of them end their workers. [`topology`] says how far instances and workers
 //! stand, [`regions`] where requests may be served, [`evacuation`] which failure domains
 //! are to get none, [`cold`] which workers have just started, [`departure`] which say that
-//! they leave, [`named_limit`] how many they take, for each [`purpose`], [`send_grants`] who may send one of these a request. [`tenure`] says whether this
+//! they leave, [`rest`] which want nothing for a while, [`named_limit`] how many they take, for each [`purpose`], [`send_grants`] who may send one of these a request. [`tenure`] says whether this
 //! instance may order workers, [`placement`] with [`pressure`] what it should order, and [`ledger`] which orders
 //! are open.
 //!
@@ -55,6 +55,7 @@
 pub mod quarantine;
 pub mod reading_plan;
 pub mod regions;
+pub mod rest;
 pub mod retry_window;
 pub mod roster;
 pub mod send_grants;
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -73,6 +73,8 @@
     /// All that hold the model and could be sent it are cold or name a limit, and get no
     /// more for now.
     Limited,
+    /// All that hold the model and could be sent it asked for rest.
+    Resting,
     /// No worker holds the adapter.
     NoAdapter,
     /// Workers end under requests equal to it, and at each that holds what is wanted
--- a/crates/cranereach-fleet/src/roster/departures.rs
+++ b/crates/cranereach-fleet/src/roster/departures.rs
@@ -15,6 +15,8 @@
     Gone,
     /// It leaves.
     Leaving,
+    /// It asked this instance for rest.
+    Resting,
     /// Its failure domain is to be evacuated.
     Evacuated,
 }
@@ -25,24 +27,30 @@
         match self {
             Self::Gone => "gone",
             Self::Leaving => "leaving",
+            Self::Resting => "resting",
             Self::Evacuated => "evacuated",
         }
     }
 }
 
 impl Roster {
-    /// Returns what speaks against sending something to a worker now; what was chosen before
-    /// a wait is asked again.
-    pub fn barred(&self, now_ms: u64, id: &str, purpose: Purpose) -> Option<Barred> {
+    /// Returns what speaks against sending something of a rank to a worker now; what was chosen
+    /// before a wait is asked again.
+    pub fn barred(&self, now_ms: u64, id: &str, purpose: Purpose, rank: usize) -> Option<Barred> {
         let Some(worker) = self.workers.get(id) else {
             return Some(Barred::Gone);
         };
         if worker.is_leaving() {
             return Some(Barred::Leaving);
         }
+        let is_call = purpose == Purpose::Call;
+        let may_send = !worker.rest.is_resting(now_ms);
+        // Who goes first at the end of a rest is a question among callers.
+        if !may_send || is_call && !worker.rest.may_send(now_ms, rank) {
+            return Some(Barred::Resting);
+        }
         // Orders empty what is evacuated.
-        let is_evacuated =
-            purpose == Purpose::Call && !self.evacuations.may_send(now_ms, worker.domain_key);
+        let is_evacuated = is_call && !self.evacuations.may_send(now_ms, worker.domain_key);
         is_evacuated.then_some(Barred::Evacuated)
     }
 
--- a/crates/cranereach-fleet/src/roster/leave.rs
+++ b/crates/cranereach-fleet/src/roster/leave.rs
@@ -34,6 +34,12 @@
             .collect()
     }
 
+    /// Whether a worker asked this instance for rest.
+    pub fn is_resting(&self, now_ms: u64, id: &str) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.rest.is_resting(now_ms))
+    }
+
     /// Whether a worker names a limit.
     pub fn names_limit(&self, now_ms: u64, id: &str) -> bool {
         let worker = self.workers.get(id);
@@ -52,10 +58,11 @@
     /// Returns from when it is worth asking for a worker that holds what is wanted and gets
     /// no more for now, and from when one needs no grant, in milliseconds; none if there is
     /// no such one.
-    pub fn granted_from_ms(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<(u64, u64)> {
+    pub fn free_from_ms(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<(u64, u64)> {
         let gets_none = |worker: &&Worker| {
-            let may_ask = worker.ask_pause.may_ask(now_ms, wanted.rank);
-            worker.has(now_ms, wanted.model).is_ok() && !may_ask
+            let may_send = worker.rest.may_send(now_ms, wanted.rank)
+                && worker.ask_pause.may_ask(now_ms, wanted.rank);
+            !worker.is_leaving() && worker.has(now_ms, wanted.model).is_ok() && !may_send
         };
         let all: Vec<&Worker> = match wanted.model {
             Some((model, _adapter)) => {
@@ -65,13 +72,14 @@
             None => self.of_service(wanted.service).filter(gets_none).collect(),
         };
         let times = all.into_iter().map(|worker| {
-            let ask_at_ms = worker.ask_pause.ask_at_ms(wanted.rank);
+            let rested_at_ms = worker.rest.free_at_ms(wanted.rank);
+            let ask_at_ms = worker.ask_pause.ask_at_ms(wanted.rank).max(rested_at_ms);
             let is_limited = worker.limit.rate_per_s(now_ms).is_some();
             // Nothing says when a limit ends: its next grants count.
             let free_at_ms = if is_limited {
                 ask_at_ms
             } else {
-                worker.coldness.warm_at_ms()
+                worker.coldness.warm_at_ms().max(rested_at_ms)
             };
             (ask_at_ms, free_at_ms)
         });
--- a/crates/cranereach-fleet/src/roster/weighing.rs
+++ b/crates/cranereach-fleet/src/roster/weighing.rs
@@ -67,6 +67,10 @@
             why = why.max(NoWorker::Unreachable);
             continue;
         }
+        if !worker.rest.may_send(now_ms, wanted.rank) {
+            why = why.max(NoWorker::Resting);
+            continue;
+        }
         if !worker.may_ask(now_ms, wanted) {
             let is_limited = worker.limit.rate_per_s(now_ms).is_some();
             why = why.max(if is_limited {
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -23,6 +23,7 @@
 use crate::named_limit::NamedLimit;
 use crate::owned::Standing;
 use crate::prefixes::KeptPrefixes;
+use crate::rest::Rest;
 use crate::roster::NoWorker;
 use crate::roster::worker_key;
 use crate::send_grants::AskPause;
@@ -89,6 +90,8 @@
     pub coldness: Coldness,
     /// That it leaves, as its answers say, whatever its row does.
     pub departure: Option<Departure>,
+    /// For how long it wants nothing from this instance.
+    pub rest: Rest,
     /// What it says of the requests that it takes in a second.
     pub limit: NamedLimit,
     /// Until when its owner isn't asked whether it may be sent something.
@@ -132,6 +135,7 @@
         Self {
             coldness: Coldness::default(),
             departure: None,
+            rest: Rest::default(),
             limit: NamedLimit::default(),
             ask_pause: AskPause::default(),
             domain_key: worker_key(&record.failure_domain),
--- a/crates/cranereach-fleet/tests/choice.rs
+++ b/crates/cranereach-fleet/tests/choice.rs
@@ -44,7 +44,7 @@
     roster.put(2, moved);
     let asked = EvacuationList::default().changed(worker_key("other"), 3, false);
     roster.evacuations.take(1_000, asked, None, 5_000);
-    let barred = |purpose| roster.barred(1_001, "w", purpose);
+    let barred = |purpose| roster.barred(1_001, "w", purpose, 0);
     assert_eq!(barred(Purpose::Call), Some(Barred::Evacuated));
     assert_eq!(barred(Purpose::Order), None, "orders empty the domain");
     assert!(roster.is_evacuated("w"));
--- a/crates/cranereach-fleet/tests/departures.rs
+++ b/crates/cranereach-fleet/tests/departures.rs
@@ -118,13 +118,13 @@
     let mut roster = Roster::default();
     roster.put(5, start("w", 100));
     for purpose in [Purpose::Call, Purpose::Order, Purpose::Report] {
-        assert_eq!(roster.barred(900, "w", purpose), None);
-        assert_eq!(roster.barred(900, "other", purpose), Some(Barred::Gone));
+        assert_eq!(roster.barred(900, "w", purpose, 0), None);
+        assert_eq!(roster.barred(900, "other", purpose, 0), Some(Barred::Gone));
     }
     assert_eq!(choose(&roster, Some("m")), Ok("w".to_owned()));
     roster.heard_leaving(1_000, "w", 100);
     for purpose in [Purpose::Call, Purpose::Order, Purpose::Report] {
-        assert_eq!(roster.barred(1_000, "w", purpose), Some(Barred::Leaving));
+        assert_eq!(roster.barred(1_000, "w", purpose, 0), Some(Barred::Leaving));
     }
     assert_eq!(choose(&roster, Some("m")), Err(NoWorker::Leaving));
     assert_eq!(choose(&roster, None), Err(NoWorker::Leaving));
--- /dev/null
+++ b/crates/cranereach-fleet/tests/rests.rs
@@ -0,0 +1,134 @@
+//! The rest that a worker asks an instance for.
+
+mod workers;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use self::workers::record;
+use self::workers::wanted;
+use cranereach_fleet::purpose::Purpose;
+use cranereach_fleet::rest::BELIEVED_MAX_MS;
+use cranereach_fleet::rest::Rest;
+use cranereach_fleet::rest::Said;
+use cranereach_fleet::rest::TRIED_EVERY_MS;
+use cranereach_fleet::rest::read;
+use cranereach_fleet::roster::Barred;
+use cranereach_fleet::roster::NoWorker;
+use cranereach_fleet::roster::Roster;
+use cranereach_fleet::wanted::Wanted;
+
+#[test]
+fn each_value_has_a_meaning() {
+    let said = |values: &[&[u8]]| read(values.iter().copied());
+    assert_eq!(said(&[]), Said::Nothing);
+    assert_eq!(said(&[b"3"]), Said::For(3_000));
+    assert_eq!(said(&[b" 0.25 "]), Said::For(250));
+    assert_eq!(said(&[b"0.0001"]), Said::For(1), "rounded up");
+    assert_eq!(said(&[b"0"]), Said::Nothing);
+    assert_eq!(said(&[b"-0"]), Said::Nothing);
+    assert_eq!(said(&[b"1", b"2"]), Said::For(2_000), "the longest");
+    assert_eq!(said(&[b"soon", b"2"]), Said::For(2_000));
+    for far in [&b"1e300"[..], b"3601", b"99999999999999999999"] {
+        assert_eq!(said(&[far]), Said::For(BELIEVED_MAX_MS), "{far:?}");
+    }
+    let unreadable: [&[u8]; 8] = [
+        b"",
+        b"-1",
+        b"nan",
+        b"inf",
+        b"3 s",
+        b"1,5",
+        b"Fri, 31 Dec 2027 23:59:59 GMT",
+        b"\xff",
+    ];
+    for value in unreadable {
+        assert_eq!(said(&[value]), Said::Unreadable, "{value:?}");
+    }
+    assert_eq!(said(&[&[b'1'; 4_000]]), Said::Unreadable);
+}
+
+#[test]
+fn the_latest_end_holds() {
+    let mut rest = Rest::default();
+    assert!(rest.asked(1_000, 3_000));
+    assert!(!rest.asked(2_000, 500), "a shorter one doesn't shorten");
+    assert!(rest.is_resting(3_999));
+    assert!(rest.asked(3_500, 2_000), "a later end");
+    assert_eq!(rest.span_ms(5_499), Some((1_000, 5_500)));
+    assert_eq!(rest.span_ms(5_500), None);
+}
+
+#[test]
+fn an_answer_to_an_older_request_ends_nothing() {
+    let mut rest = Rest::default();
+    rest.asked(1_000, 3_000);
+    assert!(!rest.taken(900));
+    assert!(!rest.taken(3_999));
+    assert!(!rest.may_send(3_999, 0) && rest.is_resting(3_999));
+    rest.sent(4_000);
+    assert!(rest.taken(4_000));
+    assert!(!rest.taken(4_000), "it was over");
+    assert_eq!(rest.free_at_ms(2), 0);
+}
+
+#[test]
+fn at_its_end_one_request_goes_first_the_most_urgent_before_others() {
+    let mut rest = Rest::default();
+    rest.asked(1_000, 3_000);
+    assert!(rest.may_send(4_000, 0));
+    assert!(!rest.may_send(4_000, 1) && !rest.may_send(4_000, 2));
+    assert!(rest.may_send(4_060, 1) && rest.may_send(4_060, 2));
+    rest.sent(4_060);
+    assert!(!rest.may_send(4_061, 0));
+    assert!(rest.may_send(4_060 + TRIED_EVERY_MS, 0), "no answer yet");
+    // It asks for rest once more.
+    rest.asked(4_070, 1_000);
+    assert!(!rest.may_send(5_069, 0) && rest.may_send(5_070, 0));
+}
+
+fn choose(roster: &Roster, now_ms: u64, wanted: &Wanted<'_>) -> Result<String, NoWorker> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let choice = roster.choose(now_ms, wanted, None, &mut rng);
+    choice.map(|choice| choice.id.to_string())
+}
+
+#[test]
+fn others_are_chosen_and_where_there_are_none_the_first_end_is_told() {
+    let mut roster = Roster::default();
+    for id in ["a", "b"] {
+        roster.put(5, record(id, &[("m", &[])]));
+    }
+    roster.put(5, record("c", &[]));
+    let wanted = wanted(Some(("m", None)));
+    roster.get_mut("a").unwrap().rest.asked(1_000, 3_000);
+    assert_eq!(choose(&roster, 1_000, &wanted).as_deref(), Ok("b"));
+    roster.get_mut("b").unwrap().rest.asked(1_000, 2_000);
+    assert_eq!(choose(&roster, 1_000, &wanted), Err(NoWorker::Resting));
+    let free = roster.free_from_ms(1_000, &wanted);
+    assert_eq!(free.map(|(_, at_ms)| at_ms), Some(3_000 + 25), "by rank");
+    // One that leaves is no hope.
+    roster.heard_leaving(1_500, "b", 0);
+    let free = roster.free_from_ms(1_500, &wanted);
+    assert_eq!(free.map(|(_, at_ms)| at_ms), Some(4_000 + 25));
+    let barred = |now_ms, purpose| roster.barred(now_ms, "a", purpose, 1);
+    for purpose in [Purpose::Call, Purpose::Order, Purpose::Report] {
+        assert_eq!(barred(3_999, purpose), Some(Barred::Resting));
+    }
+    assert_eq!(barred(4_000, Purpose::Order), None);
+    assert_eq!(barred(4_000, Purpose::Call), Some(Barred::Resting));
+    assert_eq!(barred(4_025, Purpose::Call), None);
+}
+
+#[test]
+fn a_new_start_rests_for_nobody() {
+    let mut roster = Roster::default();
+    roster.put(5, record("a", &[]));
+    roster.get_mut("a").unwrap().rest.asked(1_000, 60_000);
+    roster.put(6, record("a", &[]));
+    assert!(roster.is_resting(2_000, "a"), "a newer row changes nothing");
+    let mut next = record("a", &[]);
+    next.started_unix_ms = 9;
+    roster.put(7, next);
+    assert!(!roster.is_resting(2_000, "a"));
+}
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -72,7 +72,7 @@
         view.is_evacuated = roster.is_evacuated(id);
         // What a worker in need takes is left to callers: each order leads to a question
         // for a report, too.
-        view.is_free &= !roster.names_limit(now_ms, id);
+        view.is_free &= !roster.names_limit(now_ms, id) && !roster.is_resting(now_ms, id);
     }
     (ids, views)
 }
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -33,8 +33,8 @@
 /// some hundred milliseconds, so that most calls that wait are served in time.
 const ADAPTER_WAIT_SHARE: f64 = 0.6;
 
-/// Share of the aim for which a call waits until a worker that gets only so many requests
-/// may be sent one.
+/// Share of the aim for which a call waits until a worker that gets only so many requests,
+/// or rests, may be sent one.
 const GRANT_WAIT_SHARE: f64 = 0.4;
 
 /// Share of the aim for which a call under whose like workers ended waits until none of
@@ -92,6 +92,7 @@
                     NoWorker::Evacuated => ResultCode::DomainEvacuated,
                     NoWorker::Cold => ResultCode::WorkersCold,
                     NoWorker::Limited => ResultCode::WorkersLimited,
+                    NoWorker::Resting => ResultCode::WorkersResting,
                     NoWorker::NoModel | NoWorker::NoAdapter => ResultCode::NotResident,
                     NoWorker::NotAlone => ResultCode::NotAlone,
                 };
@@ -100,8 +101,8 @@
                     NoWorker::NoModel | NoWorker::Evacuated => {
                         refusal.retry_after_ms = self.model_back_after_ms();
                     }
-                    NoWorker::Cold | NoWorker::Limited => {
-                        refusal.retry_after_ms = self.granted_after_ms(&wanted);
+                    NoWorker::Cold | NoWorker::Limited | NoWorker::Resting => {
+                        refusal.retry_after_ms = self.free_after_ms(&wanted);
                         refusal.short_of = (why == NoWorker::Limited).then(|| self.shortage());
                     }
                     NoWorker::NotAlone => refusal.retry_after_ms = ALONE_AFTER_MS,
@@ -129,10 +130,10 @@
             NoWorker::None | NoWorker::Leaving | NoWorker::NotAllowed | NoWorker::Unreachable => {
                 received_ms
             }
-            NoWorker::Cold | NoWorker::Limited => {
+            NoWorker::Cold | NoWorker::Limited | NoWorker::Resting => {
                 let latest_ms =
                     received_ms + (self.call.route.aim_ms as f64 * GRANT_WAIT_SHARE) as u64;
-                let ask_at_ms = self.granted_from_ms(wanted).map(|(ask_at_ms, _)| ask_at_ms);
+                let ask_at_ms = self.free_from_ms(wanted).map(|(ask_at_ms, _)| ask_at_ms);
                 ask_at_ms
                     .filter(|at_ms| *at_ms <= latest_ms)
                     .map_or(received_ms, |_| latest_ms)
@@ -166,15 +167,15 @@
 
     /// Returns from when it is worth asking for a worker that gets no more for now, and from
     /// when one needs no grant, in milliseconds.
-    fn granted_from_ms(&self, wanted: &Wanted<'_>) -> Option<(u64, u64)> {
+    fn free_from_ms(&self, wanted: &Wanted<'_>) -> Option<(u64, u64)> {
         let now_ms = self.node.now_ms();
-        self.node.roster().granted_from_ms(now_ms, wanted)
+        self.node.roster().free_from_ms(now_ms, wanted)
     }
 
     /// Returns when a call should come back whose workers get no more for now, in
     /// milliseconds.
-    fn granted_after_ms(&self, wanted: &Wanted<'_>) -> u64 {
-        let free_at_ms = self.granted_from_ms(wanted).map(|(_, at_ms)| at_ms);
+    fn free_after_ms(&self, wanted: &Wanted<'_>) -> u64 {
+        let free_at_ms = self.free_from_ms(wanted).map(|(_, at_ms)| at_ms);
         let after_ms = free_at_ms.map_or(0, |at_ms| at_ms.saturating_sub(self.node.now_ms()));
         after_ms.max(RETRY_AFTER_DEFAULT_MS)
     }
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod questions;
 pub mod recent;
 pub mod recipients;
+pub mod rests;
 pub mod roster_sync;
 pub mod run;
 pub mod send_grants;
--- a/crates/cranereach-gateway/src/send_permit.rs
+++ b/crates/cranereach-gateway/src/send_permit.rs
@@ -2,7 +2,7 @@
 //! request, an order, a question for a report.
 //!
 //! Whoever chose a worker may have waited since: for a burst of prompts, a connection, the
-//! worker's owner. Meanwhile the worker may have gone or said that it leaves. So nothing is
+//! worker's owner. Meanwhile the worker may have gone, or said that it leaves or wants rest. So nothing is
 //! waited for between the permit and the write.
 
 use std::sync::Arc;
@@ -29,32 +29,37 @@
 
 /// Asks for a permit to send one request of a rank; none if the worker isn't to get it now.
 pub async fn ask(node: &Node, worker: &Arc<str>, purpose: Purpose, rank: u8) -> Option<Permit> {
-    if is_barred(node, worker, purpose) {
+    if is_barred(node, worker, purpose, rank) {
         return None;
     }
     if !send_grants::may_send(node, worker, purpose, rank).await {
         return None;
     }
     // Owners take some ten milliseconds, in which a word may have come.
-    if is_barred(node, worker, purpose) {
+    if is_barred(node, worker, purpose, rank) {
         return None;
     }
+    let sent_ms = node.now_ms();
     let started_unix_ms = {
-        let roster = node.roster();
-        roster.get(worker)?.record.started_unix_ms
+        let mut roster = node.roster();
+        let worker = roster.get_mut(worker)?;
+        if purpose == Purpose::Call {
+            worker.rest.sent(sent_ms);
+        }
+        worker.record.started_unix_ms
     };
     named_limits::note_sent(node, worker, purpose);
     Some(Permit {
         worker: Arc::clone(worker),
         started_unix_ms,
         purpose,
-        sent_ms: node.now_ms(),
+        sent_ms,
     })
 }
 
 /// Whether something speaks against sending to a worker; counts what it is.
-fn is_barred(node: &Node, worker: &str, purpose: Purpose) -> bool {
-    let barred = barred(node, worker, purpose);
+fn is_barred(node: &Node, worker: &str, purpose: Purpose, rank: u8) -> bool {
+    let barred = barred(node, worker, purpose, rank);
     if let Some(barred) = barred {
         let counter = &node.metrics.sends_barred_total;
         counter
@@ -65,7 +70,8 @@
 }
 
 /// Returns what speaks against sending to a worker now.
-pub fn barred(node: &Node, worker: &str, purpose: Purpose) -> Option<Barred> {
+pub fn barred(node: &Node, worker: &str, purpose: Purpose, rank: u8) -> Option<Barred> {
     let now_ms = node.now_ms();
-    node.roster().barred(now_ms, worker, purpose)
+    let rank = usize::from(rank);
+    node.roster().barred(now_ms, worker, purpose, rank)
 }
--- a/crates/cranereach-gateway/src/unknown_words.rs
+++ b/crates/cranereach-gateway/src/unknown_words.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 
 use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::header::HeaderName;
 use hyper::header::RETRY_AFTER;
 use slog::warn;
@@ -28,9 +29,15 @@
 }
 
 /// Counts the headers of a worker's answer that seem to speak of it and aren't known.
-pub fn note(node: &Node, worker: &str, headers: &HeaderMap) {
-    for name in headers.keys().filter(|name| is_unknown(node, name)) {
-        note_one(node, worker, name.as_str());
+pub fn note(node: &Node, worker: &str, (status, headers): (StatusCode, &HeaderMap)) {
+    for name in headers.keys() {
+        // Where it turns something away it is read; on success it is the caller's.
+        let is_odd_rest = name == RETRY_AFTER
+            && status != StatusCode::SERVICE_UNAVAILABLE
+            && !status.is_success();
+        if is_odd_rest || is_unknown(node, name) {
+            note_one(node, worker, name.as_str());
+        }
     }
 }
 
@@ -46,7 +53,7 @@
     let names = &node.adapter.headers;
     let mut prefixes = names.worker_prefixes.iter();
     let is_word = prefixes.any(|prefix| name.as_str().starts_with(prefix));
-    name == RETRY_AFTER || is_word && !names.worker_known.contains(&name.as_str())
+    is_word && !names.worker_known.contains(&name.as_str())
 }
 
 /// Counts one, and logs a new name.
--- a/crates/cranereach-gateway/src/worker_words.rs
+++ b/crates/cranereach-gateway/src/worker_words.rs
@@ -14,11 +14,13 @@
 use crate::departures;
 use crate::named_limits;
 use crate::node::Node;
+use crate::rests;
 use crate::send_permit::Permit;
 use crate::unknown_words;
 use cranereach_fleet::departure;
 use cranereach_fleet::load::SaidLoad;
 use cranereach_fleet::named_limit;
+use cranereach_fleet::rest;
 
 /// Time that an idle connection is used again for, where the worker says none, in
 /// milliseconds.
@@ -31,6 +33,9 @@
 /// Header by which a server tells how long a connection may rest.
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// Header by which whoever turns a request away says when to come back.
+const REST_HEADER: &str = "retry-after";
+
 /// What the head of an answer says of the worker that made it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WorkerWords {
@@ -46,6 +51,8 @@
     pub limit: named_limit::Said,
     /// Whether it leaves.
     pub leaving: departure::Said,
+    /// For how long it wants nothing.
+    pub rest: rest::Said,
     /// How long the connection may rest, in milliseconds; none if it closes.
     pub connection_rest_ms: Option<u64>,
 }
@@ -61,6 +68,11 @@
         let author = headers.get(names.answered_by);
         let is_other = author.is_some_and(|author| author.as_bytes() != worker.as_bytes());
         let load = text(headers, names.load).map(said_load);
+        // Elsewhere the header is for the caller, or for one account.
+        let rest = match status {
+            StatusCode::SERVICE_UNAVAILABLE => rest::read(values(headers, REST_HEADER)),
+            _ => rest::Said::Nothing,
+        };
         Self {
             is_of_another: is_misdirected || is_other,
             is_not_run: is_misdirected || headers.contains_key(names.not_run),
@@ -68,6 +80,7 @@
             is_load_unreadable: load == Some(None),
             limit: named_limit::read(values(headers, names.limit)),
             leaving: departure::read(values(headers, names.leaving)),
+            rest,
             connection_rest_ms: connection_rest_ms(headers),
         }
     }
@@ -81,12 +94,12 @@
     head: (StatusCode, &HeaderMap),
     is_asked_for: bool,
 ) -> WorkerWords {
-    let (status, headers) = head;
+    let (status, _headers) = head;
     let words = WorkerWords::read(&node.adapter.headers, &permit.worker, head);
     if words.is_of_another {
         return words;
     }
-    unknown_words::note(node, &permit.worker, headers);
+    unknown_words::note(node, &permit.worker, head);
     note_unreadable(node, &permit.worker, &words);
     if let (Some(load), true) = (words.load, is_asked_for) {
         let now_ms = node.now_ms();
@@ -98,6 +111,11 @@
     if words.leaving == departure::Said::Leaves {
         departures::heard(node, permit);
     }
+    if let rest::Said::For(for_ms) = words.rest {
+        rests::heard(node, permit, for_ms);
+    } else if is_asked_for && !words.is_not_run && status != StatusCode::SERVICE_UNAVAILABLE {
+        rests::note_taken(node, permit);
+    }
     words
 }
 
@@ -116,6 +134,7 @@
             "leaving",
             names.leaving,
         ),
+        (words.rest == rest::Said::Unreadable, "rest", REST_HEADER),
     ];
     for (_, source, header) in unreadable.iter().filter(|(is_so, ..)| *is_so) {
         let counter = &node.metrics.bad_input_total;
@@ -125,7 +144,7 @@
 }
 
 /// Returns the values of a header.
-fn values<'a>(headers: &'a HeaderMap, name: &'static str) -> impl Iterator<Item = &'a [u8]> {
+fn values<'a>(headers: &'a HeaderMap, name: &str) -> impl Iterator<Item = &'a [u8]> {
     let values = headers.get_all(name).into_iter();
     values.map(HeaderValue::as_bytes)
 }
