--- a/crates/cranereach-fleet/tests/own_words/world.rs
+++ b/crates/cranereach-fleet/tests/own_words/world.rs
@@ -1,6 +1,7 @@
 //! Simulated instances with the real roster, and workers that leave and ask for rest.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -229,7 +230,7 @@
     }
 
     fn put(&mut self, number: usize, version: u64, row: WorkerRecord) {
-        let id = row.id.clone();
+        let id = Arc::clone(&row.id);
         let says_leaving = row.is_leaving;
         let roster = &mut self.instances[number].roster;
         roster.put(version, row);
@@ -292,9 +293,10 @@
         if self.mutant == Mutant::AskedBeforeTheWait && self.is_barred(&call) {
             return;
         }
-        let held_ms = match self.rng.random_bool(0.3) {
-            true => self.rng.random_range(0..HELD_MAX_MS),
-            false => 0,
+        let held_ms = if self.rng.random_bool(0.3) {
+            self.rng.random_range(0..HELD_MAX_MS)
+        } else {
+            0
         };
         self.at(held_ms, Event::Send(call));
     }
@@ -359,10 +361,8 @@
                 at_ms: self.now_ms,
             });
         }
-        let rest_ms = match sheds && is_asked_for {
-            true => Some(self.rng.random_range(300..5_000)),
-            false => None,
-        };
+        let for_ms = self.rng.random_range(300..5_000);
+        let rest_ms = (sheds && is_asked_for).then_some(for_ms);
         if let Some(for_ms) = rest_ms {
             self.record.rests.push(Told {
                 instance: call.instance,
@@ -378,9 +378,10 @@
             is_taken: !is_turned_away,
             rest_ms,
         };
-        let run_ms = match is_turned_away {
-            true => 1,
-            false => self.rng.random_range(1..RUN_MAX_MS),
+        let run_ms = if is_turned_away {
+            1
+        } else {
+            self.rng.random_range(1..RUN_MAX_MS)
         };
         let in_ms = run_ms + self.way_ms();
         self.at(in_ms, Event::Answer(call, words));
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -76,6 +76,10 @@
     pub send_grants_total: IntCounterVec,
     /// Workers that name a limit, when this was asked for.
     pub limited_workers: IntGauge,
+    /// Workers that leave, when this was asked for.
+    pub leaving_workers: IntGauge,
+    /// Workers that asked this instance for rest, when this was asked for.
+    pub resting_workers: IntGauge,
     /// Requests sent to workers that name a limit, by what they are for.
     pub limited_sends_total: IntCounterVec,
     /// Requests that weren't sent to the worker that was chosen, by why and by what they are for.
@@ -153,6 +157,8 @@
             quarantined_requests: gauge("quarantined_requests", "requests sent to no worker"),
             suspected_requests: gauge("suspected_requests", "requests workers ended under"),
             limited_workers: gauge("limited_workers", "workers that name a limit"),
+            leaving_workers: gauge("leaving_workers", "workers that leave"),
+            resting_workers: gauge("resting_workers", "workers that asked for rest"),
             evacuated_domains: gauge("evacuated_domains", "failure domains to be evacuated"),
             sends_total: counters("sends_total", "requests sent to workers", &["domain"]),
             send_grants_total: counters(
--- a/crates/cranereach-gateway/src/operators.rs
+++ b/crates/cranereach-gateway/src/operators.rs
@@ -1,5 +1,5 @@
 //! What the platform and operators ask an instance: whether it is ready, its metrics, which
-//! requests it sends to no worker, and which workers name a limit.
+//! requests it sends to no worker, and which workers name a limit, leave or rest.
 
 use std::future::Ready;
 use std::future::ready;
@@ -15,6 +15,7 @@
 
 use crate::named_limits;
 use crate::node::Node;
+use crate::own_words;
 use crate::quarantine;
 use cranereach_fleet::fingerprint::Fingerprint;
 use cranereach_http::server::Closed;
@@ -31,6 +32,9 @@
 /// Path of the workers that name a limit.
 pub const LIMITS_PATH: &str = "/limits";
 
+/// Path of the workers that leave or rest.
+pub const WORKERS_PATH: &str = "/workers";
+
 /// Answers the question whether this instance is ready; anything else is not found.
 pub fn answer_ready(
     node: &Node,
@@ -56,12 +60,17 @@
         (&Method::GET, METRICS_PATH, _) => {
             let limited_count = named_limits::count(node);
             node.metrics.limited_workers.set(limited_count as i64);
+            own_words::count(node);
             (StatusCode::OK, node.metrics.text())
         }
         (&Method::GET, LIMITS_PATH, _) => {
             let shown = serde_json::to_string(&named_limits::show(node));
             (StatusCode::OK, shown.unwrap_or_default())
         }
+        (&Method::GET, WORKERS_PATH, _) => {
+            let shown = serde_json::to_string(&own_words::show(node));
+            (StatusCode::OK, shown.unwrap_or_default())
+        }
         (&Method::GET, QUARANTINE_PATH, _) => {
             let shown = serde_json::to_string(&quarantine::show(node));
             (StatusCode::OK, shown.unwrap_or_default())
--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -180,6 +180,19 @@
         Some(worker.clone())
     }
 
+    /// Lets the worker at a place turn everything away and ask for rest, or serve again.
+    pub fn ask_for_rest(&self, number: usize, rest_ms: Option<u64>) {
+        if let Some(occupant) = lock(&self.places[number].now).as_ref() {
+            let asked = rest_ms.map(|rest_ms| (rest_ms as f64 / 1_000.0).to_string());
+            occupant.worker.ask_for_rest(asked.as_deref());
+            let behaviour = match rest_ms {
+                Some(_) => Behaviour::Sheds,
+                None => Behaviour::Serves,
+            };
+            occupant.worker.set(behaviour);
+        }
+    }
+
     /// Returns the places of a service.
     pub fn places_of(&self, service: usize) -> Vec<usize> {
         let places = self.places.iter();
@@ -240,6 +253,7 @@
                 return;
             };
             occupant.state = LEAVING;
+            occupant.worker.say_it_leaves();
             occupant.worker.clone()
         };
         self.beat();
--- a/crates/cranereach-soak/src/back_ends/arrivals.rs
+++ b/crates/cranereach-soak/src/back_ends/arrivals.rs
@@ -26,6 +26,10 @@
                     account: seen.headers.get(HEADERS.account).cloned(),
                     at_ms: journal.ms_of(seen.at),
                     is_run: seen.is_run,
+                    rest_ms: seen.rest_s.and_then(|rest_s| {
+                        let seconds: f64 = rest_s.parse().ok()?;
+                        Some((seconds * 1_000.0) as u64)
+                    }),
                 });
                 arrivals.extend(seen);
             }
--- a/crates/cranereach-soak/src/check/contact.rs
+++ b/crates/cranereach-soak/src/check/contact.rs
@@ -44,6 +44,13 @@
         })
     }
 
+    /// Tells whether somebody had no trouble within a span.
+    pub fn is_undisturbed(&self, whom: Whom, from_ms: u64, to_ms: u64) -> bool {
+        !self.troubles.iter().any(|trouble| {
+            trouble.whom == whom && trouble.from_ms <= to_ms && from_ms <= trouble.to_ms
+        })
+    }
+
     /// Tells whether a gateway was in touch during a span: it ran all the while, with
     /// its link to the store and the store itself well.
     pub fn is_in_touch(&self, gateway: usize, from_ms: u64, to_ms: u64) -> bool {
--- a/crates/cranereach-soak/src/check/mod.rs
+++ b/crates/cranereach-soak/src/check/mod.rs
@@ -8,6 +8,7 @@
 pub mod once;
 pub mod order;
 pub mod own;
+pub mod own_words;
 pub mod recovery;
 pub mod stop;
 pub mod whole;
@@ -61,7 +62,7 @@
 }
 
 /// All promises, in the order of the report.
-pub const PROMISES: [Promise; 17] = [
+pub const PROMISES: [Promise; 19] = [
     promise("whole-answers", Judged::Always, whole::check),
     promise("streams-in-order", Judged::Always, order::check),
     promise("at-most-once", Judged::Always, once::at_most_once),
@@ -79,4 +80,6 @@
     promise("cold-workers", Judged::Timed, cold::check),
     promise("ending-requests", Judged::Timed, ending::check),
     promise("limited-workers", Judged::Timed, limited::check),
+    promise("leaving-words", Judged::Always, own_words::leaving),
+    promise("resting-workers", Judged::Timed, own_words::resting),
 ];
--- a/crates/cranereach-soak/src/faults.rs
+++ b/crates/cranereach-soak/src/faults.rs
@@ -63,7 +63,7 @@
             gateways[target].kill().await;
             pause(for_ms / 2).await;
             restart(&gateways[target]).await;
-            journal.trouble(Whom::Gateway(target), false, from_ms);
+            note_stood(parts, target, from_ms);
         }
         Fault::Stop => stop(parts, target).await,
         Fault::Reload => gateways[target].signal("HUP").await,
@@ -117,8 +117,18 @@
     parts.gateways[gateway].signal("STOP").await;
     pause(for_ms).await;
     parts.gateways[gateway].signal("CONT").await;
-    let whom = Whom::Gateway(gateway);
-    parts.journal.trouble(whom, false, from_ms);
+    note_stood(parts, gateway, from_ms);
+}
+
+/// Notes that a gateway stood still or was started again.
+fn note_stood(parts: &Parts, gateway: usize, from_ms: u64) {
+    let journal = &parts.journal;
+    journal.trouble(Whom::Gateway(gateway), false, from_ms);
+    journal.event(Event::Stood {
+        gateway,
+        from_ms,
+        to_ms: journal.now_ms(),
+    });
 }
 
 /// Takes a key away.
@@ -161,6 +171,11 @@
         eprintln!("gateway {gateway}: still there at the end of its grace time, killed");
     }
     journal.trouble(Whom::Gateway(gateway), true, from_ms);
+    journal.event(Event::Stood {
+        gateway,
+        from_ms,
+        to_ms: journal.now_ms(),
+    });
 }
 
 /// Starts a gateway that ended.
--- a/crates/cranereach-soak/src/lib.rs
+++ b/crates/cranereach-soak/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`schedule`] makes the faults from a seed. [`gateways`] starts, signals and ends the
 //! processes, [`back_ends`] plays the platform's store and workers, [`callers`] asks,
-//! [`ending`] comes back with a request that ends its workers, [`limited`] lets workers name limits.
+//! [`ending`] comes back with a request that ends its workers, [`limited`] lets workers name limits,
+//! [`own_words`] lets them leave unseen by the store and ask for rest.
 //! [`run`] lets them meet, [`faults`] strikes them. All write down what they saw ([`journal`], [`record`]), and each module
 //! of [`check`] judges one promise by these records alone.
 
@@ -14,6 +15,7 @@
 pub mod gateways;
 pub mod journal;
 pub mod limited;
+pub mod own_words;
 pub mod record;
 pub mod report;
 pub mod run;
--- a/crates/cranereach-soak/src/record.rs
+++ b/crates/cranereach-soak/src/record.rs
@@ -98,6 +98,8 @@
     pub at_ms: u64,
     /// Whether it was run.
     pub is_run: bool,
+    /// Rest that the worker asked for as it turned it away.
+    pub rest_ms: Option<u64>,
 }
 
 /// Whom trouble struck.
@@ -141,6 +143,15 @@
         /// When.
         at_ms: u64,
     },
+    /// A gateway stood still, or was ended and started again.
+    Stood {
+        /// Who.
+        gateway: usize,
+        /// From when.
+        from_ms: u64,
+        /// Until when.
+        to_ms: u64,
+    },
     /// A worker started cold.
     Cold {
         /// Its identity.
--- a/crates/cranereach-soak/src/run.rs
+++ b/crates/cranereach-soak/src/run.rs
@@ -24,6 +24,7 @@
 use crate::gateways::GatewayError;
 use crate::journal::Journal;
 use crate::limited;
+use crate::own_words;
 use crate::record::Event;
 use crate::record::Records;
 use crate::schedule;
@@ -139,6 +140,12 @@
     );
     callers.spawn(ending);
     callers.spawn(limited::run(plan.seed, plan.run_ms, Arc::clone(&parts)));
+    callers.spawn(own_words::run(
+        plan.seed,
+        plan.run_ms,
+        plan.size.worker_total(),
+        Arc::clone(&parts),
+    ));
     strike_all(&parts, plan.steps()).await;
     finish(callers).await;
     around.shutdown().await;
--- a/crates/cranereach-soak/tests/soak/main.rs
+++ b/crates/cranereach-soak/tests/soak/main.rs
@@ -3,6 +3,7 @@
 mod bounded;
 mod ending;
 mod failing;
+mod own_words;
 mod planted;
 mod requests;
 mod schedule;
--- a/crates/cranereach-soak/tests/soak/planted.rs
+++ b/crates/cranereach-soak/tests/soak/planted.rs
@@ -40,6 +40,7 @@
         account: Some(schedule::account_of(0).to_owned()),
         at_ms: sent_ms + 2,
         is_run: true,
+        rest_ms: None,
     };
     (asked, arrival)
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -18,6 +18,12 @@
 /// Fields that every line has; the story shows the others.
 const COMMON_FIELDS: [&str; 5] = ["msg", "ts", "instance", "level", "request"];
 
+/// Lines that tell what a worker said of itself.
+const WORD_LINES: [&str; 3] = ["worker leaves", "worker rests", "worker limit"];
+
+/// Such lines that a story shows at most.
+const WORD_MAX_COUNT: usize = 12;
+
 /// Options of `explain`.
 #[derive(Debug, Options)]
 pub struct ExplainArguments {
@@ -110,9 +116,41 @@
         );
     }
     tell_equal(logs, request);
+    tell_words(logs, request);
     Exit::Done
 }
 
+/// Prints what workers had said of themselves to the instance that a request came to, the
+/// last of it: which one it was sent to, or why to none, may follow from that.
+fn tell_words(logs: &Logs, request: &str) {
+    let own = logs
+        .lines
+        .iter()
+        .filter(|line| line.request.as_deref() == Some(request));
+    let Some(last) = own.max_by(|left, right| left.ts.cmp(&right.ts)) else {
+        return;
+    };
+    let is_word = |line: &&Line| {
+        WORD_LINES.contains(&line.msg.as_str())
+            && line.instance == last.instance
+            && line.ts <= last.ts
+    };
+    let words: Vec<&Line> = logs.lines.iter().filter(is_word).collect();
+    let told = &words[words.len().saturating_sub(WORD_MAX_COUNT)..];
+    if !told.is_empty() {
+        println!("What workers had said of themselves:");
+    }
+    for line in told {
+        println!(
+            "{} {} {}: {}",
+            line.ts,
+            line.instance,
+            line.msg,
+            rest(&line.fields)
+        );
+    }
+}
+
 /// Prints the lines about other requests that ask for the same as one that workers ended
 /// under, which tell why it was refused.
 fn tell_equal(logs: &Logs, request: &str) {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -18,6 +18,7 @@
 mod soak;
 mod stand_in;
 mod status;
+mod workers;
 
 use gumdrop::Options;
 
@@ -57,6 +58,8 @@
     Quarantine(quarantine::QuarantineArguments),
     #[options(help = "show the workers that name a limit")]
     Limits(limits::LimitsArguments),
+    #[options(help = "show the workers that leave or asked for rest")]
+    Workers(workers::WorkersArguments),
     #[options(help = "check declarations and settings, without a network")]
     Check(check::CheckArguments),
     #[options(help = "show what applying a folder would change")]
@@ -91,6 +94,7 @@
         Some(Command::Domains(options)) => domains::execute(options),
         Some(Command::Quarantine(options)) => quarantine::execute(options),
         Some(Command::Limits(options)) => limits::execute(options),
+        Some(Command::Workers(options)) => workers::execute(options),
         Some(Command::Check(options)) => check::execute(options),
         Some(Command::Explain(options)) => explain::execute(options),
         Some(Command::Plan(options)) => plan::execute(options),
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -41,6 +41,20 @@
     assert!(error.contains("1 lines were passed over"), "{error}");
 }
 
+#[test]
+fn the_story_names_what_workers_had_said_of_themselves() {
+    let log = r#"
+{"msg":"worker rests","level":"INFO","ts":"2026-01-01T00:00:01Z","instance":"edge-1","worker":"w1","for_ms":3000,"purpose":"call"}
+{"msg":"worker rests","level":"INFO","ts":"2026-01-01T00:00:01Z","instance":"edge-2","worker":"w2","for_ms":3000,"purpose":"call"}
+{"msg":"refused","level":"INFO","ts":"2026-01-01T00:00:02Z","instance":"edge-1","request":"r1","name":"workers_resting"}
+{"msg":"worker leaves","level":"INFO","ts":"2026-01-01T00:00:03Z","instance":"edge-1","worker":"w3","by":"worker"}
+"#;
+    let output = explain("words.log", log, &["--request", "r1"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("worker=w1"), "{text}");
+    assert!(!text.contains("w2") && !text.contains("w3"), "{text}");
+}
+
 #[test]
 fn causes_are_counted() {
     let output = explain("summary.log", LOG, &[]);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod gateway_settings;
 mod harness;
 mod memory;
+mod operators;
 mod overload;
 mod planned_stop;
 mod reachable;
--- /dev/null
+++ b/tests/testsuite/operators.rs
@@ -0,0 +1,86 @@
+//! `limits` and `workers`, against an instance that answers what one would.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+
+use crate::harness;
+
+/// Answers each request with one of some bodies by its path; 404 for others.
+fn instance(bodies: &'static [(&'static str, &'static str)]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut asked = [0; 4_096];
+            let length = stream.read(&mut asked).unwrap();
+            let asked = String::from_utf8_lossy(&asked[..length]).into_owned();
+            let path = asked.split(' ').nth(1).unwrap_or_default();
+            let body = bodies.iter().find(|(known, _)| *known == path);
+            let (status, body) = match body {
+                Some((_, body)) => ("200 OK", *body),
+                None => ("404 Not Found", ""),
+            };
+            let length = body.len();
+            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
+            // Whoever asked may have left.
+            let _sent = stream.write_all(answer.as_bytes());
+        }
+    });
+    address
+}
+
+/// Runs a subcommand against an instance; returns its exit code and output.
+fn ask(command: &str, instance: SocketAddr, further: &[&str]) -> (i32, String) {
+    let address = instance.to_string();
+    let mut arguments = vec![command, "--instance", &address];
+    arguments.extend(further);
+    let (exit, output, errors) = harness::run(&arguments);
+    (exit, format!("{output}{errors}"))
+}
+
+#[test]
+fn limits_shows_each_worker_that_names_one() {
+    let instance = instance(&[(
+        "/limits",
+        r#"[{"worker":"w-1","service":"plain","rate_per_s":1.5,"for_ms":4200,"granted_count":7,"refused_count":2}]"#,
+    )]);
+    let (exit, output) = ask("limits", instance, &[]);
+    assert_eq!(exit, 0, "{output}");
+    let line = "w-1 of plain: 1.5 a second, for 4 s; granted here 7, refused 2\n";
+    assert_eq!(output, line);
+}
+
+#[test]
+fn workers_shows_who_leaves_and_who_rests() {
+    let instance = instance(&[(
+        "/workers",
+        r#"[{"worker":"w-1","service":"plain","leaving":{"by":"peer","for_ms":1200},"rest":null},
+            {"worker":"w-2","service":"models","leaving":{"by":"row","for_ms":null},"rest":{"for_ms":500,"ends_in_ms":2500}}]"#,
+    )]);
+    let (exit, output) = ask("workers", instance, &[]);
+    assert_eq!(exit, 0, "{output}");
+    let lines = [
+        "w-1 of plain: leaves by the word of peer, known for 1.2 s",
+        "w-2 of models: leaves by the word of row",
+        "w-2 of models: rests for 0.5 s, 2.5 s more",
+    ];
+    assert_eq!(output.lines().collect::<Vec<_>>(), lines);
+    let (exit, output) = ask("workers", instance, &["--json"]);
+    assert_eq!(exit, 0, "{output}");
+    assert!(output.contains(r#""ends_in_ms":2500"#), "{output}");
+}
+
+#[test]
+fn an_instance_that_does_not_answer_is_said_to() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let gone = listener.local_addr().unwrap();
+    drop(listener);
+    for command in ["limits", "workers"] {
+        let (exit, output) = ask(command, gone, &[]);
+        assert_ne!(exit, 0);
+        assert!(output.contains("could not be reached"), "{output}");
+    }
+}
