--- a/crates/cranereach-bench/src/slopes/gateway.rs
+++ b/crates/cranereach-bench/src/slopes/gateway.rs
@@ -4,6 +4,11 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
 use super::Slope;
 use super::kernel::per_size;
 use super::kernel::time_us;
@@ -14,6 +19,7 @@
 use cranereach_fleet::membership::TOLD_MAX_COUNT;
 use cranereach_fleet::owned::Opening;
 use cranereach_fleet::owned::OwnedWorkers;
+use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::quarantine::Quarantine;
 use cranereach_fleet::quarantine::RequestMark;
 use cranereach_fleet::regions::AllowedRegions;
@@ -23,6 +29,8 @@
 use cranereach_fleet::wanted::Wanted;
 use cranereach_fleet::worker::HeldModel;
 use cranereach_fleet::worker::WorkerRecord;
+use cranereach_gateway::adapter;
+use cranereach_gateway::worker_words::WorkerWords;
 
 /// Workers of which one holds the model that is asked for.
 const WORKERS_PER_HOLDER: usize = 20;
@@ -43,6 +51,27 @@
             &[30, 90, 240, 1_000],
             choose_us,
         ),
+        per_size(
+            "look at what speaks against a send, right before it",
+            "workers known",
+            "us",
+            &[30, 90, 240, 1_000],
+            barred_us,
+        ),
+        per_size(
+            "read what an answer says of its worker, which says nothing but its load",
+            "headers besides",
+            "us",
+            &[2, 6, 12, 24],
+            |count| read_words_us(count, &[]),
+        ),
+        per_size(
+            "read what an answer says of its worker, which leaves and names a limit",
+            "headers besides",
+            "us",
+            &[2, 6, 12, 24],
+            |count| read_words_us(count, &["1", "1.2"]),
+        ),
         per_size(
             "take what a digest tells of 48 members",
             "instances",
@@ -165,6 +194,45 @@
     })
 }
 
+/// Time to look whether a worker may still be sent what was chosen for it.
+fn barred_us(worker_count: usize) -> f64 {
+    let roster = roster(worker_count);
+    time_us(|| {
+        black_box(roster.barred(1_000, "w7", Purpose::Call, 1));
+    })
+}
+
+/// Time to read what the head of an answer says of its worker: its load, and these values
+/// of its leaving and its limit, among so many other headers; none without an adapter.
+fn read_words_us(other_count: usize, words: &[&'static str]) -> f64 {
+    let Some(names) = adapter::names()
+        .first()
+        .and_then(|name| adapter::find(name))
+    else {
+        return 0.0;
+    };
+    let names = &names.headers;
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        names.request_id,
+        HeaderValue::from_static("9c41d07be2a35f68"),
+    );
+    headers.insert(names.load, HeaderValue::from_static("3,0,8"));
+    for (name, value) in [names.leaving, names.limit].iter().zip(words) {
+        headers.insert(*name, HeaderValue::from_static(value));
+    }
+    for number in 0..other_count {
+        let name = HeaderName::try_from(format!("x-other-{number}"));
+        if let Ok(name) = name {
+            headers.insert(name, HeaderValue::from_static("value"));
+        }
+    }
+    time_us(|| {
+        let head = (StatusCode::OK, &headers);
+        black_box(WorkerWords::read(names, "w7", head));
+    })
+}
+
 /// Time to take the members of one digest.
 fn merge_us(count: usize) -> f64 {
     let mut members = members(count);
--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -22,7 +22,9 @@
     help: bool,
     #[options(help = "scenario file", meta = "FILE")]
     scenario: Option<PathBuf>,
-    #[options(help = "how each role's cost grows, with the scenario's declarations")]
+    #[options(
+        help = "how each role's cost grows, with the scenario's declarations; without one, a gateway's decisions alone"
+    )]
     slopes: bool,
     #[options(help = "what an instance adds: its callers' address", meta = "IP:PORT")]
     path: Option<String>,
@@ -82,6 +84,12 @@
         return path(options, through);
     }
     let Some(path) = &options.scenario else {
+        if options.slopes {
+            slopes::gateway::measure()
+                .iter()
+                .for_each(super::print_json);
+            return Exit::Done;
+        }
         eprintln!("{}", MeasureArguments::usage());
         return Exit::Usage;
     };
