--- a/crates/cranereach-fleet/src/accounts.rs
+++ b/crates/cranereach-fleet/src/accounts.rs
@@ -10,8 +10,8 @@
 
 use cranereach_core::snapshot::KeyHash;
 
+use crate::key::worker_key;
 use crate::regions::AllowedRegions;
-use crate::roster::worker_key;
 
 /// Largest rate or burst that is taken for a limit, in tokens: far beyond what any
 /// fleet runs, and small enough that sums stay exact.
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -23,7 +23,9 @@
 use crate::configuration::Engine;
 use crate::departure::Unlisted;
 use crate::evacuation::Evacuations;
+use crate::key::worker_key;
 use crate::load::Load;
+use crate::no_worker::NoWorker;
 use crate::wanted::Wanted;
 use crate::worker::UNSOUND_FROM_MS;
 use crate::worker::Worker;
@@ -53,35 +55,6 @@
     pub slot_count: u32,
 }
 
-/// Why no worker was chosen; the one that came closest counts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum NoWorker {
-    /// The service has no worker that takes work.
-    None,
-    /// All that hold what is wanted leave.
-    Leaving,
-    /// All that take work stand in regions in which the request may not be served.
-    NotAllowed,
-    /// All that hold what is wanted could not be reached lately.
-    Unreachable,
-    /// No worker holds the model.
-    NoModel,
-    /// All that hold the model stand in failure domains that are being evacuated.
-    Evacuated,
-    /// All that hold the model and could be sent it are cold, and get no more for now.
-    Cold,
-    /// All that hold the model and could be sent it are cold or name a limit, and get no
-    /// more for now.
-    Limited,
-    /// All that hold the model and could be sent it asked for rest.
-    Resting,
-    /// No worker holds the adapter.
-    NoAdapter,
-    /// Workers end under requests equal to it, and at each that holds what is wanted
-    /// another such request runs.
-    NotAlone,
-}
-
 /// All workers.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -99,12 +72,6 @@
     pub evacuations: Evacuations,
 }
 
-/// Returns the short key by which peers name a worker.
-pub fn worker_key(id: &str) -> u64 {
-    let hash = blake3::hash(id.as_bytes());
-    u64::from_le_bytes(hash.as_bytes().first_chunk().copied().unwrap_or_default())
-}
-
 impl Roster {
     /// Takes a row of the list; an older one than known changes nothing.
     pub fn put(&mut self, version: u64, mut record: WorkerRecord) -> bool {
--- a/crates/cranereach-fleet/src/roster/candidates.rs
+++ b/crates/cranereach-fleet/src/roster/candidates.rs
@@ -10,10 +10,10 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
-use super::NoWorker;
 use super::Roster;
 use super::Weighed;
 use crate::configuration::Engine;
+use crate::no_worker::NoWorker;
 use crate::topology::Distance;
 use crate::wanted::Wanted;
 use crate::worker::UNSOUND_FROM_MS;
--- a/crates/cranereach-fleet/src/roster/departures.rs
+++ b/crates/cranereach-fleet/src/roster/departures.rs
@@ -1,12 +1,12 @@
 //! Which workers leave by their own word, and what speaks against a send right before it.
 
 use super::Roster;
-use super::worker_key;
 use crate::departure::Departure;
 use crate::departure::DepartureNews;
 use crate::departure::Teller;
+use crate::key::start_key;
+use crate::key::worker_key;
 use crate::purpose::Purpose;
-use crate::worker::start_key;
 
 /// Why nothing is sent to a worker that was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/cranereach-fleet/src/roster/holders.rs
+++ b/crates/cranereach-fleet/src/roster/holders.rs
@@ -8,11 +8,11 @@
 
 use rand::Rng;
 
-use super::NoWorker;
 use super::Roster;
 use super::Weighed;
 use super::weigh;
 use crate::configuration::Engine;
+use crate::no_worker::NoWorker;
 use crate::wanted::Wanted;
 use crate::worker::Worker;
 use crate::worker::WorkerRecord;
--- a/crates/cranereach-fleet/src/roster/weighing.rs
+++ b/crates/cranereach-fleet/src/roster/weighing.rs
@@ -6,9 +6,9 @@
 use rand::RngExt;
 
 use super::Choice;
-use super::NoWorker;
 use crate::configuration::Engine;
 use crate::evacuation::Evacuations;
+use crate::no_worker::NoWorker;
 use crate::quarantine::ALONE_FROM_COUNT;
 use crate::wanted::Wanted;
 use crate::worker::Estimate;
--- a/crates/cranereach-fleet/src/topology.rs
+++ b/crates/cranereach-fleet/src/topology.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::roster::worker_key;
+use crate::key::worker_key;
 
 /// How far something stands from this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -50,7 +50,7 @@
     /// Returns the tag of a failure domain.
     ///
     /// ```
-    /// use cranereach_fleet::roster::worker_key;
+    /// use cranereach_fleet::key::worker_key;
     /// use cranereach_fleet::topology::DomainTag;
     ///
     /// assert_eq!(DomainTag::of("a"), DomainTag::from_key(worker_key("a")));
--- a/crates/cranereach-fleet/src/worker/record.rs
+++ b/crates/cranereach-fleet/src/worker/record.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::roster::worker_key;
+use crate::key::start_key;
 
 /// A model on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,8 +47,3 @@
         start_key(&self.id, self.started_unix_ms)
     }
 }
-
-/// Returns the key of a start of a worker.
-pub fn start_key(id: &str, started_unix_ms: u64) -> u64 {
-    worker_key(&format!("{id} {started_unix_ms}"))
-}
--- a/crates/cranereach-fleet/tests/choice.rs
+++ b/crates/cranereach-fleet/tests/choice.rs
@@ -12,15 +12,15 @@
 use self::workers::wanted;
 use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::evacuation::EvacuationList;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::load::Load;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::owned::Standing;
 use cranereach_fleet::prefixes::PromptPart;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::quarantine::ALONE_FROM_COUNT;
 use cranereach_fleet::roster::Barred;
-use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::wanted::Wanted;
 
 fn engine(slot_count: u32) -> Engine {
--- a/crates/cranereach-fleet/tests/departures.rs
+++ b/crates/cranereach-fleet/tests/departures.rs
@@ -11,13 +11,13 @@
 use cranereach_fleet::departure::Said;
 use cranereach_fleet::departure::Teller;
 use cranereach_fleet::departure::read;
+use cranereach_fleet::key::start_key;
+use cranereach_fleet::key::worker_key;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::Barred;
-use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::WorkerRecord;
-use cranereach_fleet::worker::start_key;
 
 /// The row of a start of a worker.
 fn start(id: &str, started_unix_ms: u64) -> WorkerRecord {
--- a/crates/cranereach-fleet/tests/holders.rs
+++ b/crates/cranereach-fleet/tests/holders.rs
@@ -10,7 +10,7 @@
 
 use self::workers::record;
 use self::workers::wanted;
-use cranereach_fleet::roster::NoWorker;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::worker::Worker;
 
--- a/crates/cranereach-fleet/tests/regions.rs
+++ b/crates/cranereach-fleet/tests/regions.rs
@@ -10,10 +10,10 @@
 
 use self::workers::record;
 use self::workers::wanted;
+use cranereach_fleet::key::worker_key;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::regions::AllowedRegions;
-use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::topology::Topology;
 use cranereach_fleet::wanted::Wanted;
 use cranereach_fleet::worker::WorkerRecord;
--- a/crates/cranereach-fleet/tests/rests.rs
+++ b/crates/cranereach-fleet/tests/rests.rs
@@ -7,6 +7,7 @@
 
 use self::workers::record;
 use self::workers::wanted;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::rest::BELIEVED_MAX_MS;
 use cranereach_fleet::rest::Rest;
@@ -14,7 +15,6 @@
 use cranereach_fleet::rest::TRIED_EVERY_MS;
 use cranereach_fleet::rest::read;
 use cranereach_fleet::roster::Barred;
-use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::wanted::Wanted;
 
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -11,12 +11,12 @@
 use self::workers::record;
 use self::workers::wanted;
 use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::load::Load;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::owned::Standing;
 use cranereach_fleet::prefixes::chain;
-use cranereach_fleet::roster::NoWorker;
 use cranereach_fleet::roster::Roster;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::wanted::Wanted;
 use cranereach_fleet::worker::WorkerRecord;
 
--- a/crates/cranereach-fleet/tests/topology.rs
+++ b/crates/cranereach-fleet/tests/topology.rs
@@ -4,8 +4,8 @@
 
 use assert_matches::assert_matches;
 
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::regions::AllowedRegions;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::topology::Distance;
 use cranereach_fleet::topology::Topology;
 use cranereach_fleet::topology::TopologyError;
--- a/crates/cranereach-gateway/src/controller/lease.rs
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -10,7 +10,7 @@
 use crate::node::lock;
 use crate::store::StoreError;
 use crate::store_pace;
-use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::tenure::LeaseRow;
 use cranereach_fleet::tenure::Step;
 use cranereach_fleet::tenure::Tenure;
--- a/crates/cranereach-gateway/src/controller/mod.rs
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -25,12 +25,12 @@
 use cranereach_core::token_bucket::TokenBucket;
 use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::placement::Plan;
 use cranereach_fleet::placement::WorkerView;
 use cranereach_fleet::pressure::Pressure;
 use cranereach_fleet::pressure::WantedModel;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::tenure::Tenure;
 
 /// Time between two looks, in milliseconds.
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -6,12 +6,12 @@
 use crate::node::Node;
 use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::ledger::WorkerRow;
 use cranereach_fleet::placement::ModelSize;
 use cranereach_fleet::placement::Place;
 use cranereach_fleet::placement::WorkerView;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::HeldModel;
 
 /// Returns the number of an adapter from its name, `a1` and so on.
--- a/crates/cranereach-gateway/src/departures.rs
+++ b/crates/cranereach-gateway/src/departures.rs
@@ -15,7 +15,7 @@
 use crate::send_permit::Permit;
 use cranereach_fleet::departure::DepartureNews;
 use cranereach_fleet::departure::Teller;
-use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::key::worker_key;
 
 /// Departures that one digest tells at most; where more are told, each digest draws others.
 const TOLD_MAX_COUNT: usize = 64;
--- a/crates/cranereach-gateway/src/evacuations.rs
+++ b/crates/cranereach-gateway/src/evacuations.rs
@@ -13,7 +13,7 @@
 use crate::node::lock;
 use crate::recipients::Origin;
 use cranereach_fleet::evacuation::EvacuationList;
-use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::key::worker_key;
 
 /// Longest name of a domain that is taken, in bytes.
 const NAME_MAX_BYTES: usize = 200;
--- a/crates/cranereach-gateway/src/expected.rs
+++ b/crates/cranereach-gateway/src/expected.rs
@@ -14,7 +14,7 @@
 use crate::node::Announced;
 use crate::node::Node;
 use crate::node::lock;
-use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::key::worker_key;
 
 /// Time for which a holder's word counts, in milliseconds: plans change with demand.
 const WORD_FOR_MS: u64 = 1_000;
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -17,9 +17,9 @@
 use cranereach_fleet::admission::Admission;
 use cranereach_fleet::admission::Verdict;
 use cranereach_fleet::configuration::Engine;
+use cranereach_fleet::key::worker_key;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::roster::Choice;
-use cranereach_fleet::roster::NoWorker;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::wanted::Wanted;
 
 /// Time within which the holder of a lease says when a model is expected, in
--- a/crates/cranereach-gateway/src/forward/work.rs
+++ b/crates/cranereach-gateway/src/forward/work.rs
@@ -8,9 +8,9 @@
 use crate::node::Node;
 use crate::node::lock;
 use cranereach_fleet::demand::ModelKey;
+use cranereach_fleet::key::worker_key;
+use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::pace::Pace;
-use cranereach_fleet::roster::NoWorker;
-use cranereach_fleet::roster::worker_key;
 
 /// Notes what the call asks for, so that it is loaded where that is needed.
 pub fn note_demand(node: &Node, call: &Call) {
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -41,8 +41,8 @@
 use crate::roster_sync;
 use crate::send_grants;
 use cranereach_fleet::freshness::Freshness;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::membership::MemberNews;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::topology::Distance;
 use cranereach_fleet::topology::DomainTag;
 
--- a/crates/cranereach-gateway/src/named_limits.rs
+++ b/crates/cranereach-gateway/src/named_limits.rs
@@ -14,10 +14,10 @@
 use crate::node::lock;
 use crate::owners;
 use crate::send_permit::Permit;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::named_limit::LimitWord;
 use cranereach_fleet::named_limit::Said;
 use cranereach_fleet::purpose::Purpose;
-use cranereach_fleet::roster::worker_key;
 
 /// A worker that names a limit, as operators see it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/cranereach-gateway/src/news.rs
+++ b/crates/cranereach-gateway/src/news.rs
@@ -16,7 +16,7 @@
 use crate::node::Node;
 use crate::roster_sync;
 use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::key::worker_key;
 
 /// Takes what a digest says of workers; true if requests may go elsewhere now.
 pub fn take_roster(node: &Arc<Node>, now_ms: u64, sender: Ipv4Addr, digest: &Digest) -> bool {
--- a/crates/cranereach-gateway/src/peers/telling.rs
+++ b/crates/cranereach-gateway/src/peers/telling.rs
@@ -9,7 +9,7 @@
 use crate::recipients::Reach;
 use cranereach_fleet::first_read::Holder;
 use cranereach_fleet::first_read::Newcomer;
-use cranereach_fleet::roster::worker_key;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::topology::DomainTag;
 
 /// Peers that one round of digests goes to at most, besides those that need it at once:
--- a/crates/cranereach-gateway/src/roster_sync/departures.rs
+++ b/crates/cranereach-gateway/src/roster_sync/departures.rs
@@ -7,9 +7,9 @@
 
 use crate::cold;
 use crate::node::Node;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::listing::ChangedRow;
 use cranereach_fleet::roster::Roster;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::worker::WorkerRecord;
 
 /// Workers that changed rows say to be leaving or gone.
--- a/crates/cranereach-gateway/tests/peers.rs
+++ b/crates/cranereach-gateway/tests/peers.rs
@@ -5,10 +5,10 @@
 
 use assert_matches::assert_matches;
 
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::listing::ChangedRow;
 use cranereach_fleet::membership::MEMBER_MAX_COUNT;
 use cranereach_fleet::membership::MemberNews;
-use cranereach_fleet::roster::worker_key;
 use cranereach_fleet::topology::DomainTag;
 use cranereach_fleet::topology::Topology;
 use cranereach_gateway::heard_leases::HEARD_WITHIN_MS;
--- /dev/null
+++ b/crates/cranereach-gateway/tests/worker_words.rs
@@ -0,0 +1,120 @@
+//! What the head of an answer says of the worker that made it.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use cranereach_fleet::departure;
+use cranereach_fleet::named_limit;
+use cranereach_fleet::rest;
+use cranereach_gateway::adapter::HeaderNames;
+use cranereach_gateway::worker_words::REST_UNSAID_MS;
+use cranereach_gateway::worker_words::WorkerWords;
+
+/// Names of another platform.
+const NAMES: HeaderNames = HeaderNames {
+    request_id: "id",
+    deadline_ms: "deadline",
+    expected_worker: "expected",
+    not_run: "not-run",
+    load: "load",
+    leaving: "leaving",
+    answered_by: "by",
+    limit: "limit",
+    model: "model",
+    tokens: "tokens",
+    expected_tokens: "expected-tokens",
+    prompt_parts: "parts",
+    priority: "priority",
+    last_event: "last-event",
+    account: "account",
+    worker_prefixes: &[],
+    worker_known: &[],
+    reserved: &[],
+};
+
+fn read(status: u16, headers: &[(&'static str, &'static str)]) -> WorkerWords {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        let name = HeaderName::from_static(name);
+        map.append(name, HeaderValue::from_static(value));
+    }
+    let status = StatusCode::from_u16(status).unwrap();
+    WorkerWords::read(&NAMES, "w", (status, &map))
+}
+
+#[test]
+fn an_answer_that_says_nothing_says_nothing() {
+    let words = read(200, &[("id", "r")]);
+    assert!(!words.is_of_another && !words.is_not_run && !words.is_load_unreadable);
+    assert_eq!(words.load, None);
+    assert_eq!(words.limit, named_limit::Said::Nothing);
+    assert_eq!(words.leaving, departure::Said::Nothing);
+    assert_eq!(words.rest, rest::Said::Nothing);
+    assert_eq!(words.connection_rest_ms, Some(REST_UNSAID_MS));
+}
+
+#[test]
+fn only_what_turns_something_away_asks_for_rest() {
+    let rest = |status, headers: &[_]| read(status, headers).rest;
+    let asked = ("retry-after", "2");
+    assert_eq!(
+        rest(503, &[asked, ("not-run", "1")]),
+        rest::Said::For(2_000)
+    );
+    assert_eq!(rest(503, &[asked]), rest::Said::For(2_000), "whatever ran");
+    for status in [200, 202, 409, 421, 429, 500] {
+        assert_eq!(rest(status, &[asked]), rest::Said::Nothing, "{status}");
+    }
+    assert_eq!(
+        rest(503, &[("retry-after", "1"), asked]),
+        rest::Said::For(2_000)
+    );
+    assert_eq!(
+        rest(503, &[("retry-after", "soon")]),
+        rest::Said::Unreadable
+    );
+}
+
+#[test]
+fn another_workers_answer_is_known_by_its_status_or_its_name() {
+    assert!(read(421, &[]).is_of_another);
+    assert!(read(421, &[]).is_not_run);
+    assert!(read(200, &[("by", "other")]).is_of_another);
+    assert!(!read(200, &[("by", "w")]).is_of_another);
+}
+
+#[test]
+fn a_load_is_whole_or_none() {
+    let load = read(200, &[("load", "3, 1,8")]).load.unwrap();
+    assert_eq!((load.running_count, load.waiting_count), (3, 1));
+    for unreadable in ["", "many", "3", "3,-1,8", "3,1e3"] {
+        let words = read(200, &[("load", unreadable)]);
+        assert!(
+            words.load.is_none() && words.is_load_unreadable,
+            "{unreadable}"
+        );
+    }
+}
+
+#[test]
+fn a_connection_rests_as_long_as_the_worker_says_less_a_margin() {
+    let rest_ms = |headers: &[_]| read(200, headers).connection_rest_ms;
+    assert_eq!(rest_ms(&[("keep-alive", "timeout=5")]), Some(4_850));
+    assert_eq!(rest_ms(&[("keep-alive", "max=9, timeout=1")]), Some(850));
+    assert_eq!(rest_ms(&[("keep-alive", "timeout=0")]), None);
+    assert_eq!(rest_ms(&[("connection", "close")]), None);
+    assert_eq!(
+        rest_ms(&[("connection", "Foo, Close")]),
+        None,
+        "beside other words"
+    );
+    assert_eq!(
+        rest_ms(&[("connection", "foo"), ("connection", "close")]),
+        None
+    );
+    let far = format!("timeout={}", u64::MAX);
+    let far: &'static str = far.leak();
+    assert!(rest_ms(&[("keep-alive", far)]).is_some(), "no overflow");
+}
