--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -130,7 +130,7 @@
         let due = self.node.instant(self.node.now_ms() + hold_ms);
         loop {
             let changed = self.node.roster_changed.notified();
-            if send_permit::barred(self.node, &choice.id, Purpose::Call, self.call.rank).is_some() {
+            if send_permit::is_barred(self.node, &choice.id, Purpose::Call, self.call.rank) {
                 return Err(Failure::NoPermit);
             }
             if tokio::time::timeout_at(due, changed).await.is_err() {
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -5,12 +5,13 @@
 //! follow the store, [`evacuations`] takes which failure domains are to be emptied,
 //! [`worker_ends`] finds out whether a worker that broke off has ended, [`quarantine`] which requests end
 //! theirs, [`proofs`] and [`limits`] ask peers what accounts may do. [`cold`] notes which
-//! workers have just started, [`named_limits`] how many requests others take, [`unknown_words`] counts what else they say ([`worker_words`]
-//! hears all of it: [`departures`] that they leave, [`rests`] that they want nothing for a while; [`own_words`] shows it),
-//! [`send_permit`] asks right before a send whether it may leave, [`send_grants`] the owners of
-//! workers that get only so many; [`gossip`], [`list_news`], [`bodies`] and [`list_bodies`] tell peers what they can't see
-//! (all that they send is counted in [`traffic`]), and
-//! [`controller`] holds the leases and orders workers. Everything that a
+//! workers have just started. What a worker's answers say of it is heard by [`worker_words`]:
+//! [`named_limits`] that it takes only so many requests, [`departures`] that it leaves, [`rests`]
+//! that it wants nothing for a while; [`unknown_words`] counts what nobody knows, [`own_words`]
+//! shows operators who leaves and rests. Right before a send [`send_permit`] is asked, and
+//! [`send_grants`] the owners of workers that get only so many. [`gossip`], [`list_news`],
+//! [`bodies`] and [`list_bodies`] tell peers what they can't see (all that they send is counted
+//! in [`traffic`]), and [`controller`] holds the leases and orders workers. Everything that a
 //! platform names or formats comes in through an [`adapter`].
 
 pub mod adapter;
--- a/crates/cranereach-gateway/src/send_permit.rs
+++ b/crates/cranereach-gateway/src/send_permit.rs
@@ -2,8 +2,8 @@
 //! request, an order, a question for a report.
 //!
 //! Whoever chose a worker may have waited since: for a burst of prompts, a connection, the
-//! worker's owner. Meanwhile the worker may have gone, or said that it leaves or wants rest. So nothing is
-//! waited for between the permit and the write.
+//! worker's owner. Meanwhile the worker may have gone, or said that it leaves or wants rest. So
+//! nothing is waited for between the permit and the write.
 
 use std::sync::Arc;
 
@@ -11,7 +11,6 @@
 use crate::node::Node;
 use crate::send_grants;
 use cranereach_fleet::purpose::Purpose;
-use cranereach_fleet::roster::Barred;
 
 /// That one request may be sent to a worker at once. Its answer is heard as that of the
 /// start of the worker that was meant.
@@ -57,9 +56,14 @@
     })
 }
 
-/// Whether something speaks against sending to a worker; counts what it is.
-fn is_barred(node: &Node, worker: &str, purpose: Purpose, rank: u8) -> bool {
-    let barred = barred(node, worker, purpose, rank);
+/// Whether something speaks against sending to a worker now; counts what it is. No permit:
+/// what waits asks so early that it is moved on at once.
+pub fn is_barred(node: &Node, worker: &str, purpose: Purpose, rank: u8) -> bool {
+    let now_ms = node.now_ms();
+    let barred = {
+        let roster = node.roster();
+        roster.barred(now_ms, worker, purpose, usize::from(rank))
+    };
     if let Some(barred) = barred {
         let counter = &node.metrics.sends_barred_total;
         counter
@@ -68,10 +72,3 @@
     }
     barred.is_some()
 }
-
-/// Returns what speaks against sending to a worker now.
-pub fn barred(node: &Node, worker: &str, purpose: Purpose, rank: u8) -> Option<Barred> {
-    let now_ms = node.now_ms();
-    let rank = usize::from(rank);
-    node.roster().barred(now_ms, worker, purpose, rank)
-}
--- a/crates/cranereach-gateway/src/worker_words.rs
+++ b/crates/cranereach-gateway/src/worker_words.rs
@@ -67,7 +67,7 @@
         let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         let author = headers.get(names.answered_by);
         let is_other = author.is_some_and(|author| author.as_bytes() != worker.as_bytes());
-        let load = text(headers, names.load).map(said_load);
+        let load = headers.get(names.load).map(said_load);
         // Elsewhere the header is for the caller, or for one account.
         let rest = match status {
             StatusCode::SERVICE_UNAVAILABLE => rest::read(values(headers, REST_HEADER)),
@@ -155,7 +155,8 @@
 }
 
 /// Reads a worker's load: running, waiting, slots.
-fn said_load(text: &str) -> Option<SaidLoad> {
+fn said_load(value: &HeaderValue) -> Option<SaidLoad> {
+    let text = value.to_str().ok()?;
     let mut counts = text.split(',').map(|count| count.trim().parse().ok());
     Some(SaidLoad {
         running_count: counts.next()??,
