A row that says a worker leaves is told on, also where the worker has said so itself

By reading: an instance that had heard the worker's own word took a peer's word of the row for known and told nobody of its version.

--- a/crates/cranereach-fleet/src/roster/departures.rs
+++ b/crates/cranereach-fleet/src/roster/departures.rs
@@ -44,9 +44,9 @@
             return Some(Barred::Leaving);
         }
         let is_call = purpose == Purpose::Call;
-        let may_send = !worker.rest.is_resting(now_ms);
         // Who goes first at the end of a rest is a question among callers.
-        if !may_send || is_call && !worker.rest.may_send(now_ms, rank) {
+        let waits_its_turn = is_call && !worker.rest.may_send(now_ms, rank);
+        if waits_its_turn || worker.rest.is_resting(now_ms) {
             return Some(Barred::Resting);
         }
         // Orders empty what is evacuated.
@@ -63,7 +63,8 @@
         else {
             return false;
         };
-        if worker.version >= version || worker.is_leaving() {
+        // Also where the worker has said so itself: the row is told on.
+        if worker.version >= version || worker.record.is_leaving {
             return false;
         }
         worker.record.is_leaving = true;
--- a/crates/cranereach-fleet/src/worker/limit.rs
+++ b/crates/cranereach-fleet/src/worker/limit.rs
@@ -22,7 +22,7 @@
     }
 
     /// Takes what its answer says of its limit; returns whether another rate holds now. See
-    /// [`NamedLimit::heard`].
+    /// [`crate::named_limit::NamedLimit::heard`].
     pub fn heard_limit(&mut self, said: Said, may_end: bool, asked_ms: u64, now_ms: u64) -> bool {
         let has_changed = self.limit.heard(said, may_end, asked_ms, now_ms);
         if has_changed {
