--- a/crates/cranereach-fleet/tests/departures.rs
+++ b/crates/cranereach-fleet/tests/departures.rs
@@ -148,3 +148,14 @@
         "the newest are kept"
     );
 }
+
+/// Seen by reading: where the words of more starts than are remembered came within one
+/// millisecond, all of them were forgotten, the newest too.
+#[test]
+fn words_that_come_at_once_are_not_all_forgotten_for_the_last() {
+    let mut roster = Roster::default();
+    for number in 0..2_100_u64 {
+        roster.heard_leaving(5, &format!("w{number}"), 1);
+    }
+    assert_eq!(roster.remembered_departure_count(), 2_048);
+}
