Whose words an answer carries is decided in one place, for limits and loads too

Callers would have seen: a worker that has started again gets a trickle, or is passed over as busy, by what the start before it said in an answer that was under way.

Cause: leaving and rest looked at the start that the request was meant for, limits and loads didn't. Ruled out: limits told by peers, which name the start. Now worker_words::hear asks once: of a start that isn't the listed one only its leaving is kept, for that start, since its row may come back; rests no longer ask again. Before, on the test: the limit is shown for the next start; after: none.

--- a/crates/cranereach-gateway/src/rests.rs
+++ b/crates/cranereach-gateway/src/rests.rs
@@ -15,10 +15,7 @@
     let is_later = {
         let mut roster = node.roster();
         let worker = roster.get_mut(&permit.worker);
-        // Another start than the one that was meant wants no rest of this one's.
-        let of_start =
-            worker.filter(|worker| worker.record.started_unix_ms == permit.started_unix_ms);
-        of_start.is_some_and(|worker| worker.rest.asked(now_ms, for_ms))
+        worker.is_some_and(|worker| worker.rest.asked(now_ms, for_ms))
     };
     if is_later {
         info!(node.log, "worker rests"; "worker" => permit.worker.as_ref(), "for_ms" => for_ms,
--- a/crates/cranereach-gateway/src/worker_words.rs
+++ b/crates/cranereach-gateway/src/worker_words.rs
@@ -101,6 +101,13 @@
     }
     unknown_words::note(node, &permit.worker, head);
     note_unreadable(node, &permit.worker, &words);
+    if words.leaving == departure::Said::Leaves {
+        departures::heard(node, permit);
+    }
+    // Of a start that is over only its leaving is of use: its row may come back.
+    if !is_listed_start(node, permit) {
+        return words;
+    }
     if let (Some(load), true) = (words.load, is_asked_for) {
         let now_ms = node.now_ms();
         if let Some(worker) = node.roster().get_mut(&permit.worker) {
@@ -108,9 +115,6 @@
         }
     }
     named_limits::heard(node, permit, words.limit, status, is_asked_for);
-    if words.leaving == departure::Said::Leaves {
-        departures::heard(node, permit);
-    }
     if let rest::Said::For(for_ms) = words.rest {
         rests::heard(node, permit, for_ms);
     } else if is_asked_for && !words.is_not_run && status != StatusCode::SERVICE_UNAVAILABLE {
@@ -119,6 +123,13 @@
     words
 }
 
+/// Whether the start that a request was meant for is the one that is listed.
+fn is_listed_start(node: &Node, permit: &Permit) -> bool {
+    let roster = node.roster();
+    let known = roster.get(&permit.worker);
+    known.is_some_and(|known| known.record.started_unix_ms == permit.started_unix_ms)
+}
+
 /// Counts and logs what can't be read.
 fn note_unreadable(node: &Node, worker: &str, words: &WorkerWords) {
     let names = &node.adapter.headers;
