--- a/crates/cranereach-gateway/src/own_words.rs
+++ b/crates/cranereach-gateway/src/own_words.rs
@@ -59,9 +59,13 @@
 
 /// Sets the metrics that count them.
 pub fn count(node: &Node) {
-    let shown = show(node);
-    let leaving_count = shown.iter().filter(|of| of.leaving.is_some()).count();
-    let resting_count = shown.iter().filter(|of| of.rest.is_some()).count();
+    let now_ms = node.now_ms();
+    let roster = node.roster();
+    let leaving_count = roster.workers().filter(|of| of.is_leaving()).count();
+    let resting_count = roster
+        .workers()
+        .filter(|of| of.rest.is_resting(now_ms))
+        .count();
     node.metrics.leaving_workers.set(leaving_count as i64);
     node.metrics.resting_workers.set(resting_count as i64);
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -106,15 +106,7 @@
         return Exit::Faults;
     }
     println!("{request}, by the clocks of the instances, which may disagree:");
-    for line in told {
-        println!(
-            "{} {} {}: {}",
-            line.ts,
-            line.instance,
-            line.msg,
-            rest(&line.fields)
-        );
-    }
+    told.into_iter().for_each(print_line);
     tell_equal(logs, request);
     tell_words(logs, request);
     Exit::Done
@@ -140,15 +132,18 @@
     if !told.is_empty() {
         println!("What workers had said of themselves:");
     }
-    for line in told {
-        println!(
-            "{} {} {}: {}",
-            line.ts,
-            line.instance,
-            line.msg,
-            rest(&line.fields)
-        );
-    }
+    told.iter().copied().for_each(print_line);
+}
+
+/// Prints a line without the fields that all have.
+fn print_line(line: &Line) {
+    println!(
+        "{} {} {}: {}",
+        line.ts,
+        line.instance,
+        line.msg,
+        rest(&line.fields)
+    );
 }
 
 /// Prints the lines about other requests that ask for the same as one that workers ended
--- a/src/cmd/instance.rs
+++ b/src/cmd/instance.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use gumdrop::Options;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -33,29 +34,56 @@
     }
 }
 
+/// Options of subcommands that show a list which an instance keeps.
+#[derive(Debug, Options)]
+pub struct ListArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        help = "metrics address of a gateway; that of the settings otherwise",
+        meta = "IP:PORT"
+    )]
+    instance: Option<String>,
+    #[options(
+        help = "a gateway's settings file; CRANEREACH_CONFIG names it otherwise",
+        meta = "FILE"
+    )]
+    settings: Option<PathBuf>,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
 /// Asks an instance for a list at a path, and shows it.
-pub fn list<T>(
-    address: Option<&String>,
-    settings: Option<&PathBuf>,
-    path: &str,
-    as_json: bool,
-    show_one: impl Fn(&T),
-) -> Exit
+pub fn list<T>(options: &ListArguments, path: &str, show_one: impl Fn(&T)) -> Exit
 where
     T: Serialize + DeserializeOwned,
 {
-    let client = match client(address, settings) {
+    let client = match client(options.instance.as_ref(), options.settings.as_ref()) {
         Ok(client) => client,
         Err(exit) => return exit,
     };
-    let listing = async {
-        let answer = client.get(path, ANSWER_WITHIN_MS).await?;
-        client.read::<Vec<T>>(&answer)
-    };
-    match super::block_on_one_core(listing) {
-        Ok(shown) if as_json => super::print_json(&shown),
-        Ok(shown) => shown.iter().for_each(show_one),
-        Err(error) => return failed(&client, &error),
+    match super::block_on_one_core(show(&client, path, options.json, show_one)) {
+        Ok(()) => Exit::Done,
+        Err(error) => failed(&client, &error),
+    }
+}
+
+/// Shows the list that an instance has at a path.
+pub async fn show<T>(
+    client: &JsonClient,
+    path: &str,
+    as_json: bool,
+    show_one: impl Fn(&T),
+) -> Result<(), CallError>
+where
+    T: Serialize + DeserializeOwned,
+{
+    let answer = client.get(path, ANSWER_WITHIN_MS).await?;
+    let shown: Vec<T> = client.read(&answer)?;
+    if as_json {
+        super::print_json(&shown);
+    } else {
+        shown.iter().for_each(show_one);
     }
-    Exit::Done
+    Ok(())
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -57,9 +57,9 @@
     #[options(help = "show requests that end their workers, or let one through again")]
     Quarantine(quarantine::QuarantineArguments),
     #[options(help = "show the workers that name a limit")]
-    Limits(limits::LimitsArguments),
+    Limits(instance::ListArguments),
     #[options(help = "show the workers that leave or asked for rest")]
-    Workers(workers::WorkersArguments),
+    Workers(instance::ListArguments),
     #[options(help = "check declarations and settings, without a network")]
     Check(check::CheckArguments),
     #[options(help = "show what applying a folder would change")]
--- a/src/cmd/quarantine.rs
+++ b/src/cmd/quarantine.rs
@@ -43,25 +43,15 @@
         Ok(client) => client,
         Err(exit) => return exit,
     };
-    let asked = match &options.release {
-        Some(fingerprint) => super::block_on_one_core(release(&client, fingerprint)),
-        None => super::block_on_one_core(show(&client, options.json)),
+    let asked = if let Some(fingerprint) = &options.release {
+        super::block_on_one_core(release(&client, fingerprint))
+    } else {
+        let shown = instance::show(&client, QUARANTINE_PATH, options.json, show_one);
+        super::block_on_one_core(shown).map(|()| Exit::Done)
     };
     asked.unwrap_or_else(|error| instance::failed(&client, &error))
 }
 
-/// Shows what an instance knows.
-async fn show(client: &JsonClient, as_json: bool) -> Result<Exit, CallError> {
-    let answer = client.get(QUARANTINE_PATH, ANSWER_WITHIN_MS).await?;
-    let shown: Vec<Shown> = client.read(&answer)?;
-    if as_json {
-        super::print_json(&shown);
-    } else {
-        shown.iter().for_each(show_one);
-    }
-    Ok(Exit::Done)
-}
-
 /// Shows one request.
 fn show_one(shown: &Shown) {
     let state = if shown.is_quarantined {
--- a/src/cmd/workers.rs
+++ b/src/cmd/workers.rs
@@ -1,42 +1,14 @@
 //! `workers`: shows the workers that leave or rest.
 
-use std::path::PathBuf;
-
-use gumdrop::Options;
-
 use super::instance;
+use super::instance::ListArguments;
 use crate::exit::Exit;
 use cranereach_gateway::operators::WORKERS_PATH;
 use cranereach_gateway::own_words::ShownWorker;
 
-/// Options of `workers`.
-#[derive(Debug, Options)]
-pub struct WorkersArguments {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(
-        help = "metrics address of a gateway; that of the settings otherwise",
-        meta = "IP:PORT"
-    )]
-    instance: Option<String>,
-    #[options(
-        help = "a gateway's settings file; CRANEREACH_CONFIG names it otherwise",
-        meta = "FILE"
-    )]
-    settings: Option<PathBuf>,
-    #[options(help = "print JSON")]
-    json: bool,
-}
-
 /// Asks an instance.
-pub fn execute(options: &WorkersArguments) -> Exit {
-    instance::list(
-        options.instance.as_ref(),
-        options.settings.as_ref(),
-        WORKERS_PATH,
-        options.json,
-        show_one,
-    )
+pub fn execute(options: &ListArguments) -> Exit {
+    instance::list(options, WORKERS_PATH, show_one)
 }
 
 /// Shows one worker.
