--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -199,14 +199,18 @@
     }
 
     /// Takes a peer's report that it can't reach the worker. A single peer may be cut off itself,
-    /// so it counts only when several report it.
-    pub fn note_reported_unreachable(&mut self, now_ms: u64, peer: u32) {
+    /// so it counts only when several report it. Returns whether the worker counts as unreachable
+    /// from now on because of it.
+    pub fn note_reported_unreachable(&mut self, now_ms: u64, peer: u32) -> bool {
         self.unreachable_at_ms
             .retain(|_, at_ms| now_ms < *at_ms + UNREACHABLE_WINDOW_MS);
         self.unreachable_at_ms.insert(peer, now_ms);
-        if self.unreachable_at_ms.len() >= UNREACHABLE_PEER_COUNT {
-            self.health.note_reported_unreachable(now_ms);
+        if self.unreachable_at_ms.len() < UNREACHABLE_PEER_COUNT {
+            return false;
         }
+        let was_reachable = !self.health.is_unreachable(now_ms);
+        self.health.note_reported_unreachable(now_ms);
+        was_reachable
     }
 
     /// Records that the worker refused a model or adapter as missing.
--- a/crates/cranereach-gateway/src/forward/in_flight.rs
+++ b/crates/cranereach-gateway/src/forward/in_flight.rs
@@ -201,6 +201,8 @@
     pub fn unreachable(&mut self) {
         self.outcome = Outcome::Unreachable;
         let now_ms = self.node.now_ms();
+        let counter = &self.node.metrics.unreachable_workers_total;
+        counter.with_label_values(&["own"]).inc();
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
             worker.health.unreachable(now_ms);
         }
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -91,6 +91,9 @@
     pub store_unknown_words_total: IntCounterVec,
     /// Era of the store.
     pub store_era: IntGauge,
+    /// How often a worker was taken to be unreachable, by whose evidence: this instance's own,
+    /// several peers' digests, or a sender's notice to the worker's owner.
+    pub unreachable_workers_total: IntCounterVec,
     /// Connections opened to workers.
     pub connections_total: IntCounter,
     /// Bytes sent to peers, by kind and distance.
@@ -195,6 +198,11 @@
                 "sends within limits",
                 &["purpose"],
             ),
+            unreachable_workers_total: counters(
+                "unreachable_workers_total",
+                "how often a worker was taken to be unreachable",
+                &["by"],
+            ),
             connections_total: make.counter("connections_total", "connections made to workers"),
             prompts_held_total: make.counter("prompts_held_total", "prompts held back"),
             streams_paused_total: make.counter("streams_paused_total", "streams that paused"),
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -240,7 +240,13 @@
             owned.request_started(now_ms, worker, request, sent_request, &parts);
         }
         OwnerEvent::Read(took_ms) => owned.prefilled(now_ms, worker, request, f64::from(took_ms)),
-        OwnerEvent::Ended(outcome) => owned.request_ended(now_ms, worker, request, outcome),
+        OwnerEvent::Ended(outcome) => {
+            if outcome == Outcome::Unreachable && sender != node.own_ip() {
+                let counter = &node.metrics.unreachable_workers_total;
+                counter.with_label_values(&["sender"]).inc();
+            }
+            owned.request_ended(now_ms, worker, request, outcome);
+        }
         OwnerEvent::Limit(report) => {
             drop(owned);
             named_limits::apply_peer_limit(node, worker, &report);
--- a/crates/cranereach-gateway/src/peer_updates.rs
+++ b/crates/cranereach-gateway/src/peer_updates.rs
@@ -24,8 +24,13 @@
 pub fn take_roster(node: &Arc<Node>, now_ms: u64, sender: Ipv4Addr, digest: &Digest) -> bool {
     let mut roster = node.roster();
     for key in &digest.unreachable {
-        if let Some(worker) = roster.by_key_mut(*key) {
-            worker.note_reported_unreachable(now_ms, u32::from(sender));
+        if let Some(worker) = roster.by_key_mut(*key)
+            && worker.note_reported_unreachable(now_ms, u32::from(sender))
+        {
+            let counter = &node.metrics.unreachable_workers_total;
+            counter.with_label_values(&["peers"]).inc();
+            info!(node.log, "worker unreachable"; "worker" => worker.record.id.as_ref(),
+                "by" => "peers", "last_report" => sender.to_string());
         }
     }
     let reported = digest.leaving.iter();
