--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -158,10 +158,10 @@
         self.clients.retain(|id, _| roster.get(id).is_some());
         let address = &roster.get(worker)?.record.address;
         let header = self.node.adapter.headers.expected_worker;
-        let client = self
-            .clients
-            .entry(Arc::clone(worker))
-            .or_insert_with(|| Arc::new(JsonClient::new(address).with_header(header, worker)));
+        let client = self.clients.entry(Arc::clone(worker)).or_insert_with(|| {
+            let client = JsonClient::new(address).with_connector(&self.node.worker_connector);
+            Arc::new(client.with_header(header, worker))
+        });
         Some(Arc::clone(client))
     }
 }
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -63,6 +63,7 @@
 use cranereach_fleet::topology::Topology;
 use cranereach_fleet::ways::RoundTrips;
 use cranereach_http::clock::Clock;
+use cranereach_http::connector::Connector;
 
 /// Changes that this instance's orders have made at workers, to be gossiped to peers.
 #[derive(Clone, Debug, Default)]
@@ -88,6 +89,8 @@
     pub log: Logger,
     /// Metrics.
     pub metrics: Metrics,
+    /// Opens connections to workers.
+    pub worker_connector: Connector,
     /// The platform's store.
     pub store: Store,
     /// Key for the fingerprints of requests.
@@ -201,7 +204,7 @@
 impl Node {
     /// Creates the shared state of an instance; `None` if the settings name an unknown
     /// adapter.
-    pub fn new(settings: Settings, log: Logger) -> Option<Self> {
+    pub fn new(settings: Settings, worker_connector: Connector, log: Logger) -> Option<Self> {
         let adapter = adapter::find(&settings.platform.adapter)?;
         let own_ip = match settings.listen.peers.ip() {
             std::net::IpAddr::V4(ip) => ip,
@@ -222,6 +225,7 @@
             store: Store::new(&settings.platform.store, adapter, &log, &metrics),
             log,
             metrics,
+            worker_connector,
             fingerprint_key: FingerprintKey::new(&settings.peers.fingerprint_secret),
             worker_probes: WorkerProbes::default(),
             unknown_headers: UnknownHeaders::default(),
--- a/crates/cranereach-gateway/src/node/connections.rs
+++ b/crates/cranereach-gateway/src/node/connections.rs
@@ -21,7 +21,10 @@
     /// Returns the connection pool of a worker.
     pub fn pool(&self, worker: &Arc<str>, address: &str) -> Arc<Pool<Full<Bytes>>> {
         let mut pools = lock(&self.pools);
-        let make = || Arc::new(Pool::new(address).with_user_timeout_ms(WORKER_ACK_TIMEOUT_MS));
+        let make = || {
+            let pool = Pool::new(address).with_connector(&self.worker_connector);
+            Arc::new(pool.with_user_timeout_ms(WORKER_ACK_TIMEOUT_MS))
+        };
         let pool = pools.entry(Arc::clone(worker)).or_insert_with(make);
         if pool.address() != address {
             // The worker has restarted at another address.
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -27,6 +27,7 @@
 use crate::settings::Settings;
 use crate::store_era;
 use crate::traffic;
+use cranereach_http::connector::Connector;
 use cranereach_http::server;
 use cranereach_http::server::ServeOptions;
 
@@ -93,6 +94,14 @@
 impl Gateway {
     /// Starts an instance.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        Self::start_with(settings, Connector::default()).await
+    }
+
+    /// Starts an instance that opens its connections to workers with a connector.
+    pub async fn start_with(
+        settings: Settings,
+        worker_connector: Connector,
+    ) -> Result<Self, StartError> {
         let listen = settings.listen.clone();
         let callers = bind("listen.callers", listen.callers).await?;
         let ready = bind("listen.ready", listen.ready).await?;
@@ -111,7 +120,8 @@
         };
         let adapter = settings.platform.adapter.clone();
         let log = log::make(&settings.instance.id, settings.log.is_silent);
-        let node = Node::new(settings, log).ok_or(StartError::Adapter(adapter))?;
+        let node =
+            Node::new(settings, worker_connector, log).ok_or(StartError::Adapter(adapter))?;
         let node = Arc::new(node);
         let (stopping, stop) = watch::channel(false);
         let mut tasks = JoinSet::new();
--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 
 use crate::body;
+use crate::connector::Connector;
 use crate::pool::Pool;
 use crate::pool::SendError;
 
@@ -85,6 +86,13 @@
         }
     }
 
+    /// Opens connections with a connector instead of directly.
+    #[must_use]
+    pub fn with_connector(mut self, connector: &Connector) -> Self {
+        self.pool = self.pool.with_connector(connector);
+        self
+    }
+
     /// Adds a header to each call.
     #[must_use]
     pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`server`] accepts connections and shuts down gracefully.
 //! - [`pool`] keeps connections to one upstream and reports whether any byte of a failed
 //!   request may have been sent.
+//! - [`connector`] opens the TCP connections of a pool.
 //! - [`client`] calls JSON interfaces with a timeout.
 //! - [`body`] reads request and response bodies within limits and builds JSON responses.
 //! - [`clock`] provides the monotonic clock of the process.
@@ -13,6 +14,7 @@
 pub mod body;
 pub mod client;
 pub mod clock;
+pub mod connector;
 pub mod events;
 pub mod pool;
 pub mod server;
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -17,9 +17,9 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use thiserror::Error;
-use tokio::net::TcpStream;
 
 use crate::clock::boottime_ms;
+use crate::connector::Connector;
 
 /// Maximum number of idle connections kept per upstream.
 const IDLE_MAX_COUNT: usize = 256;
@@ -63,6 +63,7 @@
 /// Pool of connections to one address.
 pub struct Pool<B> {
     address: String,
+    connector: Connector,
     idle: IdleList<B>,
     user_timeout_ms: Option<u64>,
     resets_on_close: bool,
@@ -101,12 +102,20 @@
     pub fn new(address: &str) -> Self {
         Self {
             address: address.to_owned(),
+            connector: Connector::default(),
             idle: Arc::default(),
             user_timeout_ms: None,
             resets_on_close: false,
         }
     }
 
+    /// Opens connections with a connector instead of directly.
+    #[must_use]
+    pub fn with_connector(mut self, connector: &Connector) -> Self {
+        self.connector = connector.clone();
+        self
+    }
+
     /// Makes connections send a reset when they are closed.
     ///
     /// This discards unsent data, so that an abandoned call isn't delivered later, such as
@@ -145,7 +154,7 @@
     /// Opens a new connection, for a call that must not fail because the upstream closes a reused
     /// one at the same time.
     pub async fn make(&self) -> Result<Connection<B>, ConnectError> {
-        let stream = TcpStream::connect(&self.address).await?;
+        let stream = self.connector.connect(&self.address).await?;
         stream.set_nodelay(true)?;
         if let Some(user_timeout_ms) = self.user_timeout_ms {
             let user_timeout = Duration::from_millis(user_timeout_ms);
