--- a/crates/cranereach-fleet/src/health.rs
+++ b/crates/cranereach-fleet/src/health.rs
@@ -51,6 +51,7 @@
     unreachable_until_ms: u64,
     next_reconnect_ms: u64,
     last_unreachable_ms: Option<u64>,
+    was_lost: bool,
 }
 
 impl Health {
@@ -81,17 +82,27 @@
         }
     }
 
-    /// Records that this instance could not reach the worker.
+    /// Records that no connection to the worker could be opened, without it being known whether
+    /// others reach it: calls avoid it until the next attempt.
+    pub fn not_connected(&mut self, now_ms: u64) {
+        self.decay(now_ms);
+        let until_ms = now_ms + RECONNECT_INTERVAL_MS;
+        self.unreachable_until_ms = self.unreachable_until_ms.max(until_ms);
+        self.next_reconnect_ms = until_ms;
+    }
+
+    /// Records that neither this instance nor a peer could reach the worker.
     pub fn unreachable(&mut self, now_ms: u64) {
         self.decay(now_ms);
         self.failed_count += 1.0;
         self.unreachable_until_ms = now_ms + UNREACHABLE_FOR_MS;
         self.next_reconnect_ms = now_ms + RECONNECT_INTERVAL_MS;
         self.last_unreachable_ms = Some(now_ms);
+        self.was_lost = true;
     }
 
-    /// Whether this instance itself recently failed to reach the worker; reports from peers
-    /// don't count, so they aren't passed on.
+    /// Whether this instance and a peer that it asked recently failed to reach the worker; reports
+    /// from peers don't count, so they aren't passed on.
     pub fn has_failed_to_connect(&self, now_ms: u64) -> bool {
         self.last_unreachable_ms
             .is_some_and(|at_ms| now_ms < at_ms + UNREACHABLE_REPORT_MS)
@@ -102,6 +113,7 @@
         if !self.is_unreachable(now_ms) {
             self.next_reconnect_ms = now_ms;
         }
+        self.was_lost = true;
         self.unreachable_until_ms = now_ms + UNREACHABLE_FOR_MS;
     }
 
@@ -109,6 +121,13 @@
     pub fn reached(&mut self) {
         self.unreachable_until_ms = 0;
         self.last_unreachable_ms = None;
+        self.was_lost = false;
+    }
+
+    /// Whether the worker was out of reach of several instances and has not been reached since, so
+    /// that it may have restarted.
+    pub fn was_lost(&self) -> bool {
+        self.was_lost
     }
 
     /// Whether the worker recently could not be reached.
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -29,6 +29,7 @@
 //!
 //! Coordination between instances:
 //! - [`membership`]: which instances are alive, and which of them owns a worker
+//! - [`reachability`]: whether a worker, this instance's path or a peer's path is at fault
 //! - [`ways`]: round-trip times to other instances
 //! - [`owned`]: what an owner knows of its workers' requests
 //! - [`pause_prediction`], [`prefill_schedule`], [`pausing`]: how long prefill pauses
@@ -86,6 +87,7 @@
 pub mod proof;
 pub mod purpose;
 pub mod quarantine;
+pub mod reachability;
 pub mod regions;
 pub mod rest;
 pub mod retry_window;
--- a/crates/cranereach-fleet/src/owned.rs
+++ b/crates/cranereach-fleet/src/owned.rs
@@ -84,6 +84,10 @@
     pub runs_alone: bool,
 }
 
+/// Time for which a complete answer outweighs reports that the worker can't be reached, in
+/// milliseconds.
+const ANSWER_OUTWEIGHS_MS: u64 = 1_000;
+
 /// Maximum accepted for a reported time, in milliseconds.
 const REPORTED_TIME_MAX_MS: f32 = 600_000.0;
 
@@ -184,6 +188,8 @@
     pause_monitor: PauseMonitor,
     prefill_schedule: PrefillSchedule,
     last_used_ms: u64,
+    /// When a request last ended with a complete answer, in milliseconds.
+    answered_at_ms: Option<u64>,
 }
 
 impl Default for OwnedWorker {
@@ -197,6 +203,7 @@
             pause_monitor: PauseMonitor::default(),
             prefill_schedule: PrefillSchedule::default(),
             last_used_ms: 0,
+            answered_at_ms: None,
         }
     }
 }
@@ -334,6 +341,7 @@
         match outcome {
             Outcome::Neutral if is_stalled => state.health.failed(now_ms),
             Outcome::Whole | Outcome::Paused => {
+                state.answered_at_ms = Some(now_ms);
                 state.health.reached();
                 state.health.succeeded(now_ms);
                 state
@@ -341,6 +349,7 @@
                     .record_answer(now_ms, outcome == Outcome::Paused);
             }
             Outcome::Failed => state.health.failed(now_ms),
+            Outcome::Unreachable if state.has_answered_recently(now_ms) => {}
             Outcome::Unreachable => state.health.unreachable(now_ms),
             Outcome::Neutral => {}
         }
@@ -362,6 +371,13 @@
 }
 
 impl OwnedWorker {
+    /// Whether some instance recently got a complete answer, which outweighs another one's failure
+    /// to connect.
+    fn has_answered_recently(&self, now_ms: u64) -> bool {
+        self.answered_at_ms
+            .is_some_and(|at_ms| now_ms < at_ms + ANSWER_OUTWEIGHS_MS)
+    }
+
     /// Returns the load of all open requests, after removing expired ones.
     fn load(&mut self, now_ms: u64) -> Load {
         self.open.retain(|_, open| now_ms < open.expires_at_ms);
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -38,12 +38,6 @@
 /// Age up to which a worker's own report of its load is used, in milliseconds.
 const REPORTED_LOAD_MAX_AGE_MS: u64 = 400;
 
-/// Peers that must report a worker as unreachable for it to count as such.
-const UNREACHABLE_PEER_COUNT: usize = 2;
-
-/// Time within which they must report it, in milliseconds: a few rounds of gossip digests.
-const UNREACHABLE_WINDOW_MS: u64 = 1_500;
-
 /// Time for which a worker that refused a model as missing isn't sent requests for it, in
 /// milliseconds.
 const MODEL_MISSING_FOR_MS: u64 = 1_500;
@@ -106,8 +100,6 @@
     pub(crate) own_load: Load,
     /// Last report of the worker's owner, and when it came, in milliseconds.
     owner_status: Option<(u64, WorkerStatus)>,
-    /// When each peer last reported the worker as unreachable, in milliseconds.
-    unreachable_at_ms: HashMap<u32, u64>,
     /// Load that the worker reported last, and when, in milliseconds.
     reported_load: Option<(u64, ReportedLoad)>,
     /// Prompt prefixes that this instance sent to the worker, which probably has them cached.
@@ -156,7 +148,6 @@
             leaves_at: StorePosition::default(),
             own_load: Load::default(),
             owner_status: None,
-            unreachable_at_ms: HashMap::new(),
             reported_load: None,
             cached_prefixes: CachedPrefixes::default(),
             missing_until_ms: HashMap::new(),
@@ -198,21 +189,6 @@
         self.reported_load = Some((now_ms, load));
     }
 
-    /// Takes a peer's report that it can't reach the worker. A single peer may be cut off itself,
-    /// so it counts only when several report it. Returns whether the worker counts as unreachable
-    /// from now on because of it.
-    pub fn note_reported_unreachable(&mut self, now_ms: u64, peer: u32) -> bool {
-        self.unreachable_at_ms
-            .retain(|_, at_ms| now_ms < *at_ms + UNREACHABLE_WINDOW_MS);
-        self.unreachable_at_ms.insert(peer, now_ms);
-        if self.unreachable_at_ms.len() < UNREACHABLE_PEER_COUNT {
-            return false;
-        }
-        let was_reachable = !self.health.is_unreachable(now_ms);
-        self.health.note_reported_unreachable(now_ms);
-        was_reachable
-    }
-
     /// Records that the worker refused a model or adapter as missing.
     pub fn lacks(&mut self, now_ms: u64, model: &str, adapter: Option<&str>) {
         let name = full_name(model, adapter);
--- a/crates/cranereach-fleet/tests/roster.rs
+++ b/crates/cranereach-fleet/tests/roster.rs
@@ -2,6 +2,7 @@
 
 mod workers;
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
@@ -16,11 +17,15 @@
 use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::owned::WorkerStatus;
 use cranereach_fleet::prefixes::hash_parts;
+use cranereach_fleet::reachability::Reachability;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::routing_request::RoutingRequest;
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::worker::WorkerRecord;
 
+/// Number of living peers.
+const ALIVE_COUNT: usize = 5;
+
 /// Returns the position of a version of a store that has never been restored from a backup.
 fn position_at(version: u64) -> StorePosition {
     StorePosition::new(0, version)
@@ -266,9 +271,14 @@
     let mut roster = Roster::default();
     roster.put(position_at(1), record("a", &[]));
     let is_ejected = |roster: &Roster, now_ms| roster.get("a").unwrap().health.is_ejected(now_ms);
-    let tell = |roster: &mut Roster, now_ms, peer| {
-        let worker = roster.by_key_mut(worker_key("a")).unwrap();
-        worker.note_reported_unreachable(now_ms, peer);
+    let mut reachability = Reachability::default();
+    let mut tell = |roster: &mut Roster, now_ms, peer| {
+        let key = worker_key("a");
+        let peer = Ipv4Addr::new(10, 0, 0, peer);
+        if reachability.take_unreachable_report(now_ms, key, peer, ALIVE_COUNT) {
+            let worker = roster.by_key_mut(key).unwrap();
+            worker.health.note_reported_unreachable(now_ms);
+        }
     };
     tell(&mut roster, 0, 7);
     tell(&mut roster, 100, 7);
--- a/crates/cranereach-gateway/src/body_transfer.rs
+++ b/crates/cranereach-gateway/src/body_transfer.rs
@@ -26,6 +26,8 @@
 use crate::node::pause;
 use crate::recipients::Origin;
 use crate::traffic::Kind;
+use crate::tunnels;
+use crate::tunnels::TunnelRequest;
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::topology::Distance;
 
@@ -48,7 +50,7 @@
 const CONNECT_TIMEOUT_MS: u64 = 300;
 
 /// Maximum size of a request, in bytes: the variant and the longest encoded position.
-const REQUEST_MAX_BYTES: u64 = 24;
+const REQUEST_MAX_BYTES: usize = 24;
 
 /// Maximum size of a body from a peer, in bytes.
 pub(crate) const FETCH_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -75,6 +77,8 @@
     Configuration,
     /// Asks for the worker list, or its changes since a position.
     Workers(StorePosition),
+    /// Asks for a tunnel to a worker. The connection stays open for it.
+    Tunnel(TunnelRequest),
 }
 
 impl BodyRequest {
@@ -82,7 +86,7 @@
     const fn total_timeout(self) -> Duration {
         Duration::from_millis(match self {
             Self::Configuration => CONFIGURATION_TIMEOUT_MS,
-            Self::Workers(_) => WORKERS_TIMEOUT_MS,
+            Self::Workers(_) | Self::Tunnel(_) => WORKERS_TIMEOUT_MS,
         })
     }
 }
@@ -217,23 +221,57 @@
             pause(ACCEPT_RETRY_DELAY_MS).await;
             continue;
         };
-        let node = Arc::clone(&node);
-        tokio::spawn(async move {
-            let answer_timeout = Duration::from_millis(WORKERS_TIMEOUT_MS);
+        tokio::spawn(handle(Arc::clone(&node), peer, stream));
+    }
+}
+
+/// Handles one connection of a peer.
+async fn handle(node: Arc<Node>, peer: SocketAddr, mut stream: TcpStream) {
+    let answer_timeout = Duration::from_millis(WORKERS_TIMEOUT_MS);
+    let reading = tokio::time::timeout(answer_timeout, read_request(&mut stream));
+    let Ok(Ok(request)) = reading.await else {
+        node.metrics
+            .bad_input_total
+            .with_label_values(&["peer"])
+            .inc();
+        return;
+    };
+    match (request, peer.ip()) {
+        (BodyRequest::Tunnel(request), IpAddr::V4(peer)) => {
+            // The connection of the peer that asked shows how the tunnel ended.
+            let _ended = tunnels::serve(&node, peer, stream, request).await;
+        }
+        (BodyRequest::Tunnel(_), IpAddr::V6(_)) => {}
+        (BodyRequest::Configuration | BodyRequest::Workers(_), _) => {
             // A peer whose connection breaks asks again.
-            let _answered = tokio::time::timeout(answer_timeout, answer(&node, peer, stream)).await;
-        });
+            let answering = answer(&node, peer, stream, request);
+            let _answered = tokio::time::timeout(answer_timeout, answering).await;
+        }
     }
 }
 
-/// Answers one request.
-async fn answer(node: &Node, peer: SocketAddr, mut stream: TcpStream) -> io::Result<()> {
+/// Reads one request, which may be followed by the end of the stream or by nothing.
+async fn read_request(stream: &mut TcpStream) -> io::Result<BodyRequest> {
     let mut received = Vec::new();
-    (&mut stream)
-        .take(REQUEST_MAX_BYTES)
-        .read_to_end(&mut received)
-        .await?;
-    let request: BodyRequest = postcard::from_bytes(&received).map_err(io::Error::other)?;
+    loop {
+        if stream.read_buf(&mut received).await? == 0 || received.len() > REQUEST_MAX_BYTES {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        match postcard::from_bytes(&received) {
+            Ok(request) => return Ok(request),
+            Err(postcard::Error::DeserializeUnexpectedEnd) => {}
+            Err(error) => return Err(io::Error::other(error)),
+        }
+    }
+}
+
+/// Answers a request for a body.
+async fn answer(
+    node: &Node,
+    peer: SocketAddr,
+    mut stream: TcpStream,
+    request: BodyRequest,
+) -> io::Result<()> {
     // The slot for sending a whole list, if any, is held until the body is sent.
     let (kind, body, _slot) = match request {
         BodyRequest::Configuration => (Kind::Configuration, packed_configuration(node), None),
@@ -241,6 +279,7 @@
             let (body, slot) = list_transfer::answer(node, known_position);
             (Kind::Workers, body, slot)
         }
+        BodyRequest::Tunnel(_) => return Err(io::ErrorKind::InvalidInput.into()),
     };
     stream.write_all(&body).await?;
     if let IpAddr::V4(peer) = peer.ip() {
--- a/crates/cranereach-gateway/src/cold.rs
+++ b/crates/cranereach-gateway/src/cold.rs
@@ -37,8 +37,7 @@
     let Some(worker) = roster.get_mut(id) else {
         return;
     };
-    let was_lost =
-        worker.health.is_unreachable(now_ms) || worker.health.has_failed_to_connect(now_ms);
+    let was_lost = worker.health.was_lost();
     worker.health.reached();
     let cold_for_ms = cold_period_ms(node, &worker.record.service);
     if was_lost && cold_for_ms > 0 {
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -219,6 +219,7 @@
     let answer = client
         .post_bytes_with_permit(format.order_path, body, ORDER_TIMEOUT_MS, permit)
         .await;
+    note_path(node, worker, answer.as_ref().map(|_answer| ()));
     if let Ok((answer, permit)) = &answer {
         process_headers(node, permit, answer);
     }
@@ -252,10 +253,11 @@
 ) -> Option<WorkerState> {
     let format = &node.adapter.engine;
     let permit = || send_permit::ask(node, worker, Purpose::Report, LEAST_URGENT_RANK);
-    let (answer, permit) = client
+    let answer = client
         .get_with_permit(format.report_path, REPORT_TIMEOUT_MS, permit)
-        .await
-        .ok()?;
+        .await;
+    note_path(node, worker, answer.as_ref().map(|_answer| ()));
+    let (answer, permit) = answer.ok()?;
     process_headers(node, &permit, &answer);
     if answer.status != 200 {
         return None;
@@ -265,6 +267,19 @@
     Some(worker_state(service.engine.as_ref()?, &report))
 }
 
+/// Records whether a worker answered an order or report request, which always go directly. One
+/// that does not is probed.
+fn note_path(node: &Node, worker: &Arc<str>, answered: Result<(), &CallError>) {
+    let now_ms = node.now_ms();
+    match answered {
+        Ok(()) => node.paths.note_answered(now_ms, worker),
+        Err(CallError::NotSent { .. } | CallError::Unanswered { .. }) => {
+            node.paths.suspect(now_ms, worker);
+        }
+        Err(CallError::Garbled { .. }) => {}
+    }
+}
+
 /// Processes the worker headers of the answer to an order or report request.
 fn process_headers(node: &Node, permit: &Permit, answer: &Answer) {
     // The client took the number from a parsed status, so it is always valid.
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -261,7 +261,7 @@
     }
 
     /// Whether the call may be retried on another worker if this one fails.
-    fn may_retry(&self) -> bool {
+    pub(super) fn may_retry(&self) -> bool {
         let route = &self.call.route;
         route.may_repeat() && self.run_count + 1 < route.attempt_max_count
     }
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -95,7 +95,10 @@
         };
         if let (true, Some(worker)) = (exchange.may_run_now, exchange.tried.last()) {
             let now_ms = node.now_ms();
-            if let Some(worker) = node.roster().get_mut(worker) {
+            let is_path_cut = node.paths.is_silently_cut(now_ms, worker);
+            if let Some(worker) = node.roster().get_mut(worker)
+                && !is_path_cut
+            {
                 worker.health.failed(now_ms);
             }
         }
--- a/crates/cranereach-gateway/src/forward/in_flight.rs
+++ b/crates/cranereach-gateway/src/forward/in_flight.rs
@@ -1,11 +1,18 @@
 //! Requests in flight at a worker, each counted until it is dropped.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Instant;
 
+use slog::info;
+
 use crate::node::Node;
 use crate::owners;
 use crate::owners::ReportedRequest;
+use crate::worker_ends;
+use crate::worker_ends::ProbeResult;
+use crate::worker_paths::NotConnected;
+use cranereach_fleet::key::worker_key;
 use cranereach_fleet::load::RANK_COUNT;
 use cranereach_fleet::owned::Outcome;
 use cranereach_fleet::owned::SentRequest;
@@ -36,6 +43,8 @@
     reported_request: ReportedRequest,
     outcome: Outcome,
     distance: Distance,
+    /// Whether a peer relays the connection.
+    was_relayed: bool,
 }
 
 /// Call of a service without models.
@@ -104,6 +113,7 @@
             reported_request,
             outcome: Outcome::Neutral,
             distance,
+            was_relayed: false,
             node: Arc::clone(node),
             worker: Arc::clone(&choice.id),
             domain,
@@ -197,24 +207,62 @@
         }
     }
 
-    /// Records that the worker could not be reached.
-    pub fn unreachable(&mut self) {
-        self.outcome = Outcome::Unreachable;
+    /// Records that no connection to the worker could be opened. The owner of the worker is told
+    /// only if the worker is at fault, not a path of this instance.
+    pub fn not_connected(&mut self, not_connected: NotConnected) {
         let now_ms = self.node.now_ms();
-        let counter = &self.node.metrics.unreachable_workers_total;
-        counter.with_label_values(&["own"]).inc();
-        if let Some(worker) = self.node.roster().get_mut(&self.worker) {
+        let key = worker_key(&self.worker);
+        let is_dark = self
+            .node
+            .paths
+            .reachability(|reachability| reachability.is_dark_for_all(now_ms, key));
+        info!(self.node.log, "worker not connected"; "worker" => self.worker.as_ref(),
+            "direct" => format!("{:?}", not_connected.direct),
+            "peer" => format!("{:?}", not_connected.peer), "is_dark" => is_dark);
+        let mut roster = self.node.roster();
+        let Some(worker) = roster.get_mut(&self.worker) else {
+            return;
+        };
+        if is_dark {
             worker.health.unreachable(now_ms);
+            self.outcome = Outcome::Unreachable;
+            let counter = &self.node.metrics.paths.unreachable_workers_total;
+            counter.with_label_values(&["own"]).inc();
+        } else {
+            worker.health.not_connected(now_ms);
         }
     }
 
-    /// Counts bytes of the call that were sent.
-    pub fn sent(&self, byte_count: usize) {
+    /// Records that the connection broke after the call was sent. The worker counts as failed
+    /// unless it turns out that a path to it is at fault.
+    pub fn broke_off(mut self) {
+        let node = Arc::clone(&self.node);
+        let worker = Arc::clone(&self.worker);
+        let was_relayed = self.was_relayed;
+        tokio::spawn(async move {
+            let found = worker_ends::check(&node, &worker).await;
+            let is_path_at_fault = match found {
+                ProbeResult::PathCut => true,
+                ProbeResult::Alive => was_relayed,
+                _ => false,
+            };
+            if !is_path_at_fault {
+                self.failed();
+            }
+        });
+    }
+
+    /// Counts bytes of the call that were sent, directly or through a peer.
+    pub fn sent(&mut self, byte_count: usize, via: Option<Ipv4Addr>) {
+        self.was_relayed = via.is_some();
         self.count_bytes("sent", byte_count);
     }
 
     /// Counts bytes of the response.
     pub fn received(&self, byte_count: usize) {
+        if !self.was_relayed {
+            self.node.paths.note_received(self.node.now_ms());
+        }
         self.count_bytes("received", byte_count);
     }
 
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -63,7 +63,7 @@
         let first_chunk = match incoming.frame().await {
             Some(Ok(first_chunk)) => first_chunk,
             Some(Err(_broken)) => {
-                in_flight.failed();
+                in_flight.broke_off();
                 return Err(Failure::BrokenOff);
             }
             None => {
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -1,11 +1,13 @@
 //! One offer of a call to one worker: sends the call, and reads as much of the response as is
 //! needed to decide whether to retry.
 
-use std::time::Duration;
+use std::future::pending;
+use std::sync::Arc;
 
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
+use slog::info;
 
 use super::ResponseBody;
 use super::exchange::Exchange;
@@ -17,10 +19,12 @@
 use super::response_head::has_explicit_framing;
 use super::resumption::StartedStream;
 use super::stream_relay::StreamRelay;
-use crate::cold;
+use crate::node::pause;
 use crate::quarantine;
 use crate::send_permit;
 use crate::worker_headers::DEFAULT_KEEP_ALIVE_MS;
+use crate::worker_paths;
+use crate::worker_paths::WorkerConnection;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::Choice;
 use cranereach_http::body;
@@ -30,8 +34,9 @@
 /// Largest response that is buffered in full before it is passed on, in bytes.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 4 * 1024 * 1024;
 
-/// Timeout for connecting to a worker, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Time without any bytes from any worker after which a call on a reused connection suspects that
+/// its path is cut, in milliseconds.
+const QUIET_MAX_MS: u64 = 300;
 
 /// Share of the latency target for which a call may be held back so that its prefill does not
 /// make running streams pause for too long. With half of the latency target, prompts that were
@@ -72,17 +77,7 @@
             node.metrics.prompts_held_total.inc();
         }
         self.hold(choice, hold_ms).await?;
-        let pool = node.pool(&choice.id, &choice.address);
-        let within = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let connected = tokio::time::timeout(within, pool.take()).await;
-        let Ok(Ok(mut connection)) = connected else {
-            in_flight.unreachable();
-            return Err(Failure::NotSent);
-        };
-        if !connection.is_reused() {
-            node.metrics.connections_total.inc();
-            cold::note_reached(node, &choice.id);
-        }
+        let mut connection = self.connect(choice, &mut in_flight).await?;
         let permit = send_permit::ask(node, &choice.id, Purpose::Call, call.rank).await;
         let Some(permit) = permit else {
             if !connection.is_reused() {
@@ -101,15 +96,30 @@
             .to_worker(node, &choice.id, self.last_event.as_deref())
             .ok_or(Failure::NotSent)?;
         self.may_run_now = true;
-        in_flight.sent(self.call.body.len());
-        let response = match connection.send(request).await {
+        let via = connection.via();
+        in_flight.sent(self.call.body.len(), via);
+        if let Some(peer) = via {
+            info!(node.log, "sent through peer"; "request" => call.id.clone(),
+                "worker" => choice.id.as_ref(), "peer" => peer.to_string());
+        }
+        let may_wait_in_vain = via.is_none() && connection.is_reused();
+        let response = tokio::select! {
+            response = connection.send(request) => response,
+            () = self.until_path_is_cut(&choice.id), if may_wait_in_vain => {
+                return Err(Failure::Unknown);
+            }
+        };
+        let response = match response {
             Ok(response) => response,
             Err(SendError::Unsent(_)) => return Err(Failure::NotSent),
             Err(SendError::Broken(_)) => {
-                in_flight.failed();
+                in_flight.broke_off();
                 return Err(Failure::BrokenOff);
             }
         };
+        if via.is_none() {
+            node.paths.note_answered(node.now_ms(), &choice.id);
+        }
         let parsed_headers = check_head(node, self.call, &permit, &mut in_flight, &response)?;
         Ok(ResponseHead {
             response,
@@ -119,6 +129,37 @@
         })
     }
 
+    /// Reuses or opens a connection to the worker.
+    async fn connect(
+        &self,
+        choice: &Choice,
+        in_flight: &mut InFlightCall,
+    ) -> Result<WorkerConnection, Failure> {
+        match worker_paths::take(self.node, &choice.id, &choice.address).await {
+            Ok(connection) => Ok(connection),
+            Err(not_connected) => {
+                in_flight.not_connected(not_connected);
+                Err(Failure::NotSent)
+            }
+        }
+    }
+
+    /// Waits until the direct path to a worker is known to be cut silently, and has it probed if
+    /// no worker answers. Never returns for a call that may not be repeated, whose answer may still
+    /// arrive once the path is back.
+    async fn until_path_is_cut(&self, worker: &Arc<str>) {
+        let paths = &self.node.paths;
+        let sent_ms = self.node.now_ms();
+        pause(QUIET_MAX_MS).await;
+        if paths.is_quiet_since(sent_ms) {
+            paths.suspect(self.node.now_ms(), worker);
+        }
+        paths.until_silently_cut(self.node, worker).await;
+        if !self.may_retry() {
+            pending::<()>().await;
+        }
+    }
+
     /// Counts the call as sent to the failure domain of its worker.
     fn count_send(&self, choice: &Choice) {
         let roster = self.node.roster();
@@ -181,13 +222,17 @@
         let (parts, incoming) = response.into_parts();
         let remaining_ms = self.call.deadline_at_ms.saturating_sub(self.node.now_ms()) + 1_000;
         let collected = body::collect(incoming, BUFFERED_RESPONSE_MAX_BYTES, remaining_ms).await;
-        let bytes = collected.map_err(|error| {
-            in_flight.failed();
-            match error {
-                BodyError::Broken => Failure::BrokenOff,
-                BodyError::TooLarge | BodyError::TooSlow => Failure::Unknown,
+        let bytes = match collected {
+            Ok(bytes) => bytes,
+            Err(BodyError::Broken) => {
+                in_flight.broke_off();
+                return Err(Failure::BrokenOff);
             }
-        })?;
+            Err(BodyError::TooLarge | BodyError::TooSlow) => {
+                in_flight.failed();
+                return Err(Failure::Unknown);
+            }
+        };
         in_flight.received(bytes.len());
         let is_failure = parts.status.is_server_error();
         if is_failure {
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -160,6 +160,9 @@
                         // The stream is not resumed, so nothing waits for the result of the
                         // check.
                         drop(self.investigate_worker());
+                        if let Some(in_flight) = self.in_flight.take() {
+                            in_flight.broke_off();
+                        }
                         return Poll::Ready(Some(
                             Err(self.abort("connection to the worker broke")),
                         ));
@@ -188,10 +191,9 @@
     /// Starts to look for a worker that resumes the stream; returns whether the stream may be
     /// resumed.
     fn start_resumption(&mut self) -> bool {
-        let Some(in_flight) = &mut self.in_flight else {
+        if self.in_flight.is_none() {
             return false;
-        };
-        in_flight.failed();
+        }
         let Some(events) = &mut self.events else {
             return false;
         };
@@ -204,8 +206,9 @@
         let Some(worker_check) = self.investigate_worker() else {
             return false;
         };
-        // Ends the in-flight count at the worker whose connection broke.
-        self.in_flight = None;
+        if let Some(in_flight) = self.in_flight.take() {
+            in_flight.broke_off();
+        }
         self.connection = None;
         let history = std::mem::take(&mut self.history);
         let started =
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -24,13 +24,12 @@
 use crate::expected_models::QUERIED_MAX_COUNT;
 use crate::list_updates;
 use crate::messages::DATAGRAM_MAX_BYTES;
-use crate::messages::Datagram;
 use crate::messages::DemandMessage;
 use crate::messages::DemandPart;
 use crate::messages::Digest;
 use crate::messages::EndedLease;
 use crate::messages::Message;
-use crate::messages::VERSION;
+use crate::messages::decode;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
@@ -170,6 +169,9 @@
         .map(|service| worker_key(service))
         .collect();
     drop(announced);
+    let reach = node
+        .paths
+        .reachability(|reachability| reachability.report(now_ms));
     let age_ms = |freshness: &Mutex<Freshness>| lock(freshness).age_ms(now_ms).unwrap_or(u64::MAX);
     Digest {
         boot: node.boot,
@@ -193,6 +195,7 @@
         withheld,
         evacuations,
         suspects: quarantine::news(node),
+        reach: Some(reach),
     }
 }
 
@@ -229,48 +232,44 @@
             pause(ROUND_MIN_INTERVAL_MS).await;
             continue;
         };
-        let datagram = postcard::from_bytes::<Datagram>(&buffer[..length]);
-        match (datagram, sender.ip()) {
-            (Ok(datagram), IpAddr::V4(ip)) if datagram.version == VERSION => {
-                match datagram.message {
-                    Message::Digest(digest) => {
-                        let is_behind = handle_digest(&node, ip, &digest);
-                        if is_behind {
-                            list_updates::update_lagging_peer(&node, ip).await;
-                        }
-                    }
-                    Message::Demand(demand) => peer_updates::take_demand(&node, ip, &demand),
-                    Message::Owner(message) => {
-                        if let Some(quote) = owners::handle_message(&node, ip, message) {
-                            node.send_now(sender, Message::Quote(quote));
-                        }
-                    }
-                    Message::Quote(quote) => owners::handle_quote(&node, quote),
-                    Message::Placed(placed) => peer_updates::take_placed(&node, &placed),
-                    Message::Expected(answers) => expected_models::take(&node, &answers),
-                    Message::Prove(question) => proofs::answer(&node, sender, question),
-                    Message::Proof(answer) => proofs::take(&node, ip, &answer),
-                    Message::Limit(ask) => account_limits::answer(&node, sender, &ask),
-                    Message::Returned(returned) => account_limits::take_back(&node, ip, &returned),
-                    Message::Granted(grant) => {
-                        node.limit_questions.answered(grant.ticket, grant);
-                    }
-                    Message::Evacuations(list) => {
-                        evacuations::take(&node, &list, origin(&node, ip));
-                    }
-                    Message::MaySend(ask) => send_grants::answer(&node, sender, &ask),
-                    Message::SendGranted(grant) => {
-                        node.grant_questions.answered(grant.ticket, grant);
-                    }
-                    Message::Suspect(news) => quarantine::take(&node, ip, &[*news]),
-                    Message::List(changes) => roster_sync::take_message(&node, ip, &changes),
-                }
+        let message = decode(&buffer[..length]);
+        if let (Some(message), IpAddr::V4(ip)) = (message, sender.ip()) {
+            handle_message(&node, sender, ip, message).await;
+        } else {
+            let counter = &node.metrics.bad_input_total;
+            counter.with_label_values(&["peer"]).inc();
+        }
+    }
+}
+
+/// Handles a message from a peer.
+async fn handle_message(node: &Arc<Node>, sender: SocketAddr, ip: Ipv4Addr, message: Message) {
+    match message {
+        Message::Digest(digest) => {
+            let is_behind = handle_digest(node, ip, &digest);
+            if is_behind {
+                list_updates::update_lagging_peer(node, ip).await;
             }
-            _ => {
-                let counter = &node.metrics.bad_input_total;
-                counter.with_label_values(&["peer"]).inc();
+        }
+        Message::Demand(demand) => peer_updates::take_demand(node, ip, &demand),
+        Message::Owner(message) => {
+            if let Some(quote) = owners::handle_message(node, ip, message) {
+                node.send_now(sender, Message::Quote(quote));
             }
         }
+        Message::Quote(quote) => owners::handle_quote(node, quote),
+        Message::Placed(placed) => peer_updates::take_placed(node, &placed),
+        Message::Expected(answers) => expected_models::take(node, &answers),
+        Message::Prove(question) => proofs::answer(node, sender, question),
+        Message::Proof(answer) => proofs::take(node, ip, &answer),
+        Message::Limit(ask) => account_limits::answer(node, sender, &ask),
+        Message::Returned(returned) => account_limits::take_back(node, ip, &returned),
+        Message::Granted(grant) => node.limit_questions.answered(grant.ticket, grant),
+        Message::Evacuations(list) => evacuations::take(node, &list, origin(node, ip)),
+        Message::MaySend(ask) => send_grants::answer(node, sender, &ask),
+        Message::SendGranted(grant) => node.grant_questions.answered(grant.ticket, grant),
+        Message::Suspect(news) => quarantine::take(node, ip, &[*news]),
+        Message::List(changes) => roster_sync::take_message(node, ip, &changes),
     }
 }
 
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -19,6 +19,9 @@
 //! Right before a request is sent to a worker, [`send_permit`] checks whether it may be, and
 //! [`send_grants`] asks the owners of cold or rate-limited workers.
 //!
+//! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays while
+//! an instance can't reach a worker itself.
+//!
 //! [`gossip`], [`list_updates`], [`body_transfer`] and [`list_transfer`] send peers what they do
 //! not know yet; [`traffic`] counts the bytes. [`controller`] holds the leases and sends orders to
 //! workers. Everything that a platform names or formats comes in through an [`adapter`].
@@ -64,7 +67,9 @@
 pub mod store_era;
 pub mod store_failures;
 pub mod traffic;
+pub mod tunnels;
 pub mod unavailable_workers;
 pub mod unknown_headers;
 pub mod worker_ends;
 pub mod worker_headers;
+pub mod worker_paths;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -30,6 +30,7 @@
 use cranereach_fleet::proof::ProofAnswer;
 use cranereach_fleet::proof::ProofQuery;
 use cranereach_fleet::quarantine::SuspectUpdate;
+use cranereach_fleet::reachability::ReachReport;
 use cranereach_fleet::store_position::StorePosition;
 
 /// Version of the message format; messages of other versions are dropped.
@@ -272,11 +273,46 @@
 
 /// Encodes a message as a datagram.
 pub fn encode(message: Message) -> Vec<u8> {
+    let reach = match &message {
+        Message::Digest(digest) => digest.reach,
+        _ => None,
+    };
     let datagram = Datagram {
         version: VERSION,
         message,
     };
-    postcard::to_stdvec(&datagram).unwrap_or_default()
+    let mut encoded = postcard::to_stdvec(&datagram).unwrap_or_default();
+    if let Some(reach) = reach {
+        encoded.extend(postcard::to_stdvec(&reach).unwrap_or_default());
+    }
+    encoded
+}
+
+/// Decodes a datagram; `None` if it is malformed or of another version.
+///
+/// ```
+/// use cranereach_fleet::reachability::ReachReport;
+/// use cranereach_gateway::messages::Digest;
+/// use cranereach_gateway::messages::Message;
+/// use cranereach_gateway::messages::decode;
+/// use cranereach_gateway::messages::encode;
+///
+/// let reach = Some(ReachReport { reached_percent: 40 });
+/// let digest = Digest { reach, ..Digest::default() };
+/// let message = Message::Digest(Box::new(digest));
+/// assert_eq!(decode(&encode(message.clone())), Some(message));
+/// assert_eq!(decode(b"nonsense"), None);
+/// ```
+pub fn decode(datagram: &[u8]) -> Option<Message> {
+    let (datagram, rest) = postcard::take_from_bytes::<Datagram>(datagram).ok()?;
+    if datagram.version != VERSION {
+        return None;
+    }
+    let mut message = datagram.message;
+    if let Message::Digest(digest) = &mut message {
+        digest.reach = postcard::from_bytes(rest).ok();
+    }
+    Some(message)
 }
 
 /// Compresses changed rows, which repeat the same strings and are sent to every instance.
@@ -393,4 +429,8 @@
     pub evacuations: EvacuationList,
     /// A sample of the requests during which workers ended.
     pub suspects: Vec<SuspectUpdate>,
+    /// Share of the workers that the sender reaches itself; none from a release that opens no
+    /// tunnels. It follows the datagram, where earlier releases ignore it.
+    #[serde(skip)]
+    pub reach: Option<ReachReport>,
 }
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, gauges and histograms of an instance.
 
+mod paths;
+
 use prometheus::CounterVec;
 use prometheus::Encoder;
 use prometheus::HistogramVec;
@@ -13,6 +15,8 @@
 use prometheus::histogram_opts;
 use prometheus::opts;
 
+use self::paths::PathMetrics;
+
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.0, 6.0, 15.0];
 
@@ -91,9 +95,8 @@
     pub store_unknown_words_total: IntCounterVec,
     /// Era of the store.
     pub store_era: IntGauge,
-    /// How often a worker was taken to be unreachable, by whose evidence: this instance's own,
-    /// several peers' digests, or a sender's notice to the worker's owner.
-    pub unreachable_workers_total: IntCounterVec,
+    /// Paths to workers.
+    pub paths: PathMetrics,
     /// Connections opened to workers.
     pub connections_total: IntCounter,
     /// Bytes sent to peers, by kind and distance.
@@ -198,11 +201,7 @@
                 "sends within limits",
                 &["purpose"],
             ),
-            unreachable_workers_total: counters(
-                "unreachable_workers_total",
-                "how often a worker was taken to be unreachable",
-                &["by"],
-            ),
+            paths: PathMetrics::new(&make),
             connections_total: make.counter("connections_total", "connections made to workers"),
             prompts_held_total: make.counter("prompts_held_total", "prompts held back"),
             streams_paused_total: make.counter("streams_paused_total", "streams that paused"),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -1,7 +1,7 @@
 //! State shared by all parts of an instance.
 
 mod configuration;
-mod connections;
+pub mod connections;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -39,6 +39,7 @@
 use crate::store::Store;
 use crate::unknown_headers::UnknownHeaders;
 use crate::worker_ends::WorkerProbes;
+use crate::worker_paths::WorkerPaths;
 use cranereach_fleet::configuration::Configuration;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
@@ -95,6 +96,8 @@
     pub store: Store,
     /// Key for the fingerprints of requests.
     pub fingerprint_key: FingerprintKey,
+    /// This instance's paths to workers.
+    pub paths: WorkerPaths,
     /// Recent probes of workers whose connections broke.
     pub worker_probes: WorkerProbes,
     /// Headers in workers' answers that this build does not recognize.
@@ -227,6 +230,7 @@
             metrics,
             worker_connector,
             fingerprint_key: FingerprintKey::new(&settings.peers.fingerprint_secret),
+            paths: WorkerPaths::default(),
             worker_probes: WorkerProbes::default(),
             unknown_headers: UnknownHeaders::default(),
             quarantine: Mutex::default(),
--- a/crates/cranereach-gateway/src/node/connections.rs
+++ b/crates/cranereach-gateway/src/node/connections.rs
@@ -10,20 +10,23 @@
 use super::lock;
 use cranereach_http::pool::Pool;
 
-/// Time for which sent bytes may stay unacknowledged before the connection to a worker is
-/// broken, in milliseconds.
-const WORKER_ACK_TIMEOUT_MS: u64 = 1_200;
+/// Time for which a worker may acknowledge nothing before a connection to it is broken, in
+/// milliseconds: longer than a sound worker is silent.
+pub const WORKER_SILENT_MAX_MS: u64 = 2_500;
+
+/// Pool of connections to one worker.
+pub type WorkerPool = Pool<Full<Bytes>>;
 
 /// Connection pools by worker ID.
-pub type Pools = HashMap<Arc<str>, Arc<Pool<Full<Bytes>>>>;
+pub type Pools = HashMap<Arc<str>, Arc<WorkerPool>>;
 
 impl Node {
     /// Returns the connection pool of a worker.
-    pub fn pool(&self, worker: &Arc<str>, address: &str) -> Arc<Pool<Full<Bytes>>> {
+    pub fn pool(&self, worker: &Arc<str>, address: &str) -> Arc<WorkerPool> {
         let mut pools = lock(&self.pools);
         let make = || {
             let pool = Pool::new(address).with_connector(&self.worker_connector);
-            Arc::new(pool.with_user_timeout_ms(WORKER_ACK_TIMEOUT_MS))
+            Arc::new(pool.with_silent_max_ms(WORKER_SILENT_MAX_MS))
         };
         let pool = pools.entry(Arc::clone(worker)).or_insert_with(make);
         if pool.address() != address {
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -242,7 +242,7 @@
         OwnerEvent::Read(took_ms) => owned.prefilled(now_ms, worker, request, f64::from(took_ms)),
         OwnerEvent::Ended(outcome) => {
             if outcome == Outcome::Unreachable && sender != node.own_ip() {
-                let counter = &node.metrics.unreachable_workers_total;
+                let counter = &node.metrics.paths.unreachable_workers_total;
                 counter.with_label_values(&["sender"]).inc();
             }
             owned.request_ended(now_ms, worker, request, outcome);
--- a/crates/cranereach-gateway/src/peer_updates.rs
+++ b/crates/cranereach-gateway/src/peer_updates.rs
@@ -22,17 +22,8 @@
 /// Applies what a digest says about workers. Returns true if waiting requests may now be sent
 /// elsewhere.
 pub fn take_roster(node: &Arc<Node>, now_ms: u64, sender: Ipv4Addr, digest: &Digest) -> bool {
+    take_reach(node, now_ms, sender, digest);
     let mut roster = node.roster();
-    for key in &digest.unreachable {
-        if let Some(worker) = roster.by_key_mut(*key)
-            && worker.note_reported_unreachable(now_ms, u32::from(sender))
-        {
-            let counter = &node.metrics.unreachable_workers_total;
-            counter.with_label_values(&["peers"]).inc();
-            info!(node.log, "worker unreachable"; "worker" => worker.record.id.as_ref(),
-                "by" => "peers", "last_report" => sender.to_string());
-        }
-    }
     let reported = digest.leaving.iter();
     let new: Vec<(u64, StorePosition)> = reported
         .filter(|(key, position)| roster.leaves(*position, *key))
@@ -50,6 +41,36 @@
     !digest.adapters.is_empty()
 }
 
+/// Applies what a digest says about the workers that its sender reaches and can't reach.
+fn take_reach(node: &Node, now_ms: u64, sender: Ipv4Addr, digest: &Digest) {
+    let alive_count = match digest.unreachable.as_slice() {
+        [] => 0,
+        _ => node.peers().members().alive(now_ms).count(),
+    };
+    let believed: Vec<u64> = node.paths.reachability(|reachability| {
+        reachability.take_reach_report(now_ms, sender, digest.reach);
+        let reported = digest.unreachable.iter().copied();
+        reported
+            .filter(|worker| {
+                reachability.take_unreachable_report(now_ms, *worker, sender, alive_count)
+            })
+            .collect()
+    });
+    let mut roster = node.roster();
+    for key in believed {
+        let Some(worker) = roster.by_key_mut(key) else {
+            continue;
+        };
+        if !worker.health.is_unreachable(now_ms) {
+            let counter = &node.metrics.paths.unreachable_workers_total;
+            counter.with_label_values(&["peers"]).inc();
+            info!(node.log, "worker unreachable"; "worker" => worker.record.id.as_ref(),
+                "by" => "peers", "last_report" => sender.to_string());
+        }
+        worker.health.note_reported_unreachable(now_ms);
+    }
+}
+
 /// Applies changes that a lease holder's orders have made at workers.
 pub fn apply_orders(
     node: &Node,
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -27,6 +27,7 @@
 use crate::settings::Settings;
 use crate::store_era;
 use crate::traffic;
+use crate::worker_paths;
 use cranereach_http::connector::Connector;
 use cranereach_http::server;
 use cranereach_http::server::ServeOptions;
@@ -155,6 +156,7 @@
         tasks.spawn(store_era::run(Arc::clone(&node)));
         tasks.spawn(controller::run(Arc::clone(&node)));
         tasks.spawn(traffic::run(Arc::clone(&node)));
+        tasks.spawn(worker_paths::run(Arc::clone(&node)));
         let caller_node = Arc::clone(&node);
         let options = ServeOptions {
             header_within_ms: CALLER_KEEP_ALIVE_MS,
@@ -195,7 +197,8 @@
         info!(node.log, "stopping"; "open" => node.metrics.open_requests.get());
         pause(ACCEPT_WHILE_STOPPING_MS.min(grace_ms / 3)).await;
         self.stopping.send_replace(true);
-        while !self.serving.is_finished() && node.now_ms() < end_by_ms {
+        let has_work = || !self.serving.is_finished() || node.metrics.paths.tunnels_open.get() > 0;
+        while has_work() && node.now_ms() < end_by_ms {
             pause(DRAIN_POLL_INTERVAL_MS).await;
         }
         info!(node.log, "stopped"; "open" => node.metrics.open_requests.get());
--- a/crates/cranereach-gateway/src/traffic.rs
+++ b/crates/cranereach-gateway/src/traffic.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use slog::info;
 
@@ -54,13 +55,15 @@
     Evacuation,
     /// Requests during which workers ended, sent apart from digests.
     Suspect,
+    /// Connections to workers that are relayed for peers, or by them.
+    Tunnel,
     /// Anything else, such as requests for bodies.
     Other,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Digest,
         Self::List,
         Self::Configuration,
@@ -74,6 +77,7 @@
         Self::Grant,
         Self::Evacuation,
         Self::Suspect,
+        Self::Tunnel,
         Self::Other,
     ];
 
@@ -93,6 +97,7 @@
             Self::Grant => "grant",
             Self::Evacuation => "evacuation",
             Self::Suspect => "suspect",
+            Self::Tunnel => "tunnel",
             Self::Other => "other",
         }
     }
@@ -207,6 +212,18 @@
         messages.with_label_values(&labels).inc();
     }
 
+    /// Returns the counter of the bytes sent to a peer for a purpose, for a connection that sends
+    /// many times.
+    pub fn sent_bytes_counter(&self, peer: Ipv4Addr, kind: Kind) -> IntCounter {
+        let distance = self.distance_to(peer);
+        let labels = [
+            kind.name(),
+            distance.map_or(UNKNOWN_DISTANCE, Distance::name),
+        ];
+        let bytes = &self.metrics.peer_sent_bytes_total;
+        bytes.with_label_values(&labels)
+    }
+
     /// Returns the distance to a peer; `None` if its failure domain is not known yet.
     pub fn distance_to(&self, peer: Ipv4Addr) -> Option<Distance> {
         let domain = self.peers().members().domain_of(peer)?;
--- /dev/null
+++ b/crates/cranereach-gateway/src/tunnels/server.rs
@@ -0,0 +1,192 @@
+//! The relaying peer's end of a tunnel.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use super::TunnelRequest;
+use super::TunnelStatus;
+use super::configure;
+use super::stream::FRAME_HEADER_BYTES;
+use crate::node::Node;
+use crate::traffic::Kind;
+use crate::worker_paths;
+use cranereach_fleet::reachability::ConnectFailure;
+
+/// Maximum number of tunnels relayed at a time. Each takes two file descriptors and two buffers.
+const TUNNEL_MAX_COUNT: i64 = 384;
+
+/// Size of the buffer of one direction, in bytes.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// Time for which the worker's side of a tunnel stays open after the asking instance has closed
+/// its own.
+const HALF_CLOSED_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Counts a tunnel as open until it is dropped.
+#[derive(Debug)]
+struct OpenTunnel<'a>(&'a Node);
+
+impl<'a> OpenTunnel<'a> {
+    /// Counts one more tunnel, unless there are too many.
+    fn begin(node: &'a Node) -> Option<Self> {
+        let gauge = &node.metrics.paths.tunnels_open;
+        gauge.inc();
+        let tunnel = Self(node);
+        (gauge.get() <= TUNNEL_MAX_COUNT).then_some(tunnel)
+    }
+}
+
+impl Drop for OpenTunnel<'_> {
+    fn drop(&mut self) {
+        self.0.metrics.paths.tunnels_open.dec();
+    }
+}
+
+/// Opens and relays a tunnel for a peer until either side ends it.
+pub async fn serve(
+    node: &Arc<Node>,
+    peer: Ipv4Addr,
+    mut stream: TcpStream,
+    request: TunnelRequest,
+) -> io::Result<()> {
+    configure(&stream)?;
+    let tunnel = OpenTunnel::begin(node);
+    let opened = match &tunnel {
+        Some(_) => open(node, peer, request).await,
+        None => Err(TunnelStatus::Busy),
+    };
+    let status = opened.as_ref().err().copied().unwrap_or(TunnelStatus::Open);
+    let counter = &node.metrics.paths.tunnels_total;
+    counter.with_label_values(&[status.name()]).inc();
+    stream.write_u8(status as u8).await?;
+    node.note_sent(peer, Kind::Tunnel, 1);
+    match opened {
+        Ok(worker) => relay(node, peer, stream, worker).await,
+        Err(status) => {
+            info!(node.log, "tunnel declined"; "peer" => peer.to_string(),
+                "status" => status.name());
+            Ok(())
+        }
+    }
+}
+
+/// Opens a connection to the requested worker, or returns why not.
+async fn open(
+    node: &Arc<Node>,
+    peer: Ipv4Addr,
+    request: TunnelRequest,
+) -> Result<TcpStream, TunnelStatus> {
+    if !node.peers().members().is_known(peer) {
+        return Err(TunnelStatus::NotMember);
+    }
+    if node.is_stopping() {
+        return Err(TunnelStatus::Stopping);
+    }
+    if node.paths.is_isolated(node.now_ms()) {
+        return Err(TunnelStatus::Isolated);
+    }
+    let listed = {
+        let roster = node.roster();
+        let worker = roster.by_key(request.worker);
+        worker.map(|worker| (Arc::clone(&worker.record.id), worker.record.address.clone()))
+    };
+    let (id, address) = listed.ok_or(TunnelStatus::UnknownWorker)?;
+    let pool = node.pool(&id, &address);
+    worker_paths::connect(node, request.worker, &pool)
+        .await
+        .map_err(|failure| match failure {
+            ConnectFailure::Refused => TunnelStatus::Refused,
+            ConnectFailure::Silent => TunnelStatus::Silent,
+        })
+}
+
+/// Relays both directions until both have ended or one fails. A failure resets both connections, so
+/// that neither end takes it for an orderly close.
+async fn relay(
+    node: &Node,
+    peer: Ipv4Addr,
+    stream: TcpStream,
+    worker: TcpStream,
+) -> io::Result<()> {
+    for connection in [&stream, &worker] {
+        SockRef::from(connection).set_linger(Some(Duration::ZERO))?;
+    }
+    let (peer_reader, peer_writer) = stream.into_split();
+    let (worker_reader, worker_writer) = worker.into_split();
+    let forward = copy_to_worker(peer_reader, worker_writer);
+    let backward = copy_to_peer(node, peer, worker_reader, peer_writer);
+    tokio::pin!(forward, backward);
+    let (peer_reader, worker_writer) = tokio::select! {
+        closed = &mut forward => closed?,
+        closed = &mut backward => {
+            let (worker_reader, peer_writer) = closed?;
+            let (peer_reader, worker_writer) = forward.await?;
+            end_orderly(&peer_writer);
+            end_orderly(&worker_writer);
+            drop((worker_reader, peer_reader));
+            return Ok(());
+        }
+    };
+    let (worker_reader, peer_writer) =
+        tokio::time::timeout(HALF_CLOSED_TIMEOUT, backward).await??;
+    end_orderly(&peer_writer);
+    end_orderly(&worker_writer);
+    drop((worker_reader, peer_reader));
+    Ok(())
+}
+
+/// Lets a connection that both sides have closed end without a reset.
+fn end_orderly(writer: &OwnedWriteHalf) {
+    // If this fails, the other end sees a reset after the last byte.
+    let _set = SockRef::from(writer.as_ref()).set_linger(None);
+}
+
+/// Copies bytes of the asking instance to the worker until it closes its side.
+async fn copy_to_worker(
+    mut peer_reader: OwnedReadHalf,
+    mut worker_writer: OwnedWriteHalf,
+) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let length = peer_reader.read(&mut buffer).await?;
+        if length == 0 {
+            worker_writer.shutdown().await?;
+            return Ok((peer_reader, worker_writer));
+        }
+        worker_writer.write_all(&buffer[..length]).await?;
+    }
+}
+
+/// Copies the worker's bytes in frames to the asking instance until the worker closes its side.
+async fn copy_to_peer(
+    node: &Node,
+    peer: Ipv4Addr,
+    mut worker_reader: OwnedReadHalf,
+    mut peer_writer: OwnedWriteHalf,
+) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
+    let sent_bytes = node.sent_bytes_counter(peer, Kind::Tunnel);
+    let mut buffer = vec![0; FRAME_HEADER_BYTES + BUFFER_BYTES];
+    loop {
+        let length = worker_reader
+            .read(&mut buffer[FRAME_HEADER_BYTES..])
+            .await?;
+        buffer[..FRAME_HEADER_BYTES].copy_from_slice(&(length as u16).to_be_bytes());
+        let frame = &buffer[..FRAME_HEADER_BYTES + length];
+        peer_writer.write_all(frame).await?;
+        sent_bytes.inc_by(frame.len() as u64);
+        if length == 0 {
+            peer_writer.shutdown().await?;
+            return Ok((worker_reader, peer_writer));
+        }
+    }
+}
--- a/crates/cranereach-gateway/src/worker_ends.rs
+++ b/crates/cranereach-gateway/src/worker_ends.rs
@@ -2,20 +2,18 @@
 //!
 //! A broken response does not imply that the worker ended: it may have failed only one
 //! request, or a network link may be down. Therefore the worker is probed with one connection
-//! attempt:
+//! attempt, which peers repeat if it is slow or fails:
 //!
-//! - If its machine refuses the connection, nothing is listening any more.
+//! - If its machine refuses the connection to all who tried, nothing is listening any more.
 //! - If the connection is accepted and stays open, the worker is alive, and the connection is kept
-//!   for the next request.
+//!   for the next request. If only a peer's connection is, a path of this instance is at fault.
 //! - Any other result is inconclusive: a proxy in front of a worker accepts connections in its
 //!   place, and a worker resets connections beyond its limit. Then the removal of the worker's row
 //!   decides.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::time::Duration;
 
 use tokio::sync::OnceCell;
 
@@ -23,15 +21,15 @@
 use crate::node::lock;
 use crate::node::pause;
 use crate::worker_headers::DEFAULT_KEEP_ALIVE_MS;
-use cranereach_http::pool::ConnectError;
+use crate::worker_paths;
+use crate::worker_paths::NotConnected;
+use cranereach_fleet::reachability::ConnectFailure;
+use cranereach_fleet::reachability::PathPlan;
 
 /// Delay between the break of a connection and the probe, in milliseconds. An ending process
 /// may close its open connections shortly before it stops listening. Retries wait for this delay.
 const PROBE_DELAY_MS: u64 = 10;
 
-/// Timeout of the connection attempt, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 250;
-
 /// Time for which a new connection must stay open to show that the worker is alive, in
 /// milliseconds.
 const MIN_OPEN_MS: u64 = 10;
@@ -58,6 +56,8 @@
     Delisted,
     /// The worker accepts connections and keeps them open.
     Alive,
+    /// The worker does so for a peer, but this instance's own path to it is cut.
+    PathCut,
     /// The end was planned: the row was marked as leaving or already removed.
     Planned,
     /// The worker accepts no connection, or keeps none open, but is still listed: a network link
@@ -77,6 +77,7 @@
             Self::Refused => "refused",
             Self::Delisted => "delisted",
             Self::Alive => "alive",
+            Self::PathCut => "path_cut",
             Self::Planned => "planned",
             Self::OutOfReach => "out_of_reach",
         }
@@ -99,19 +100,24 @@
 
 /// Determines the state of a worker after a connection to it broke. Waits for the worker's row only
 /// if the worker is out of reach.
-pub async fn find(node: &Node, worker: &Arc<str>) -> ProbeResult {
-    if !is_expected_to_run(node, worker) {
-        return ProbeResult::Planned;
-    }
+pub async fn find(node: &Arc<Node>, worker: &Arc<str>) -> ProbeResult {
     let incarnation = incarnation_of(node, worker);
-    let result_cell = node.worker_probes.current(node.now_ms(), worker);
-    let found = *result_cell.get_or_init(|| probe(node, worker)).await;
+    let found = check(node, worker).await;
     if found == ProbeResult::OutOfReach {
         return wait_for_delisting(node, worker, incarnation).await;
     }
     found
 }
 
+/// Determines the state of a worker as far as a probe shows it.
+pub async fn check(node: &Arc<Node>, worker: &Arc<str>) -> ProbeResult {
+    if !is_expected_to_run(node, worker) {
+        return ProbeResult::Planned;
+    }
+    let result_cell = node.worker_probes.current(node.now_ms(), worker);
+    *result_cell.get_or_init(|| probe(node, worker)).await
+}
+
 impl WorkerProbes {
     /// Returns the result cell of the current probe of a worker; adds a probe if there is none.
     fn current(&self, now_ms: u64, worker: &Arc<str>) -> Arc<OnceCell<ProbeResult>> {
@@ -140,7 +146,7 @@
 }
 
 /// Probes a worker with one connection attempt.
-async fn probe(node: &Node, worker: &Arc<str>) -> ProbeResult {
+async fn probe(node: &Arc<Node>, worker: &Arc<str>) -> ProbeResult {
     pause(PROBE_DELAY_MS).await;
     let address = node
         .roster()
@@ -150,24 +156,40 @@
         return ProbeResult::Planned;
     };
     let pool = node.pool(worker, &address);
-    let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    match tokio::time::timeout(connect_timeout, pool.make()).await {
-        Ok(Ok(connection)) => {
-            node.metrics.connections_total.inc();
+    let plan = PathPlan {
+        reuses_direct: false,
+        tries_direct: true,
+        asks_peers: true,
+    };
+    match worker_paths::open(node, worker, &pool, plan).await {
+        Ok(connection) => {
             pause(MIN_OPEN_MS).await;
             if connection.is_closed() {
                 return ProbeResult::OutOfReach;
             }
+            let is_relayed = connection.via().is_some();
             connection.keep_for(DEFAULT_KEEP_ALIVE_MS);
-            ProbeResult::Alive
-        }
-        Ok(Err(ConnectError::Refused(error))) if error.kind() == ErrorKind::ConnectionRefused => {
-            ProbeResult::Refused
+            if is_relayed {
+                ProbeResult::PathCut
+            } else {
+                ProbeResult::Alive
+            }
         }
-        Ok(Err(_)) | Err(_) => ProbeResult::OutOfReach,
+        Err(not_connected) if is_refused_by_all(node, not_connected) => ProbeResult::Refused,
+        Err(_) => ProbeResult::OutOfReach,
     }
 }
 
+/// Whether the worker's machine refuses connections, as far as can be known: a refusal that only
+/// this instance sees says nothing while its paths are cut.
+fn is_refused_by_all(node: &Node, not_connected: NotConnected) -> bool {
+    let is_own_path_sound = || !node.paths.is_isolated(node.now_ms());
+    not_connected.direct == Some(ConnectFailure::Refused)
+        && not_connected
+            .peer
+            .map_or_else(is_own_path_sound, |peer| peer == ConnectFailure::Refused)
+}
+
 /// Waits until the row of an unreachable worker is removed or replaced by that of a new
 /// incarnation.
 async fn wait_for_delisting(node: &Node, worker: &str, incarnation: Option<u64>) -> ProbeResult {
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`connector`] opens the TCP connections of a pool.
 //! - [`client`] calls JSON interfaces with a timeout.
 //! - [`body`] reads request and response bodies within limits and builds JSON responses.
+//! - [`liveness`] breaks connections whose other end no longer answers.
 //! - [`clock`] provides the monotonic clock of the process.
 //! - [`bearer`] extracts the bearer token of a request.
 //! - [`events`] splits event streams into complete events.
@@ -16,5 +17,6 @@
 pub mod clock;
 pub mod connector;
 pub mod events;
+pub mod liveness;
 pub mod pool;
 pub mod server;
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -3,6 +3,7 @@
 //! Upstreams are called over HTTP/1.1: the connection ties an answer to its request, and
 //! closing the connection cancels the request that runs on it.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -17,9 +18,13 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use thiserror::Error;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net::TcpStream;
 
 use crate::clock::boottime_ms;
 use crate::connector::Connector;
+use crate::liveness;
 
 /// Maximum number of idle connections kept per upstream.
 const IDLE_MAX_COUNT: usize = 256;
@@ -52,6 +57,7 @@
 /// Idle connection.
 struct IdleConnection<B> {
     sender: SendRequest<B>,
+    via: Option<Ipv4Addr>,
     /// Time until which it may be used, in milliseconds since the machine booted; `None` if
     /// it may be used for as long as it is open.
     expires_at_ms: Option<u64>,
@@ -65,7 +71,7 @@
     address: String,
     connector: Connector,
     idle: IdleList<B>,
-    user_timeout_ms: Option<u64>,
+    silent_max_ms: Option<u64>,
     resets_on_close: bool,
 }
 
@@ -82,6 +88,8 @@
     sender: SendRequest<B>,
     idle_list: IdleList<B>,
     is_reused: bool,
+    /// Host that relays the connection; none if it is direct.
+    via: Option<Ipv4Addr>,
 }
 
 impl<B> std::fmt::Debug for Connection<B> {
@@ -104,7 +112,7 @@
             address: address.to_owned(),
             connector: Connector::default(),
             idle: Arc::default(),
-            user_timeout_ms: None,
+            silent_max_ms: None,
             resets_on_close: false,
         }
     }
@@ -126,11 +134,10 @@
         self
     }
 
-    /// Closes a connection if the peer doesn't acknowledge sent data within this time
-    /// (`TCP_USER_TIMEOUT`).
+    /// Breaks a connection if the other end acknowledges nothing for this time.
     #[must_use]
-    pub fn with_user_timeout_ms(mut self, user_timeout_ms: u64) -> Self {
-        self.user_timeout_ms = Some(user_timeout_ms);
+    pub fn with_silent_max_ms(mut self, silent_max_ms: u64) -> Self {
+        self.silent_max_ms = Some(silent_max_ms);
         self
     }
 
@@ -141,29 +148,54 @@
 
     /// Takes an idle connection, or opens one.
     pub async fn take(&self) -> Result<Connection<B>, ConnectError> {
-        if let Some(sender) = self.pop_idle() {
-            return Ok(Connection {
-                sender,
-                idle_list: Arc::clone(&self.idle),
-                is_reused: true,
-            });
+        match self.take_idle(|_via| true) {
+            Some(connection) => Ok(connection),
+            None => self.make().await,
         }
-        self.make().await
+    }
+
+    /// Takes the most recently used idle connection among those that may be used, given the host
+    /// that relays each, if any.
+    pub fn take_idle(&self, may_use: impl Fn(Option<Ipv4Addr>) -> bool) -> Option<Connection<B>> {
+        let (sender, via) = self.pop_idle(may_use)?;
+        Some(Connection {
+            sender,
+            idle_list: Arc::clone(&self.idle),
+            is_reused: true,
+            via,
+        })
     }
 
     /// Opens a new connection, for a call that must not fail because the upstream closes a reused
     /// one at the same time.
     pub async fn make(&self) -> Result<Connection<B>, ConnectError> {
+        let stream = self.connect().await?;
+        self.make_on(stream, None).await
+    }
+
+    /// Opens a TCP connection with the options of this pool.
+    pub async fn connect(&self) -> std::io::Result<TcpStream> {
         let stream = self.connector.connect(&self.address).await?;
         stream.set_nodelay(true)?;
-        if let Some(user_timeout_ms) = self.user_timeout_ms {
-            let user_timeout = Duration::from_millis(user_timeout_ms);
-            // Systems without the option rely on the deadlines of calls.
-            let _set = SockRef::from(&stream).set_tcp_user_timeout(Some(user_timeout));
+        if let Some(silent_max_ms) = self.silent_max_ms {
+            // Systems without the options rely on the deadlines of calls.
+            let _set = liveness::break_when_silent(&stream, silent_max_ms);
         }
         if self.resets_on_close {
             SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         }
+        Ok(stream)
+    }
+
+    /// Makes a connection of a byte stream to the upstream, which the host `via` may relay.
+    pub async fn make_on<S>(
+        &self,
+        stream: S,
+        via: Option<Ipv4Addr>,
+    ) -> Result<Connection<B>, ConnectError>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_MAX_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
@@ -175,19 +207,30 @@
             sender,
             idle_list: Arc::clone(&self.idle),
             is_reused: false,
+            via,
         })
     }
 
-    /// Removes idle connections until one is open and hasn't expired; returns that one.
-    fn pop_idle(&self) -> Option<SendRequest<B>> {
+    /// Removes the most recently used idle connection that may be used, is open and hasn't expired.
+    /// Drops those found closed or expired before it.
+    fn pop_idle(
+        &self,
+        may_use: impl Fn(Option<Ipv4Addr>) -> bool,
+    ) -> Option<(SendRequest<B>, Option<Ipv4Addr>)> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = boottime_ms();
-        while let Some(candidate) = idle.pop() {
+        let mut index = idle.len();
+        while index > 0 {
+            index -= 1;
+            let candidate = &idle[index];
             let is_fresh = candidate
                 .expires_at_ms
                 .is_none_or(|expires_at_ms| now_ms < expires_at_ms);
-            if is_fresh && candidate.sender.is_ready() {
-                return Some(candidate.sender);
+            if !is_fresh || !candidate.sender.is_ready() {
+                idle.remove(index);
+            } else if may_use(candidate.via) {
+                let taken = idle.remove(index);
+                return Some((taken.sender, taken.via));
             }
         }
         None
@@ -203,6 +246,11 @@
         self.is_reused
     }
 
+    /// Returns the host that relays the connection; none if it is direct.
+    pub fn via(&self) -> Option<Ipv4Addr> {
+        self.via
+    }
+
     /// Returns whether the connection has been closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
@@ -247,6 +295,7 @@
         if idle.len() < IDLE_MAX_COUNT {
             idle.push(IdleConnection {
                 sender: self.sender,
+                via: self.via,
                 expires_at_ms,
             });
         }
