A lease holder that is isolated from the workers gives the lease up

What callers saw: with the holder among the instances that were cut off, no model was loaded for 12 s; 103 refusals with 2004, 51 of them at instances that reached all workers, and 60 of 60 orders without an answer.

Cause: the holder renews the lease at the store, which it reaches, whether or not its orders reach anybody. Orders can't go through a peer, since workers would see two machines order them.

Now a holder that has been isolated for a second releases the row and sends nothing until it acquires the lease again; the successor waits as after any release, so orders of two holders stay as far apart as before. An isolated candidate leaves the lease to others. If no peer reaches the workers either, nobody counts as isolated and the holder stays.

--- a/crates/cranereach-fleet/src/lease_state.rs
+++ b/crates/cranereach-fleet/src/lease_state.rs
@@ -262,6 +262,13 @@
         self.held.map(|held| held.position)
     }
 
+    /// Gives the lease up without stopping for good: no order may be sent until it is acquired
+    /// again. Returns the position to release if the lease was held.
+    pub fn resign(&mut self) -> Option<StorePosition> {
+        self.seen = None;
+        self.held.take().map(|held| held.position)
+    }
+
     /// Returns how long the row must have been unchanged, in milliseconds.
     fn wait_ms(&self, row: Option<&LeaseRow>) -> u64 {
         let of_era = row.filter(|row| row.era == self.era);
--- a/crates/cranereach-fleet/tests/lease.rs
+++ b/crates/cranereach-fleet/tests/lease.rs
@@ -197,6 +197,12 @@
                     }
                     *lease_state = LeaseState::new(&name(machine), PAUSE_MS);
                 }
+                3 => {
+                    if let Some(position) = lease_state.resign() {
+                        let released = row(machine, position.era, true);
+                        world.write(position.version, released);
+                    }
+                }
                 _ => {}
             }
             if is_restored && rng.random_range(0..100) == 0 {
@@ -419,3 +425,27 @@
     assert_eq!(lease_state.step(60_000, true), Step::Wait);
     assert_eq!(lease_state.step(60_010, false), Step::Read);
 }
+
+#[test]
+fn a_holder_that_resigns_sends_no_orders_until_it_acquires_the_lease_again() {
+    let mut lease_state = LeaseState::new("a", PAUSE_MS);
+    assert_eq!(lease_state.resign(), None);
+    lease_state.read(0, at(5), None);
+    lease_state.written(10, at(6));
+    assert!(lease_state.may_order(20));
+    assert_eq!(lease_state.resign(), Some(at(6)));
+    assert!(!lease_state.may_order(20));
+    assert!(!lease_state.is_holder());
+    // Nobody else has taken it since.
+    assert_eq!(lease_state.step(30, false), Step::Read);
+    let released = LeaseRow {
+        holder: "a".to_owned(),
+        is_released: true,
+        ..LeaseRow::default()
+    };
+    lease_state.read(40, at(7), Some(released));
+    let write = Step::Write { expected: at(7) };
+    assert_eq!(lease_state.step(40, false), write);
+    lease_state.written(50, at(8));
+    assert!(lease_state.may_order(60));
+}
--- a/crates/cranereach-gateway/src/controller/lease.rs
+++ b/crates/cranereach-gateway/src/controller/lease.rs
@@ -30,6 +30,10 @@
 /// than the time for which a successor has to wait for the lease if its holder stops responding.
 const GROUP_STAGGER_MS: u64 = 6_000;
 
+/// Time for which a holder must be isolated from the workers before it gives the lease up, in
+/// milliseconds. Shorter partitions end before a successor could send its first order.
+const RESIGN_AFTER_MS: u64 = 1_000;
+
 /// Pause after a failed call to the store, in milliseconds.
 const RETRY_DELAY_MS: u64 = 450;
 
@@ -63,6 +67,14 @@
     for ended in node.peers().ended_terms(now_ms, key) {
         lease_state.record_ended_term(ended);
     }
+    if node.paths.isolated_for_ms(now_ms).is_some() {
+        // Peers reach the workers, so one of them is the better holder.
+        candidacy.candidate_since_ms = None;
+        resign_if_isolated(node, lease_state, service, now_ms).await;
+        if !lease_state.is_holder() {
+            return;
+        }
+    }
     if now_ms < candidacy.next_call_at_ms {
         return;
     }
@@ -184,6 +196,31 @@
     }
 }
 
+/// Gives the lease up if this instance has been isolated from the workers for long enough that a
+/// successor, which has to wait, gains from it.
+async fn resign_if_isolated(
+    node: &Node,
+    lease_state: &mut LeaseState,
+    service: &Arc<str>,
+    now_ms: u64,
+) {
+    let isolated_for_ms = node.paths.isolated_for_ms(now_ms).unwrap_or(0);
+    if isolated_for_ms < RESIGN_AFTER_MS {
+        return;
+    }
+    let Some(position) = lease_state.resign() else {
+        return;
+    };
+    info!(node.log, "lease given up"; "service" => service.as_ref(),
+        "isolated_for_ms" => isolated_for_ms);
+    let content = content(node, position.era, true);
+    // If the write fails, the successor waits for the end of the term.
+    let _written = node
+        .store
+        .write(&row_name(service), position, &content)
+        .await;
+}
+
 /// Returns the content of the lease row for an era of the store.
 fn content(node: &Node, era: u64, is_released: bool) -> Vec<u8> {
     let row = LeaseRow {
