Calls to brittle workers need a grant, so that they turn away no more than they bear

What callers would see: a worker that says Server-Brittle: N falls over once all instances together have more than N requests turned away in a second, and what it runs breaks off. No line of ours read the header.

Now the owner of the worker's send grants, one in each view of the members, grants each call and is told of its end. Below the worker's slots, and below what it let in within the last second, nothing is turned away; beyond that half of N calls are risked at a time, none within 1.1 s of a rejection. A new owner goes by what is risked alone. Header, notices and questions follow datagrams that earlier releases read as before.

--- /dev/null
+++ b/crates/cranereach-fleet/src/brittle.rs
@@ -0,0 +1,299 @@
+//! Workers that say that they are brittle: they fall over if they have to turn away more than some
+//! number of requests in one second, from all instances together.
+//!
+//! Each request to such a worker needs a grant of the worker's owner, which is told when the request
+//! ends, so that it knows all that are open there. A worker with a free slot turns nothing away, nor does one that let as many in a moment
+//! ago. What is granted beyond that may be turned away, all of it: so there is never more of it
+//! than the worker bears, less what it has turned away within a second.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::send_grants::Ownership;
+
+/// Time after which a statement expires, in milliseconds. The worker repeats it in all its answers.
+const EXPIRES_AFTER_MS: u64 = 15_000;
+
+/// Time in which rejections are counted, in milliseconds: one second, and how much longer one of
+/// two requests may take to the worker than the other.
+const REJECTION_WINDOW_MS: u64 = 1_100;
+
+/// Time after a grant by which a rejection would be known, in milliseconds.
+const SETTLED_AFTER_MS: u64 = 150;
+
+/// Time for which a worker is assumed to let in as many requests as it did, in milliseconds.
+const LET_IN_COUNTS_MS: u64 = 1_000;
+
+/// Time for which a rejection lowers the number of requests that the worker is assumed to have room
+/// for, in milliseconds.
+const REJECTION_LOWERS_FOR_MS: u64 = 3_000;
+
+/// Number of workers above which an owner drops those without open requests.
+const WORKER_MAX_COUNT: usize = 4_096;
+
+/// Maximum number of requests that are open at one worker.
+const OPEN_MAX_COUNT: usize = 4_096;
+
+/// Time after which a refused instance may ask again, in milliseconds.
+pub const ASK_AGAIN_AFTER_MS: u64 = 60;
+
+/// Maximum length of a header value, in bytes.
+const VALUE_MAX_BYTES: usize = 16;
+
+/// What one answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BrittleNotice {
+    /// Nothing: the worker is not brittle, or the answer does not tell.
+    Nothing,
+    /// The worker bears this many rejections in one second.
+    Bears(u32),
+    /// The value is invalid and is ignored.
+    Unreadable,
+}
+
+/// Parses the header values of an answer; returns the lowest of the valid ones.
+///
+/// ```
+/// use cranereach_fleet::brittle::BrittleNotice;
+/// use cranereach_fleet::brittle::read;
+///
+/// assert_eq!(read([].into_iter()), BrittleNotice::Nothing);
+/// assert_eq!(read([&b"7"[..], &b"3"[..]].into_iter()), BrittleNotice::Bears(3));
+/// assert_eq!(read([&b"0"[..]].into_iter()), BrittleNotice::Bears(0));
+/// assert_eq!(read([&b"-1"[..]].into_iter()), BrittleNotice::Unreadable);
+/// ```
+pub fn read<'a>(values: impl Iterator<Item = &'a [u8]>) -> BrittleNotice {
+    let mut notice = BrittleNotice::Nothing;
+    for value in values {
+        notice = match (notice, parse_count(value)) {
+            (BrittleNotice::Bears(known), Some(count)) => BrittleNotice::Bears(count.min(known)),
+            (BrittleNotice::Bears(known), None) => BrittleNotice::Bears(known),
+            (_, Some(count)) => BrittleNotice::Bears(count),
+            (_, None) => BrittleNotice::Unreadable,
+        };
+    }
+    notice
+}
+
+/// Parses one value; none if it isn't a whole number.
+fn parse_count(value: &[u8]) -> Option<u32> {
+    let value = Some(value).filter(|value| value.len() <= VALUE_MAX_BYTES)?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
+/// A question for a grant, as its sender knows the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleAsk {
+    /// Rejections that the worker bears in one second.
+    pub borne_count: u32,
+    /// Number that the sender gave the request.
+    pub request: u64,
+    /// Time until its deadline, after which it no longer counts as open, in milliseconds.
+    pub ends_within_ms: u32,
+}
+
+/// Identifies a request: its sender, and its number at that sender.
+pub type Ticket = (u32, u64);
+
+/// What an instance knows of a worker's brittleness.
+///
+/// ```
+/// use cranereach_fleet::brittle::BrittleNotice;
+/// use cranereach_fleet::brittle::Brittleness;
+///
+/// let mut brittleness = Brittleness::default();
+/// brittleness.observe(1_000, BrittleNotice::Bears(3), true);
+/// assert_eq!(brittleness.borne_count(1_010), Some(3));
+/// brittleness.observe(1_040, BrittleNotice::Nothing, true);
+/// assert_eq!(brittleness.borne_count(1_050), None);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Brittleness {
+    /// Rejections that the worker bears in one second, and when it last said so, in milliseconds.
+    borne: Option<(u32, u64)>,
+}
+
+impl Brittleness {
+    /// Records what an answer says. `may_end` tells whether an answer that says nothing ends the
+    /// brittleness. Returns whether what is known has changed.
+    pub fn observe(&mut self, now_ms: u64, notice: BrittleNotice, may_end: bool) -> bool {
+        let before = self.borne_count(now_ms);
+        match notice {
+            BrittleNotice::Bears(count) => self.borne = Some((count, now_ms)),
+            BrittleNotice::Nothing if may_end => self.borne = None,
+            BrittleNotice::Nothing | BrittleNotice::Unreadable => {}
+        }
+        self.borne_count(now_ms) != before
+    }
+
+    /// Takes another instance's word, which holds unless a lower number is known.
+    pub fn merge(&mut self, now_ms: u64, count: u32) {
+        let known = self.borne_count(now_ms).unwrap_or(u32::MAX);
+        if count < known {
+            self.borne = Some((count, now_ms));
+        }
+    }
+
+    /// Returns how many rejections the worker bears in one second; none if it is not brittle.
+    pub fn borne_count(&self, now_ms: u64) -> Option<u32> {
+        let (count, at_ms) = self.borne?;
+        (now_ms < at_ms + EXPIRES_AFTER_MS).then_some(count)
+    }
+}
+
+/// An owner's grants for the brittle workers that it owns.
+///
+/// ```
+/// use cranereach_fleet::brittle::BrittleAsk;
+/// use cranereach_fleet::brittle::BrittleGrants;
+/// use cranereach_fleet::send_grants::Ownership;
+///
+/// let mut grants = BrittleGrants::default();
+/// let mut ask = |now_ms, request, ownership| {
+///     let ask = BrittleAsk { borne_count: 2, request, ends_within_ms: 5_000 };
+///     grants.ask(now_ms, 7, (1, ask), 2, ownership)
+/// };
+/// // A new owner does not know what others have sent: only what may be turned away is granted.
+/// assert!(ask(1_000, 1, Ownership::New));
+/// assert!(!ask(1_010, 2, Ownership::New));
+/// // Later it goes by the slots of the worker.
+/// assert!(ask(4_000, 2, Ownership::Settled));
+/// assert!(!ask(4_010, 3, Ownership::Other));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct BrittleGrants {
+    by_worker: HashMap<u64, WorkerGrants>,
+}
+
+impl BrittleGrants {
+    /// Decides on the question of a sender whether a request may be sent to a worker that runs
+    /// `slot_count` requests at once.
+    pub fn ask(
+        &mut self,
+        now_ms: u64,
+        worker: u64,
+        (sender, ask): (u32, BrittleAsk),
+        slot_count: u32,
+        ownership: Ownership,
+    ) -> bool {
+        let is_new = match ownership {
+            Ownership::Settled => false,
+            Ownership::New => true,
+            Ownership::Other | Ownership::Minority { .. } => return false,
+        };
+        if self.by_worker.len() >= WORKER_MAX_COUNT && !self.by_worker.contains_key(&worker) {
+            self.by_worker.retain(|_, grants| !grants.open.is_empty());
+        }
+        let grants = self.by_worker.entry(worker).or_default();
+        let slot_count = if is_new { 0 } else { slot_count };
+        let may_send = grants.may_grant(now_ms, ask.borne_count, slot_count);
+        if may_send {
+            let expires_at_ms = now_ms + u64::from(ask.ends_within_ms);
+            grants
+                .open
+                .insert((sender, ask.request), (now_ms, expires_at_ms));
+        }
+        may_send
+    }
+
+    /// Records that a request has ended, or was turned away for want of room.
+    pub fn ended(&mut self, now_ms: u64, worker: u64, ticket: Ticket, was_rejected: bool) {
+        let Some(grants) = self.by_worker.get_mut(&worker) else {
+            return;
+        };
+        grants.open.remove(&ticket);
+        if was_rejected {
+            grants.note_rejection(now_ms);
+        }
+    }
+}
+
+/// An owner's grants for one brittle worker.
+#[derive(Clone, Debug, Default)]
+struct WorkerGrants {
+    /// Open requests: when each was granted and when it expires, in milliseconds.
+    open: HashMap<Ticket, (u64, u64)>,
+    /// When the worker turned requests away, in milliseconds.
+    rejected_at_ms: VecDeque<u64>,
+    /// Numbers of requests that were let in together, highest first, and when, in milliseconds.
+    let_in: VecDeque<(u32, u64)>,
+    /// Number of requests open with the last grant.
+    last_open_count: u32,
+    /// Lowest number of open requests at which the worker turned one away, and when, in
+    /// milliseconds.
+    lowered: Option<(u32, u64)>,
+}
+
+impl WorkerGrants {
+    /// Records that the worker turned a request away. What it let in before says nothing any more.
+    fn note_rejection(&mut self, now_ms: u64) {
+        self.rejected_at_ms.push_back(now_ms);
+        self.let_in.clear();
+        let lowest = self.lowered_count(now_ms).unwrap_or(u32::MAX);
+        let open_count = self.last_open_count.min(lowest);
+        self.lowered = Some((open_count, now_ms));
+    }
+
+    /// Returns the number of requests at which the worker recently turned one away.
+    fn lowered_count(&self, now_ms: u64) -> Option<u32> {
+        let (count, at_ms) = self.lowered?;
+        (now_ms < at_ms + REJECTION_LOWERS_FOR_MS).then_some(count)
+    }
+
+    /// Whether one more request may be sent to the worker.
+    fn may_grant(&mut self, now_ms: u64, borne_count: u32, slot_count: u32) -> bool {
+        self.open
+            .retain(|_, (_, expires_at_ms)| now_ms < *expires_at_ms);
+        if self.open.len() >= OPEN_MAX_COUNT {
+            return false;
+        }
+        let open_count = self.open.len() as u32;
+        let granted_at_ms = self.open.values().map(|(at_ms, _)| *at_ms);
+        let settled = granted_at_ms.filter(|at_ms| now_ms >= at_ms + SETTLED_AFTER_MS);
+        let settled_count = settled.count() as u32;
+        self.note_let_in(now_ms, settled_count);
+        let is_past = |at_ms: &u64| now_ms >= at_ms + REJECTION_WINDOW_MS;
+        while self.rejected_at_ms.front().is_some_and(is_past) {
+            self.rejected_at_ms.pop_front();
+        }
+        let rejected_count = self.rejected_at_ms.len() as u32;
+        let let_in_count = self.let_in.front().map_or(0, |(count, _)| *count);
+        // At the lowered number the worker turned a request away.
+        let room_max_count = self
+            .lowered_count(now_ms)
+            .map_or(u32::MAX, |count| count.saturating_sub(1));
+        let mut safe_count = slot_count.max(let_in_count).min(room_max_count);
+        if rejected_count > 0 && rejected_count + 1 >= borne_count {
+            safe_count /= 2;
+        }
+        // Another instance may take itself for the owner, so half is left to it.
+        let risked_max_count = (borne_count / 2).max(1);
+        let risked_count = open_count - safe_count.max(settled_count).min(open_count);
+        let may_risk =
+            rejected_count == 0 && risked_count < risked_max_count && open_count < room_max_count;
+        let may_grant = open_count < safe_count || may_risk;
+        if may_grant {
+            self.last_open_count = open_count + 1;
+        }
+        may_grant
+    }
+
+    /// Records how many requests the worker has let in together.
+    fn note_let_in(&mut self, now_ms: u64, settled_count: u32) {
+        let is_old = |at_ms: u64| now_ms >= at_ms + LET_IN_COUNTS_MS;
+        while self.let_in.front().is_some_and(|(_, at_ms)| is_old(*at_ms)) {
+            self.let_in.pop_front();
+        }
+        while self
+            .let_in
+            .back()
+            .is_some_and(|(count, _)| *count <= settled_count)
+        {
+            self.let_in.pop_back();
+        }
+        self.let_in.push_back((settled_count, now_ms));
+    }
+}
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -19,8 +19,9 @@
 //! - [`topology`]: failure domains, regions and distances
 //! - [`regions`]: regions in which a request may be served
 //! - [`evacuation`]: failure domains that get no requests
-//! - [`cold`], [`departure`], [`rest`], [`named_limit`]: workers that have just started, that are
-//!   leaving, that request a backoff, or that name a rate limit
+//! - [`cold`], [`departure`], [`rest`], [`named_limit`], [`brittle`]: workers that have just
+//!   started, that are leaving, that request a backoff, that name a rate limit, or that bear few
+//!   rejections
 //! - [`purpose`]: what a request to a worker is for
 //! - [`send_grants`]: which instance may send a request to a cold or limited worker
 //! - [`retry_window`]: retry budget
@@ -57,6 +58,7 @@
 
 pub mod accounts;
 pub mod admission;
+pub mod brittle;
 pub mod cold;
 pub mod configuration;
 pub mod demand;
--- a/crates/cranereach-fleet/src/roster/scoring.rs
+++ b/crates/cranereach-fleet/src/roster/scoring.rs
@@ -72,7 +72,8 @@
             continue;
         }
         if !worker.may_ask(now_ms, request) {
-            let is_limited = worker.limit.rate_per_s(now_ms).is_some();
+            let is_limited = worker.limit.rate_per_s(now_ms).is_some()
+                || worker.brittleness.borne_count(now_ms).is_some();
             reason = reason.max(if is_limited {
                 NoWorker::Limited
             } else {
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -13,6 +13,7 @@
 
 pub use self::record::HeldModel;
 pub use self::record::WorkerRecord;
+use crate::brittle::Brittleness;
 use crate::cold::Coldness;
 use crate::configuration::Engine;
 use crate::departure::Departure;
@@ -92,6 +93,8 @@
     pub rest: Rest,
     /// Limit that the worker names for the requests it takes in a second.
     pub limit: NamedLimit,
+    /// How many rejections the worker bears.
+    pub brittleness: Brittleness,
     /// Until when the worker's owner isn't asked for a grant to send a request.
     pub ask_pause: AskPause,
     /// Key of its failure domain.
@@ -139,6 +142,7 @@
             departure: None,
             rest: Rest::default(),
             limit: NamedLimit::default(),
+            brittleness: Brittleness::default(),
             ask_pause: AskPause::default(),
             domain_key: worker_key(&record.failure_domain),
             record,
--- a/crates/cranereach-fleet/src/worker/limit.rs
+++ b/crates/cranereach-fleet/src/worker/limit.rs
@@ -12,7 +12,9 @@
     /// asked for one.
     pub(crate) fn may_ask(&self, now_ms: u64, request: &RoutingRequest<'_>) -> bool {
         let was_refused_cold = self.coldness.is_cold(now_ms) && self.ask_pause.was_refused();
-        let needs_grant = was_refused_cold || self.limit.rate_per_s(now_ms).is_some();
+        let needs_grant = was_refused_cold
+            || self.limit.rate_per_s(now_ms).is_some()
+            || self.brittleness.borne_count(now_ms).is_some();
         self.ask_pause.may_ask(now_ms, request.rank) && !(needs_grant && request.must_avoid_grants)
     }
 
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -37,6 +37,8 @@
     pub answered_by: &'static str,
     /// Requests per second that a worker accepts from all instances together.
     pub limit: &'static str,
+    /// How many rejections the worker bears in one second.
+    pub brittle: &'static str,
     /// Model, optionally followed by a slash and an adapter.
     pub model: &'static str,
     /// Token counts of the prompt and of the longest possible answer.
--- /dev/null
+++ b/crates/cranereach-gateway/src/brittle_workers.rs
@@ -0,0 +1,202 @@
+//! Workers that say in their answers that they are brittle: they fall over if they have to turn away
+//! too many requests in one second.
+//!
+//! See [`cranereach_fleet::brittle`]. The owner that knows the worker's load passes on with its
+//! answers how many rejections the worker bears. The owner of its send grants grants each request.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyper::StatusCode;
+use slog::info;
+
+use crate::messages::BrittleEnd;
+use crate::messages::GrantAsk;
+use crate::messages::Message;
+use crate::node::Node;
+use crate::node::lock;
+use crate::owners;
+use crate::send_permit::Permit;
+use cranereach_fleet::brittle::BrittleAsk;
+use cranereach_fleet::brittle::BrittleNotice;
+use cranereach_fleet::key::worker_key;
+use cranereach_fleet::purpose::Purpose;
+use cranereach_fleet::send_grants;
+use cranereach_fleet::send_grants::GRANT_VALID_MS;
+use cranereach_fleet::send_grants::Ownership;
+
+/// Applies what a worker's response says about its brittleness.
+pub fn apply_response(
+    node: &Node,
+    permit: &Permit,
+    notice: BrittleNotice,
+    status: StatusCode,
+    is_expected_response: bool,
+) {
+    let worker = &permit.worker;
+    let now_ms = node.now_ms();
+    let may_end = is_expected_response && permit.purpose == Purpose::Call && status.is_success();
+    let (has_changed, borne_count) = {
+        let mut roster = node.roster();
+        let Some(known) = roster.get_mut(worker) else {
+            return;
+        };
+        let has_changed = known.brittleness.observe(now_ms, notice, may_end);
+        (has_changed, known.brittleness.borne_count(now_ms))
+    };
+    if !has_changed {
+        return;
+    }
+    info!(node.log, "worker brittle"; "worker" => worker.as_ref(), "borne_count" => borne_count);
+    if let Some(borne_count) = borne_count {
+        owners::report_brittle(node, worker, borne_count);
+    }
+}
+
+/// Applies another instance's word that a worker is brittle. `worker` is the worker's key.
+pub fn apply_peer_word(node: &Node, worker: u64, borne_count: u32) {
+    let now_ms = node.now_ms();
+    if let Some(known) = node.roster().by_key_mut(worker) {
+        known.brittleness.merge(now_ms, borne_count);
+    }
+}
+
+/// A grant for a request to a brittle worker. The owner that granted it is told when the request
+/// ends, which is when this is dropped.
+#[derive(Debug)]
+pub struct Grant {
+    node: Arc<Node>,
+    owner: Option<Ipv4Addr>,
+    end: BrittleEnd,
+}
+
+impl Grant {
+    /// Records that the worker turned the request away for want of room.
+    pub fn rejected(&mut self) {
+        self.end.was_rejected = true;
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        match self.owner {
+            Some(owner) => {
+                let owner = SocketAddr::from((owner, self.node.peer_port()));
+                self.node.send_now(owner, Message::BrittleEnd(self.end));
+            }
+            None => take_end(&self.node, self.node.own_ip(), self.end),
+        }
+    }
+}
+
+/// Result of a question whether a request may be sent to a worker that may be brittle.
+#[derive(Debug)]
+pub enum Granted {
+    /// The worker is not brittle.
+    NotNeeded,
+    /// It may be sent.
+    Yes(Grant),
+    /// It may not be sent now, or the owner did not answer.
+    No,
+}
+
+/// Asks whether a request that ends by a deadline may be sent to a worker, as far as the worker's
+/// brittleness goes. Without the owner's answer nothing is sent.
+pub async fn ask(node: &Arc<Node>, worker: &Arc<str>, deadline_at_ms: u64) -> Granted {
+    let asked_at_ms = node.now_ms();
+    let borne_count = {
+        let roster = node.roster();
+        let known = roster.get(worker);
+        known.and_then(|known| known.brittleness.borne_count(asked_at_ms))
+    };
+    let Some(borne_count) = borne_count else {
+        return Granted::NotNeeded;
+    };
+    let question = BrittleAsk {
+        borne_count,
+        request: rand::random(),
+        ends_within_ms: deadline_at_ms.saturating_sub(asked_at_ms) as u32,
+    };
+    let key = worker_key(worker);
+    let owner = send_grants::other_owner(node.peers().members(), asked_at_ms, key);
+    let answer = match owner {
+        Some(owner) => ask_owner(node, key, question, owner).await,
+        None => Some(grant(node, node.own_ip(), key, question)),
+    };
+    let outcome = match answer {
+        Some(true) => "granted",
+        Some(false) => "refused",
+        None => "unanswered",
+    };
+    let counter = &node.metrics.send_grants_total;
+    counter.with_label_values(&["brittle", outcome]).inc();
+    if answer == Some(false) {
+        return Granted::No;
+    }
+    let grant = Grant {
+        node: Arc::clone(node),
+        owner,
+        end: BrittleEnd {
+            worker: key,
+            request: question.request,
+            was_rejected: false,
+        },
+    };
+    // A late answer may have granted it, so the owner is told of the end in any case.
+    let is_timely = answer.is_some() && node.now_ms() <= asked_at_ms + GRANT_VALID_MS;
+    if is_timely {
+        Granted::Yes(grant)
+    } else {
+        Granted::No
+    }
+}
+
+/// Asks the owner of a worker; returns none if it does not answer.
+async fn ask_owner(node: &Node, worker: u64, brittle: BrittleAsk, owner: Ipv4Addr) -> Option<bool> {
+    let mut question = node.grant_questions.open();
+    let ask = GrantAsk {
+        ticket: question.ticket,
+        worker,
+        rank: 0,
+        is_cold: false,
+        limit: None,
+        brittle: Some(brittle),
+    };
+    let deadline = node.instant(node.now_ms() + GRANT_VALID_MS);
+    let owner = SocketAddr::from((owner, node.peer_port()));
+    node.send_now(owner, Message::MaySend(ask));
+    let answered = tokio::time::timeout_at(deadline, question.answers.recv()).await;
+    let granted = answered.ok().flatten()?;
+    Some(granted.wait_ms.is_none())
+}
+
+/// Decides as the owner of a worker whether a request of an instance may be sent to it.
+pub fn grant(node: &Node, sender: Ipv4Addr, worker: u64, brittle: BrittleAsk) -> bool {
+    let now_ms = node.now_ms();
+    let listed = {
+        let roster = node.roster();
+        let known = roster.by_key(worker);
+        known.map(|known| (Arc::clone(&known.record.service), known.record.slot_count))
+    };
+    let Some((service, slot_count)) = listed else {
+        return false;
+    };
+    let engine_slots = node
+        .service(&service)
+        .and_then(|service| Some(service.engine.as_ref()?.slot_count));
+    let ownership = Ownership::of(node.peers().members(), now_ms, worker, now_ms);
+    lock(&node.brittle_grants).ask(
+        now_ms,
+        worker,
+        (u32::from(sender), brittle),
+        engine_slots.unwrap_or(slot_count),
+        ownership,
+    )
+}
+
+/// Takes a sender's notice that a request to a brittle worker has ended.
+pub fn take_end(node: &Node, sender: Ipv4Addr, end: BrittleEnd) {
+    let ticket = (u32::from(sender), end.request);
+    lock(&node.brittle_grants).ended(node.now_ms(), end.worker, ticket, end.was_rejected);
+}
--- a/crates/cranereach-gateway/src/forward/in_flight.rs
+++ b/crates/cranereach-gateway/src/forward/in_flight.rs
@@ -6,12 +6,16 @@
 
 use slog::info;
 
+use crate::brittle_workers;
+use crate::brittle_workers::Grant;
+use crate::brittle_workers::Granted;
 use crate::node::Node;
 use crate::owners;
 use crate::owners::ReportedRequest;
 use crate::worker_ends;
 use crate::worker_ends::ProbeResult;
 use crate::worker_paths::NotConnected;
+use cranereach_fleet::brittle::ASK_AGAIN_AFTER_MS;
 use cranereach_fleet::key::worker_key;
 use cranereach_fleet::load::RANK_COUNT;
 use cranereach_fleet::owned::Outcome;
@@ -45,6 +49,8 @@
     distance: Distance,
     /// Whether a peer relays the connection.
     was_relayed: bool,
+    /// Set if the worker is brittle.
+    brittle_grant: Option<Grant>,
 }
 
 /// Call of a service without models.
@@ -114,6 +120,7 @@
             outcome: Outcome::Neutral,
             distance,
             was_relayed: false,
+            brittle_grant: None,
             node: Arc::clone(node),
             worker: Arc::clone(&choice.id),
             domain,
@@ -252,6 +259,33 @@
         });
     }
 
+    /// Whether the call may be sent as far as the worker's brittleness goes. If not, the worker is
+    /// left alone for a moment.
+    pub async fn ask_for_brittle(&mut self, deadline_at_ms: u64) -> bool {
+        let node = &self.node;
+        match brittle_workers::ask(node, &self.worker, deadline_at_ms).await {
+            Granted::NotNeeded => true,
+            Granted::Yes(grant) => {
+                self.brittle_grant = Some(grant);
+                true
+            }
+            Granted::No => {
+                if let Some(worker) = node.roster().get_mut(&self.worker) {
+                    let at_ms = node.now_ms() + ASK_AGAIN_AFTER_MS;
+                    worker.ask_pause.refused_until(0, at_ms);
+                }
+                false
+            }
+        }
+    }
+
+    /// Records that the worker turned the call away.
+    pub fn rejected(&mut self) {
+        if let Some(grant) = &mut self.brittle_grant {
+            grant.rejected();
+        }
+    }
+
     /// Counts bytes of the call that were sent, directly or through a peer.
     pub fn sent(&mut self, byte_count: usize, via: Option<Ipv4Addr>) {
         self.was_relayed = via.is_some();
--- a/crates/cranereach-gateway/src/forward/response_head.rs
+++ b/crates/cranereach-gateway/src/forward/response_head.rs
@@ -85,6 +85,9 @@
         return Err(Failure::NotThere);
     }
     if parsed_headers.is_not_run {
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            in_flight.rejected();
+        }
         return Err(Failure::NotRun);
     }
     Ok(parsed_headers)
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -78,7 +78,11 @@
         }
         self.hold(choice, hold_ms).await?;
         let mut connection = self.connect(choice, &mut in_flight).await?;
-        let permit = send_permit::ask(node, &choice.id, Purpose::Call, call.rank).await;
+        let permit = if in_flight.ask_for_brittle(call.deadline_at_ms).await {
+            send_permit::ask(node, &choice.id, Purpose::Call, call.rank).await
+        } else {
+            None
+        };
         let Some(permit) = permit else {
             if !connection.is_reused() {
                 connection.keep_for(DEFAULT_KEEP_ALIVE_MS);
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -18,6 +18,7 @@
 
 use crate::account_limits;
 use crate::body_transfer;
+use crate::brittle_workers;
 use crate::departures;
 use crate::evacuations;
 use crate::expected_models;
@@ -267,6 +268,7 @@
         Message::Granted(grant) => node.limit_questions.answered(grant.ticket, grant),
         Message::Evacuations(list) => evacuations::take(node, &list, origin(node, ip)),
         Message::MaySend(ask) => send_grants::answer(node, sender, &ask),
+        Message::BrittleEnd(end) => brittle_workers::take_end(node, ip, end),
         Message::SendGranted(grant) => node.grant_questions.answered(grant.ticket, grant),
         Message::Suspect(news) => quarantine::take(node, ip, &[*news]),
         Message::List(changes) => roster_sync::take_message(node, ip, &changes),
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`cold`] tracks workers that have just started.
 //!
 //! [`worker_headers`] reads what a worker's answers say about the worker itself:
-//! [`named_limits`] that it limits its request rate, [`departures`] that it leaves, [`rests`]
+//! [`named_limits`] that it limits its request rate, [`brittle_workers`] that it bears few rejections, [`departures`] that it leaves, [`rests`]
 //! that it wants no requests for a while. [`unknown_headers`] counts headers that nothing
 //! recognizes, and [`unavailable_workers`] shows operators which workers leave or rest.
 //! Right before a request is sent to a worker, [`send_permit`] checks whether it may be, and
@@ -29,6 +29,7 @@
 pub mod account_limits;
 pub mod adapter;
 pub mod body_transfer;
+pub mod brittle_workers;
 pub mod cold;
 pub mod configuration_sync;
 pub mod controller;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::grants::BrittleEnd;
 pub use self::grants::GrantAsk;
 pub use self::grants::SendGrant;
 use cranereach_fleet::demand::ModelKey;
@@ -115,6 +116,8 @@
     SendGranted(SendGrant),
     /// A request during which a worker ended, for the instances that count such ends.
     Suspect(Box<SuspectUpdate>),
+    /// A request that was granted for a brittle worker has ended.
+    BrittleEnd(BrittleEnd),
 }
 
 /// Time at which a model is expected to be loaded at some worker.
@@ -190,6 +193,8 @@
     Ended(Outcome),
     /// The worker has announced another rate limit, or no longer has one.
     Limit(LimitReport),
+    /// The worker says that it bears this many rejections in one second.
+    Brittle(u32),
 }
 
 /// A call that the owner of a worker is asked about.
@@ -237,6 +242,10 @@
     /// Key of the worker's incarnation that has announced its departure, as the owner knows
     /// it.
     pub leaving_start: Option<u64>,
+    /// How many rejections the worker bears in one second, if it is brittle. Follows the datagram,
+    /// where earlier releases ignore it.
+    #[serde(skip)]
+    pub borne_count: Option<u32>,
 }
 
 /// Demand seen by the sender.
@@ -273,8 +282,10 @@
 
 /// Encodes a message as a datagram.
 pub fn encode(message: Message) -> Vec<u8> {
-    let reach = match &message {
-        Message::Digest(digest) => digest.reach,
+    let appended = match &message {
+        Message::Digest(digest) => digest.reach.map(|reach| postcard::to_stdvec(&reach)),
+        Message::Quote(quote) => quote.borne_count.map(|count| postcard::to_stdvec(&count)),
+        Message::MaySend(ask) => ask.brittle.map(|brittle| postcard::to_stdvec(&brittle)),
         _ => None,
     };
     let datagram = Datagram {
@@ -282,8 +293,8 @@
         message,
     };
     let mut encoded = postcard::to_stdvec(&datagram).unwrap_or_default();
-    if let Some(reach) = reach {
-        encoded.extend(postcard::to_stdvec(&reach).unwrap_or_default());
+    if let Some(Ok(appended)) = appended {
+        encoded.extend(appended);
     }
     encoded
 }
@@ -309,8 +320,11 @@
         return None;
     }
     let mut message = datagram.message;
-    if let Message::Digest(digest) = &mut message {
-        digest.reach = postcard::from_bytes(rest).ok();
+    match &mut message {
+        Message::Digest(digest) => digest.reach = postcard::from_bytes(rest).ok(),
+        Message::Quote(quote) => quote.borne_count = postcard::from_bytes(rest).ok(),
+        Message::MaySend(ask) => ask.brittle = postcard::from_bytes(rest).ok(),
+        _ => {}
     }
     Some(message)
 }
--- a/crates/cranereach-gateway/src/messages/grants.rs
+++ b/crates/cranereach-gateway/src/messages/grants.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use cranereach_fleet::brittle::BrittleAsk;
 use cranereach_fleet::named_limit::LimitReport;
 
 /// A question whether one request may be sent to a cold or rate-limited worker.
@@ -19,6 +20,10 @@
     pub is_cold: bool,
     /// The worker's rate limit, as the sender knows it.
     pub limit: Option<LimitReport>,
+    /// Set if the worker is brittle; the question then goes to the owner that knows the requests
+    /// open at the worker. Follows the datagram, where earlier releases ignore it.
+    #[serde(skip)]
+    pub brittle: Option<BrittleAsk>,
 }
 
 /// Answer of the owner of a worker.
@@ -34,3 +39,14 @@
     /// The worker's rate limit, as the owner knows it.
     pub limit: Option<LimitReport>,
 }
+
+/// End of a request that was granted for a brittle worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleEnd {
+    /// Key of the worker.
+    pub worker: u64,
+    /// Number that the sender gave the request.
+    pub request: u64,
+    /// Whether the worker turned it away for want of room.
+    pub was_rejected: bool,
+}
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -40,6 +40,7 @@
 use crate::unknown_headers::UnknownHeaders;
 use crate::worker_ends::WorkerProbes;
 use crate::worker_paths::WorkerPaths;
+use cranereach_fleet::brittle::BrittleGrants;
 use cranereach_fleet::configuration::Configuration;
 use cranereach_fleet::demand::Demand;
 use cranereach_fleet::demand::ModelKey;
@@ -172,6 +173,8 @@
     pub limit_questions: Questions<LimitGrant>,
     /// Send grants for the cold or rate-limited workers that this instance owns.
     pub send_grants: Mutex<SendGrants>,
+    /// Send grants for the brittle workers that this instance owns.
+    pub brittle_grants: Mutex<BrittleGrants>,
     /// Pending questions to owners of such workers.
     pub grant_questions: Questions<SendGrant>,
     /// UDP socket for messages to peers; unset before the start.
@@ -272,6 +275,7 @@
             account_usages: Mutex::default(),
             limit_questions: Questions::default(),
             send_grants: Mutex::default(),
+            brittle_grants: Mutex::default(),
             grant_questions: Questions::default(),
             peer_socket: OnceLock::new(),
             ended_leases: Mutex::default(),
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use crate::brittle_workers;
 use crate::departures;
 use crate::messages::LoadPart;
 use crate::messages::Message;
@@ -133,6 +134,9 @@
             if let Some(limit) = &quote.limit {
                 named_limits::apply_peer_limit(node, quote.worker, limit);
             }
+            if let Some(borne_count) = quote.borne_count {
+                brittle_workers::apply_peer_word(node, quote.worker, borne_count);
+            }
             departures::take_owner_report(node, quote.worker, quote.leaving_start);
         }
     }
@@ -176,6 +180,15 @@
     }
 }
 
+/// Reports to the owner of a worker how many rejections the worker says it bears.
+pub fn report_brittle(node: &Node, worker: &str, borne_count: u32) {
+    let key = worker_key(worker);
+    let owner = owner_of(node, key);
+    if owner != node.own_ip() {
+        send_event(node, owner, key, 0, OwnerEvent::Brittle(borne_count));
+    }
+}
+
 impl ReportedRequest {
     /// Reports to the owner that the prefill of the prompt is complete, and how long it took.
     pub fn report_prefilled(&self, node: &Node, took_ms: f64) {
@@ -226,6 +239,7 @@
             return Some(Quote {
                 limit: known.and_then(|entry| entry.limit_report(now_ms)),
                 leaving_start: known.and_then(Worker::leaving_start),
+                borne_count: known.and_then(|entry| entry.brittleness.borne_count(now_ms)),
                 ..encode_status(worker, ticket, &status)
             });
         }
@@ -247,6 +261,10 @@
             }
             owned.request_ended(now_ms, worker, request, outcome);
         }
+        OwnerEvent::Brittle(count) => {
+            drop(owned);
+            brittle_workers::apply_peer_word(node, worker, count);
+        }
         OwnerEvent::Limit(report) => {
             drop(owned);
             named_limits::apply_peer_limit(node, worker, &report);
@@ -327,6 +345,7 @@
         pause_ms: status.pause_ms as u32,
         limit: None,
         leaving_start: None,
+        borne_count: None,
     }
 }
 
--- a/crates/cranereach-gateway/src/send_grants.rs
+++ b/crates/cranereach-gateway/src/send_grants.rs
@@ -9,12 +9,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::brittle_workers;
 use crate::messages::GrantAsk;
 use crate::messages::Message;
 use crate::messages::SendGrant;
 use crate::named_limits;
 use crate::node::Node;
 use crate::node::lock;
+use cranereach_fleet::brittle::ASK_AGAIN_AFTER_MS;
 use cranereach_fleet::key::worker_key;
 use cranereach_fleet::named_limit::LimitReport;
 use cranereach_fleet::purpose::Purpose;
@@ -106,6 +108,7 @@
         rank,
         is_cold: constraint.is_cold,
         limit: constraint.limit,
+        brittle: None,
     };
     let owner = send_grants::other_owner(node.peers().members(), node.now_ms(), worker);
     let Some(owner) = owner else {
@@ -135,7 +138,14 @@
     if !node.peers().members().is_known(ip) {
         return;
     }
-    let Some((answer, limit)) = grant(node, ask) else {
+    let granted = match ask.brittle {
+        Some(brittle) if brittle_workers::grant(node, ip, ask.worker, brittle) => {
+            Some((SendAnswer::Send, None))
+        }
+        Some(_) => Some((SendAnswer::After(ASK_AGAIN_AFTER_MS), None)),
+        None => grant(node, ask),
+    };
+    let Some((answer, limit)) = granted else {
         return;
     };
     let wait_ms = match answer {
--- a/crates/cranereach-gateway/src/traffic.rs
+++ b/crates/cranereach-gateway/src/traffic.rs
@@ -113,12 +113,13 @@
                 OwnerEvent::Begun(..)
                 | OwnerEvent::Read(_)
                 | OwnerEvent::Ended(_)
-                | OwnerEvent::Limit(_) => Self::OwnerNotice,
+                | OwnerEvent::Limit(_)
+                | OwnerEvent::Brittle(_) => Self::OwnerNotice,
             },
             Message::Quote(_) => Self::Answer,
             Message::Prove(_) | Message::Proof(_) => Self::Proof,
             Message::Limit(_) | Message::Granted(_) | Message::Returned(_) => Self::Limit,
-            Message::MaySend(_) | Message::SendGranted(_) => Self::Grant,
+            Message::MaySend(_) | Message::SendGranted(_) | Message::BrittleEnd(_) => Self::Grant,
             Message::Evacuations(_) => Self::Evacuation,
             Message::Suspect(_) => Self::Suspect,
         }
--- a/crates/cranereach-gateway/src/worker_headers.rs
+++ b/crates/cranereach-gateway/src/worker_headers.rs
@@ -11,12 +11,14 @@
 use hyper::header::HeaderValue;
 
 use crate::adapter::HeaderNames;
+use crate::brittle_workers;
 use crate::departures;
 use crate::named_limits;
 use crate::node::Node;
 use crate::rests;
 use crate::send_permit::Permit;
 use crate::unknown_headers;
+use cranereach_fleet::brittle;
 use cranereach_fleet::departure;
 use cranereach_fleet::load::ReportedLoad;
 use cranereach_fleet::named_limit;
@@ -48,6 +50,8 @@
     pub is_load_unreadable: bool,
     /// Requests per second that the worker accepts.
     pub limit: named_limit::NamedRate,
+    /// How many rejections the worker bears.
+    pub brittle: brittle::BrittleNotice,
     /// Whether the worker is leaving.
     pub leaving: departure::DepartureNotice,
     /// Time for which the worker asks for no requests.
@@ -79,6 +83,7 @@
             load: load.flatten(),
             is_load_unreadable: load == Some(None),
             limit: named_limit::read(values(headers, names.limit)),
+            brittle: brittle::read(values(headers, names.brittle)),
             leaving: departure::read(values(headers, names.leaving)),
             rest,
             connection_keep_alive_ms: connection_keep_alive_ms(headers),
@@ -121,6 +126,13 @@
         status,
         is_expected_response,
     );
+    brittle_workers::apply_response(
+        node,
+        permit,
+        worker_headers.brittle,
+        status,
+        is_expected_response,
+    );
     if let rest::RestRequest::For(for_ms) = worker_headers.rest {
         rests::apply_rest(node, permit, for_ms);
     } else if is_expected_response
@@ -149,6 +161,11 @@
             "limit",
             names.limit,
         ),
+        (
+            worker_headers.brittle == brittle::BrittleNotice::Unreadable,
+            "brittle",
+            names.brittle,
+        ),
         (
             worker_headers.leaving == departure::DepartureNotice::Unreadable,
             "leaving",
--- a/crates/cranereach-gateway/tests/limit_messages.rs
+++ b/crates/cranereach-gateway/tests/limit_messages.rs
@@ -52,6 +52,7 @@
         rank: 2,
         is_cold: true,
         limit: Some(LARGEST_REPORT),
+        brittle: None,
     };
     let grant = SendGrant {
         ticket: u64::MAX,
--- a/crates/cranereach-gateway/tests/worker_headers.rs
+++ b/crates/cranereach-gateway/tests/worker_headers.rs
@@ -5,6 +5,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use cranereach_fleet::brittle::BrittleNotice;
 use cranereach_fleet::departure;
 use cranereach_fleet::named_limit;
 use cranereach_fleet::rest;
@@ -21,6 +22,7 @@
     load: "load",
     leaving: "leaving",
     answered_by: "by",
+    brittle: "brittle",
     limit: "limit",
     model: "model",
     tokens: "tokens",
@@ -132,3 +134,27 @@
         "no overflow"
     );
 }
+
+#[test]
+fn a_brittle_worker_is_recognized_whatever_the_status() {
+    for status in [200, 421, 500, 503] {
+        let parsed = read(status, &[("brittle", "3")]);
+        assert_eq!(parsed.brittle, BrittleNotice::Bears(3), "{status}");
+    }
+    let rows: [(&[(&'static str, &'static str)], BrittleNotice); 5] = [
+        (&[], BrittleNotice::Nothing),
+        (&[("brittle", "0")], BrittleNotice::Bears(0)),
+        (
+            &[("brittle", "5"), ("brittle", "2")],
+            BrittleNotice::Bears(2),
+        ),
+        (&[("brittle", "often")], BrittleNotice::Unreadable),
+        (
+            &[("brittle", "12345678901234567")],
+            BrittleNotice::Unreadable,
+        ),
+    ];
+    for (headers, expected) in rows {
+        assert_eq!(read(200, headers).brittle, expected, "{headers:?}");
+    }
+}
