--- a/crates/cranereach-fleet/src/reachability.rs
+++ b/crates/cranereach-fleet/src/reachability.rs
@@ -6,15 +6,19 @@
 //! own path to it is cut; a worker that neither reaches is dark. An instance whose paths to most
 //! workers are cut is isolated. What it says about workers speaks of itself, so nobody counts it.
 
+mod peers;
+mod probes;
+mod worker_evidence;
+
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use rand::Rng;
-use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::topology::Distance;
+use self::peers::PEER_AVOIDED_MS;
+use self::peers::PeerEvidence;
+use self::worker_evidence::WorkerEvidence;
 
 /// Time for which evidence about a path counts, in milliseconds.
 pub const EVIDENCE_TTL_MS: u64 = 2_000;
@@ -25,9 +29,6 @@
 /// Number of workers with evidence above which old evidence is dropped.
 const WORKER_MAX_COUNT: usize = 1_024;
 
-/// Number of peers with evidence above which old evidence is dropped.
-const PEER_MAX_COUNT: usize = 8_192;
-
 /// Time for which a worker must have been silent to count as unreachable for others as well, in
 /// milliseconds. A sound worker may be silent for a second and go on.
 const SILENCE_MIN_MS: u64 = 1_300;
@@ -49,32 +50,10 @@
 /// digests arrive within the window.
 const COUNTED_PEER_MAX_COUNT: usize = 40;
 
-/// Share of the tried workers that a peer must reach to be believed and asked, in percent.
-const REACHED_MIN_PERCENT: u8 = 50;
-
-/// Time for which a peer's report of its own reach counts, in milliseconds.
-const REACH_REPORT_TTL_MS: u64 = 2_000;
-
-/// Time for which a peer that did not open a connection to a worker is not asked, in milliseconds.
-const PEER_AVOIDED_MS: u64 = 1_000;
-
 /// Time for which peers are not asked again for a worker that they could not reach, in
 /// milliseconds.
 const PEERS_NOT_ASKED_AGAIN_MS: u64 = 1_000;
 
-/// Minimum time between a failure of a path and the next probe of it, in milliseconds.
-const PROBE_INTERVAL_MS: u64 = 200;
-
-/// Number of failing paths that are probed at a time.
-const PROBE_COUNT: usize = 2;
-
-/// The same after a probe has shown that a path is back: others probably are, too.
-const HEALING_PROBE_COUNT: usize = 16;
-
-/// Time for which a worker that nobody reaches is probed, in milliseconds: the row of one that has
-/// ended is removed within it.
-const DARK_PROBED_FOR_MS: u64 = 6_000;
-
 /// Time by which a peer's failure to reach a worker must be newer than another peer's success to
 /// count, in milliseconds: peers that are asked at the same time fail later than they succeed.
 const PEER_RACE_MS: u64 = 500;
@@ -122,80 +101,6 @@
     pub reached_percent: u8,
 }
 
-/// Evidence about one worker. All times are in milliseconds.
-#[derive(Clone, Debug, Default)]
-struct WorkerEvidence {
-    /// Last success on a direct connection.
-    succeeded_ms: Option<u64>,
-    /// Last direct failure since then, and the first one without a success in between.
-    failed_ms: Option<u64>,
-    failing_since_ms: Option<u64>,
-    is_silent: bool,
-    /// When a peer last reached the worker, and when one last failed to.
-    peer_reached_ms: Option<u64>,
-    peer_missed_ms: Option<u64>,
-    /// Peer that last failed to.
-    missed_by: Option<Ipv4Addr>,
-    /// When each peer last reported the worker as unreachable.
-    reported_ms: HashMap<Ipv4Addr, u64>,
-}
-
-impl WorkerEvidence {
-    /// Returns the time of the newest evidence.
-    fn newest_ms(&self) -> u64 {
-        let own = [
-            self.succeeded_ms,
-            self.failed_ms,
-            self.peer_reached_ms,
-            self.peer_missed_ms,
-        ];
-        let reported = self.reported_ms.values().copied();
-        own.into_iter().flatten().chain(reported).max().unwrap_or(0)
-    }
-
-    /// Whether the direct path is probed: as long as it is cut, and for a limited time if the
-    /// worker may have ended.
-    fn is_probed(&self, now_ms: u64) -> bool {
-        match self.state(now_ms) {
-            PathState::Open => false,
-            PathState::Cut => true,
-            PathState::Dark | PathState::Unknown => self
-                .failing_since_ms
-                .is_some_and(|since_ms| now_ms < since_ms + DARK_PROBED_FOR_MS),
-        }
-    }
-
-    /// Returns the state of the direct path.
-    fn state(&self, now_ms: u64) -> PathState {
-        let is_recent = |at_ms: &u64| now_ms < at_ms + EVIDENCE_TTL_MS;
-        if !self.failed_ms.as_ref().is_some_and(is_recent) {
-            return PathState::Open;
-        }
-        let reached_ms = self.peer_reached_ms.filter(is_recent);
-        let missed_ms = self.peer_missed_ms.filter(is_recent);
-        match (reached_ms, missed_ms) {
-            (Some(reached_ms), Some(missed_ms)) if missed_ms > reached_ms + PEER_RACE_MS => {
-                PathState::Dark
-            }
-            (Some(_), _) => PathState::Cut,
-            (None, Some(_)) => PathState::Dark,
-            (None, None) => PathState::Unknown,
-        }
-    }
-}
-
-/// Evidence about one peer.
-#[derive(Clone, Copy, Debug, Default)]
-struct PeerEvidence {
-    /// When it last reported its own reach, in milliseconds, and what it reported; none if its
-    /// release does not report it and opens no connections for others.
-    report: Option<(u64, ReachReport)>,
-    /// Until when it is not asked, in milliseconds.
-    avoided_until_ms: u64,
-    /// Until when it is asked last, since it failed to reach a worker, in milliseconds.
-    doubted_until_ms: u64,
-}
-
 /// All evidence about paths to workers.
 ///
 /// ```
@@ -307,25 +212,6 @@
         }
     }
 
-    /// Records that a peer did not try to open a connection: it is isolated itself, has no room or
-    /// did not answer.
-    pub fn peer_failed(&mut self, now_ms: u64, peer: Ipv4Addr) {
-        let evidence = self.peers.entry(peer).or_default();
-        evidence.avoided_until_ms = now_ms + PEER_AVOIDED_MS;
-    }
-
-    /// Takes a peer's report of its own reach; none if its release does not report it.
-    pub fn take_reach_report(&mut self, now_ms: u64, peer: Ipv4Addr, report: Option<ReachReport>) {
-        if self.peers.len() >= PEER_MAX_COUNT && !self.peers.contains_key(&peer) {
-            self.peers.retain(|_, known| {
-                let heard_ms = known.report.map_or(0, |(at_ms, _)| at_ms);
-                now_ms < heard_ms + EVIDENCE_KEPT_MS
-            });
-        }
-        let evidence = self.peers.entry(peer).or_default();
-        evidence.report = report.map(|report| (now_ms, report));
-    }
-
     /// Takes a peer's report that it can't reach a worker. Returns whether enough peers report it
     /// to believe them; `alive_count` is the number of living peers.
     pub fn take_unreachable_report(
@@ -349,14 +235,6 @@
         reported_ms.len() >= required_reporter_count(alive_count)
     }
 
-    /// Whether a peer has recently reported that it reaches few workers itself.
-    fn reaches_few(&self, now_ms: u64, peer: Ipv4Addr) -> bool {
-        let report = self.peers.get(&peer).and_then(|evidence| evidence.report);
-        report.is_some_and(|(at_ms, report)| {
-            now_ms < at_ms + REACH_REPORT_TTL_MS && report.reached_percent < REACHED_MIN_PERCENT
-        })
-    }
-
     /// Returns the state of the direct path to a worker.
     pub fn state(&self, now_ms: u64, worker: u64) -> PathState {
         let evidence = self.workers.get(&worker);
@@ -456,38 +334,6 @@
         is_cut && self.is_silent(now_ms)
     }
 
-    /// Whether any worker has answered directly since a time, in milliseconds.
-    pub fn has_reached_any_since(&self, since_ms: u64) -> bool {
-        let mut all = self.workers.values();
-        all.any(|evidence| evidence.succeeded_ms.is_some_and(|at_ms| at_ms >= since_ms))
-    }
-
-    /// Whether some path is to be probed, now or soon.
-    pub fn has_probed_paths(&self, now_ms: u64) -> bool {
-        self.workers
-            .values()
-            .any(|evidence| evidence.is_probed(now_ms))
-    }
-
-    /// Lists the workers to be probed directly, those with the oldest failure first: paths that are
-    /// cut as long as they are, others for a limited time.
-    pub fn probes_due(&self, now_ms: u64) -> Vec<u64> {
-        let mut due: Vec<(u64, u64)> = self
-            .workers
-            .iter()
-            .filter(|(_, evidence)| evidence.is_probed(now_ms))
-            .filter_map(|(worker, evidence)| Some((evidence.failed_ms?, *worker)))
-            .filter(|(failed_ms, _)| now_ms >= failed_ms + PROBE_INTERVAL_MS)
-            .collect();
-        due.sort_unstable();
-        due.truncate(if self.last_healed_ms > self.last_failed_ms {
-            HEALING_PROBE_COUNT
-        } else {
-            PROBE_COUNT
-        });
-        due.into_iter().map(|(_, worker)| worker).collect()
-    }
-
     /// Drops the evidence about a worker that is gone.
     pub fn forget(&mut self, worker: u64) {
         self.workers.remove(&worker);
@@ -503,52 +349,6 @@
         }
     }
 
-    /// Whether a peer may be asked to open connections: its release does so, it does not report
-    /// that it reaches few workers, and it did not fail recently.
-    pub fn may_ask(&self, now_ms: u64, peer: Ipv4Addr) -> bool {
-        let Some(evidence) = self.peers.get(&peer) else {
-            return false;
-        };
-        let is_avoided = now_ms < evidence.avoided_until_ms;
-        evidence.report.is_some() && !is_avoided && !self.reaches_few(now_ms, peer)
-    }
-
-    /// Chooses peers to open a connection: those that did not fail to reach a worker first, and the
-    /// nearest of these. Equal ones come in random order, so that the load is spread.
-    pub fn choose_peers<R: Rng>(
-        &self,
-        now_ms: u64,
-        peers: impl Iterator<Item = (Ipv4Addr, Distance)>,
-        count: usize,
-        rng: &mut R,
-    ) -> Vec<Ipv4Addr> {
-        let mut askable: Vec<(Ipv4Addr, Distance)> = peers
-            .filter(|(peer, _)| self.may_ask(now_ms, *peer))
-            .collect();
-        askable.shuffle(rng);
-        askable.sort_by_key(|(peer, distance)| (self.is_doubted(now_ms, *peer), *distance));
-        let Some((first, nearest)) = askable.first().copied() else {
-            return Vec::new();
-        };
-        // A whole failure domain may be cut, so the next one is of another domain if possible.
-        let is_elsewhere = |(_, distance): &(Ipv4Addr, Distance)| *distance != nearest;
-        let second = askable.iter().position(is_elsewhere).unwrap_or(0);
-        let (second, _) = askable[second];
-        let rest = askable.iter().map(|(peer, _)| *peer);
-        let rest = rest.filter(|peer| *peer != first && *peer != second);
-        let mut chosen = vec![first, second];
-        chosen.dedup();
-        chosen.extend(rest);
-        chosen.truncate(count);
-        chosen
-    }
-
-    /// Whether a peer recently failed to reach a worker.
-    fn is_doubted(&self, now_ms: u64, peer: Ipv4Addr) -> bool {
-        let evidence = self.peers.get(&peer);
-        evidence.is_some_and(|evidence| now_ms < evidence.doubted_until_ms)
-    }
-
     /// Returns the entry of a worker. Drops old evidence if there is too much.
     fn worker_entry(&mut self, now_ms: u64, worker: u64) -> &mut WorkerEvidence {
         if self.workers.len() >= WORKER_MAX_COUNT && !self.workers.contains_key(&worker) {
