Bind the port for peers before ports that are drawn from the free ones

Cause: the fixture finds a port for peers that is free on all addresses and lets it go; the instance then drew free ports for callers, readiness and metrics on its address, any of which may be that port, and bound the port for peers last. With ports that are all given, as on the platform, the order makes no difference.

--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -104,9 +104,8 @@
         worker_connector: Connector,
     ) -> Result<Self, StartError> {
         let listen = settings.listen.clone();
-        let callers = bind("listen.callers", listen.callers).await?;
-        let ready = bind("listen.ready", listen.ready).await?;
-        let metrics = bind("listen.metrics", listen.metrics).await?;
+        // The port for peers is the same on all instances. It is bound before the others, one of
+        // which might be drawn from the free ports and be that one.
         let peer_listener = bind("listen.peers", listen.peers).await?;
         let peer_socket = UdpSocket::bind(listen.peers).await;
         let peer_socket = peer_socket.map_err(|source| StartError::Listen {
@@ -114,6 +113,9 @@
             address: listen.peers,
             source,
         })?;
+        let callers = bind("listen.callers", listen.callers).await?;
+        let ready = bind("listen.ready", listen.ready).await?;
+        let metrics = bind("listen.metrics", listen.metrics).await?;
         let addresses = Addresses {
             callers: callers.local_addr().unwrap_or(listen.callers),
             ready: ready.local_addr().unwrap_or(listen.ready),
