A brittle worker that bears no rejection is risked none

What callers would see: a worker that says Server-Brittle: 0 falls over with the first request that it turns away, and one was risked there at a time, as for a worker that bears one.

Cause: the number of risked calls was at least one, whatever the worker said.

--- a/crates/cranereach-fleet/src/brittle.rs
+++ b/crates/cranereach-fleet/src/brittle.rs
@@ -270,7 +270,7 @@
             safe_count /= 2;
         }
         // Another instance may take itself for the owner, so half is left to it.
-        let risked_max_count = (borne_count / 2).max(1);
+        let risked_max_count = (borne_count / 2).max(1).min(borne_count);
         let risked_count = open_count - safe_count.max(settled_count).min(open_count);
         let may_risk =
             rejected_count == 0 && risked_count < risked_max_count && open_count < room_max_count;
--- a/crates/cranereach-fleet/tests/brittle.rs
+++ b/crates/cranereach-fleet/tests/brittle.rs
@@ -48,7 +48,7 @@
 fn run(seed: u64, handover: bool) -> Outcome {
     let mut rng = SmallRng::seed_from_u64(seed);
     let slot_count = rng.random_range(1..40_u32);
-    let borne_count = rng.random_range(1..8_u32);
+    let borne_count = rng.random_range(0..8_u32);
     let mut waiting_count = rng.random_range(0..10_u32);
     let work_ms = rng.random_range(50..400_u64);
     let mut owner = BrittleGrants::default();
