A refused permit is no failure to connect

What operators would see: a lease holder that may not send orders or report requests, since a worker rests, leaves or is at its limit, probes that worker twice a second, each time with a new connection.

Cause: the client returned the same error for a refused permit as for a connection that could not be opened, and the holder takes the latter for a sign that its path is cut. Found by reading. Now the error says which it was; orders and reports end as before in both cases. Ruled out: not to probe after failed connects, by which a holder without callers notices that it is isolated.

--- a/crates/cranereach-entry/src/platform/mod.rs
+++ b/crates/cranereach-entry/src/platform/mod.rs
@@ -37,7 +37,7 @@
     fn from(error: CallError) -> Self {
         let detail = error.to_string();
         match error {
-            CallError::NotSent { .. } => Self::NotDone { detail },
+            CallError::NotSent { .. } | CallError::NotPermitted { .. } => Self::NotDone { detail },
             CallError::Unanswered { .. } | CallError::Garbled { .. } => Self::Unknown { detail },
         }
     }
--- a/crates/cranereach-entry/src/upstream/engine.rs
+++ b/crates/cranereach-entry/src/upstream/engine.rs
@@ -54,7 +54,9 @@
             .await
         {
             Ok(response) => response,
-            Err(CallError::NotSent { .. }) => return OrderEnd::NeverSent,
+            Err(CallError::NotSent { .. } | CallError::NotPermitted { .. }) => {
+                return OrderEnd::NeverSent;
+            }
             Err(_unanswered) => return OrderEnd::Unknown,
         };
         match self.client.read::<OrderAnswer>(&response) {
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -230,7 +230,7 @@
             OrderAnswer::Conflict => OrderEnd::Conflict,
             OrderAnswer::OtherWorker | OrderAnswer::Refused(_) => OrderEnd::Refused,
         },
-        Err(CallError::NotSent { .. }) => OrderEnd::NotSent,
+        Err(CallError::NotSent { .. } | CallError::NotPermitted { .. }) => OrderEnd::NotSent,
         Err(CallError::Unanswered { .. } | CallError::Garbled { .. }) => OrderEnd::Unanswered,
     };
     info!(node.log, "order"; "worker" => worker.as_ref(),
@@ -276,7 +276,7 @@
         Err(CallError::NotSent { .. } | CallError::Unanswered { .. }) => {
             node.paths.suspect(now_ms, worker);
         }
-        Err(CallError::Garbled { .. }) => {}
+        Err(CallError::NotPermitted { .. } | CallError::Garbled { .. }) => {}
     }
 }
 
--- a/crates/cranereach-gateway/src/store.rs
+++ b/crates/cranereach-gateway/src/store.rs
@@ -43,7 +43,9 @@
 impl From<CallError> for StoreError {
     fn from(error: CallError) -> Self {
         match error {
-            CallError::NotSent { .. } => Self::NotDone(error.to_string()),
+            CallError::NotSent { .. } | CallError::NotPermitted { .. } => {
+                Self::NotDone(error.to_string())
+            }
             CallError::Unanswered { .. } | CallError::Garbled { .. } => {
                 Self::Unknown(error.to_string())
             }
--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -32,7 +32,13 @@
 /// Reasons why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum CallError {
-    /// Nothing was sent: there was no connection, or the permit was refused.
+    /// Nothing was sent: the permit was refused.
+    #[error("{address}: sending was not permitted")]
+    NotPermitted {
+        /// Address of the server.
+        address: String,
+    },
+    /// Nothing was sent: there was no connection.
     #[error("{address}: could not be reached")]
     NotSent {
         /// Address of the server.
@@ -158,7 +164,7 @@
     ///
     /// The permit is requested once the connection is open, right before the request is
     /// sent, and again before each retry. Without a permit, the call fails with
-    /// [`CallError::NotSent`].
+    /// [`CallError::NotPermitted`].
     pub async fn post_bytes_with_permit<T, F>(
         &self,
         path: &str,
@@ -250,7 +256,9 @@
             let mut connection = taken.map_err(|_refused| not_sent())?;
             let Some(permit) = permit().await else {
                 connection.keep();
-                return Err(not_sent());
+                return Err(CallError::NotPermitted {
+                    address: self.address().to_owned(),
+                });
             };
             let head = match connection.send(request).await {
                 Ok(head) => head,
--- a/src/cmd/instance.rs
+++ b/src/cmd/instance.rs
@@ -30,7 +30,7 @@
 pub fn report_error(client: &JsonClient, error: &CallError) -> Exit {
     eprintln!("{}: {error}", client.address());
     match error {
-        CallError::NotSent { .. } => Exit::Unavailable,
+        CallError::NotSent { .. } | CallError::NotPermitted { .. } => Exit::Unavailable,
         CallError::Unanswered { .. } | CallError::Garbled { .. } => Exit::OutcomeUnknown,
     }
 }
