A tunnel whose worker has ended does not stay open for a peer that never closes

What callers would see: none at first; each such tunnel takes one of the 384 places and two descriptors, until the peer relays no more and instances that are cut off lose a way to the workers. A stopping instance also waits for it until its grace ends.

Cause: the time limit for half-closed tunnels held only where the asking side closed first. Found by reading the relay, which had one branch for each order; it has one end now. Ruled out: closing both sides at once, which would cut off an answer that is still on its way.

--- a/crates/cranereach-gateway/src/tunnels/server.rs
+++ b/crates/cranereach-gateway/src/tunnels/server.rs
@@ -28,8 +28,7 @@
 /// Size of the buffer of one direction, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
 
-/// Time for which the worker's side of a tunnel stays open after the asking instance has closed
-/// its own.
+/// Time for which one side of a tunnel stays open after the other has been closed.
 const HALF_CLOSED_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Counts a tunnel as open until it is dropped.
@@ -126,22 +125,20 @@
     let forward = copy_to_worker(peer_reader, worker_writer);
     let backward = copy_to_peer(node, peer, worker_reader, peer_writer);
     tokio::pin!(forward, backward);
-    let (peer_reader, worker_writer) = tokio::select! {
-        closed = &mut forward => closed?,
+    // The halves are kept until the end, since dropping one ends its direction with a reset.
+    let (to_worker, to_peer) = tokio::select! {
+        closed = &mut forward => {
+            let to_worker = closed?;
+            (to_worker, tokio::time::timeout(HALF_CLOSED_TIMEOUT, backward).await??)
+        }
         closed = &mut backward => {
-            let (worker_reader, peer_writer) = closed?;
-            let (peer_reader, worker_writer) = forward.await?;
-            end_orderly(&peer_writer);
-            end_orderly(&worker_writer);
-            drop((worker_reader, peer_reader));
-            return Ok(());
+            let to_peer = closed?;
+            (tokio::time::timeout(HALF_CLOSED_TIMEOUT, forward).await??, to_peer)
         }
     };
-    let (worker_reader, peer_writer) =
-        tokio::time::timeout(HALF_CLOSED_TIMEOUT, backward).await??;
-    end_orderly(&peer_writer);
-    end_orderly(&worker_writer);
-    drop((worker_reader, peer_reader));
+    for (_reader, writer) in [&to_worker, &to_peer] {
+        end_orderly(writer);
+    }
     Ok(())
 }
 
