--- a/crates/cranereach-fleet/src/reachability.rs
+++ b/crates/cranereach-fleet/src/reachability.rs
@@ -94,6 +94,15 @@
     pub asks_peers: bool,
 }
 
+impl PathPlan {
+    /// Opens a new connection by whichever way works, to find out which do.
+    pub const NEW_BY_ANY: Self = Self {
+        reuses_direct: false,
+        tries_direct: true,
+        asks_peers: true,
+    };
+}
+
 /// Share of the workers that an instance reaches, as it reports it to peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReachReport {
@@ -149,13 +158,7 @@
     /// Drops all direct failures once enough workers were reached after the last one.
     fn clear_if_healed(&mut self, now_ms: u64) {
         let last_failed_ms = self.last_failed_ms.unwrap_or(0);
-        let reached = self.workers.values().filter(|evidence| {
-            evidence.failed_ms.is_none()
-                && evidence
-                    .succeeded_ms
-                    .is_some_and(|at_ms| at_ms > last_failed_ms)
-        });
-        if reached.count() < HEALED_WORKER_COUNT {
+        if self.reached_count(now_ms, last_failed_ms) < HEALED_WORKER_COUNT {
             return;
         }
         for evidence in self.workers.values_mut() {
@@ -259,13 +262,7 @@
     fn reaches_most(&self, now_ms: u64) -> bool {
         let is_failing = |evidence: &&WorkerEvidence| evidence.state(now_ms) != PathState::Open;
         let failing_count = self.workers.values().filter(is_failing).count();
-        let reached = self.workers.values().filter(|evidence| {
-            evidence.failed_ms.is_none()
-                && evidence
-                    .succeeded_ms
-                    .is_some_and(|at_ms| now_ms < at_ms + EVIDENCE_TTL_MS)
-        });
-        reached.count() >= failing_count
+        self.reached_count(now_ms, 0) >= failing_count
     }
 
     /// Whether this instance reaches few workers while peers reach them: more paths are cut than
@@ -290,11 +287,14 @@
             let failing_since_ms = evidence.failing_since_ms.unwrap_or(u64::MAX);
             (count + 1, since_ms.min(failing_since_ms))
         });
-        let reached = self.workers.values().filter(|evidence| {
-            let is_counted = |at_ms| at_ms > since_ms && now_ms < at_ms + EVIDENCE_TTL_MS;
-            evidence.failed_ms.is_none() && evidence.succeeded_ms.is_some_and(is_counted)
-        });
-        (cut_count, reached.count())
+        (cut_count, self.reached_count(now_ms, since_ms))
+    }
+
+    /// Counts the workers that were last reached directly, after a time.
+    fn reached_count(&self, now_ms: u64, since_ms: u64) -> usize {
+        let all = self.workers.values();
+        all.filter(|evidence| evidence.has_succeeded_after(now_ms, since_ms))
+            .count()
     }
 
     /// Returns how a connection to a worker is to be had.
--- a/crates/cranereach-fleet/src/reachability/worker_evidence.rs
+++ b/crates/cranereach-fleet/src/reachability/worker_evidence.rs
@@ -42,6 +42,13 @@
         own.into_iter().flatten().chain(reported).max().unwrap_or(0)
     }
 
+    /// Whether the last direct attempt succeeded, within the time for which evidence counts and
+    /// after another time.
+    pub(super) fn has_succeeded_after(&self, now_ms: u64, since_ms: u64) -> bool {
+        let is_counted = |at_ms| at_ms > since_ms && now_ms < at_ms + EVIDENCE_TTL_MS;
+        self.failed_ms.is_none() && self.succeeded_ms.is_some_and(is_counted)
+    }
+
     /// Whether the direct path is probed: as long as it is cut, and for a limited time if the
     /// worker may have ended.
     pub(super) fn is_probed(&self, now_ms: u64) -> bool {
--- a/crates/cranereach-gateway/src/brittle_workers.rs
+++ b/crates/cranereach-gateway/src/brittle_workers.rs
@@ -17,14 +17,15 @@
 use crate::node::Node;
 use crate::node::lock;
 use crate::owners;
+use crate::send_grants;
 use crate::send_permit::Permit;
 use cranereach_fleet::brittle::BrittleAsk;
 use cranereach_fleet::brittle::BrittleNotice;
 use cranereach_fleet::key::worker_key;
 use cranereach_fleet::purpose::Purpose;
-use cranereach_fleet::send_grants;
 use cranereach_fleet::send_grants::GRANT_VALID_MS;
 use cranereach_fleet::send_grants::Ownership;
+use cranereach_fleet::send_grants::other_owner;
 
 /// Applies what a worker's response says about its brittleness.
 pub fn apply_response(
@@ -119,7 +120,7 @@
         ends_within_ms: deadline_at_ms.saturating_sub(asked_at_ms) as u32,
     };
     let key = worker_key(worker);
-    let owner = send_grants::other_owner(node.peers().members(), asked_at_ms, key);
+    let owner = other_owner(node.peers().members(), asked_at_ms, key);
     let answer = match owner {
         Some(owner) => ask_owner(node, key, question, owner).await,
         None => Some(grant(node, node.own_ip(), key, question)),
@@ -154,20 +155,15 @@
 
 /// Asks the owner of a worker; returns none if it does not answer.
 async fn ask_owner(node: &Node, worker: u64, brittle: BrittleAsk, owner: Ipv4Addr) -> Option<bool> {
-    let mut question = node.grant_questions.open();
     let ask = GrantAsk {
-        ticket: question.ticket,
+        ticket: 0,
         worker,
         rank: 0,
         is_cold: false,
         limit: None,
         brittle: Some(brittle),
     };
-    let deadline = node.instant(node.now_ms() + GRANT_VALID_MS);
-    let owner = SocketAddr::from((owner, node.peer_port()));
-    node.send_now(owner, Message::MaySend(ask));
-    let answered = tokio::time::timeout_at(deadline, question.answers.recv()).await;
-    let granted = answered.ok().flatten()?;
+    let granted = send_grants::ask_owner(node, owner, ask).await?;
     Some(granted.wait_ms.is_none())
 }
 
--- a/crates/cranereach-gateway/src/node/connections.rs
+++ b/crates/cranereach-gateway/src/node/connections.rs
@@ -36,6 +36,17 @@
         Arc::clone(pool)
     }
 
+    /// Returns the identity and the connection pool of the listed worker with a key.
+    pub fn pool_by_key(&self, worker: u64) -> Option<(Arc<str>, Arc<WorkerPool>)> {
+        let (id, address) = {
+            let roster = self.roster();
+            let record = &roster.by_key(worker)?.record;
+            (Arc::clone(&record.id), record.address.clone())
+        };
+        let pool = self.pool(&id, &address);
+        Some((id, pool))
+    }
+
     /// Drops the connection pools of workers that are gone.
     pub fn forget_pools(&self, gone: &[Arc<str>]) {
         let mut pools = lock(&self.pools);
--- a/crates/cranereach-gateway/src/send_grants.rs
+++ b/crates/cranereach-gateway/src/send_grants.rs
@@ -6,6 +6,7 @@
 //! heard of the limit before.
 
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -101,9 +102,8 @@
 /// Asks the owner of a worker for permission to send one request. Returns `None` if it does not
 /// answer.
 async fn ask(node: &Node, worker: u64, constraint: SendConstraint, rank: u8) -> Option<SendAnswer> {
-    let mut question = node.grant_questions.open();
     let ask = GrantAsk {
-        ticket: question.ticket,
+        ticket: 0,
         worker,
         rank,
         is_cold: constraint.is_cold,
@@ -114,13 +114,7 @@
     let Some(owner) = owner else {
         return grant(node, &ask).map(|(answer, _limit)| answer);
     };
-    let deadline = node.instant(node.now_ms() + GRANT_VALID_MS);
-    node.send_now(
-        SocketAddr::from((owner, node.peer_port())),
-        Message::MaySend(ask),
-    );
-    let answered = tokio::time::timeout_at(deadline, question.answers.recv()).await;
-    let granted = answered.ok().flatten()?;
+    let granted = ask_owner(node, owner, ask).await?;
     if let Some(limit) = &granted.limit {
         named_limits::apply_peer_limit(node, worker, limit);
     }
@@ -131,6 +125,21 @@
     Some(refused.unwrap_or(SendAnswer::Send))
 }
 
+/// Sends a question to another instance, under a new ticket, and waits for its answer as long as a
+/// grant is valid.
+pub async fn ask_owner(node: &Node, owner: Ipv4Addr, ask: GrantAsk) -> Option<SendGrant> {
+    let mut question = node.grant_questions.open();
+    let ask = GrantAsk {
+        ticket: question.ticket,
+        ..ask
+    };
+    let deadline = node.instant(node.now_ms() + GRANT_VALID_MS);
+    let owner = SocketAddr::from((owner, node.peer_port()));
+    node.send_now(owner, Message::MaySend(ask));
+    let answered = tokio::time::timeout_at(deadline, question.answers.recv()).await;
+    answered.ok().flatten()
+}
+
 /// Answers a peer that considers this instance the owner of a worker. Sends no answer if the worker
 /// is unknown here.
 pub fn answer(node: &Node, peer: SocketAddr, ask: &GrantAsk) {
--- a/crates/cranereach-gateway/src/tunnels/server.rs
+++ b/crates/cranereach-gateway/src/tunnels/server.rs
@@ -94,13 +94,8 @@
     if node.paths.is_isolated(node.now_ms()) {
         return Err(TunnelStatus::Isolated);
     }
-    let listed = {
-        let roster = node.roster();
-        let worker = roster.by_key(request.worker);
-        worker.map(|worker| (Arc::clone(&worker.record.id), worker.record.address.clone()))
-    };
-    let (id, address) = listed.ok_or(TunnelStatus::UnknownWorker)?;
-    let pool = node.pool(&id, &address);
+    let listed = node.pool_by_key(request.worker);
+    let (_id, pool) = listed.ok_or(TunnelStatus::UnknownWorker)?;
     worker_paths::connect(node, request.worker, &pool)
         .await
         .map_err(|failure| match failure {
--- a/crates/cranereach-gateway/src/worker_ends.rs
+++ b/crates/cranereach-gateway/src/worker_ends.rs
@@ -156,12 +156,7 @@
         return ProbeResult::Planned;
     };
     let pool = node.pool(worker, &address);
-    let plan = PathPlan {
-        reuses_direct: false,
-        tries_direct: true,
-        asks_peers: true,
-    };
-    match worker_paths::open(node, worker, &pool, plan).await {
+    match worker_paths::open(node, worker, &pool, PathPlan::NEW_BY_ANY).await {
         Ok(connection) => {
             pause(MIN_OPEN_MS).await;
             if connection.is_closed() {
--- a/crates/cranereach-gateway/src/worker_paths.rs
+++ b/crates/cranereach-gateway/src/worker_paths.rs
@@ -69,8 +69,8 @@
 #[derive(Debug, Default)]
 pub struct WorkerPaths {
     reachability: Mutex<Reachability>,
-    /// Workers whose paths are to be probed, since they do not answer.
-    suspects: Mutex<Vec<Arc<str>>>,
+    /// Worker whose paths are to be probed, since it does not answer.
+    suspect: Mutex<Option<Arc<str>>>,
     suspected_at_ms: AtomicU64,
     /// When bytes of a worker last arrived on a direct connection, in milliseconds.
     received_at_ms: AtomicU64,
@@ -123,7 +123,7 @@
             return;
         }
         self.suspected_at_ms.store(now_ms, Ordering::Release);
-        lock(&self.suspects).push(Arc::clone(worker));
+        *lock(&self.suspect) = Some(Arc::clone(worker));
         self.probe_wanted.notify_one();
     }
 
@@ -275,23 +275,27 @@
 
 /// Attempts one path and records the evidence.
 async fn attempt(node: Arc<Node>, worker: Arc<str>, pool: Arc<WorkerPool>, path: Path) -> Attempt {
-    let key = worker_key(&worker);
     match path {
-        Path::Direct => {
-            let stream = match connect(&node, key, &pool).await {
-                Ok(stream) => stream,
-                Err(failure) => return Attempt::DirectFailed(failure),
-            };
-            cold::note_reached(&node, &worker);
-            match pool.make_on(stream, None).await {
-                Ok(connection) => Attempt::Connected(connection),
-                Err(_) => Attempt::DirectFailed(ConnectFailure::Refused),
-            }
-        }
+        Path::Direct => match connect_directly(&node, &worker, &pool).await {
+            Ok(connection) => Attempt::Connected(connection),
+            Err(failure) => Attempt::DirectFailed(failure),
+        },
         Path::Via(peer) => through_peer(&node, &worker, &pool, peer).await,
     }
 }
 
+/// Makes a direct connection to a worker and records the evidence.
+async fn connect_directly(
+    node: &Node,
+    worker: &str,
+    pool: &WorkerPool,
+) -> Result<WorkerConnection, ConnectFailure> {
+    let stream = connect(node, worker_key(worker), pool).await?;
+    cold::note_reached(node, worker);
+    let made = pool.make_on(stream, None).await;
+    made.map_err(|_closed| ConnectFailure::Refused)
+}
+
 /// Opens a direct TCP connection to a worker and records the evidence.
 pub async fn connect(
     node: &Node,
@@ -312,16 +316,10 @@
         Ok(Err(_)) => ConnectFailure::Refused,
         Err(_) => ConnectFailure::Silent,
     };
-    note_direct_failure(node, worker, failure);
-    Err(failure)
-}
-
-/// Records that the direct path to a worker failed.
-pub fn note_direct_failure(node: &Node, worker: u64, failure: ConnectFailure) {
-    let now_ms = node.now_ms();
     node.paths
         .reachability(|reachability| reachability.direct_failed(now_ms, worker, failure));
     node.paths.probe_wanted.notify_one();
+    Err(failure)
 }
 
 /// Opens a connection through a peer and records the evidence.
--- a/crates/cranereach-gateway/src/worker_paths/prober.rs
+++ b/crates/cranereach-gateway/src/worker_paths/prober.rs
@@ -7,9 +7,8 @@
 use rand::seq::IteratorRandom;
 use slog::info;
 
-use super::connect;
+use super::connect_directly;
 use super::open;
-use crate::cold;
 use crate::node::Node;
 use crate::node::lock;
 use crate::worker_headers::DEFAULT_KEEP_ALIVE_MS;
@@ -19,16 +18,16 @@
 /// Interval between two rounds while some path fails, in milliseconds.
 const ROUND_INTERVAL_MS: u64 = 250;
 
-/// Maximum number of suspects that are probed in one round.
-const SUSPECTS_PER_ROUND: usize = 4;
-
 /// Probes paths until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut next_round_ms = 0;
     loop {
         let wanted = node.paths.probe_wanted.notified();
         let now_ms = node.now_ms();
-        probe_suspects(&node);
+        let suspect = lock(&node.paths.suspect).take();
+        if let Some(suspect) = suspect {
+            tokio::spawn(probe_suspect(Arc::clone(&node), suspect));
+        }
         update_isolation(&node, now_ms);
         let is_isolated = node.paths.isolated_for_ms(now_ms).is_some();
         if now_ms >= next_round_ms {
@@ -47,18 +46,6 @@
     }
 }
 
-/// Probes the workers that calls suspect.
-fn probe_suspects(node: &Arc<Node>) {
-    let suspects: Vec<Arc<str>> = {
-        let mut suspects = lock(&node.paths.suspects);
-        let count = suspects.len().min(SUSPECTS_PER_ROUND);
-        suspects.drain(..count).collect()
-    };
-    for suspect in suspects {
-        tokio::spawn(probe_suspect(Arc::clone(node), suspect));
-    }
-}
-
 /// Probes some of the paths that fail. An isolated instance also probes another worker: if only
 /// the paths to a few workers are cut, that shows at once.
 fn probe_round(node: &Arc<Node>, now_ms: u64, is_isolated: bool) {
@@ -80,22 +67,12 @@
 
 /// Connects to a worker directly, and keeps the connection for the next call.
 async fn probe_directly(node: Arc<Node>, worker: u64) {
-    let listed = {
-        let roster = node.roster();
-        let worker = roster.by_key(worker);
-        worker.map(|worker| (Arc::clone(&worker.record.id), worker.record.address.clone()))
-    };
-    let Some((id, address)) = listed else {
+    let Some((id, pool)) = node.pool_by_key(worker) else {
         node.paths
             .reachability(|reachability| reachability.forget(worker));
         return;
     };
-    let pool = node.pool(&id, &address);
-    let Ok(stream) = connect(&node, worker, &pool).await else {
-        return;
-    };
-    cold::note_reached(&node, &id);
-    if let Ok(connection) = pool.make_on(stream, None).await {
+    if let Ok(connection) = connect_directly(&node, &id, &pool).await {
         connection.keep_for(DEFAULT_KEEP_ALIVE_MS);
     }
     node.paths.probe_wanted.notify_one();
@@ -108,13 +85,8 @@
         .get(&worker)
         .map(|known| known.record.address.clone());
     let Some(address) = address else { return };
-    let plan = PathPlan {
-        reuses_direct: false,
-        tries_direct: true,
-        asks_peers: true,
-    };
     let pool = node.pool(&worker, &address);
-    if let Ok(connection) = open(&node, &worker, &pool, plan).await {
+    if let Ok(connection) = open(&node, &worker, &pool, PathPlan::NEW_BY_ANY).await {
         connection.keep_for(DEFAULT_KEEP_ALIVE_MS);
     }
     node.paths.probe_wanted.notify_one();
--- a/crates/cranereach-http/src/connector.rs
+++ b/crates/cranereach-http/src/connector.rs
@@ -2,13 +2,13 @@
 
 use std::fmt;
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 
+use futures_util::future::BoxFuture;
 use tokio::net::TcpStream;
 
 /// A connection attempt in progress.
-pub type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send>>;
+pub type Connecting = BoxFuture<'static, io::Result<TcpStream>>;
 
 /// Function that starts a connection attempt to an address of the form `ip:port`.
 type Connect = dyn Fn(&str) -> Connecting + Send + Sync;
