A pause after a refused grant for a brittle worker shortens no other pause

What callers would see: calls to a worker that is brittle and names a limit ask its owner again after 60 ms, although the owner had named a later time, and spend their six tries on refusals.

Cause: the pause of the one question overwrote that of the other, for all ranks. Found by reading. The later time holds now; the test fails with the old line in its place. Ruled out: two pauses side by side, as both are answered by the same owner.

--- a/crates/cranereach-fleet/src/send_grants.rs
+++ b/crates/cranereach-fleet/src/send_grants.rs
@@ -321,6 +321,14 @@
         }
     }
 
+    /// Records that no rank is to query the owner before the given time; a later time that is known
+    /// holds.
+    pub fn postponed_until(&mut self, at_ms: u64) {
+        for until_ms in &mut self.until_ms {
+            *until_ms = at_ms.max(*until_ms);
+        }
+    }
+
     /// Returns whether a query was ever refused or unanswered.
     pub fn was_refused(&self) -> bool {
         self.until_ms.iter().any(|until_ms| *until_ms > 0)
--- a/crates/cranereach-fleet/tests/sends/grants.rs
+++ b/crates/cranereach-fleet/tests/sends/grants.rs
@@ -5,6 +5,7 @@
 use crate::fleet::WORKER;
 use crate::fleet::address;
 use cranereach_fleet::membership::Membership;
+use cranereach_fleet::send_grants::AskPause;
 use cranereach_fleet::send_grants::Ownership;
 use cranereach_fleet::send_grants::SendAnswer;
 use cranereach_fleet::send_grants::SendGrants;
@@ -147,3 +148,15 @@
     }
     assert_eq!(ownership(&members, now_ms + 8_600), Ownership::Settled);
 }
+
+/// Guards against a short pause that all ranks keep ending a longer one that an owner named.
+#[test]
+fn a_postponed_query_shortens_no_refusal() {
+    let mut pause = AskPause::default();
+    pause.refused_until(1, 5_000);
+    pause.postponed_until(1_060);
+    assert!(!pause.may_ask(1_050, 0));
+    assert!(pause.may_ask(1_060, 0));
+    assert!(!pause.may_ask(4_999, 1));
+    assert!(pause.may_ask(5_000, 2));
+}
--- a/crates/cranereach-gateway/src/forward/in_flight.rs
+++ b/crates/cranereach-gateway/src/forward/in_flight.rs
@@ -272,7 +272,7 @@
             Granted::No => {
                 if let Some(worker) = node.roster().get_mut(&self.worker) {
                     let at_ms = node.now_ms() + ASK_AGAIN_AFTER_MS;
-                    worker.ask_pause.refused_until(0, at_ms);
+                    worker.ask_pause.postponed_until(at_ms);
                 }
                 false
             }
