--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -1,6 +1,7 @@
 //! The store and workers of a run, each behind a relay that can impair its link.
 
 mod arrivals;
+mod operator;
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -13,9 +14,9 @@
 
 use futures_util::future::join_all;
 use serde_json::Value;
-use serde_json::json;
 use tokio::net::TcpListener;
 
+use self::operator::DeclaredState;
 use crate::check::bounded::DRAIN_MS;
 use crate::crash_requests::ENDING;
 use crate::gateways;
@@ -26,10 +27,7 @@
 use crate::schedule::KEYS;
 use crate::schedule::SERVICES;
 use crate::schedule::Size;
-use crate::schedule::account_of;
-use cranereach_platform::standin::declared;
 use cranereach_platform::standin::declared::COLD_FOR_MS;
-use cranereach_platform::standin::declared::DeclaredAccount;
 use cranereach_platform::standin::declared::MODELS;
 use cranereach_platform::standin::store::Store;
 use cranereach_platform::standin::worker::Behaviour;
@@ -94,15 +92,6 @@
     last_row: Option<Value>,
 }
 
-/// State that the operator has declared.
-#[derive(Debug)]
-struct DeclaredState {
-    version: u64,
-    moved_to: &'static str,
-    revoked: [bool; KEYS.len()],
-    evacuated: [bool; DOMAINS.len()],
-}
-
 impl BackEnds {
     /// Starts the store and all workers.
     pub async fn start(size: Size) -> std::io::Result<Self> {
@@ -293,58 +282,6 @@
         }
         self.send_heartbeats();
     }
-
-    /// Points the `moved` route at the other service, and returns that service.
-    pub fn move_route(&self) -> &'static str {
-        let mut declared = lock(&self.declared);
-        let is_first = declared.moved_to == SERVICES[0];
-        declared.moved_to = SERVICES[usize::from(is_first)];
-        declared.version += 3;
-        let moved_to = declared.moved_to;
-        drop(declared);
-        self.write_configuration();
-        moved_to
-    }
-
-    /// Revokes a key; returns whether it was valid before.
-    pub fn revoke(&self, key: usize) -> bool {
-        let mut declared = lock(&self.declared);
-        let was_revoked = std::mem::replace(&mut declared.revoked[key], true);
-        declared.version += 1;
-        drop(declared);
-        self.write_configuration();
-        !was_revoked
-    }
-
-    /// Requests the evacuation of a failure domain; returns false if it was already requested.
-    pub fn evacuate(&self, domain: usize) -> bool {
-        let was_requested = std::mem::replace(&mut lock(&self.declared).evacuated[domain], true);
-        if !was_requested {
-            self.store.put("op", &evacuation_key(domain), &json!({}));
-        }
-        !was_requested
-    }
-
-    /// Cancels the evacuation of a failure domain.
-    pub fn cancel_evacuation(&self, domain: usize) {
-        lock(&self.declared).evacuated[domain] = false;
-        self.store.remove("op", &evacuation_key(domain));
-    }
-
-    /// Writes the currently declared configuration to the store.
-    fn write_configuration(&self) {
-        let declared = lock(&self.declared);
-        let accounts = [0, 1].map(|first| DeclaredAccount {
-            name: account_of(first).to_owned(),
-            keys: (first..KEYS.len())
-                .step_by(2)
-                .filter(|key| !declared.revoked[*key])
-                .map(|key| KEYS[key].to_owned())
-                .collect(),
-        });
-        let written = declared::configuration(declared.version, declared.moved_to, &accounts);
-        self.store.put("op", "config", &written);
-    }
 }
 
 impl RunningWorker {
@@ -384,11 +321,6 @@
     }
 }
 
-/// Returns the key of the store row that requests an evacuation.
-fn evacuation_key(domain: usize) -> String {
-    format!("evacuate/{}", DOMAINS[domain].0)
-}
-
 /// Starts a relay to an address; returns it with the address that it listens on.
 async fn start_relay(to: SocketAddr) -> std::io::Result<(Relay, SocketAddr)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/crates/cranereach-standin/src/engine/answer.rs
+++ b/crates/cranereach-standin/src/engine/answer.rs
@@ -1,12 +1,12 @@
 //! Completion requests to the engine stand-in: waiting for a slot, prefill, generation.
 
+mod run_guard;
+
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -21,12 +21,9 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-use crate::engine::loading;
+use self::run_guard::RunGuard;
 use crate::engine::state::EngineState;
 use crate::lock;
-use cranereach_core::ledger::Residence;
-use cranereach_core::membership::rendezvous_weight;
-use cranereach_core::names::TargetName;
 use cranereach_http::body;
 use cranereach_http::server::Closed;
 use cranereach_wire::upstream::NOT_RUN_HEADER;
@@ -74,15 +71,6 @@
     Stream(Box<Generation>),
 }
 
-/// A running request; releases its slot and its use of the target when dropped.
-#[derive(Debug)]
-struct RunGuard {
-    state: Arc<EngineState>,
-    target: TargetName,
-    has_slot: bool,
-    is_done: bool,
-}
-
 /// A streamed response that is being generated.
 #[derive(Debug)]
 struct Generation {
@@ -246,92 +234,6 @@
     }
 }
 
-impl RunGuard {
-    /// Starts a run if the target is resident.
-    fn begin(state: &Arc<EngineState>, model: &str) -> Option<Self> {
-        let target = TargetName::from(model);
-        let mut memory = lock(&state.memory);
-        let residence = memory
-            .occupants
-            .get(&target)
-            .map(|occupant| occupant.residence);
-        if residence != Some(Residence::Resident) {
-            return None;
-        }
-        *memory.running.entry(target.clone()).or_default() += 1;
-        state.outstanding_count.fetch_add(1, Ordering::Relaxed);
-        Some(Self {
-            state: Arc::clone(state),
-            target,
-            has_slot: false,
-            is_done: false,
-        })
-    }
-
-    /// Waits for a free batch slot.
-    async fn acquire_slot(&mut self) {
-        let state = Arc::clone(&self.state);
-        let permit = state.slots.acquire().await;
-        permit.expect("the slots are never closed").forget();
-        self.has_slot = true;
-        state.running_count.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Simulates the time of prefill, which is skipped if the prefix of the prompt is cached.
-    async fn prefill(&self, prompt: &str) {
-        let prefix: String = prompt.chars().take(PREFIX_CHARS).collect();
-        let hash = rendezvous_weight(&prefix, self.target.as_str());
-        let was_cached = self.touch_prefix(hash);
-        let tokens = (prompt.len() / 4) as u64;
-        if !was_cached && self.state.options.prompt_token_us > 0 {
-            tokio::time::sleep(Duration::from_micros(
-                tokens * self.state.options.prompt_token_us,
-            ))
-            .await;
-        }
-    }
-
-    /// Marks a prefix as the most recently used one and returns whether it was cached.
-    fn touch_prefix(&self, hash: u64) -> bool {
-        let mut prefixes = lock(&self.state.prefixes);
-        let was_cached = prefixes.contains(&hash);
-        prefixes.retain(|known| *known != hash);
-        prefixes.push_back(hash);
-        while prefixes.len() > self.state.options.prefix_cache_count {
-            prefixes.pop_front();
-        }
-        lock(&self.state.counts).prefix_hit_count += u64::from(was_cached);
-        was_cached
-    }
-
-    /// Returns the time between tokens at the current batch size.
-    fn token_time(&self) -> Duration {
-        let options = &self.state.options;
-        let batch = f64::from(self.state.running_count.load(Ordering::Relaxed));
-        let fullness = batch / f64::from(options.slot_count.max(1));
-        let token_us = options.token_us as f64 * (1.0 + options.batch_slowdown_ratio * fullness);
-        Duration::from_micros(token_us as u64)
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        if self.has_slot {
-            self.state.slots.add_permits(1);
-            self.state.running_count.fetch_sub(1, Ordering::Relaxed);
-        }
-        self.state.outstanding_count.fetch_sub(1, Ordering::Relaxed);
-        if !self.is_done {
-            lock(&self.state.counts).cancelled_count += 1;
-        }
-        let mut memory = lock(&self.state.memory);
-        if let Some(count) = memory.running.get_mut(&self.target) {
-            *count = count.saturating_sub(1);
-        }
-        loading::free_if_idle(&mut memory, &self.target);
-    }
-}
-
 impl Generation {
     /// Returns the next event of the stream, or `None` at the end.
     fn next_event(&mut self) -> Option<Bytes> {
