Log and count how the bodies of workers' responses end

An instance read the end of a body without an error as its completeness, and logged nothing of it. So the record of answers that were broken off and looked complete can't tell a body that ended undeclared from one that was declared to end, nor whether the stream was inside an event.

Bodies of responses now end in one of three ways: declared, closed in order without a declared end, broken. They no longer implement Body, so that nobody reads the end of the frames as completeness. Each end that was not declared, and each inside an event, is logged; all are counted (body_ends_total by end and verdict).

What callers get is unchanged: the verdict is only reported.

--- a/crates/cranereach-entry/src/callers/exchange.rs
+++ b/crates/cranereach-entry/src/callers/exchange.rs
@@ -6,7 +6,6 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 
 use super::RequestContext;
@@ -31,7 +30,9 @@
 use cranereach_core::codes::ResultCode;
 use cranereach_core::declarations::Repeatable;
 use cranereach_core::names::WorkerId;
-use cranereach_http::body;
+use cranereach_http::body::BodyError;
+use cranereach_http::body_end::BodyPart;
+use cranereach_http::body_end::ResponseBody as UpstreamBody;
 use cranereach_http::pool::Connection;
 use cranereach_http::pool::SendError;
 use cranereach_wire::upstream::NOT_RUN_HEADER;
@@ -52,7 +53,7 @@
 
 /// An upstream's response, its body not yet read to the end, with its connection.
 struct ResponseHead {
-    response: Response<Incoming>,
+    response: Response<UpstreamBody>,
     connection: Connection<UpstreamRequestBody>,
 }
 
@@ -192,7 +193,11 @@
     }
 
     /// Checks that the upstream ran the request and that the response belongs to it.
-    fn check_head(&self, worker: &WorkerId, response: &Response<Incoming>) -> Result<(), Event> {
+    fn check_head(
+        &self,
+        worker: &WorkerId,
+        response: &Response<UpstreamBody>,
+    ) -> Result<(), Event> {
         let shared = &self.context.shared;
         if let Some(reason) = response.headers().get(NOT_RUN_HEADER) {
             if reason == NOT_RUN_NOT_RESIDENT {
@@ -238,14 +243,13 @@
             response,
             connection,
         } = head;
-        let (parts, mut incoming) = response.into_parts();
+        let (parts, mut body) = response.into_parts();
         let deadline = self.context.shared.clock.instant(self.job.deadline_ms);
-        let first =
-            tokio::time::timeout_at(deadline, http_body_util::BodyExt::frame(&mut incoming)).await;
+        let first = tokio::time::timeout_at(deadline, body.next_part()).await;
         match first.map_err(|_elapsed| Event::DeadlinePassed)? {
-            Some(Ok(frame)) => {
+            BodyPart::Frame(frame) => {
                 let first = frame.into_data().unwrap_or_default();
-                let response = Response::from_parts(parts, incoming);
+                let response = Response::from_parts(parts, body);
                 Ok((
                     first,
                     ResponseHead {
@@ -254,7 +258,7 @@
                     },
                 ))
             }
-            Some(Err(_)) | None => Err(Event::Broken),
+            BodyPart::End(_) => Err(Event::Broken),
         }
     }
 
@@ -267,17 +271,21 @@
             response,
             connection,
         } = head;
-        let (parts, incoming) = response.into_parts();
+        let (parts, body) = response.into_parts();
         let remaining_ms = self
             .job
             .deadline_ms
             .saturating_sub(self.context.shared.now_ms());
-        let collected = body::collect(incoming, BUFFERED_RESPONSE_MAX_BYTES, remaining_ms).await;
-        let bytes = collected.map_err(|error| match error {
-            body::BodyError::TooSlow => Event::DeadlinePassed,
-            body::BodyError::TooLarge => Event::Garbled,
-            body::BodyError::Broken => Event::Broken,
-        })?;
+        let collected = body
+            .collect(BUFFERED_RESPONSE_MAX_BYTES, remaining_ms)
+            .await;
+        // Whether a body whose end is not declared is complete shows in the object below.
+        let bytes = match collected {
+            Ok(collected) => collected.bytes,
+            Err(BodyError::TooSlow) => return Err(Event::DeadlinePassed),
+            Err(BodyError::TooLarge) => return Err(Event::Garbled),
+            Err(BodyError::Broken) => return Err(Event::Broken),
+        };
         let is_object = bytes.first() == Some(&b'{')
             && serde_json::from_slice::<serde::de::IgnoredAny>(&bytes).is_ok();
         if parts.status == StatusCode::OK && !is_object {
@@ -301,7 +309,7 @@
             response,
             connection,
         } = head;
-        let (parts, incoming) = response.into_parts();
+        let (parts, body) = response.into_parts();
         let mut attempt = self.attempt;
         let shared = &self.context.shared;
         attempt.on(
@@ -314,7 +322,7 @@
             self.job,
             &self.context.request_name,
             first,
-            incoming,
+            body,
             connection,
             self.dispatch_guard,
             self.record,
--- a/crates/cranereach-entry/src/callers/streamed_response.rs
+++ b/crates/cranereach-entry/src/callers/streamed_response.rs
@@ -10,9 +10,7 @@
 use std::task::ready;
 
 use bytes::Bytes;
-use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use tokio::time::Instant;
 use tokio::time::Sleep;
@@ -25,6 +23,9 @@
 use super::response_body::ResponseAborted;
 use crate::upstream::UpstreamRequestBody;
 use cranereach_core::codes::ResultCode;
+use cranereach_http::body_end::BodyEnd;
+use cranereach_http::body_end::BodyPart;
+use cranereach_http::body_end::ResponseBody as UpstreamBody;
 use cranereach_http::pool::Connection;
 
 /// Marker that ends a complete event stream.
@@ -39,7 +40,7 @@
     kind: BodyKind,
     request_name: String,
     first_chunk: Option<Bytes>,
-    incoming: Incoming,
+    body: UpstreamBody,
     connection: Option<Connection<UpstreamRequestBody>>,
     dispatch_guard: DispatchGuard,
     record: RequestRecord,
@@ -58,7 +59,7 @@
         job: &Job,
         request_name: &str,
         first_chunk: Option<Bytes>,
-        incoming: Incoming,
+        body: UpstreamBody,
         connection: Connection<UpstreamRequestBody>,
         dispatch_guard: DispatchGuard,
         record: RequestRecord,
@@ -68,7 +69,7 @@
             kind: job.kind,
             request_name: request_name.to_owned(),
             first_chunk,
-            incoming,
+            body,
             connection: Some(connection),
             dispatch_guard,
             record,
@@ -86,7 +87,7 @@
     /// Returns the size hint of the upstream's body for a plain response, else an unknown size.
     pub(crate) fn size_hint(&self) -> SizeHint {
         if self.kind == BodyKind::Plain {
-            self.incoming.size_hint()
+            self.body.size_hint()
         } else {
             SizeHint::default()
         }
@@ -106,14 +107,13 @@
         if self.deadline.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Some(self.abort(ResultCode::DeadlinePassedRunning)));
         }
-        match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(self.record_frame(frame)))),
-            Some(Err(_body_error)) => Poll::Ready(Some(self.abort(ResultCode::BrokenMidway))),
-            None if self.is_complete() => {
+        match ready!(self.body.poll_part(cx)) {
+            BodyPart::Frame(frame) => Poll::Ready(Some(Ok(self.record_frame(frame)))),
+            BodyPart::End(BodyEnd::Declared | BodyEnd::Closed) if self.is_complete() => {
                 self.finish();
                 Poll::Ready(None)
             }
-            None => Poll::Ready(Some(self.abort(ResultCode::BrokenMidway))),
+            BodyPart::End(_) => Poll::Ready(Some(self.abort(ResultCode::BrokenMidway))),
         }
     }
 
@@ -129,7 +129,7 @@
             self.dispatch_guard.cost_tokens += count as f64;
             self.update_tail(data);
         }
-        if self.kind == BodyKind::Plain && self.incoming.is_end_stream() {
+        if self.kind == BodyKind::Plain && self.body.has_reached_declared_end() {
             self.finish();
         }
         frame
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! [`choosing`] selects each worker, [`sending`] makes one offer, [`in_flight`] counts the call
 //! at the worker, and [`broken_connection`] checks whether a worker ended while it ran the call.
 //! [`workload`] estimates the work of a call. [`response_head`] checks the head of a response,
+//! [`worker_body`] judges how its body ended,
 //! [`stream_relay`] relays a stream to the caller, and [`resumption`] resumes it on another
 //! worker. [`telemetry`] counts and logs results, and [`refusal`] makes the response to a call
 //! that could not be served.
@@ -25,6 +26,7 @@
 mod sending;
 mod stream_relay;
 mod telemetry;
+mod worker_body;
 mod workload;
 
 use std::pin::Pin;
--- a/crates/cranereach-gateway/src/forward/response_head.rs
+++ b/crates/cranereach-gateway/src/forward/response_head.rs
@@ -3,12 +3,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 
 use super::in_flight::InFlightCall;
 use super::request::Call;
@@ -16,6 +12,7 @@
 use crate::send_permit::Permit;
 use crate::worker_headers;
 use crate::worker_headers::WorkerHeaders;
+use cranereach_http::body_end::ResponseBody;
 use cranereach_http::pool::Connection;
 
 /// Reason why one offer to one worker failed.
@@ -48,7 +45,7 @@
 /// Head of a worker's response, with the state that belongs to the call.
 pub struct ResponseHead {
     /// Response whose body has not been read yet.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
     /// Connection that the response arrives on.
     pub connection: Connection<Full<Bytes>>,
     /// Time for which the connection may be kept idle afterwards, in milliseconds; `None` if it
@@ -65,7 +62,7 @@
     call: &Call,
     permit: &Permit,
     in_flight: &mut InFlightCall,
-    response: &Response<Incoming>,
+    response: &Response<ResponseBody>,
 ) -> Result<WorkerHeaders, Failure> {
     let headers = response.headers();
     let status = response.status();
@@ -101,9 +98,3 @@
         worker.lacks(now_ms, model, adapter);
     }
 }
-
-/// Whether the head says where the body ends. Only then does the end of the body show that the
-/// worker was still running when it sent the last part.
-pub fn has_explicit_framing(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -13,9 +13,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use tokio::task::JoinHandle;
 
@@ -26,9 +24,12 @@
 use super::request::Call;
 use super::response_head::Failure;
 use super::response_head::ResponseHead;
-use super::response_head::has_explicit_framing;
+use super::telemetry;
+use super::worker_body::WorkerBody;
+use super::worker_body::WorkerPart;
 use crate::node::Node;
 use crate::worker_ends;
+use cranereach_http::body_end::BodyEnd;
 use cranereach_http::pool::Connection;
 
 /// Connection with the time for which it may be kept idle afterwards, in milliseconds; `None` if
@@ -41,43 +42,46 @@
     /// First chunk.
     pub first_chunk: Bytes,
     /// Rest of the body.
-    pub incoming: Incoming,
+    pub body: WorkerBody,
     /// Connection that the stream arrives on.
     pub connection: ReusableConnection,
     /// In-flight count of the call at the worker.
     pub in_flight: InFlightCall,
-    /// Whether the head of the response says where its body ends.
-    pub has_explicit_framing: bool,
 }
 
 impl StartedStream {
     /// Waits for the first chunk after the head of a response.
-    pub(super) async fn from_head(head: ResponseHead) -> Result<(Parts, Self), Failure> {
+    pub(super) async fn from_head(
+        node: &Node,
+        call: &Call,
+        head: ResponseHead,
+    ) -> Result<(Parts, Self), Failure> {
         let ResponseHead {
             response,
             connection,
             keep_alive_ms,
             mut in_flight,
         } = head;
-        let (parts, mut incoming) = response.into_parts();
-        let first_chunk = match incoming.frame().await {
-            Some(Ok(first_chunk)) => first_chunk,
-            Some(Err(_broken)) => {
+        let (parts, body) = response.into_parts();
+        let mut body = WorkerBody::new(body, &parts.headers, true);
+        let first_chunk = match body.next_part().await {
+            WorkerPart::Frame(first_chunk) => first_chunk,
+            WorkerPart::End(judged) => {
+                telemetry::record_body_end(node, call, in_flight.worker(), judged);
+                if judged.end != BodyEnd::Broken {
+                    in_flight.failed();
+                    return Err(Failure::Unknown);
+                }
                 in_flight.broke_off();
                 return Err(Failure::BrokenOff);
             }
-            None => {
-                in_flight.failed();
-                return Err(Failure::Unknown);
-            }
         };
         in_flight.prefilled();
         let started = Self {
             first_chunk: first_chunk.into_data().unwrap_or_default(),
-            incoming,
+            body,
             connection: (connection, keep_alive_ms),
             in_flight,
-            has_explicit_framing: has_explicit_framing(&parts.headers),
         };
         Ok((parts, started))
     }
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -16,9 +16,11 @@
 use super::response_head::Failure;
 use super::response_head::ResponseHead;
 use super::response_head::check_head;
-use super::response_head::has_explicit_framing;
 use super::resumption::StartedStream;
 use super::stream_relay::StreamRelay;
+use super::telemetry;
+use super::worker_body::BreakReason;
+use super::worker_body::WorkerBody;
 use crate::node::pause;
 use crate::quarantine;
 use crate::send_permit;
@@ -27,8 +29,7 @@
 use crate::worker_paths::WorkerConnection;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::Choice;
-use cranereach_http::body;
-use cranereach_http::body::BodyError;
+use cranereach_http::body_end::BodyEnd;
 use cranereach_http::pool::SendError;
 
 /// Largest response that is buffered in full before it is passed on, in bytes.
@@ -198,13 +199,13 @@
             head.in_flight.failed();
             return Err(Failure::Unknown);
         }
-        let (_head, started) = StartedStream::from_head(head).await?;
+        let (_head, started) = StartedStream::from_head(self.node, self.call, head).await?;
         Ok(started)
     }
 
     /// Waits for the first chunk, so that a stream that never began can be retried.
     async fn begin_stream(&self, head: ResponseHead) -> Result<Response<ResponseBody>, Failure> {
-        let (parts, started) = StartedStream::from_head(head).await?;
+        let (parts, started) = StartedStream::from_head(self.node, self.call, head).await?;
         let relay = StreamRelay::new(self.node, self.call, started, self.history());
         let mut response = Response::new(ResponseBody::Streaming(Box::new(relay)));
         *response.status_mut() = parts.status;
@@ -223,20 +224,21 @@
             keep_alive_ms,
             mut in_flight,
         } = head;
-        let (parts, incoming) = response.into_parts();
+        let (parts, body) = response.into_parts();
+        let body = WorkerBody::new(body, &parts.headers, false);
         let remaining_ms = self.call.deadline_at_ms.saturating_sub(self.node.now_ms()) + 1_000;
-        let collected = body::collect(incoming, BUFFERED_RESPONSE_MAX_BYTES, remaining_ms).await;
-        let bytes = match collected {
-            Ok(bytes) => bytes,
-            Err(BodyError::Broken) => {
-                in_flight.broke_off();
-                return Err(Failure::BrokenOff);
-            }
-            Err(BodyError::TooLarge | BodyError::TooSlow) => {
-                in_flight.failed();
-                return Err(Failure::Unknown);
-            }
+        let collected = body
+            .collect(BUFFERED_RESPONSE_MAX_BYTES, remaining_ms)
+            .await;
+        let Ok((bytes, judged)) = collected else {
+            in_flight.failed();
+            return Err(Failure::Unknown);
         };
+        telemetry::record_body_end(self.node, self.call, in_flight.worker(), judged);
+        if judged.result == Err(BreakReason::ConnectionBroke) {
+            in_flight.broke_off();
+            return Err(Failure::BrokenOff);
+        }
         in_flight.received(bytes.len());
         let is_failure = parts.status.is_server_error();
         if is_failure {
@@ -244,11 +246,12 @@
         } else {
             in_flight.succeeded();
         }
-        if has_explicit_framing(&parts.headers) {
+        if judged.end == BodyEnd::Declared {
+            // Only then does the end show that the worker still ran when it sent the last part.
             quarantine::record_answer(self.node, self.call);
-        }
-        if let Some(keep_alive_ms) = keep_alive_ms {
-            connection.keep_for(keep_alive_ms);
+            if let Some(keep_alive_ms) = keep_alive_ms {
+                connection.keep_for(keep_alive_ms);
+            }
         }
         let mut response = Response::new(ResponseBody::Buffered(Full::new(bytes)));
         *response.status_mut() = parts.status;
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -13,9 +13,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use slog::info;
 use thiserror::Error;
 use tokio::task::JoinHandle;
@@ -28,9 +26,15 @@
 use super::resumption::ReusableConnection;
 use super::resumption::StartedStream;
 use super::resumption::StreamResumption;
+use super::telemetry;
+use super::worker_body::BreakReason;
+use super::worker_body::JudgedEnd;
+use super::worker_body::WorkerBody;
+use super::worker_body::WorkerPart;
 use crate::node::Node;
 use crate::quarantine;
 use crate::worker_ends::ProbeResult;
+use cranereach_http::body_end::BodyEnd;
 use cranereach_http::events::EventBuffer;
 use cranereach_http::events::ResumePoint;
 
@@ -45,15 +49,13 @@
     node: Arc<Node>,
     call: Arc<Call>,
     first_chunk: Option<Bytes>,
-    incoming: Incoming,
+    body: WorkerBody,
     connection: Option<ReusableConnection>,
     in_flight: Option<InFlightCall>,
     due: Pin<Box<Sleep>>,
     gaps: ChunkGaps,
     /// Splits the stream into events; `None` if the stream may not be resumed on another worker.
     events: Option<EventBuffer>,
-    /// Whether the head of the current worker's response says where its body ends.
-    has_explicit_framing: bool,
     /// Offers that the call has used so far.
     history: OfferHistory,
     resumption: Option<StreamResumption>,
@@ -95,7 +97,7 @@
             node: Arc::clone(node),
             call: Arc::clone(call),
             first_chunk: Some(started.first_chunk),
-            incoming: started.incoming,
+            body: started.body,
             connection: Some(started.connection),
             in_flight: Some(started.in_flight),
             due: Box::pin(tokio::time::sleep_until(node.instant(call.deadline_at_ms))),
@@ -104,7 +106,6 @@
                 last_chunk_at: Instant::now(),
                 longest_ms: 0,
             },
-            has_explicit_framing: started.has_explicit_framing,
             events: call.route.may_repeat().then(EventBuffer::default),
             history,
             resumption: None,
@@ -133,12 +134,12 @@
                     }
                 }
             }
-            let chunk = match self.first_chunk.take() {
-                Some(first_chunk) => Some(Ok(Frame::data(first_chunk))),
-                None => ready!(Pin::new(&mut self.incoming).poll_frame(cx)),
+            let part = match self.first_chunk.take() {
+                Some(first_chunk) => WorkerPart::Frame(Frame::data(first_chunk)),
+                None => ready!(self.body.poll_part(cx)),
             };
-            match chunk {
-                Some(Ok(frame)) => {
+            match part {
+                WorkerPart::Frame(frame) => {
                     if let (Some(in_flight), Some(chunk)) = (&self.in_flight, frame.data_ref()) {
                         in_flight.received(chunk.len());
                     }
@@ -155,7 +156,12 @@
                     self.gaps.record_chunk();
                     return Poll::Ready(Some(Ok(frame)));
                 }
-                Some(Err(_broken)) => {
+                WorkerPart::End(judged) => {
+                    self.record_end(judged);
+                    let Err(reason @ BreakReason::ConnectionBroke) = judged.result else {
+                        let rest = self.finish(judged.end);
+                        return Poll::Ready(rest.map(|rest| Ok(Frame::data(rest))));
+                    };
                     if !self.start_resumption() {
                         // The stream is not resumed, so nothing waits for the result of the
                         // check.
@@ -163,16 +169,20 @@
                         if let Some(in_flight) = self.in_flight.take() {
                             in_flight.broke_off();
                         }
-                        return Poll::Ready(Some(
-                            Err(self.abort("connection to the worker broke")),
-                        ));
+                        return Poll::Ready(Some(Err(self.abort(&reason.to_string()))));
                     }
                 }
-                None => return Poll::Ready(self.finish().map(|rest| Ok(Frame::data(rest)))),
             }
         }
     }
 
+    /// Counts and logs the end of the current worker's body.
+    fn record_end(&self, judged: JudgedEnd) {
+        if let Some(in_flight) = &self.in_flight {
+            telemetry::record_body_end(&self.node, &self.call, in_flight.worker(), judged);
+        }
+    }
+
     /// Returns the part of a frame that can be forwarded now: all of it, or only complete events
     /// if the stream may be resumed on another worker; `None` if that part is empty.
     fn take_forwardable(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
@@ -238,10 +248,9 @@
         counter.with_label_values(&["taken_up"]).inc();
         self.resumption = None;
         self.first_chunk = Some(started.first_chunk);
-        self.incoming = started.incoming;
+        self.body = started.body;
         self.connection = Some(started.connection);
         self.in_flight = Some(started.in_flight);
-        self.has_explicit_framing = started.has_explicit_framing;
         self.history = history;
         // The gap until the resumption does not count against the new worker.
         self.gaps.last_chunk_at = Instant::now();
@@ -250,8 +259,9 @@
 
     /// Records a complete response, and its longest gap if that exceeds the route's target.
     /// Returns the remaining bytes to forward.
-    fn finish(&mut self) -> Option<Bytes> {
-        if self.has_explicit_framing {
+    fn finish(&mut self, end: BodyEnd) -> Option<Bytes> {
+        if end == BodyEnd::Declared {
+            // Only then does the end show that the worker still ran when it sent the last event.
             quarantine::record_answer(&self.node, &self.call);
         }
         if let Some(mut in_flight) = self.in_flight.take() {
@@ -265,7 +275,9 @@
                 in_flight.succeeded();
             }
         }
-        if let Some((connection, Some(keep_alive_ms))) = self.connection.take() {
+        if let Some((connection, Some(keep_alive_ms))) = self.connection.take()
+            && end == BodyEnd::Declared
+        {
             connection.keep_for(keep_alive_ms);
         }
         let rest = self.events.as_mut().map(EventBuffer::take_partial)?;
--- a/crates/cranereach-gateway/src/forward/telemetry.rs
+++ b/crates/cranereach-gateway/src/forward/telemetry.rs
@@ -6,8 +6,10 @@
 use super::ResponseBody;
 use super::refusal::Refusal;
 use super::request::Call;
+use super::worker_body::JudgedEnd;
 use crate::node::Node;
 use cranereach_fleet::roster::Choice;
+use cranereach_http::body_end::BodyEnd;
 
 /// Counts a response that begins now, and logs it if it is late.
 pub fn record_response(
@@ -33,6 +35,24 @@
         .observe(took_s);
 }
 
+/// Counts how the body of a worker's response ended, and logs the ends that only the end of the
+/// connection marks and those of incomplete bodies.
+pub fn record_body_end(node: &Node, call: &Call, worker: &str, judged: JudgedEnd) {
+    let verdict = match judged.result {
+        Ok(()) => "complete",
+        Err(reason) => reason.name(),
+    };
+    let counter = &node.metrics.body_ends_total;
+    counter
+        .with_label_values(&[judged.end.name(), verdict])
+        .inc();
+    if judged.end != BodyEnd::Declared || judged.result.is_err() {
+        info!(node.log, "body ended"; "request" => call.id.clone(),
+            "route" => call.route.name.as_ref(), "worker" => worker, "end" => judged.end.name(),
+            "verdict" => verdict);
+    }
+}
+
 /// Counts the result of a client account's call, and the units it was charged.
 pub fn record_account_usage(
     node: &Node,
--- /dev/null
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -0,0 +1,151 @@
+//! Body of a worker's response, and what its end means for the caller.
+//!
+//! A stream of events that ends inside an event has been broken off, however its end is marked. A
+//! body whose end is not declared is complete as far as can be seen: a worker that closes its
+//! connection in order does so after the last byte, or because its process ends.
+
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::body::Frame;
+use hyper::header::CONTENT_TYPE;
+use thiserror::Error;
+
+use cranereach_http::body::BodyError;
+use cranereach_http::body_end::BodyEnd;
+use cranereach_http::body_end::BodyPart;
+use cranereach_http::body_end::CollectedBody;
+use cranereach_http::body_end::ResponseBody;
+use cranereach_http::event_border::EventBorder;
+
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Why a body counts as incomplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum BreakReason {
+    /// The connection failed, or closed before the declared end.
+    #[error("the connection to the worker broke")]
+    ConnectionBroke,
+    /// A stream ended inside an event.
+    #[error("the stream ended inside an event")]
+    InsideEvent,
+}
+
+impl BreakReason {
+    /// Returns the name used in metrics.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::ConnectionBroke => "connection_broke",
+            Self::InsideEvent => "inside_event",
+        }
+    }
+}
+
+/// End of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct JudgedEnd {
+    /// How the body ended.
+    pub(super) end: BodyEnd,
+    /// Whether the body is complete, or why not.
+    pub(super) result: Result<(), BreakReason>,
+}
+
+/// Next part of a worker's body.
+#[derive(Debug)]
+pub(super) enum WorkerPart {
+    /// Bytes, or trailers.
+    Frame(Frame<Bytes>),
+    /// The body has ended.
+    End(JudgedEnd),
+}
+
+/// Body of a worker's response.
+#[derive(Debug)]
+pub(super) struct WorkerBody {
+    body: ResponseBody,
+    /// Follows the events, if the body is a stream of events.
+    border: Option<EventBorder>,
+}
+
+impl WorkerBody {
+    /// Creates the body of a response with these headers. `may_be_unlabeled` says whether the
+    /// body is a stream of events also if its head names no media type.
+    pub(super) fn new(body: ResponseBody, headers: &HeaderMap, may_be_unlabeled: bool) -> Self {
+        let has_events = match headers.get(CONTENT_TYPE) {
+            Some(media_type) => is_event_stream(media_type.as_bytes()),
+            None => may_be_unlabeled,
+        };
+        Self {
+            body,
+            border: has_events.then(EventBorder::default),
+        }
+    }
+
+    /// Polls for the next part.
+    pub(super) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<WorkerPart> {
+        let part = ready!(self.body.poll_part(cx));
+        Poll::Ready(self.judge(part))
+    }
+
+    /// Waits for the next part.
+    pub(super) async fn next_part(&mut self) -> WorkerPart {
+        let part = self.body.next_part().await;
+        self.judge(part)
+    }
+
+    /// Reads the whole body. One that is broken has no bytes.
+    pub(super) async fn collect(
+        self,
+        max_bytes: usize,
+        timeout_ms: u64,
+    ) -> Result<(Bytes, JudgedEnd), BodyError> {
+        let mut border = self.border;
+        let (bytes, end) = match self.body.collect(max_bytes, timeout_ms).await {
+            Ok(CollectedBody { bytes, end }) => (bytes, end),
+            Err(BodyError::Broken) => (Bytes::new(), BodyEnd::Broken),
+            Err(error @ (BodyError::TooLarge | BodyError::TooSlow)) => return Err(error),
+        };
+        if let Some(border) = &mut border {
+            border.follow(&bytes);
+        }
+        Ok((bytes, judge(end, border.as_ref())))
+    }
+
+    /// Follows the events of a part, and judges its end.
+    fn judge(&mut self, part: BodyPart) -> WorkerPart {
+        match part {
+            BodyPart::Frame(frame) => {
+                if let (Some(border), Some(bytes)) = (&mut self.border, frame.data_ref()) {
+                    border.follow(bytes);
+                }
+                WorkerPart::Frame(frame)
+            }
+            BodyPart::End(end) => WorkerPart::End(judge(end, self.border.as_ref())),
+        }
+    }
+}
+
+/// Decides what the end of a body means. `border` tells whether a stream of events is inside one.
+fn judge(end: BodyEnd, border: Option<&EventBorder>) -> JudgedEnd {
+    let result = match end {
+        BodyEnd::Broken => Err(BreakReason::ConnectionBroke),
+        BodyEnd::Declared | BodyEnd::Closed => match border {
+            Some(border) if border.is_inside_event() => Err(BreakReason::InsideEvent),
+            Some(_) | None => Ok(()),
+        },
+    };
+    JudgedEnd { end, result }
+}
+
+/// Whether a `Content-Type` is that of a stream of events, with or without parameters.
+fn is_event_stream(media_type: &[u8]) -> bool {
+    let end = media_type.iter().position(|byte| *byte == b';');
+    let media_type = &media_type[..end.unwrap_or(media_type.len())];
+    media_type
+        .trim_ascii()
+        .eq_ignore_ascii_case(EVENT_STREAM.as_bytes())
+}
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub repeats_total: IntCounterVec,
     /// Streams that their worker broke off, by what became of the stream.
     pub streams_broken_total: IntCounterVec,
+    /// Bodies of workers' responses, by how they ended and whether they count as complete.
+    pub body_ends_total: IntCounterVec,
     /// Calls whose connection to the worker broke, by what became of the worker.
     pub broken_off_total: IntCounterVec,
     /// Quarantined requests that this instance knows of.
@@ -134,6 +136,7 @@
                 "streams that broke off midway",
                 &["outcome"],
             ),
+            body_ends_total: counters("body_ends_total", "ends of bodies", &["end", "verdict"]),
             broken_off_total: counters("broken_off_total", "broken calls", &["worker"]),
             store_calls_total: counters("store_calls_total", "store calls", &["kind", "outcome"]),
             orders_total: counters("orders_total", "orders to workers", &["kind", "outcome"]),
--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -15,7 +15,6 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::body;
 use crate::connector::Connector;
 use crate::pool::Pool;
 use crate::pool::SendError;
@@ -269,14 +268,18 @@
                 Err(SendError::Unsent(_)) => return Err(not_sent()),
                 Err(SendError::Broken(_)) => return Err(unanswered()),
             };
-            let (head, incoming) = head.into_parts();
-            let collected = body::collect(incoming, ANSWER_MAX_BYTES, u64::from(u32::MAX)).await;
-            let body = collected.map_err(|_broken| unanswered())?;
+            let (head, body) = head.into_parts();
+            let collected = body
+                .collect(ANSWER_MAX_BYTES, u64::from(u32::MAX))
+                .await
+                .map_err(|_broken| unanswered())?;
             connection.keep();
             let answer = Answer {
                 status: head.status.as_u16(),
                 headers: head.headers,
-                body,
+                // A body that ended undeclared is checked by decoding: no message is the beginning
+                // of another one.
+                body: collected.bytes,
             };
             return Ok((answer, permit));
         }
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -5,6 +5,8 @@
 //!   request may have been sent.
 //! - [`connector`] opens the TCP connections of a pool.
 //! - [`client`] calls JSON interfaces with a timeout.
+//! - [`body_end`] tells how the body of a response ended, and [`event_border`] whether a stream
+//!   ended inside an event.
 //! - [`body`] reads request and response bodies within limits and builds JSON responses.
 //! - [`liveness`] breaks connections whose other end no longer answers.
 //! - [`clock`] provides the monotonic clock of the process.
@@ -13,9 +15,11 @@
 
 pub mod bearer;
 pub mod body;
+pub mod body_end;
 pub mod client;
 pub mod clock;
 pub mod connector;
+pub mod event_border;
 pub mod events;
 pub mod liveness;
 pub mod pool;
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -12,7 +12,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Body;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -22,6 +21,7 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 
+use crate::body_end::ResponseBody;
 use crate::clock::boottime_ms;
 use crate::connector::Connector;
 use crate::liveness;
@@ -257,14 +257,17 @@
     }
 
     /// Sends a request and waits for the status and headers of its answer.
-    pub async fn send(&mut self, request: Request<B>) -> Result<Response<Incoming>, SendError<B>> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| match error.take_message() {
+    pub async fn send(
+        &mut self,
+        request: Request<B>,
+    ) -> Result<Response<ResponseBody>, SendError<B>> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(ResponseBody::wrap(response)),
+            Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendError::Unsent(Box::new(request)),
                 None => SendError::Broken(error.into_error()),
-            })
+            }),
+        }
     }
 
     /// Returns the connection to the pool. Must only be called while no answer is outstanding.
--- a/crates/cranereach-standin/src/load.rs
+++ b/crates/cranereach-standin/src/load.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
@@ -13,6 +12,9 @@
 use hyper::header::RETRY_AFTER;
 use serde_json::json;
 
+use cranereach_http::body_end::BodyEnd;
+use cranereach_http::body_end::BodyPart;
+use cranereach_http::body_end::ResponseBody;
 use cranereach_http::pool::Pool;
 use cranereach_http::pool::SendError;
 
@@ -139,15 +141,14 @@
     }
 }
 
-/// Reads the body; returns false if it broke off.
-async fn read_body(
-    mut body: hyper::body::Incoming,
-    started: Instant,
-    outcome: &mut Outcome,
-) -> bool {
+/// Reads the body; returns whether it ended as declared.
+async fn read_body(mut body: ResponseBody, started: Instant, outcome: &mut Outcome) -> bool {
     let mut last_us = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return false };
+    loop {
+        let frame = match body.next_part().await {
+            BodyPart::Frame(frame) => frame,
+            BodyPart::End(end) => return end == BodyEnd::Declared,
+        };
         let Some(data) = frame.data_ref() else {
             continue;
         };
@@ -160,7 +161,6 @@
         last_us = now_us;
         outcome.text.push_str(&String::from_utf8_lossy(data));
     }
-    true
 }
 
 /// Builds the HTTP request.
