What came before a failure of a body reaches the caller

Callers of streams that break right after their first events could get a closed connection without so much as a head: the server discards what it has buffered when a body fails, and a body that fails in the same poll as it yields leaves no time to flush it. The body now reports its failure one poll later, when the connection has flushed.

Test: what_came_before_a_failure_is_sent failed before with an empty answer over HTTP/1.1 and HTTP/1.0.

--- a/crates/cranereach-http/src/server.rs
+++ b/crates/cranereach-http/src/server.rs
@@ -1,4 +1,9 @@
-//! Server for HTTP/1.1 and HTTP/2 with graceful shutdown.
+//! Server for HTTP/1 and HTTP/2 with graceful shutdown.
+//!
+//! If the body of a response fails, the caller gets what came before and sees that it is incomplete:
+//! HTTP/2 resets the stream, and HTTP/1.1 closes the connection without the last chunk.
+
+mod response_body;
 
 use std::io;
 use std::time::Duration;
@@ -19,6 +24,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use self::response_body::ResponseBody;
+
 /// Delay before the next attempt after accepting a connection failed, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
 
@@ -55,8 +62,8 @@
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<B>, Closed>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Unpin,
 {
     let graceful = GracefulShutdown::new();
     let builder = builder(options);
@@ -71,7 +78,13 @@
             continue;
         };
         let handler = handler.clone();
-        let service = service_fn(handler);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let responding = handler(request);
+            async move {
+                let response = responding.await?;
+                Ok::<_, Closed>(response.map(ResponseBody::new))
+            }
+        });
         let connection = builder
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
--- a/crates/cranereach-standin/src/lib.rs
+++ b/crates/cranereach-standin/src/lib.rs
@@ -39,8 +39,8 @@
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Response<B>, Closed>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Unpin,
 {
     let options = ServeOptions::default();
     tokio::spawn(server::serve(listener, options, stopping, handler));
