A broken body resets the connection of an HTTP/1.0 caller

In HTTP/1.0 the end of the connection marks the end of a body, so a stream that was seen to break at its worker looked complete to such callers: the connection was closed in order. It is reset now. HTTP/1.1 callers still see an orderly close without the last chunk, and HTTP/2 callers a reset stream.

Test: a_failed_body_resets_the_connection_of_an_http_1_0_caller failed before.

--- a/crates/cranereach-http/src/server.rs
+++ b/crates/cranereach-http/src/server.rs
@@ -1,8 +1,10 @@
 //! Server for HTTP/1 and HTTP/2 with graceful shutdown.
 //!
-//! If the body of a response fails, the caller gets what came before and sees that it is incomplete:
-//! HTTP/2 resets the stream, and HTTP/1.1 closes the connection without the last chunk.
+//! If the body of a response fails, the caller sees that it is incomplete: HTTP/2 resets the stream,
+//! and HTTP/1.1 closes the connection without the last chunk. In HTTP/1.0 the end of the connection
+//! ends the body, so the connection is reset instead (see [`reset`]).
 
+mod reset;
 mod response_body;
 
 use std::io;
@@ -24,6 +26,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use self::reset::ResetSignal;
+use self::reset::ResettableStream;
 use self::response_body::ResponseBody;
 
 /// Delay before the next attempt after accepting a connection failed, in milliseconds.
@@ -78,11 +82,15 @@
             continue;
         };
         let handler = handler.clone();
+        let signal = ResetSignal::default();
+        let stream = ResettableStream::new(stream, &signal);
         let service = service_fn(move |request: Request<Incoming>| {
+            let version = request.version();
             let responding = handler(request);
+            let signal = signal.clone();
             async move {
                 let response = responding.await?;
-                Ok::<_, Closed>(response.map(ResponseBody::new))
+                Ok::<_, Closed>(response.map(|body| ResponseBody::new(body, version, &signal)))
             }
         });
         let connection = builder
--- a/crates/cranereach-http/src/server/response_body.rs
+++ b/crates/cranereach-http/src/server/response_body.rs
@@ -5,23 +5,30 @@
 use std::task::Poll;
 use std::task::ready;
 
+use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
-/// Body of a response. If it fails, its connection first sends what came before.
+use super::reset::ResetSignal;
+
+/// Body of a response. If it fails, its connection first sends what came before, and is then reset
+/// if the caller would not see the failure otherwise.
 pub(super) struct ResponseBody<B: Body> {
     body: B,
     /// Set once the body has failed.
     failure: Option<B::Error>,
+    signal: Option<ResetSignal>,
 }
 
 impl<B: Body> ResponseBody<B> {
-    /// Wraps the body of a response.
-    pub(super) fn new(body: B) -> Self {
+    /// Wraps the body of a response to a request of an HTTP version.
+    pub(super) fn new(body: B, version: Version, signal: &ResetSignal) -> Self {
+        let ends_with_connection = version < Version::HTTP_11;
         Self {
             body,
             failure: None,
+            signal: ends_with_connection.then(|| signal.clone()),
         }
     }
 }
@@ -40,6 +47,9 @@
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         let this = self.get_mut();
         if let Some(failure) = this.failure.take() {
+            if let Some(signal) = &this.signal {
+                signal.set();
+            }
             return Poll::Ready(Some(Err(failure)));
         }
         match ready!(Pin::new(&mut this.body).poll_frame(cx)) {
--- a/crates/cranereach-http/tests/failed_bodies.rs
+++ b/crates/cranereach-http/tests/failed_bodies.rs
@@ -88,3 +88,12 @@
         assert!(response.contains(BEFORE), "{version}: {response:?}");
     }
 }
+
+/// Guards against a failed body that looks complete to callers for whom the end of the connection
+/// ends the body.
+#[tokio::test]
+async fn a_failed_body_resets_the_connection_of_an_http_1_0_caller() {
+    let (address, _stop) = serve().await;
+    let (response, is_orderly) = request(address, "HTTP/1.0").await;
+    assert!(!is_orderly, "{response:?}");
+}
