A stream that ends inside an event is broken off, however its end is marked

Callers got a 200 that was framed as complete and lacked its last events. A worker's body that has neither a length nor chunks ends with its connection, and reading it to the end is no error, whether the worker was done or its run broke off. The relay took any end without an error for completeness. A stream that may not be resumed was not split into events at all, so nothing could see that it ended inside one; one that may be resumed passed the begun event on and ended as complete, too. A declared end inside an event was treated the same way.

An end after an event still is complete, declared or not.

The verdict that was only logged so far now decides: such a stream is resumed at another worker where its route allows that, or else broken off towards its caller. A Content-Length of the worker is no longer passed on with a stream: another worker may continue it, and one that is broken off at that length would look complete. An undeclared end before the first event counts as a broken connection.

--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -68,7 +68,7 @@
             WorkerPart::Frame(first_chunk) => first_chunk,
             WorkerPart::End(judged) => {
                 telemetry::record_body_end(node, call, in_flight.worker(), judged);
-                if judged.end != BodyEnd::Broken {
+                if judged.end == BodyEnd::Declared {
                     in_flight.failed();
                     return Err(Failure::Unknown);
                 }
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONTENT_LENGTH;
 use slog::info;
 
 use super::ResponseBody;
@@ -19,7 +20,6 @@
 use super::resumption::StartedStream;
 use super::stream_relay::StreamRelay;
 use super::telemetry;
-use super::worker_body::BreakReason;
 use super::worker_body::WorkerBody;
 use crate::node::pause;
 use crate::quarantine;
@@ -210,6 +210,9 @@
         let mut response = Response::new(ResponseBody::Streaming(Box::new(relay)));
         *response.status_mut() = parts.status;
         *response.headers_mut() = forwarded_headers(&parts.headers, &[]);
+        // Another worker may continue the stream, and one that breaks off must not reach a declared
+        // length.
+        response.headers_mut().remove(CONTENT_LENGTH);
         Ok(response)
     }
 
@@ -235,7 +238,7 @@
             return Err(Failure::Unknown);
         };
         telemetry::record_body_end(self.node, self.call, in_flight.worker(), judged);
-        if judged.result == Err(BreakReason::ConnectionBroke) {
+        if judged.result.is_err() {
             in_flight.broke_off();
             return Err(Failure::BrokenOff);
         }
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -2,8 +2,8 @@
 //!
 //! Nothing is buffered except an incomplete event, so that the caller's pace limits the worker's.
 //! A stream whose connection to the worker breaks is resumed on another worker if its route
-//! allows that and the id of the last event is known. Otherwise the connection to the caller is
-//! closed, so that the stream never looks complete.
+//! allows that and the id of the last event is known, and so is one that ends inside an event.
+//! Otherwise the connection to the caller is closed, so that the stream never looks complete.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -27,7 +27,6 @@
 use super::resumption::StartedStream;
 use super::resumption::StreamResumption;
 use super::telemetry;
-use super::worker_body::BreakReason;
 use super::worker_body::JudgedEnd;
 use super::worker_body::WorkerBody;
 use super::worker_body::WorkerPart;
@@ -158,7 +157,7 @@
                 }
                 WorkerPart::End(judged) => {
                     self.record_end(judged);
-                    let Err(reason @ BreakReason::ConnectionBroke) = judged.result else {
+                    let Err(reason) = judged.result else {
                         let rest = self.finish(judged.end);
                         return Poll::Ready(rest.map(|rest| Ok(Frame::data(rest))));
                     };
