Decode the version of a worker's software

The row's version was not read, so nothing could hold a stream to workers of one version. Nothing uses it yet.

--- a/crates/cranereach-bench/src/slopes/gateway.rs
+++ b/crates/cranereach-bench/src/slopes/gateway.rs
@@ -25,6 +25,7 @@
 use cranereach_fleet::regions::AllowedRegions;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::routing_request::RoutingRequest;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::topology::DomainTag;
 use cranereach_fleet::topology::Topology;
@@ -141,6 +142,7 @@
             address: "10.0.0.1:1".to_owned(),
             failure_domain: Arc::from("z1"),
             cold_for_ms: 0,
+            software: SoftwareVersion::default(),
             slot_count: 64,
             is_leaving: false,
             models: held.collect(),
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod service_time;
 pub mod shortage;
 pub mod slot_times;
+pub mod software_version;
 pub mod store_position;
 pub mod topology;
 pub mod ways;
--- a/crates/cranereach-fleet/src/worker/record.rs
+++ b/crates/cranereach-fleet/src/worker/record.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::key::incarnation_key;
+use crate::software_version::SoftwareVersion;
 
 /// A model that a worker holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +28,8 @@
     pub address: String,
     /// Failure domain that the worker runs in.
     pub failure_domain: Arc<str>,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Requests that the worker runs concurrently.
     pub slot_count: u32,
     /// Time for which the worker would still be cold when it wrote the row, in milliseconds.
--- a/crates/cranereach-fleet/tests/store_restores/instance.rs
+++ b/crates/cranereach-fleet/tests/store_restores/instance.rs
@@ -10,6 +10,7 @@
 use cranereach_fleet::listing::Listing;
 use cranereach_fleet::listing::Span;
 use cranereach_fleet::roster::Roster;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::worker::WorkerRecord;
 
@@ -237,6 +238,7 @@
         service: Arc::from("s"),
         address: format!("{id}:1"),
         failure_domain: Arc::from("z"),
+        software: SoftwareVersion::default(),
         slot_count: 8,
         is_leaving: row_state.leaves,
         cold_for_ms: 0,
--- a/crates/cranereach-fleet/tests/workers/mod.rs
+++ b/crates/cranereach-fleet/tests/workers/mod.rs
@@ -6,6 +6,7 @@
 
 use cranereach_fleet::regions::AllowedRegions;
 use cranereach_fleet::routing_request::RoutingRequest;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_fleet::topology::Topology;
 use cranereach_fleet::worker::HeldModel;
 use cranereach_fleet::worker::WorkerRecord;
@@ -23,6 +24,7 @@
         address: format!("{id}:1"),
         failure_domain: Arc::from("z"),
         cold_for_ms: 0,
+        software: SoftwareVersion::default(),
         slot_count: 8,
         is_leaving: false,
         models: models
