Entry: only the event [DONE] at the end completes a stream

A stream counted as complete if the text [DONE] was anywhere in its last 16 bytes, in whatever event. An engine whose run ended in order after a token with that text left a stream that looked complete to the entry: the caller got no error event, and the request was recorded as served.

In the test an engine ends a stream in order after such a token, with the text as late in its event as an engine may put it; before, the call had no code instead of 3002.

The new StreamEnd follows the lines: the last event that has data must consist of the marker, and nothing may follow but comments and events without data. It keeps the start of one line. How the body ended decides first: a broken body is never complete.

--- a/crates/cranereach-entry/src/callers/streamed_response.rs
+++ b/crates/cranereach-entry/src/callers/streamed_response.rs
@@ -27,12 +27,7 @@
 use cranereach_http::body_end::BodyPart;
 use cranereach_http::body_end::ResponseBody as UpstreamBody;
 use cranereach_http::pool::Connection;
-
-/// Marker that ends a complete event stream.
-const DONE_MARKER: &[u8] = b"[DONE]";
-
-/// Number of bytes kept from the end of the stream, to find [`DONE_MARKER`] across frames.
-const TAIL_BYTES: usize = 16;
+use cranereach_http::stream_end::StreamEnd;
 
 /// A response that is being forwarded.
 #[derive(Debug)]
@@ -45,7 +40,8 @@
     dispatch_guard: DispatchGuard,
     record: RequestRecord,
     deadline: Pin<Box<Sleep>>,
-    tail: Vec<u8>,
+    /// Follows the events, if the body is an event stream.
+    stream_end: StreamEnd,
     is_ended: bool,
 }
 
@@ -74,7 +70,7 @@
             dispatch_guard,
             record,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
-            tail: Vec::new(),
+            stream_end: StreamEnd::default(),
             is_ended: false,
         }
     }
@@ -109,7 +105,7 @@
         }
         match ready!(self.body.poll_part(cx)) {
             BodyPart::Frame(frame) => Poll::Ready(Some(Ok(self.record_frame(frame)))),
-            BodyPart::End(BodyEnd::Declared | BodyEnd::Closed) if self.is_complete() => {
+            BodyPart::End(end) if self.is_complete(end) => {
                 self.finish();
                 Poll::Ready(None)
             }
@@ -127,7 +123,9 @@
             };
             self.record.add_tokens(count);
             self.dispatch_guard.cost_tokens += count as f64;
-            self.update_tail(data);
+            if self.kind == BodyKind::EventStream {
+                self.stream_end.follow(data);
+            }
         }
         if self.kind == BodyKind::Plain && self.body.has_reached_declared_end() {
             self.finish();
@@ -135,24 +133,15 @@
         frame
     }
 
-    /// Keeps the last bytes of an event stream.
-    fn update_tail(&mut self, data: &[u8]) {
-        if self.kind != BodyKind::EventStream {
-            return;
+    /// Whether the forwarded frames are a complete response, now that the upstream's body ended. An
+    /// event stream says itself where it is complete.
+    fn is_complete(&self, end: BodyEnd) -> bool {
+        match end {
+            BodyEnd::Broken => false,
+            BodyEnd::Declared | BodyEnd::Closed => {
+                self.kind != BodyKind::EventStream || self.stream_end.is_complete()
+            }
         }
-        let from = data.len().saturating_sub(TAIL_BYTES);
-        self.tail.extend_from_slice(&data[from..]);
-        let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
-        self.tail.drain(..surplus);
-    }
-
-    /// Whether the forwarded frames are a complete response, now that the upstream's body ended.
-    fn is_complete(&self) -> bool {
-        self.kind != BodyKind::EventStream
-            || self
-                .tail
-                .windows(DONE_MARKER.len())
-                .any(|window| window == DONE_MARKER)
     }
 
     /// Ends a complete response and returns the connection to its pool.
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod liveness;
 pub mod pool;
 pub mod server;
+pub mod stream_end;
--- a/crates/cranereach-standin/src/engine/answer.rs
+++ b/crates/cranereach-standin/src/engine/answer.rs
@@ -71,6 +71,17 @@
     Stream(Box<Generation>),
 }
 
+/// How a stream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// With the event that ends a complete stream.
+    Marker,
+    /// Before that event, with a token that has its text.
+    MarkerText,
+    /// Inside that event.
+    CutMarker,
+}
+
 /// A streamed response that is being generated.
 #[derive(Debug)]
 struct Generation {
@@ -80,6 +91,7 @@
     next_index: u32,
     total_count: u32,
     break_after_count: Option<u32>,
+    ending: Ending,
     token_timer: Pin<Box<Sleep>>,
 }
 
@@ -164,6 +176,19 @@
         .state
         .consume_fault(|faults| &mut faults.break_stream_count)
         .then_some(2);
+    let ending = if run
+        .state
+        .consume_fault(|faults| &mut faults.marker_text_count)
+    {
+        Ending::MarkerText
+    } else if run
+        .state
+        .consume_fault(|faults| &mut faults.cut_marker_count)
+    {
+        Ending::CutMarker
+    } else {
+        Ending::Marker
+    };
     let token_timer = Box::pin(tokio::time::sleep(run.token_time()));
     let generation = Generation {
         run,
@@ -172,6 +197,7 @@
         next_index: 0,
         total_count,
         break_after_count,
+        ending,
         token_timer,
     };
     let mut answer = Response::new(EngineBody {
@@ -240,10 +266,17 @@
         let index = self.next_index;
         self.next_index += 1;
         if index < self.total_count {
-            let content = if index == 0 {
-                self.echo.clone()
-            } else {
-                format!(" t{index}")
+            let content = match index {
+                0 => self.echo.clone(),
+                1 if self.ending == Ending::MarkerText => {
+                    // The text comes as late in the event as an engine may put it.
+                    let id = json!(self.request_id);
+                    let choices = json!([{ "delta": { "content": "[DONE]" } }]);
+                    let event = format!("data: {{\"id\":{id},\"choices\":{choices}}}\n\n");
+                    return Some(Bytes::from(event));
+                }
+                2 if self.ending == Ending::MarkerText => return None,
+                index => format!(" t{index}"),
             };
             let event = json!({ "id": self.request_id, "choices": [{ "index": 0, "delta": { "content": content } }] });
             return Some(Bytes::from(format!("data: {event}\n\n")));
@@ -251,7 +284,11 @@
         if index == self.total_count {
             self.run.is_done = true;
             lock(&self.run.state.counts).token_count += u64::from(self.total_count);
-            return Some(Bytes::from_static(b"data: [DONE]\n\n"));
+            let event: &[u8] = match self.ending {
+                Ending::CutMarker => b"data: [DONE]\n",
+                Ending::Marker | Ending::MarkerText => b"data: [DONE]\n\n",
+            };
+            return Some(Bytes::from_static(event));
         }
         None
     }
--- a/crates/cranereach-standin/src/engine/state.rs
+++ b/crates/cranereach-standin/src/engine/state.rs
@@ -78,6 +78,11 @@
     pub close_unanswered_count: u32,
     /// Streams to break after two tokens.
     pub break_stream_count: u32,
+    /// Streams to end in order after two tokens, of which the second is the marker of a complete
+    /// stream as text.
+    pub marker_text_count: u32,
+    /// Streams to end in order inside the event that ends a complete stream.
+    pub cut_marker_count: u32,
     /// Responses that carry the ID of another request.
     pub wrong_request_count: u32,
     /// Responses with a body that is not a completion.
--- a/crates/cranereach-standin/src/load.rs
+++ b/crates/cranereach-standin/src/load.rs
@@ -48,6 +48,8 @@
     pub whole_us: u64,
     /// Longest time between two data frames, in microseconds.
     pub gap_max_us: u64,
+    /// Whether the body ended as declared.
+    pub has_declared_end: bool,
     /// Whether the response is complete; a stream must end with `[DONE]`.
     pub is_whole: bool,
     /// Value of the `Retry-After` header, in seconds.
@@ -133,7 +135,8 @@
             .headers()
             .get(hyper::header::CONTENT_TYPE)
             .is_some_and(|value| value == "text/event-stream");
-        if read_body(answer.into_body(), started, outcome).await {
+        outcome.has_declared_end = read_body(answer.into_body(), started, outcome).await;
+        if outcome.has_declared_end {
             outcome.is_whole = !is_stream || outcome.text.ends_with("data: [DONE]\n\n");
             connection.keep();
         }
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -55,6 +55,8 @@
     wrong_request_count: 0,
     garble_count: 0,
     refuse_count: 0,
+    marker_text_count: 0,
+    cut_marker_count: 0,
 };
 
 /// Calls each model in turn; each has to be loaded in place of another.
--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -78,6 +78,22 @@
             true,
             Some(3002),
         ),
+        (
+            "a stream that ends after a token with the text of the marker",
+            EngineFaults {
+                marker_text_count: 1,
+                ..no_faults
+            },
+            true,
+            Some(3002),
+        ),
+    ]
+}
+
+/// Faults that last longer than all retries.
+fn lasting_rows() -> Vec<Row> {
+    let no_faults = EngineFaults::default();
+    vec![
         (
             "garbled for good",
             EngineFaults {
@@ -114,7 +130,7 @@
     let warm = Call::chat("a", "m0", "warm", 1, true);
     fixture::assert_served(&deployment, 0, &warm).await;
     let engine = deployment.engines[0].stand_in.state();
-    for (name, faults, stream, code) in rows() {
+    for (name, faults, stream, code) in rows().into_iter().chain(lasting_rows()) {
         *engine.faults.lock().unwrap() = faults;
         let call = Call::chat("a", "m0", name, 6, stream);
         let outcome = deployment.call(0, &call).await;
