Entry: a stream that is aborted inside an event closes its connection

The error event followed whatever had been forwarded. Inside an event it joined the one that had begun: the caller parsed one event made of both, and the body ended as declared, with the lines of the marker complete if the engine was cut after them. In the test an engine ends a stream in order inside its last event; before, the body ended with 'data: [DONE]', 'event: error' and the last chunk.

Such a stream now ends without its last chunk (a reset for HTTP/1.0 and HTTP/2), as answers that are no streams do. Weighed: a blank line before the error event. It would complete the event that began, and if that is the marker, the stream.

--- a/crates/cranereach-entry/src/callers/streamed_response.rs
+++ b/crates/cranereach-entry/src/callers/streamed_response.rs
@@ -1,8 +1,9 @@
 //! An upstream's response that is forwarded to the caller frame by frame.
 //!
 //! Nothing is buffered, so a slow caller slows the upstream down (backpressure). An event stream
-//! that is aborted ends with an error event and without `[DONE]`; any other response that is
-//! aborted closes its connection.
+//! that is aborted between two events ends with an error event and without `[DONE]`. Inside an event
+//! there is no place for one, so that such a stream closes its connection when it is aborted, as any
+//! other response does.
 
 use std::pin::Pin;
 use std::task::Context;
@@ -160,7 +161,7 @@
         self.connection = None;
         self.record.finish(code);
         self.dispatch_guard.release(false);
-        if self.kind == BodyKind::EventStream {
+        if self.kind == BodyKind::EventStream && !self.stream_end.is_inside_event() {
             let event = error_response::event(code, &self.request_name);
             return Ok(Frame::data(event));
         }
--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -154,6 +154,26 @@
     deployment.stop().await;
 }
 
+/// Guards against a stream that ends inside its last event looking complete to its caller, whether by
+/// the end of the body or by an event that is made of the beginning of one and the error.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_inside_its_last_event_is_not_complete() {
+    let deployment = fixture::start(Shape::default()).await;
+    let warm = Call::chat("a", "m0", "warm", 1, true);
+    fixture::assert_served(&deployment, 0, &warm).await;
+    let engine = deployment.engines[0].stand_in.state();
+    *engine.faults.lock().unwrap() = EngineFaults {
+        cut_marker_count: 1,
+        ..EngineFaults::default()
+    };
+    let call = Call::chat("a", "m0", "cut", 3, true);
+    let outcome = deployment.call(0, &call).await;
+    assert_eq!(outcome.status, 200, "{outcome:?}");
+    assert!(!outcome.has_declared_end, "{outcome:?}");
+    assert!(outcome.text.ends_with("data: [DONE]\n"), "{outcome:?}");
+    deployment.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn many_callers_at_once_each_get_their_own_answer() {
     let deployment = Arc::new(
