A peer that closes before its list is not one that has nothing newer

The answer 'nothing to send' to a request for the list of workers was an empty body, and the body ends with its connection: a peer that closed the connection before its answer (it didn't understand the request, was ended, or ran into its own deadline) looked as if it had no list. Only failures count towards reading the store instead, so that an instance without a list whose peers did this would ask them again and again.

The answer now is a marker that no list begins with.

--- a/crates/cranereach-gateway/src/body_transfer.rs
+++ b/crates/cranereach-gateway/src/body_transfer.rs
@@ -178,8 +178,8 @@
     unpack(body, FETCH_MAX_BYTES as u64).ok_or_else(|| io::ErrorKind::InvalidData.into())
 }
 
-/// Requests a body from a peer over TCP; an empty body means that the peer has nothing to
-/// send.
+/// Requests a body from a peer over TCP. The body ends with the connection, so it must say itself
+/// whether it is complete; an empty one never is.
 pub(crate) async fn fetch(node: &Node, peer: Ipv4Addr, request: BodyRequest) -> io::Result<Bytes> {
     let port = node.settings.listen.peers.port();
     let fetching = async {
--- a/crates/cranereach-gateway/src/list_transfer.rs
+++ b/crates/cranereach-gateway/src/list_transfer.rs
@@ -52,6 +52,10 @@
 /// The same for a peer of another failure domain; peers of this domain are asked first.
 const OTHER_DOMAIN_LAG_MS: u64 = 1_800;
 
+/// Response body that says that there is nothing to send now. It is told from a connection that ends
+/// before the answer, and from the beginning of a list, since it begins with no valid number.
+const NOTHING_TO_SEND: &[u8] = &[0xff; 10];
+
 /// Response body: a worker list, or its changes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ListBody {
@@ -94,23 +98,22 @@
     Updated,
     /// The peer has no list, nothing newer, or no free slot to send it.
     NothingNew,
-    /// The peer could not be reached, or its answer was malformed.
+    /// The peer could not be reached, or its answer was malformed or ended early.
     Failed,
 }
 
 /// Answers a peer whose list is complete at position `known`.
 ///
-/// An empty body means that there is nothing to send now. The permit, if any, must be held
-/// until the body is sent.
+/// The permit, if any, must be held until the body is sent.
 pub fn answer(node: &Node, known: StorePosition) -> (Bytes, Option<SemaphorePermit<'_>>) {
     let Some(age_ms) = lock(&node.list).age_ms(node.now_ms()) else {
-        return (Bytes::new(), None);
+        return (Bytes::from_static(NOTHING_TO_SEND), None);
     };
     if let Some(list) = changes_since(node, known, age_ms) {
         return (encode_body(list, None), None);
     }
     let Ok(slot) = node.list_sending.send_slots.try_acquire() else {
-        return (Bytes::new(), None);
+        return (Bytes::from_static(NOTHING_TO_SEND), None);
     };
     let (list, history) = whole_list(node, age_ms);
     (encode_body(list, Some(history)), Some(slot))
@@ -186,9 +189,12 @@
     let Ok(body) = body_transfer::fetch(node, peer, BodyRequest::Workers(known)).await else {
         return FetchOutcome::Failed;
     };
-    if body.is_empty() {
+    if body == NOTHING_TO_SEND {
         return FetchOutcome::NothingNew;
     }
+    if body.is_empty() {
+        return FetchOutcome::Failed;
+    }
     let Ok(ListBody { list, history }) = postcard::from_bytes(&body) else {
         return count_malformed(node);
     };
