A datagram that is larger than the buffer is dropped, not cut

What doesn't fit into the buffer of a datagram is lost without an error, and the message at its beginning was taken for all of it. Parts that other versions append after a message may be absent, so the content doesn't show the cut. The buffer now has one byte more than the largest datagram, and decoding refuses what fills it. No sender of today is known to write such a datagram: lists are bounded below it, and other cut messages failed to decode before, too.

--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -227,7 +227,8 @@
 
 /// Receives messages from peers until the process ends.
 pub async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    // One byte more than the largest datagram, so that larger ones, which are cut, are recognized.
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES + 1];
     loop {
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             pause(ROUND_MIN_INTERVAL_MS).await;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -221,7 +221,9 @@
     encoded
 }
 
-/// Decodes a datagram; `None` if it is malformed or of another version.
+/// Decodes a datagram; `None` if it is malformed, too large or of another version. The part of a
+/// datagram that follows its message may be absent, so that one that was cut can't be told from a
+/// whole one by its content.
 ///
 /// ```
 /// use cranereach_fleet::reachability::ReachReport;
@@ -237,6 +239,9 @@
 /// assert_eq!(decode(b"nonsense"), None);
 /// ```
 pub fn decode(datagram: &[u8]) -> Option<Message> {
+    if datagram.len() > DATAGRAM_MAX_BYTES {
+        return None;
+    }
     let (datagram, rest) = postcard::take_from_bytes::<Datagram>(datagram).ok()?;
     if datagram.version != VERSION {
         return None;
