Tests: no beginning of a message or file is taken for all of it

Rows, acknowledged writes, workers' rows, reports, configurations, declarations and settings are cut at each byte. JsonClient relies on this for bodies whose end isn't declared.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod cli;
 mod configuration;
+mod cut_files;
 mod docs;
 mod explain;
 mod fixture;
