apply: a base version that can't be read is an error, not version 0

The file with the version that a folder is based on was read with any error taken for 'none recorded'. A folder whose base file was cut, as an interrupted write leaves it, was merged as if it were based on nothing: its files all counted as the operator's changes, and declarations that another one had removed came back without a conflict.

Only a missing file means version 0 now; apply ends with exit code 1 and names the file.

--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -36,7 +36,13 @@
         Err(exit) => return exit,
     };
     let stores = Stores::new(&settings.platform.table, &settings.platform.objects);
-    let base_version = folder::read_base_version(&options.folder);
+    let base_version = match folder::read_base_version(&options.folder) {
+        Ok(base_version) => base_version,
+        Err(error) => {
+            eprintln!("{error}");
+            return Exit::Failure;
+        }
+    };
     let change_id = options
         .change
         .clone()
--- a/src/cmd/folder.rs
+++ b/src/cmd/folder.rs
@@ -20,7 +20,7 @@
 const BASE_FILE: &str = "cranereach.base";
 
 /// Configuration version that a folder is based on.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Base {
     version: u64,
@@ -95,10 +95,16 @@
     write_base_version(path, version)
 }
 
-/// Returns the base version of a folder; zero if none is recorded.
-pub fn read_base_version(path: &Path) -> u64 {
-    let base: Option<Base> = cranereach_wire::jsonc::read_file(&path.join(BASE_FILE)).ok();
-    base.unwrap_or_default().version
+/// Returns the base version of a folder; zero if none is recorded. One that can't be read is an error,
+/// since a folder based on nothing would bring back what others have removed.
+pub fn read_base_version(path: &Path) -> Result<u64, FileError> {
+    match cranereach_wire::jsonc::read_file::<Base>(&path.join(BASE_FILE)) {
+        Ok(base) => Ok(base.version),
+        Err(FileError::Unreadable { source, .. }) if source.kind() == io::ErrorKind::NotFound => {
+            Ok(0)
+        }
+        Err(error) => Err(error),
+    }
 }
 
 /// Records the base version of a folder.
--- a/tests/testsuite/cut_files.rs
+++ b/tests/testsuite/cut_files.rs
@@ -4,6 +4,8 @@
 use std::fs;
 use std::path::Path;
 
+use crate::harness;
+use crate::harness::ProcessDeployment;
 use cranereach_entry::settings::Settings;
 use cranereach_wire::folder::Folder;
 use cranereach_wire::jsonc;
@@ -44,3 +46,28 @@
         parse(&text).expect_err(&text);
     }
 }
+
+/// Guards against a folder whose base version was cut being merged as if it were based on nothing:
+/// declarations that another operator removed would come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_folder_with_a_cut_base_version_is_not_applied() {
+    let deployment = ProcessDeployment::start("cut-base").await;
+    let settings = deployment.folder.join("entry-1.jsonc");
+    let settings = settings.display().to_string();
+    let folders = ["one", "other"].map(|name| deployment.folder.join(name));
+    let run = |command: &str, folder: &Path| {
+        let folder = folder.display().to_string();
+        harness::run(&[command, "--settings", &settings, &folder])
+    };
+    let [one, other] = &folders;
+    assert_eq!(run("pull", one).0, 0);
+    fs::write(one.join("extra.jsonc"), "{}").unwrap();
+    assert_eq!(run("apply", one).0, 0);
+    assert_eq!(run("pull", other).0, 0);
+    fs::remove_file(one.join("extra.jsonc")).unwrap();
+    assert_eq!(run("apply", one).0, 0);
+    fs::write(other.join("cranereach.base"), "").unwrap();
+    let (exit, output, errors) = run("apply", other);
+    assert_eq!(exit, 1, "{output}{errors}");
+    assert!(errors.contains("cranereach.base"), "{errors}");
+}
