Offers that a call has used are counted in a type of their own

The state of a call held twelve fields, five of which were copied one by one when a stream is resumed. They are one value now that the resumed stream continues with; the limit on failed runs is counted where failures are classed. Behaviour is unchanged.

Tests: stream_resumption, poison_requests and resting_workers of the gateway pass.

--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -263,7 +263,7 @@
     /// Whether the call may be retried on another worker if this one fails.
     pub(super) fn may_retry(&self) -> bool {
         let route = &self.call.route;
-        route.may_repeat() && self.run_count + 1 < route.attempt_max_count
+        route.may_repeat() && self.history.run_count() + 1 < route.attempt_max_count
     }
 
     /// Applies admission control: rejects a call that would begin so late that a later retry is
@@ -320,7 +320,7 @@
             regions: &self.call.regions,
             end_count: quarantine::suspicion(self.node, self.call).end_count,
             must_avoid_grants: self.has_exhausted_permits(),
-            tried: &self.tried,
+            tried: self.history.tried(),
         }
     }
 }
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -14,6 +14,7 @@
 
 use super::ResponseBody;
 use super::broken_connection;
+use super::offer_history::OfferHistory;
 use super::refusal::NO_HOLDER_RETRY_AFTER_MS;
 use super::refusal::Refusal;
 use super::request::Call;
@@ -45,39 +46,20 @@
 pub(super) struct Exchange<'a> {
     pub(super) node: &'a Arc<Node>,
     pub(super) call: &'a Arc<Call>,
-    /// Workers that the call was offered to, in order; a worker may be listed twice.
-    pub(super) tried: Vec<Arc<str>>,
+    /// Offers that the call has used so far.
+    pub(super) history: OfferHistory,
     last_choice: Option<Choice>,
     /// Id of the last event that the caller has received, if a stream is resumed.
     pub(super) last_event: Option<String>,
     /// Complete error response of a worker, kept while the call is retried. It is passed on if no
     /// retry succeeds.
     pub(super) failed_response: Option<Response<ResponseBody>>,
-    /// Number of offers, including those that never reached a worker.
-    offer_count: usize,
     /// Number of times that a worker was chosen but no permit to send was given.
     no_permit_count: usize,
-    /// Number of failed offers that a worker may have run; limited by the route.
-    pub(super) run_count: u32,
     /// Whether a worker may have run the call in an earlier offer.
     pub(super) may_have_run: bool,
     /// Whether the call is being sent or has been sent in the current offer.
     pub(super) may_run_now: bool,
-    /// Whether it was already known, when the call was last sent, that a worker had ended while it
-    /// ran a request with the same fingerprint.
-    pub(super) earlier_end_known: bool,
-}
-
-/// Offers that a call has used so far. A resumed stream continues with these counts, so that the
-/// limits of the call apply to it as a whole.
-#[derive(Clone, Debug, Default)]
-pub(super) struct OfferHistory {
-    tried: Vec<Arc<str>>,
-    offer_count: usize,
-    run_count: u32,
-    /// Whether it was already known, when the call was last sent, that a worker had ended while it
-    /// ran a request with the same fingerprint.
-    pub(super) earlier_end_known: bool,
 }
 
 /// Runs a call until it has a response or a refusal, either within its deadline.
@@ -85,7 +67,7 @@
     node.note_request(&call.service.name);
     workload::note_demand(node, call);
     let deadline = node.instant(call.deadline_at_ms);
-    let mut exchange = Exchange::new(node, call);
+    let mut exchange = Exchange::new(node, call, OfferHistory::default());
     let ended = tokio::time::timeout_at(deadline, exchange.run()).await;
     let result = ended.unwrap_or_else(|_elapsed| {
         let code = if exchange.may_run_now || exchange.may_have_run {
@@ -93,7 +75,7 @@
         } else {
             ResultCode::DeadlinePassed
         };
-        if let (true, Some(worker)) = (exchange.may_run_now, exchange.tried.last()) {
+        if let (true, Some(worker)) = (exchange.may_run_now, exchange.history.tried().last()) {
             let now_ms = node.now_ms();
             let is_path_cut = node.paths.is_silently_cut(now_ms, worker);
             if let Some(worker) = node.roster().get_mut(worker)
@@ -128,18 +110,14 @@
     last_event: Option<String>,
     worker_check: JoinHandle<ProbeResult>,
 ) -> Result<(StartedStream, OfferHistory), Refusal> {
-    let mut exchange = Exchange::new(node, call);
-    exchange.tried = history.tried;
-    exchange.offer_count = history.offer_count;
-    exchange.run_count = history.run_count;
+    let mut exchange = Exchange::new(node, call, history);
     exchange.last_event = last_event;
-    exchange.earlier_end_known = history.earlier_end_known;
     wait_for_worker_check(worker_check).await;
     exchange.check_retry(Failure::BrokenOff)?;
     loop {
         let choice = exchange.next_choice().await?;
         let failure = match exchange.offer_resumption(&choice).await {
-            Ok(started) => return Ok((started, exchange.history())),
+            Ok(started) => return Ok((started, exchange.history)),
             Err(failure) => failure,
         };
         exchange.handle_failure(&choice, failure).await?;
@@ -155,36 +133,23 @@
 }
 
 impl<'a> Exchange<'a> {
-    /// Creates the state of a call that has not been offered to any worker yet.
-    fn new(node: &'a Arc<Node>, call: &'a Arc<Call>) -> Self {
+    /// Creates the state of a call that has used some offers.
+    fn new(node: &'a Arc<Node>, call: &'a Arc<Call>, history: OfferHistory) -> Self {
         Self {
             node,
             call,
-            tried: Vec::new(),
+            history,
             last_choice: None,
             last_event: None,
             failed_response: None,
-            offer_count: 0,
             no_permit_count: 0,
-            run_count: 0,
             may_have_run: false,
             may_run_now: false,
-            earlier_end_known: false,
         }
     }
 }
 
 impl Exchange<'_> {
-    /// Returns the offers used so far.
-    pub(super) fn history(&self) -> OfferHistory {
-        OfferHistory {
-            tried: self.tried.clone(),
-            offer_count: self.offer_count,
-            run_count: self.run_count,
-            earlier_end_known: self.earlier_end_known,
-        }
-    }
-
     /// Offers the call to workers until there is a response or a final failure.
     async fn run(&mut self) -> Result<Response<ResponseBody>, Refusal> {
         loop {
@@ -200,8 +165,7 @@
     /// Undoes an offer for which no permit to send was given, so that another worker can be
     /// chosen.
     fn revert_offer(&mut self) {
-        self.offer_count -= 1;
-        self.tried.pop();
+        self.history.revert_offer();
         self.no_permit_count += 1;
     }
 
@@ -213,14 +177,12 @@
     /// Chooses the next worker and records that the call is offered to it.
     async fn next_choice(&mut self) -> Result<Choice, Refusal> {
         let choice = self.choose().await?;
-        let earlier_offers = self.tried.iter().filter(|tried| **tried == choice.id);
-        if earlier_offers.count() >= SAME_WORKER_MAX_COUNT {
+        if self.history.offer_count_at(&choice.id) >= SAME_WORKER_MAX_COUNT {
             let mut refusal = self.refusal(self.no_worker_code(), "no other worker left");
             refusal.retry_after_ms = NO_HOLDER_RETRY_AFTER_MS;
             return Err(refusal);
         }
-        self.offer_count += 1;
-        self.tried.push(Arc::clone(&choice.id));
+        self.history.begin_offer(&choice.id);
         self.last_choice = Some(choice.clone());
         Ok(choice)
     }
@@ -234,7 +196,7 @@
         }
         info!(self.node.log, "offer failed"; "request" => self.call.id.clone(),
             "worker" => choice.id.as_ref(), "failure" => format!("{failure:?}"),
-            "offer" => self.offer_count);
+            "offer" => self.history.offer_count());
         if failure == Failure::Quarantined {
             let code = if self.may_have_run {
                 ResultCode::OutcomeUnknown
@@ -249,7 +211,7 @@
                 self.node,
                 self.call,
                 &choice.id,
-                self.earlier_end_known,
+                self.history.earlier_end_known,
             );
             wait_for_worker_check(worker_check).await;
         }
@@ -267,11 +229,11 @@
 
     /// Decides whether a failed call is retried on another worker, and spends the retry budget.
     fn check_retry(&mut self, failure: Failure) -> Result<(), Refusal> {
+        self.history.note_failure(failure);
         if failure.may_have_run() {
             self.may_have_run = true;
-            self.run_count += 1;
             let may_repeat = self.call.route.may_repeat();
-            if !may_repeat || self.run_count >= self.call.route.attempt_max_count {
+            if !may_repeat || self.history.run_count() >= self.call.route.attempt_max_count {
                 return Err(self.refusal(ResultCode::OutcomeUnknown, "no whole answer"));
             }
         }
@@ -283,7 +245,7 @@
             return Err(self.suspect_refusal(ResultCode::OutcomeUnknown, detail));
         }
         let spends_budget = failure != Failure::NotSent;
-        if self.offer_count >= OFFER_MAX_COUNT {
+        if self.history.offer_count() >= OFFER_MAX_COUNT {
             return Err(self.refusal(self.no_worker_code(), "maximum number of offers reached"));
         }
         if spends_budget && !self.node.spend_retry(&self.call.service.name) {
@@ -310,7 +272,7 @@
     /// Makes a refusal of the call.
     pub(super) fn refusal(&self, code: ResultCode, detail: &str) -> Refusal {
         let mut refusal = Refusal::new(code, &self.call.id);
-        refusal.detail = format!("{detail}; offers {}", self.offer_count);
+        refusal.detail = format!("{detail}; offers {}", self.history.offer_count());
         refusal.route = Some(Arc::clone(&self.call.route.name));
         refusal
     }
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! [`exchange`] offers the call to workers until there is a response or a final failure:
 //! [`choosing`] selects each worker, [`sending`] makes one offer, [`in_flight`] counts the call
 //! at the worker, and [`broken_connection`] checks whether a worker ended while it ran the call.
+//! [`offer_history`] counts the offers that a call has used.
 //! [`workload`] estimates the work of a call. [`response_head`] checks the head of a response,
 //! [`worker_body`] judges how its body ended,
 //! [`stream_relay`] relays a stream to the caller, and [`resumption`] resumes it on another
@@ -19,6 +20,7 @@
 mod choosing;
 mod exchange;
 mod in_flight;
+mod offer_history;
 mod refusal;
 mod request;
 mod response_head;
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -18,8 +18,8 @@
 use tokio::task::JoinHandle;
 
 use super::exchange;
-use super::exchange::OfferHistory;
 use super::in_flight::InFlightCall;
+use super::offer_history::OfferHistory;
 use super::refusal::Refusal;
 use super::request::Call;
 use super::response_head::Failure;
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -94,7 +94,7 @@
         if suspicion.is_quarantined {
             return Err(Failure::Quarantined);
         }
-        self.earlier_end_known = suspicion.end_count > 0;
+        self.history.earlier_end_known = suspicion.end_count > 0;
         self.count_send(choice);
         let request = self
             .call
@@ -206,7 +206,7 @@
     /// Waits for the first chunk, so that a stream that never began can be retried.
     async fn begin_stream(&self, head: ResponseHead) -> Result<Response<ResponseBody>, Failure> {
         let (parts, started) = StartedStream::from_head(self.node, self.call, head).await?;
-        let relay = StreamRelay::new(self.node, self.call, started, self.history());
+        let relay = StreamRelay::new(self.node, self.call, started, self.history.clone());
         let mut response = Response::new(ResponseBody::Streaming(Box::new(relay)));
         *response.status_mut() = parts.status;
         *response.headers_mut() = forwarded_headers(&parts.headers, &[]);
@@ -260,7 +260,10 @@
         *response.status_mut() = parts.status;
         *response.headers_mut() = forwarded_headers(&parts.headers, &[]);
         let may_repeat = self.call.route.may_repeat();
-        if is_failure && may_repeat && self.run_count + 1 < self.call.route.attempt_max_count {
+        if is_failure
+            && may_repeat
+            && self.history.run_count() + 1 < self.call.route.attempt_max_count
+        {
             self.failed_response = Some(response);
             return Err(Failure::Unknown);
         }
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -20,8 +20,8 @@
 use tokio::time::Sleep;
 
 use super::broken_connection;
-use super::exchange::OfferHistory;
 use super::in_flight::InFlightCall;
+use super::offer_history::OfferHistory;
 use super::request::Call;
 use super::resumption::ReusableConnection;
 use super::resumption::StartedStream;
