A stream goes on only at workers of the software version that began it

Callers got answers whose events came from workers of two software versions, which don't fit together: a stream that broke off was taken up by any worker that serves the model, and workers don't check it.

The version is that of the row by which the call was sent, taken with the permit and kept with the stream, so that it doesn't matter what became of the row since. From the first event on, it is a requirement of all further offers. It filters the choice, and the permit, the last thing before the write, checks it again. A stream of which the caller has no event stays free and takes the version of the worker that sends the first one. Repeated calls and streams that may not be resumed are not touched.

If no worker of the version is left, the stream ends broken at once. The line says which version was required, and streams_broken_total counts it as other_version. The reason ranks above a missing model, so that nothing is loaded for it in vain. Result code 2020 (version_gone) is for calls that are bound to a version from their start; nothing binds them yet.

That the row changes between choice and write is tested at the permit, not through a whole call.

--- a/crates/cranereach-core/src/codes.rs
+++ b/crates/cranereach-core/src/codes.rs
@@ -106,6 +106,7 @@
     WorkersLimited = 2017, "workers_limited", 503, No, Later, "The workers that hold what the request needs say how many requests they take, and get no more for now.";
     WorkersLeaving = 2018, "workers_leaving", 503, No, Later, "The workers that could serve the request say that they leave, and others aren't there yet.";
     WorkersResting = 2019, "workers_resting", 503, No, Later, "The workers that hold what the request needs asked for rest, and get nothing until its end.";
+    VersionGone = 2020, "version_gone", 503, No, AfterChange, "No worker has the software version that began the stream; ask for it from its start.";
     OutcomeUnknown = 3001, "outcome_unknown", 502, Unknown, OnlyIfSafe, "The upstream got the request, and no whole answer came.";
     BrokenMidway = 3002, "broken_midway", 502, Unknown, OnlyIfSafe, "The answer broke off after it had begun.";
     DeadlinePassedRunning = 3003, "deadline_passed_running", 504, Unknown, OnlyIfSafe, "The deadline passed while the upstream worked.";
--- a/crates/cranereach-fleet/src/no_worker.rs
+++ b/crates/cranereach-fleet/src/no_worker.rs
@@ -14,6 +14,9 @@
     Unreachable,
     /// No worker holds the model.
     NoModel,
+    /// The software of the workers that could be sent the request has another version than the one
+    /// that began the stream.
+    OtherVersion,
     /// All workers that hold the model are in failure domains that are being evacuated.
     Evacuated,
     /// All workers that hold the model and could be sent the request are cold, and get no more for
--- a/crates/cranereach-fleet/src/roster/holders.rs
+++ b/crates/cranereach-fleet/src/roster/holders.rs
@@ -106,8 +106,15 @@
         });
         let mut reason = NoWorker::None;
         let is_allowed = others.any(|worker| {
-            reason = NoWorker::NotAllowed;
-            request.may_be_served_at(&worker.record)
+            if !request.may_be_served_at(&worker.record) {
+                reason = reason.max(NoWorker::NotAllowed);
+                return false;
+            }
+            if !request.accepts_version_of(&worker.record) {
+                reason = NoWorker::OtherVersion;
+                return false;
+            }
+            true
         });
         if is_allowed {
             NoWorker::NoModel
--- a/crates/cranereach-fleet/src/roster/restrictions.rs
+++ b/crates/cranereach-fleet/src/roster/restrictions.rs
@@ -68,7 +68,10 @@
         let is_blocked = |worker: &&Worker| {
             let may_send = worker.rest.may_send(now_ms, request.rank)
                 && worker.ask_pause.may_ask(now_ms, request.rank);
-            !worker.is_leaving() && worker.has(now_ms, request.model).is_ok() && !may_send
+            !worker.is_leaving()
+                && request.accepts_version_of(&worker.record)
+                && worker.has(now_ms, request.model).is_ok()
+                && !may_send
         };
         let all: Vec<&Worker> = match request.model {
             Some((model, _adapter)) => {
--- a/crates/cranereach-fleet/src/roster/scoring.rs
+++ b/crates/cranereach-fleet/src/roster/scoring.rs
@@ -49,6 +49,10 @@
             reason = reason.max(NoWorker::NotAllowed);
             continue;
         }
+        if !request.accepts_version_of(&worker.record) {
+            reason = reason.max(NoWorker::OtherVersion);
+            continue;
+        }
         let held = worker.has(now_ms, request.model);
         if !evacuations.may_send(now_ms, worker.domain_key) {
             let lacks_model = held == Err(NoWorker::NoModel);
--- a/crates/cranereach-fleet/src/routing_request.rs
+++ b/crates/cranereach-fleet/src/routing_request.rs
@@ -40,6 +40,9 @@
     pub extra_start_delays_ms: [f64; 3],
     /// Regions in which the request may be served.
     pub regions: &'a AllowedRegions,
+    /// Key of the version that the worker's software must have; none if any will do. See
+    /// [`crate::software_version::SoftwareVersion::key`].
+    pub required_version_key: Option<u64>,
     /// Number of workers that ended in a row while running an equal request.
     pub end_count: usize,
     /// Whether only workers that need no send grant may be chosen, because none could be
@@ -55,4 +58,10 @@
         let region = self.topology.region_of(&record.failure_domain);
         self.regions.allows(region.map(AsRef::as_ref))
     }
+
+    /// Whether the software of a worker has the version that the request requires.
+    pub fn accepts_version_of(&self, record: &WorkerRecord) -> bool {
+        self.required_version_key
+            .is_none_or(|required_key| record.software.key() == required_key)
+    }
 }
--- a/crates/cranereach-fleet/tests/workers/mod.rs
+++ b/crates/cranereach-fleet/tests/workers/mod.rs
@@ -55,6 +55,7 @@
         topology: &TOPOLOGY,
         extra_start_delays_ms: [0.0; 3],
         regions: &ANY_REGION,
+        required_version_key: None,
         end_count: 0,
         must_avoid_grants: false,
         tried: &[],
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -212,7 +212,8 @@
     let format = &node.adapter.engine;
     let body = Bytes::from((format.encode_order)(&order));
     let permit = || async {
-        let permit = send_permit::ask(node, worker, Purpose::Order, LEAST_URGENT_RANK).await?;
+        let permit =
+            send_permit::ask(node, worker, Purpose::Order, LEAST_URGENT_RANK, None).await?;
         // Last check of the lease before the order is sent.
         (lease_state.token(node.now_ms()) == Some(token)).then_some(permit)
     };
@@ -252,7 +253,7 @@
     worker: &Arc<str>,
 ) -> Option<WorkerState> {
     let format = &node.adapter.engine;
-    let permit = || send_permit::ask(node, worker, Purpose::Report, LEAST_URGENT_RANK);
+    let permit = || send_permit::ask(node, worker, Purpose::Report, LEAST_URGENT_RANK, None);
     let answer = client
         .get_with_permit(format.report_path, REPORT_TIMEOUT_MS, permit)
         .await;
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -99,8 +99,10 @@
                     NoWorker::Resting => ResultCode::WorkersResting,
                     NoWorker::NoModel | NoWorker::NoAdapter => ResultCode::NotResident,
                     NoWorker::NotAlone => ResultCode::NotAlone,
+                    NoWorker::OtherVersion => ResultCode::VersionGone,
                 };
                 let mut refusal = self.refusal(code, &format!("{why:?} {:?}", call.model()));
+                refusal.lacks_version = why == NoWorker::OtherVersion;
                 match why {
                     NoWorker::NoModel | NoWorker::Evacuated => {
                         refusal.retry_after_ms = self.model_retry_after_ms();
@@ -114,7 +116,10 @@
                     NoWorker::Unreachable | NoWorker::Leaving => {
                         refusal.retry_after_ms = NO_HOLDER_RETRY_AFTER_MS;
                     }
-                    NoWorker::None | NoWorker::NotAllowed | NoWorker::NoAdapter => {}
+                    NoWorker::None
+                    | NoWorker::NotAllowed
+                    | NoWorker::NoAdapter
+                    | NoWorker::OtherVersion => {}
                 }
                 return Err(refusal);
             }
@@ -133,9 +138,11 @@
         let received_ms = self.call.received_ms;
         let target_at_ms = received_ms + self.call.route.latency_target_ms;
         match why {
-            NoWorker::None | NoWorker::Leaving | NoWorker::NotAllowed | NoWorker::Unreachable => {
-                received_ms
-            }
+            NoWorker::None
+            | NoWorker::Leaving
+            | NoWorker::NotAllowed
+            | NoWorker::Unreachable
+            | NoWorker::OtherVersion => received_ms,
             NoWorker::Cold | NoWorker::Limited | NoWorker::Resting => {
                 let latest_ms = received_ms
                     + (self.call.route.latency_target_ms as f64 * GRANT_WAIT_SHARE) as u64;
@@ -318,6 +325,7 @@
             topology: &self.node.topology,
             extra_start_delays_ms: lock(&self.node.round_trips).extra_start_delays_ms(),
             regions: &self.call.regions,
+            required_version_key: self.history.requirement.key(),
             end_count: quarantine::suspicion(self.node, self.call).end_count,
             must_avoid_grants: self.has_exhausted_permits(),
             tried: self.history.tried(),
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -21,6 +21,7 @@
 use super::response_head::Failure;
 use super::resumption::StartedStream;
 use super::telemetry;
+use super::version_requirement::VersionRequirement;
 use super::workload;
 use crate::node::Node;
 use crate::quarantine;
@@ -62,12 +63,17 @@
     pub(super) may_run_now: bool,
 }
 
-/// Runs a call until it has a response or a refusal, either within its deadline.
-pub async fn run(node: &Arc<Node>, call: &Arc<Call>) -> Result<Response<ResponseBody>, Refusal> {
+/// Runs a call until it has a response or a refusal, either within its deadline. Only workers that
+/// fulfil the requirement are sent it.
+pub(super) async fn run(
+    node: &Arc<Node>,
+    call: &Arc<Call>,
+    requirement: VersionRequirement,
+) -> Result<Response<ResponseBody>, Refusal> {
     node.note_request(&call.service.name);
     workload::note_demand(node, call);
     let deadline = node.instant(call.deadline_at_ms);
-    let mut exchange = Exchange::new(node, call, OfferHistory::default());
+    let mut exchange = Exchange::new(node, call, OfferHistory::new(requirement));
     let ended = tokio::time::timeout_at(deadline, exchange.run()).await;
     let result = ended.unwrap_or_else(|_elapsed| {
         let code = if exchange.may_run_now || exchange.may_have_run {
@@ -179,6 +185,7 @@
         let choice = self.choose().await?;
         if self.history.offer_count_at(&choice.id) >= SAME_WORKER_MAX_COUNT {
             let mut refusal = self.refusal(self.no_worker_code(), "no other worker left");
+            refusal.lacks_version = self.passes_over_other_versions();
             refusal.retry_after_ms = NO_HOLDER_RETRY_AFTER_MS;
             return Err(refusal);
         }
@@ -218,6 +225,15 @@
         self.check_retry(failure)
     }
 
+    /// Whether workers of the service are passed over because of the version of their software.
+    fn passes_over_other_versions(&self) -> bool {
+        let requirement = &self.history.requirement;
+        let roster = self.node.roster();
+        roster
+            .of_service(&self.call.service.name)
+            .any(|worker| !worker.is_leaving() && !requirement.accepts(&worker.record.software))
+    }
+
     /// Returns the result code of a call for which no worker is left.
     fn no_worker_code(&self) -> ResultCode {
         if self.may_have_run {
@@ -273,6 +289,10 @@
     pub(super) fn refusal(&self, code: ResultCode, detail: &str) -> Refusal {
         let mut refusal = Refusal::new(code, &self.call.id);
         refusal.detail = format!("{detail}; offers {}", self.history.offer_count());
+        if self.history.requirement.key().is_some() {
+            let required = format!("; software version {}", self.history.requirement);
+            refusal.detail.push_str(&required);
+        }
         refusal.route = Some(Arc::clone(&self.call.route.name));
         refusal
     }
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -4,7 +4,8 @@
 //! [`exchange`] offers the call to workers until there is a response or a final failure:
 //! [`choosing`] selects each worker, [`sending`] makes one offer, [`in_flight`] counts the call
 //! at the worker, and [`broken_connection`] checks whether a worker ended while it ran the call.
-//! [`offer_history`] counts the offers that a call has used.
+//! [`offer_history`] counts the offers that a call has used, and [`version_requirement`] is the
+//! version of the workers' software that it is bound to.
 //! [`workload`] estimates the work of a call. [`response_head`] checks the head of a response,
 //! [`worker_body`] judges how its body ended,
 //! [`stream_relay`] relays a stream to the caller, and [`resumption`] resumes it on another
@@ -28,6 +29,7 @@
 mod sending;
 mod stream_relay;
 mod telemetry;
+mod version_requirement;
 mod worker_body;
 mod workload;
 
@@ -52,6 +54,7 @@
 pub use self::request::Call;
 use self::stream_relay::StreamInterrupted;
 use self::stream_relay::StreamRelay;
+use self::version_requirement::VersionRequirement;
 use crate::account_limits;
 use crate::account_limits::Charge;
 use crate::account_limits::Denied;
@@ -134,7 +137,7 @@
         return Err(quarantined(node, &call));
     }
     let charge = charge(node, &call).await?;
-    let result = exchange::run(node, &call).await;
+    let result = exchange::run(node, &call, VersionRequirement::default()).await;
     if result
         .as_ref()
         .is_err_and(|refusal| refusal.code.row().ran == Ran::No)
--- a/crates/cranereach-gateway/src/forward/offer_history.rs
+++ b/crates/cranereach-gateway/src/forward/offer_history.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::response_head::Failure;
+use super::version_requirement::VersionRequirement;
 
 /// Offers that a call has used so far. A resumed stream continues with these counts, so that the
 /// limits of the call apply to it as a whole.
@@ -17,9 +18,19 @@
     /// Whether it was already known, when the call was last sent, that a worker had ended while it
     /// ran a request with the same fingerprint.
     pub earlier_end_known: bool,
+    /// Version that the workers of all further offers must have. It remains as the stream goes on.
+    pub requirement: VersionRequirement,
 }
 
 impl OfferHistory {
+    /// Creates the history of a call that has not been offered to any worker yet.
+    pub fn new(requirement: VersionRequirement) -> Self {
+        Self {
+            requirement,
+            ..Self::default()
+        }
+    }
+
     /// Records that the call is offered to a worker.
     pub fn begin_offer(&mut self, worker: &Arc<str>) {
         self.offer_count += 1;
--- a/crates/cranereach-gateway/src/forward/refusal.rs
+++ b/crates/cranereach-gateway/src/forward/refusal.rs
@@ -42,6 +42,9 @@
     pub route: Option<Arc<str>>,
     /// Fingerprint of the request, if that is the reason for the refusal.
     pub fingerprint: Option<Fingerprint>,
+    /// Whether workers were passed over because their software has another version than the one
+    /// that began the stream.
+    pub lacks_version: bool,
 }
 
 impl Refusal {
@@ -55,6 +58,7 @@
             request_id: request_id.to_owned(),
             route: None,
             fingerprint: None,
+            lacks_version: false,
         }
     }
 
--- a/crates/cranereach-gateway/src/forward/response_head.rs
+++ b/crates/cranereach-gateway/src/forward/response_head.rs
@@ -12,6 +12,7 @@
 use crate::send_permit::Permit;
 use crate::worker_headers;
 use crate::worker_headers::WorkerHeaders;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::ResponseBody;
 use cranereach_http::pool::Connection;
 
@@ -53,6 +54,8 @@
     pub keep_alive_ms: Option<u64>,
     /// In-flight count of the call at the worker.
     pub in_flight: InFlightCall,
+    /// Version of the worker's software according to the row by which the call was sent.
+    pub software: SoftwareVersion,
 }
 
 /// Processes the head of a response, and checks that it belongs to this call and that the worker
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -29,6 +29,7 @@
 use super::worker_body::WorkerPart;
 use crate::node::Node;
 use crate::worker_ends;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::pool::Connection;
 
@@ -47,6 +48,8 @@
     pub connection: ReusableConnection,
     /// In-flight count of the call at the worker.
     pub in_flight: InFlightCall,
+    /// Version of the worker's software according to the row by which the call was sent.
+    pub software: SoftwareVersion,
 }
 
 impl StartedStream {
@@ -61,6 +64,7 @@
             connection,
             keep_alive_ms,
             mut in_flight,
+            software,
         } = head;
         let (parts, body) = response.into_parts();
         let mut body = WorkerBody::new(body, &parts.headers, true);
@@ -82,6 +86,7 @@
             body,
             connection: (connection, keep_alive_ms),
             in_flight,
+            software,
         };
         Ok((parts, started))
     }
@@ -94,16 +99,19 @@
 #[derive(Debug)]
 pub(super) struct StreamResumption {
     task: JoinHandle<ResumeResult>,
+    /// Worker that broke the stream off.
+    pub from: Arc<str>,
     started_at: Instant,
 }
 
 impl StreamResumption {
     /// Starts to look for a worker that resumes the stream after `last_event`, or from the start
     /// if the caller has received no event yet. `worker_check` returns what became of the worker
-    /// whose connection broke.
+    /// `from`, whose connection broke.
     pub(super) fn spawn(
         node: &Arc<Node>,
         call: &Arc<Call>,
+        from: Arc<str>,
         history: OfferHistory,
         last_event: Option<String>,
         worker_check: JoinHandle<worker_ends::ProbeResult>,
@@ -115,6 +123,7 @@
         });
         Self {
             task,
+            from,
             started_at: Instant::now(),
         }
     }
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -80,7 +80,15 @@
         self.hold(choice, hold_ms).await?;
         let mut connection = self.connect(choice, &mut in_flight).await?;
         let permit = if in_flight.ask_for_brittle(call.deadline_at_ms).await {
-            send_permit::ask(node, &choice.id, Purpose::Call, call.rank).await
+            let required_version_key = self.history.requirement.key();
+            send_permit::ask(
+                node,
+                &choice.id,
+                Purpose::Call,
+                call.rank,
+                required_version_key,
+            )
+            .await
         } else {
             None
         };
@@ -131,6 +139,7 @@
             connection,
             keep_alive_ms: parsed_headers.connection_keep_alive_ms,
             in_flight,
+            software: permit.software,
         })
     }
 
@@ -226,6 +235,7 @@
             connection,
             keep_alive_ms,
             mut in_flight,
+            ..
         } = head;
         let (parts, body) = response.into_parts();
         let body = WorkerBody::new(body, &parts.headers, false);
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -27,16 +27,27 @@
 use super::resumption::StartedStream;
 use super::resumption::StreamResumption;
 use super::telemetry;
+use super::version_requirement::VersionRequirement;
 use super::worker_body::JudgedEnd;
 use super::worker_body::WorkerBody;
 use super::worker_body::WorkerPart;
 use crate::node::Node;
 use crate::quarantine;
 use crate::worker_ends::ProbeResult;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::events::EventBuffer;
 use cranereach_http::events::ResumePoint;
 
+/// Outcome of a broken stream that goes on at another worker.
+const TAKEN_UP: &str = "taken_up";
+
+/// Outcome of a broken stream with which no worker goes on.
+const ENDED: &str = "ended";
+
+/// Outcome of a broken stream with which only workers of other versions could go on.
+const OTHER_VERSION: &str = "other_version";
+
 /// The stream ended before it was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the stream ended before it was complete")]
@@ -51,6 +62,8 @@
     body: WorkerBody,
     connection: Option<ReusableConnection>,
     in_flight: Option<InFlightCall>,
+    /// Version of the current worker's software, as known when the call was sent there.
+    software: SoftwareVersion,
     due: Pin<Box<Sleep>>,
     gaps: ChunkGaps,
     /// Splits the stream into events; `None` if the stream may not be resumed on another worker.
@@ -99,6 +112,7 @@
             body: started.body,
             connection: Some(started.connection),
             in_flight: Some(started.in_flight),
+            software: started.software,
             due: Box::pin(tokio::time::sleep_until(node.instant(call.deadline_at_ms))),
             gaps: ChunkGaps {
                 target_ms: call.route.gap_aim_ms,
@@ -121,15 +135,19 @@
                 return Poll::Ready(None);
             }
             if self.due.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(Some(Err(self.abort("deadline"))));
+                return Poll::Ready(Some(Err(self.abort("deadline", ENDED))));
             }
             if let Some(resumption) = &mut self.resumption {
-                let took_ms = resumption.elapsed_ms();
                 match ready!(resumption.poll(cx)) {
-                    Ok((started, history)) => self.continue_with(started, history, took_ms),
+                    Ok((started, history)) => self.continue_with(started, history),
                     Err(refusal) => {
                         let reason = format!("not resumed: {}", refusal.detail);
-                        return Poll::Ready(Some(Err(self.abort(&reason))));
+                        let outcome = if refusal.lacks_version {
+                            OTHER_VERSION
+                        } else {
+                            ENDED
+                        };
+                        return Poll::Ready(Some(Err(self.abort(&reason, outcome))));
                     }
                 }
             }
@@ -150,7 +168,9 @@
                         .as_ref()
                         .is_some_and(EventBuffer::has_non_increasing_id)
                     {
-                        return Poll::Ready(Some(Err(self.abort("event ids are not increasing"))));
+                        return Poll::Ready(Some(Err(
+                            self.abort("event ids are not increasing", ENDED)
+                        )));
                     }
                     self.gaps.record_chunk();
                     return Poll::Ready(Some(Ok(frame)));
@@ -168,7 +188,7 @@
                         if let Some(in_flight) = self.in_flight.take() {
                             in_flight.broke_off();
                         }
-                        return Poll::Ready(Some(Err(self.abort(&reason.to_string()))));
+                        return Poll::Ready(Some(Err(self.abort(&reason.to_string(), ENDED))));
                     }
                 }
             }
@@ -215,13 +235,18 @@
         let Some(worker_check) = self.investigate_worker() else {
             return false;
         };
-        if let Some(in_flight) = self.in_flight.take() {
-            in_flight.broke_off();
-        }
+        let Some(in_flight) = self.in_flight.take() else {
+            return false;
+        };
+        let from = Arc::clone(in_flight.worker());
+        in_flight.broke_off();
         self.connection = None;
-        let history = std::mem::take(&mut self.history);
-        let started =
-            StreamResumption::spawn(&self.node, &self.call, history, last_event, worker_check);
+        let mut history = std::mem::take(&mut self.history);
+        if last_event.is_some() {
+            history.requirement = VersionRequirement::same_as(&self.software);
+        }
+        let (node, call) = (&self.node, &self.call);
+        let started = StreamResumption::spawn(node, call, from, history, last_event, worker_check);
         self.resumption = Some(started);
         true
     }
@@ -239,17 +264,24 @@
     }
 
     /// Continues with the stream of another worker.
-    fn continue_with(&mut self, started: StartedStream, history: OfferHistory, took_ms: u64) {
+    fn continue_with(&mut self, started: StartedStream, history: OfferHistory) {
+        let Some(resumption) = self.resumption.take() else {
+            return;
+        };
+        let from = &resumption.from;
+        let took_ms = resumption.elapsed_ms();
         info!(self.node.log, "stream resumed"; "request" => self.call.id.clone(),
-            "worker" => started.in_flight.worker().as_ref(), "took_ms" => took_ms,
+            "from" => from.as_ref(), "from_version" => self.software.to_string(),
+            "worker" => started.in_flight.worker().as_ref(),
+            "version" => started.software.to_string(), "took_ms" => took_ms,
             "after" => format!("{:?}", self.events.as_ref().map(EventBuffer::reached)));
         let counter = &self.node.metrics.streams_broken_total;
-        counter.with_label_values(&["taken_up"]).inc();
-        self.resumption = None;
+        counter.with_label_values(&[TAKEN_UP]).inc();
         self.first_chunk = Some(started.first_chunk);
         self.body = started.body;
         self.connection = Some(started.connection);
         self.in_flight = Some(started.in_flight);
+        self.software = started.software;
         self.history = history;
         // The gap until the resumption does not count against the new worker.
         self.gaps.last_chunk_at = Instant::now();
@@ -284,17 +316,17 @@
     }
 
     /// Ends the stream before it is complete.
-    fn abort(&mut self, reason: &str) -> StreamInterrupted {
-        let worker = self
-            .in_flight
-            .as_ref()
-            .map(|in_flight| in_flight.worker().to_string());
+    fn abort(&mut self, reason: &str, outcome: &str) -> StreamInterrupted {
+        let worker = match (&self.in_flight, &self.resumption) {
+            (Some(in_flight), _) => Some(in_flight.worker().to_string()),
+            (None, resumption) => resumption.as_ref().map(|ended| ended.from.to_string()),
+        };
         info!(self.node.log, "stream broken off"; "request" => self.call.id.clone(),
-            "worker" => worker, "why" => reason);
+            "worker" => worker, "version" => self.software.to_string(), "why" => reason);
         let counter = &self.node.metrics.requests_total;
         counter.with_label_values(&["", "broken_midway"]).inc();
         let counter = &self.node.metrics.streams_broken_total;
-        counter.with_label_values(&["ended"]).inc();
+        counter.with_label_values(&[outcome]).inc();
         self.in_flight = None;
         self.connection = None;
         self.resumption = None;
--- a/crates/cranereach-gateway/src/send_permit.rs
+++ b/crates/cranereach-gateway/src/send_permit.rs
@@ -12,6 +12,7 @@
 use crate::node::Node;
 use crate::send_grants;
 use cranereach_fleet::purpose::Purpose;
+use cranereach_fleet::software_version::SoftwareVersion;
 
 /// Permission to send one request to a worker immediately. The response is attributed to the
 /// incarnation of the worker recorded here.
@@ -21,6 +22,8 @@
     pub worker: Arc<str>,
     /// Start time of the intended incarnation according to its row, in milliseconds of Unix time.
     pub started_unix_ms: u64,
+    /// Version of the worker's software according to its row.
+    pub software: SoftwareVersion,
     /// Purpose of the request.
     pub purpose: Purpose,
     /// Time at which the request is sent, in milliseconds.
@@ -28,8 +31,15 @@
 }
 
 /// Requests a permit to send one request of a given priority rank. Returns `None` if the worker
-/// must not receive it now.
-pub async fn ask(node: &Node, worker: &Arc<str>, purpose: Purpose, rank: u8) -> Option<Permit> {
+/// must not receive it now, or if its software has another version than the one with the key
+/// `required_version_key`.
+pub async fn ask(
+    node: &Node,
+    worker: &Arc<str>,
+    purpose: Purpose,
+    rank: u8,
+    required_version_key: Option<u64>,
+) -> Option<Permit> {
     if is_barred(node, worker, purpose, rank) {
         return None;
     }
@@ -42,18 +52,23 @@
         return None;
     }
     let sent_ms = node.now_ms();
-    let started_unix_ms = {
+    let (started_unix_ms, software) = {
         let mut roster = node.roster();
         let worker = roster.get_mut(worker)?;
+        let software = worker.record.software.clone();
+        if required_version_key.is_some_and(|required_key| software.key() != required_key) {
+            return None;
+        }
         if purpose == Purpose::Call {
             worker.rest.sent(sent_ms);
         }
-        worker.record.started_unix_ms
+        (worker.record.started_unix_ms, software)
     };
     named_limits::note_sent(node, worker, purpose);
     Some(Permit {
         worker: Arc::clone(worker),
         started_unix_ms,
+        software,
         purpose,
         sent_ms,
     })
