--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -59,6 +59,30 @@
     assert!(!text.contains("w2") && !text.contains("w3"), "{text}");
 }
 
+/// Guards against a story of a stream that hides between which workers and versions it moved, and
+/// why it ended.
+#[test]
+fn explain_tells_where_a_stream_went_on_and_why_it_ended() {
+    let log = r#"
+{"msg":"stream resumed","level":"INFO","ts":"2026-01-01T00:00:01Z","instance":"edge-1","request":"r1","from":"w1","from_version":"\"v1\"","worker":"w2","version":"\"v1\"","took_ms":4}
+{"msg":"stream broken off","level":"INFO","ts":"2026-01-01T00:00:02Z","instance":"edge-1","request":"r1","worker":"w2","version":"\"v1\"","why":"not resumed: OtherVersion"}
+"#;
+    let output = explain("versions.log", log, &["--request", "r1"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    for part in [
+        "from=w1",
+        "from_version=\"v1\"",
+        "worker=w2",
+        "OtherVersion",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    let output = explain("versions.log", log, &[]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let cause = "1 stream broken off: not resumed: OtherVersion";
+    assert!(text.contains(cause), "{text}");
+}
+
 #[test]
 fn causes_are_counted() {
     let output = explain("summary.log", LOG, &[]);
