--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -4,6 +4,8 @@
 //! [`exchange`] offers the call to workers until there is a response or a final failure:
 //! [`choosing`] selects each worker, [`sending`] makes one offer, [`in_flight`] counts the call
 //! at the worker, and [`broken_connection`] checks whether a worker ended while it ran the call.
+//! [`offer_history`] counts the offers that a call has used, and [`version_requirement`] is the
+//! version of the workers' software that it is bound to.
 //! [`workload`] estimates the work of a call. [`response_head`] checks the head of a response,
 //! [`worker_body`] judges how its body ended,
 //! [`stream_relay`] relays a stream to the caller, and [`resumption`] resumes it on another
@@ -19,6 +21,7 @@
 mod choosing;
 mod exchange;
 mod in_flight;
+mod offer_history;
 mod refusal;
 mod request;
 mod response_head;
@@ -26,6 +29,7 @@
 mod sending;
 mod stream_relay;
 mod telemetry;
+mod version_requirement;
 mod worker_body;
 mod workload;
 
@@ -50,6 +54,7 @@
 pub use self::request::Call;
 use self::stream_relay::StreamInterrupted;
 use self::stream_relay::StreamRelay;
+use self::version_requirement::VersionRequirement;
 use crate::account_limits;
 use crate::account_limits::Charge;
 use crate::account_limits::Denied;
@@ -132,7 +137,7 @@
         return Err(quarantined(node, &call));
     }
     let charge = charge(node, &call).await?;
-    let result = exchange::run(node, &call).await;
+    let result = exchange::run(node, &call, VersionRequirement::default()).await;
     if result
         .as_ref()
         .is_err_and(|refusal| refusal.code.row().ran == Ran::No)
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -80,7 +80,15 @@
         self.hold(choice, hold_ms).await?;
         let mut connection = self.connect(choice, &mut in_flight).await?;
         let permit = if in_flight.ask_for_brittle(call.deadline_at_ms).await {
-            send_permit::ask(node, &choice.id, Purpose::Call, call.rank).await
+            let required_version_key = self.history.requirement.key();
+            send_permit::ask(
+                node,
+                &choice.id,
+                Purpose::Call,
+                call.rank,
+                required_version_key,
+            )
+            .await
         } else {
             None
         };
@@ -94,7 +102,7 @@
         if suspicion.is_quarantined {
             return Err(Failure::Quarantined);
         }
-        self.earlier_end_known = suspicion.end_count > 0;
+        self.history.earlier_end_known = suspicion.end_count > 0;
         self.count_send(choice);
         let request = self
             .call
@@ -131,6 +139,7 @@
             connection,
             keep_alive_ms: parsed_headers.connection_keep_alive_ms,
             in_flight,
+            software: permit.software,
         })
     }
 
@@ -206,7 +215,7 @@
     /// Waits for the first chunk, so that a stream that never began can be retried.
     async fn begin_stream(&self, head: ResponseHead) -> Result<Response<ResponseBody>, Failure> {
         let (parts, started) = StartedStream::from_head(self.node, self.call, head).await?;
-        let relay = StreamRelay::new(self.node, self.call, started, self.history());
+        let relay = StreamRelay::new(self.node, self.call, started, self.history.clone());
         let mut response = Response::new(ResponseBody::Streaming(Box::new(relay)));
         *response.status_mut() = parts.status;
         *response.headers_mut() = forwarded_headers(&parts.headers, &[]);
@@ -226,6 +235,7 @@
             connection,
             keep_alive_ms,
             mut in_flight,
+            ..
         } = head;
         let (parts, body) = response.into_parts();
         let body = WorkerBody::new(body, &parts.headers, false);
@@ -260,7 +270,10 @@
         *response.status_mut() = parts.status;
         *response.headers_mut() = forwarded_headers(&parts.headers, &[]);
         let may_repeat = self.call.route.may_repeat();
-        if is_failure && may_repeat && self.run_count + 1 < self.call.route.attempt_max_count {
+        if is_failure
+            && may_repeat
+            && self.history.run_count() + 1 < self.call.route.attempt_max_count
+        {
             self.failed_response = Some(response);
             return Err(Failure::Unknown);
         }
