A stream whose worker may have started again with another version goes on nowhere

A worker may start again under its identity and at its address with another software version. A call that is sent before its new row is known is taken for one of the version before, so that a stream could go on at it, or from it, with events of two versions.

The row is looked at once more when the first chunk has come: if it names another version by then, that of the stream is uncertain. Such a chunk is added to no stream of which the caller has events, and a stream that began with it goes on nowhere. Nothing of the chunk has been passed on when that is decided.

--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::http::response::Parts;
+use slog::info;
 use tokio::task::JoinHandle;
 
 use super::exchange;
@@ -25,6 +26,7 @@
 use super::response_head::Failure;
 use super::response_head::ResponseHead;
 use super::telemetry;
+use super::version_requirement::VersionRequirement;
 use super::worker_body::WorkerBody;
 use super::worker_body::WorkerPart;
 use crate::node::Node;
@@ -48,15 +50,17 @@
     pub connection: ReusableConnection,
     /// In-flight count of the call at the worker.
     pub in_flight: InFlightCall,
-    /// Version of the worker's software according to the row by which the call was sent.
-    pub software: SoftwareVersion,
+    /// Version of the worker's software; `None` if it is uncertain.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl StartedStream {
-    /// Waits for the first chunk after the head of a response.
+    /// Waits for the first chunk after the head of a response. Fails if the call is bound to a
+    /// version and that of the worker is uncertain.
     pub(super) async fn from_head(
         node: &Node,
         call: &Call,
+        requirement: &VersionRequirement,
         head: ResponseHead,
     ) -> Result<(Parts, Self), Failure> {
         let ResponseHead {
@@ -81,6 +85,14 @@
             }
         };
         in_flight.prefilled();
+        let software = confirmed_version(node, in_flight.worker(), software);
+        if software.is_none() {
+            info!(node.log, "software version uncertain"; "request" => call.id.clone(),
+                "worker" => in_flight.worker().as_ref(), "required" => requirement.to_string());
+            if requirement.key().is_some() {
+                return Err(Failure::Unknown);
+            }
+        }
         let started = Self {
             first_chunk: first_chunk.into_data().unwrap_or_default(),
             body,
@@ -92,6 +104,20 @@
     }
 }
 
+/// Returns the version of the software of a worker that has sent the first chunk of a stream, given
+/// that of the row by which the call was sent. `None` if the worker's row names another one by now:
+/// the row may have been late when the call was sent, so that either may have written the chunk.
+fn confirmed_version(
+    node: &Node,
+    worker: &str,
+    sent_by: SoftwareVersion,
+) -> Option<SoftwareVersion> {
+    let roster = node.roster();
+    let known = roster.get(worker);
+    let is_same = known.is_none_or(|known| known.record.software == sent_by);
+    is_same.then_some(sent_by)
+}
+
 /// Resumed stream with the offers used so far, or the reason why the stream is not resumed.
 type ResumeResult = Result<(StartedStream, OfferHistory), Refusal>;
 
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -208,13 +208,17 @@
             head.in_flight.failed();
             return Err(Failure::Unknown);
         }
-        let (_head, started) = StartedStream::from_head(self.node, self.call, head).await?;
+        let requirement = &self.history.requirement;
+        let (_head, started) =
+            StartedStream::from_head(self.node, self.call, requirement, head).await?;
         Ok(started)
     }
 
     /// Waits for the first chunk, so that a stream that never began can be retried.
     async fn begin_stream(&self, head: ResponseHead) -> Result<Response<ResponseBody>, Failure> {
-        let (parts, started) = StartedStream::from_head(self.node, self.call, head).await?;
+        let requirement = &self.history.requirement;
+        let (parts, started) =
+            StartedStream::from_head(self.node, self.call, requirement, head).await?;
         let relay = StreamRelay::new(self.node, self.call, started, self.history.clone());
         let mut response = Response::new(ResponseBody::Streaming(Box::new(relay)));
         *response.status_mut() = parts.status;
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -62,8 +62,8 @@
     body: WorkerBody,
     connection: Option<ReusableConnection>,
     in_flight: Option<InFlightCall>,
-    /// Version of the current worker's software, as known when the call was sent there.
-    software: SoftwareVersion,
+    /// Version of the current worker's software; `None` if it is uncertain.
+    software: Option<SoftwareVersion>,
     due: Pin<Box<Sleep>>,
     gaps: ChunkGaps,
     /// Splits the stream into events; `None` if the stream may not be resumed on another worker.
@@ -232,6 +232,11 @@
             ResumePoint::Event(id) => Some(id.clone()),
             ResumePoint::Unknown => return false,
         };
+        let requirement = match (&last_event, &self.software) {
+            (None, _) => self.history.requirement.clone(),
+            (Some(_), Some(software)) => VersionRequirement::same_as(software),
+            (Some(_), None) => return false,
+        };
         let Some(worker_check) = self.investigate_worker() else {
             return false;
         };
@@ -242,9 +247,7 @@
         in_flight.broke_off();
         self.connection = None;
         let mut history = std::mem::take(&mut self.history);
-        if last_event.is_some() {
-            history.requirement = VersionRequirement::same_as(&self.software);
-        }
+        history.requirement = requirement;
         let (node, call) = (&self.node, &self.call);
         let started = StreamResumption::spawn(node, call, from, history, last_event, worker_check);
         self.resumption = Some(started);
@@ -271,9 +274,9 @@
         let from = &resumption.from;
         let took_ms = resumption.elapsed_ms();
         info!(self.node.log, "stream resumed"; "request" => self.call.id.clone(),
-            "from" => from.as_ref(), "from_version" => self.software.to_string(),
+            "from" => from.as_ref(), "from_version" => self.software.as_ref().map(ToString::to_string),
             "worker" => started.in_flight.worker().as_ref(),
-            "version" => started.software.to_string(), "took_ms" => took_ms,
+            "version" => started.software.as_ref().map(ToString::to_string), "took_ms" => took_ms,
             "after" => format!("{:?}", self.events.as_ref().map(EventBuffer::reached)));
         let counter = &self.node.metrics.streams_broken_total;
         counter.with_label_values(&[TAKEN_UP]).inc();
@@ -322,7 +325,7 @@
             (None, resumption) => resumption.as_ref().map(|ended| ended.from.to_string()),
         };
         info!(self.node.log, "stream broken off"; "request" => self.call.id.clone(),
-            "worker" => worker, "version" => self.software.to_string(), "why" => reason);
+            "worker" => worker, "version" => self.software.as_ref().map(ToString::to_string), "why" => reason);
         let counter = &self.node.metrics.requests_total;
         counter.with_label_values(&["", "broken_midway"]).inc();
         let counter = &self.node.metrics.streams_broken_total;
