--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -1,7 +1,7 @@
 //! Forwarding of a caller's request: routing, sending to workers, and the response.
 //!
 //! [`request`] parses the request, and [`authentication`] finds the client account of its key.
-//! [`exchange`] offers the call to workers until there is a response or a final failure:
+//! [`forwarded_headers`] are those that workers get. [`exchange`] offers the call to workers until there is a response or a final failure:
 //! [`choosing`] selects each worker, [`sending`] makes one offer, [`in_flight`] counts the call
 //! at the worker, and [`broken_connection`] checks whether a worker ended while it ran the call.
 //! [`offer_history`] counts the offers that a call has used, and [`version_requirement`] is the
@@ -20,6 +20,7 @@
 mod broken_connection;
 mod choosing;
 mod exchange;
+mod forwarded_headers;
 mod in_flight;
 mod offer_history;
 mod refusal;
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -10,16 +10,12 @@
 use hyper::Request;
 use hyper::Uri;
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
-use hyper::header::CONNECTION;
-use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
-use hyper::header::HeaderMap as Headers;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use hyper::header::TRANSFER_ENCODING;
 
 use super::authentication;
+use super::forwarded_headers::forwarded_headers;
 use super::refusal::Refusal;
 use crate::node::Node;
 use cranereach_core::codes::ResultCode;
@@ -37,19 +33,6 @@
 use cranereach_http::body;
 use cranereach_http::body::BodyError;
 
-/// Hop-by-hop headers, which concern one connection only and are not forwarded.
-const HOP_BY_HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Model that a request names.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestedModel {
@@ -305,35 +288,6 @@
     }
 }
 
-/// Copies the headers that are forwarded: all but hop-by-hop headers, the caller's key, and
-/// headers that only this system may set.
-pub fn forwarded_headers(headers: &Headers, reserved: &[&str]) -> Headers {
-    let connection_options: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let is_forwarded = |name: &HeaderName| {
-        let name = name.as_str();
-        !HOP_BY_HOP_HEADERS.contains(&name)
-            && name != AUTHORIZATION.as_str()
-            && !reserved.contains(&name)
-            && (name == HOST.as_str() || !connection_options.iter().any(|listed| listed == name))
-    };
-    let mut forwarded = Headers::with_capacity(headers.len() + 4);
-    for (name, value) in headers {
-        if is_forwarded(name) {
-            forwarded.append(name.clone(), value.clone());
-        }
-    }
-    if headers.contains_key(TRANSFER_ENCODING) {
-        forwarded.remove(CONTENT_LENGTH);
-    }
-    forwarded
-}
-
 /// Splits the name of a model from that of its adapter.
 fn parse_model(text: &str) -> RequestedModel {
     let (name, adapter) = match text.trim().split_once('/') {
