Streams that callers take up go on at the version that began them

A request with Last-Event-Id on a route whose streams may be resumed is bound to the version at which the stream began, at any instance. `Resumes` names the request that brought its first event; the instance that sent that event to the caller has noted the version, and told two holders unless the service has had one version for longer than its streams last.

Refused at once, 503 and without Retry-After: nobody knows the version (2021), no origin named while several versions are seen (2022), no worker of the version left (2020, as within an answer). 400 for headers that name no stream or several. New streams are never refused for this.

Messages stay at version 10: the new ones follow the earlier ones in the enum, and earlier releases drop them as bad input.

An instance that has just started asks peers after 0.25 s, then after twice as long each time, 4 s at most (before: each second, the same two). Notes made while there is one version are no longer queued for telling; they are looked through once when that ends.

Tests on the real path: taken up at each of three instances, taken up again after a second break, after the first instance was killed, each refusal, and a service with one version, whose notes are told once another version comes.

--- a/crates/cranereach-fleet/src/configuration.rs
+++ b/crates/cranereach-fleet/src/configuration.rs
@@ -246,6 +246,20 @@
         self.shortest_gap_targets_ms.get(service).copied()
     }
 
+    /// Returns the longest timeout of the routes to each service whose streams may be resumed, in
+    /// milliseconds.
+    pub fn resumable_stream_timeouts_ms(&self) -> HashMap<Arc<str>, u64> {
+        let mut timeouts_ms = HashMap::new();
+        let routes = self.routes.values().flat_map(HashMap::values);
+        for route in routes.filter(|route| route.kind == RouteKind::Stream && route.is_resumable) {
+            for target in &route.targets {
+                let longest_ms = timeouts_ms.entry(Arc::clone(&target.service)).or_insert(0);
+                *longest_ms = route.timeout_ms.max(*longest_ms);
+            }
+        }
+        timeouts_ms
+    }
+
     /// Returns the shortest latency target among the routes to a service that are more
     /// urgent than a rank, in milliseconds; none if there are no such routes.
     pub fn urgent_latency_target_ms(&self, service: &str, rank: u8) -> Option<u64> {
--- a/crates/cranereach-fleet/src/stream_origins.rs
+++ b/crates/cranereach-fleet/src/stream_origins.rs
@@ -189,19 +189,30 @@
         watch.map_or(VersionView::Uncertain, |watch| watch.view(now_ms))
     }
 
+    /// Lists the versions of a service that have been seen while its present streams may have begun.
+    pub fn seen_versions(&self, now_ms: u64, service: u64) -> Vec<u64> {
+        let watch = self.watches.get(&service);
+        watch.map_or_else(Vec::new, |watch| watch.versions(now_ms).collect())
+    }
+
     /// Keeps a note of a stream whose first event goes to the caller, or that continues. The
     /// deadline of an earlier note moves.
     pub fn stream_began(&mut self, now_ms: u64, key: u64, origin: Origin, life_ms: u64) {
+        let expires_at_ms = now_ms + life_ms.min(NOTE_MAX_MS);
+        self.own
+            .put(now_ms, key, origin, expires_at_ms, OWN_NOTE_MAX_COUNT);
+        let mut is_single = false;
         if let Some(watch) = self.watches.get_mut(&origin.service) {
             let was_single = watch.is_single(now_ms);
             watch.seen(now_ms, origin.version);
-            if was_single && !watch.is_single(now_ms) {
+            is_single = watch.is_single(now_ms);
+            if was_single && !is_single {
                 self.recheck(now_ms);
             }
         }
-        let expires_at_ms = now_ms + life_ms.min(NOTE_MAX_MS);
-        self.own
-            .put(now_ms, key, origin, expires_at_ms, OWN_NOTE_MAX_COUNT);
+        if is_single {
+            return;
+        }
         self.unchecked.push_back(key);
         while self.unchecked.len() > OWN_NOTE_MAX_COUNT {
             self.unchecked.pop_front();
@@ -279,20 +290,22 @@
     }
 
     /// Decides by what is known here alone. Key zero stands for a stream
-    /// whose origin is not named; it is refused only if more than one version is seen.
+    /// whose origin is not named; it may continue as long as one version is seen.
     /// `is_list_fresh` tells whether the list of workers is as new as it is in calm: an older one may
     /// lack a version that streams have begun at elsewhere.
     pub fn decide(&self, now_ms: u64, service: u64, key: u64, is_list_fresh: bool) -> Decision {
+        if key == 0 {
+            return match self.seen_versions(now_ms, service)[..] {
+                [version] => Decision::GoOn(Origin { service, version }),
+                _ => Decision::Refuse,
+            };
+        }
         match (self.lookup(now_ms, key), self.view(now_ms, service)) {
             (Noted::At(origin), _) => Decision::GoOn(origin),
             (Noted::Disputed, _) => Decision::Refuse,
             (Noted::Nothing, VersionView::Only(version)) if is_list_fresh => {
                 Decision::GoOn(Origin { service, version })
             }
-            (Noted::Nothing, VersionView::Started(version)) if key == 0 => {
-                Decision::GoOn(Origin { service, version })
-            }
-            (Noted::Nothing, VersionView::Uncertain) if key == 0 => Decision::Refuse,
             (Noted::Nothing, _) => Decision::Ask,
         }
     }
--- a/crates/cranereach-fleet/src/stream_origins/version_watch.rs
+++ b/crates/cranereach-fleet/src/stream_origins/version_watch.rs
@@ -75,6 +75,13 @@
         self.complete_from_ms = self.complete_from_ms.map(|from_ms| from_ms.min(now_ms));
     }
 
+    /// Lists the versions at which streams may have begun, as far as seen.
+    pub(super) fn versions(&self, now_ms: u64) -> impl Iterator<Item = u64> {
+        let relevant = self.seen.iter();
+        let relevant = relevant.filter(move |seen| now_ms < seen.relevant_until_ms);
+        relevant.map(|seen| seen.version)
+    }
+
     /// Whether streams can have begun at one version only.
     pub(super) fn is_single(&self, now_ms: u64) -> bool {
         matches!(self.view(now_ms), VersionView::Only(_))
@@ -82,16 +89,13 @@
 
     /// Returns what is known of the versions at which streams may have begun.
     pub(super) fn view(&self, now_ms: u64) -> VersionView {
-        let mut relevant = self
-            .seen
-            .iter()
-            .filter(|seen| now_ms < seen.relevant_until_ms);
-        let (Some(only), None) = (relevant.next(), relevant.next()) else {
+        let mut versions = self.versions(now_ms);
+        let (Some(only), None) = (versions.next(), versions.next()) else {
             return VersionView::Uncertain;
         };
         match self.complete_from_ms {
-            Some(from_ms) if now_ms >= from_ms => VersionView::Only(only.version),
-            Some(_) => VersionView::Started(only.version),
+            Some(from_ms) if now_ms >= from_ms => VersionView::Only(only),
+            Some(_) => VersionView::Started(only),
             None => VersionView::Uncertain,
         }
     }
--- a/crates/cranereach-fleet/tests/stream_origins/kernel.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/kernel.rs
@@ -200,6 +200,8 @@
 fn a_stream_without_a_named_origin_is_refused_in_a_mixed_service() {
     let refused = watching(&[1, 2]).decide(10, SERVICE, 0, true);
     assert_eq!(refused, Decision::Refuse);
+    let refused = watching(&[]).decide(10, SERVICE, 0, true);
+    assert_eq!(refused, Decision::Refuse);
     let decision = watching(&[1]).decide(10, SERVICE, 0, true);
     assert_eq!(decision, Decision::GoOn(origin(1)));
 }
--- a/crates/cranereach-fleet/tests/stream_origins/world.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world.rs
@@ -18,6 +18,7 @@
 use self::members::Presence;
 pub use self::plan::Mutant;
 pub use self::plan::Plan;
+use self::take_up::CONFIRMATION_INTERVAL_MS;
 use cranereach_fleet::stream_origins::Origin;
 use cranereach_fleet::stream_origins::OriginNote;
 use cranereach_fleet::stream_origins::StreamOrigins;
@@ -70,6 +71,7 @@
     seen_members: u64,
     /// When it next asks whether there was one version only.
     asks_at_ms: u64,
+    ask_interval_ms: u64,
 }
 
 type Told = (usize, Vec<OriginNote>);
@@ -130,6 +132,7 @@
             list_lag_ms: rng.random_range(50..=plan.list_lag_max_ms),
             seen_members: 0,
             asks_at_ms: 0,
+            ask_interval_ms: CONFIRMATION_INTERVAL_MS,
         });
         let instances = instances.collect();
         Self {
@@ -193,6 +196,7 @@
         instance.origins = StreamOrigins::default();
         instance.seen_members = 0;
         instance.asks_at_ms = 0;
+        instance.ask_interval_ms = CONFIRMATION_INTERVAL_MS;
         instance.presence.kill(self.now_ms, until_ms);
         let running = std::mem::take(&mut self.running);
         for (end_ms, streams) in running {
--- a/crates/cranereach-fleet/tests/stream_origins/world/take_up.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world/take_up.rs
@@ -18,8 +18,11 @@
 /// Times that a holder is asked.
 const ASK_MAX_COUNT: u32 = 2;
 
-/// Interval at which an instance that has just started asks peers for the versions.
-const CONFIRMATION_INTERVAL_MS: u64 = 1_000;
+/// Time after which an instance that has just started asks peers again; it doubles each time.
+pub const CONFIRMATION_INTERVAL_MS: u64 = 250;
+
+/// Longest such time.
+const CONFIRMATION_INTERVAL_MAX_MS: u64 = 4_000;
 
 /// Tries of a caller for one stream.
 const TRY_MAX_COUNT: u32 = 6;
@@ -111,19 +114,22 @@
 
     /// Asks two peers, now and then, whether there was one version only.
     pub fn ask_for_confirmation(&mut self, number: usize) {
-        let instance = &self.instances[number];
-        let is_due = self.now_ms >= instance.asks_at_ms;
-        if !is_due
-            || instance
-                .origins
-                .unconfirmed_services(self.now_ms)
-                .is_empty()
+        let instance = &mut self.instances[number];
+        if instance
+            .origins
+            .unconfirmed_services(self.now_ms)
+            .is_empty()
         {
+            instance.ask_interval_ms = CONFIRMATION_INTERVAL_MS;
+            return;
+        }
+        if self.now_ms < instance.asks_at_ms {
             return;
         }
-        self.instances[number].asks_at_ms = self.now_ms + CONFIRMATION_INTERVAL_MS;
-        // Each instance asks others than its peers do.
-        let answers = self.ask(number, number as u64 + 1);
+        instance.asks_at_ms = self.now_ms + instance.ask_interval_ms;
+        instance.ask_interval_ms = (instance.ask_interval_ms * 2).min(CONFIRMATION_INTERVAL_MAX_MS);
+        let drawn = self.rng.random();
+        let answers = self.ask(number, drawn);
         let origins = &mut self.instances[number].origins;
         origins.confirm(self.now_ms, SERVICE, &answers);
     }
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -51,6 +51,8 @@
     pub priority: &'static str,
     /// Last event of a stream that the caller has received.
     pub last_event: &'static str,
+    /// Request that brought the first event of the stream that the caller takes up.
+    pub resumed_request: &'static str,
     /// Client account of the request, as passed on to the worker.
     pub account: &'static str,
     /// Prefixes of the headers in which workers describe themselves.
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! [`forwarded_headers`] are those that workers get. [`exchange`] offers the call to workers until there is a response or a final failure:
 //! [`choosing`] selects each worker, [`sending`] makes one offer, [`in_flight`] counts the call
 //! at the worker, and [`broken_connection`] checks whether a worker ended while it ran the call.
+//! [`continuation`] says which stream a request continues; see [`crate::stream_origins`].
 //! [`offer_history`] counts the offers that a call has used, and [`version_requirement`] is the
 //! version of the workers' software that it is bound to.
 //! [`workload`] estimates the work of a call. [`response_head`] checks the head of a response,
@@ -19,6 +20,7 @@
 mod authentication;
 mod broken_connection;
 mod choosing;
+mod continuation;
 mod exchange;
 mod forwarded_headers;
 mod in_flight;
@@ -51,7 +53,8 @@
 use hyper::header::HeaderValue;
 use slog::info;
 
-use self::refusal::Refusal;
+pub use self::continuation::Continuation;
+pub use self::refusal::Refusal;
 pub use self::request::Call;
 use self::stream_relay::StreamInterrupted;
 use self::stream_relay::StreamRelay;
@@ -62,6 +65,7 @@
 use crate::node::Node;
 use crate::node::lock;
 use crate::quarantine;
+use crate::stream_origins::take_up;
 use cranereach_core::codes::Ran;
 use cranereach_core::codes::ResultCode;
 use cranereach_http::server::Closed;
@@ -133,12 +137,20 @@
     request: Request<Incoming>,
     received_ms: u64,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let call = Arc::new(Call::read(node, request, received_ms).await?);
+    let mut call = Call::read(node, request, received_ms).await?;
+    let taken_up = take_up::find_origin(node, &mut call).await?;
+    let call = Arc::new(call);
     if quarantine::suspicion(node, &call).is_quarantined {
         return Err(quarantined(node, &call));
     }
     let charge = charge(node, &call).await?;
-    let result = exchange::run(node, &call, VersionRequirement::default()).await;
+    let requirement = taken_up.map_or_else(VersionRequirement::default, |taken_up| {
+        VersionRequirement::from_key(taken_up.origin.version)
+    });
+    let result = exchange::run(node, &call, requirement).await;
+    if let Some(taken_up) = &taken_up {
+        take_up::record_result(node, &call, taken_up, &result);
+    }
     if result
         .as_ref()
         .is_err_and(|refusal| refusal.code.row().ran == Ran::No)
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -15,6 +15,7 @@
 use hyper::header::HeaderValue;
 
 use super::authentication;
+use super::continuation::Continuation;
 use super::forwarded_headers::forwarded_headers;
 use super::refusal::Refusal;
 use crate::node::Node;
@@ -57,6 +58,8 @@
     pub deadline_at_ms: u64,
     /// Client account of the caller; `None` if no key is needed.
     pub account: Option<Arc<Account>>,
+    /// Whether the call begins a stream or continues one.
+    pub continuation: Continuation,
     /// Label of the account in metrics; empty if there is no account.
     pub account_label: String,
     /// Cost of the request, in units of the account's limit.
@@ -120,6 +123,8 @@
         }
         let account =
             account.map_err(|code| refuse(code, &authentication::rejection_context(node)))?;
+        let continuation = Continuation::read(&route, request.headers(), names)
+            .map_err(|detail| refuse(ResultCode::BadRequest, detail))?;
         let cost = cost(account.as_deref(), text(names.tokens))
             .map_err(|detail| refuse(ResultCode::BadRequest, detail))?;
         let label = account
@@ -164,11 +169,8 @@
         let (head, incoming) = request.into_parts();
         let remaining_ms = deadline_at_ms.saturating_sub(node.now_ms());
         let collected = body::collect(incoming, configuration.limits.body_max_bytes, remaining_ms);
-        let body = collected.await.map_err(|error| match error {
-            BodyError::TooLarge => refuse(ResultCode::BodyTooLarge, "body"),
-            BodyError::TooSlow => refuse(ResultCode::RequestTooSlow, "body"),
-            BodyError::Broken => refuse(ResultCode::CallerLeft, "body"),
-        })?;
+        let body = collected.await;
+        let body = body.map_err(|error| refuse(body_error_code(error), "body"))?;
         Ok(Self {
             id,
             route,
@@ -177,6 +179,7 @@
             deadline_at_ms,
             rank: account_rank.unwrap_or(route_rank),
             account,
+            continuation,
             account_label,
             cost,
             urgent_latency_target_ms,
@@ -288,6 +291,15 @@
     }
 }
 
+/// Returns the result code of a request whose body can't be read.
+fn body_error_code(error: BodyError) -> ResultCode {
+    match error {
+        BodyError::TooLarge => ResultCode::BodyTooLarge,
+        BodyError::TooSlow => ResultCode::RequestTooSlow,
+        BodyError::Broken => ResultCode::CallerLeft,
+    }
+}
+
 /// Splits the name of a model from that of its adapter.
 fn parse_model(text: &str) -> RequestedModel {
     let (name, adapter) = match text.trim().split_once('/') {
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -12,8 +12,8 @@
 
 use super::ResponseBody;
 use super::exchange::Exchange;
-use super::in_flight::InFlightCall;
 use super::forwarded_headers::forwarded_headers;
+use super::in_flight::InFlightCall;
 use super::response_head::Failure;
 use super::response_head::ResponseHead;
 use super::response_head::check_head;
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -33,6 +33,7 @@
 use super::worker_body::WorkerPart;
 use crate::node::Node;
 use crate::quarantine;
+use crate::stream_origins;
 use crate::worker_ends::ProbeResult;
 use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::BodyEnd;
@@ -66,6 +67,8 @@
     software: Option<SoftwareVersion>,
     due: Pin<Box<Sleep>>,
     gaps: ChunkGaps,
+    /// Whether the version at which the stream runs has been noted.
+    is_origin_noted: bool,
     /// Splits the stream into events; `None` if the stream may not be resumed on another worker.
     events: Option<EventBuffer>,
     /// Offers that the call has used so far.
@@ -119,6 +122,7 @@
                 last_chunk_at: Instant::now(),
                 longest_ms: 0,
             },
+            is_origin_noted: false,
             events: call.route.may_repeat().then(EventBuffer::default),
             history,
             resumption: None,
@@ -172,6 +176,7 @@
                             self.abort("event ids are not increasing", ENDED)
                         )));
                     }
+                    self.note_origin();
                     self.gaps.record_chunk();
                     return Poll::Ready(Some(Ok(frame)));
                 }
@@ -195,6 +200,19 @@
         }
     }
 
+    /// Notes the version at which the stream runs once the caller has an event of it.
+    fn note_origin(&mut self) {
+        let has_event =
+            matches!(&self.events, Some(events) if *events.reached() != ResumePoint::Start);
+        if has_event && !self.is_origin_noted {
+            self.is_origin_noted = true;
+            // A stream of which the version isn't known is not taken up as one of another.
+            if let Some(software) = &self.software {
+                stream_origins::note_event(&self.node, &self.call, software.key());
+            }
+        }
+    }
+
     /// Counts and logs the end of the current worker's body.
     fn record_end(&self, judged: JudgedEnd) {
         if let Some(in_flight) = &self.in_flight {
--- a/crates/cranereach-gateway/src/forward/version_requirement.rs
+++ b/crates/cranereach-gateway/src/forward/version_requirement.rs
@@ -25,10 +25,6 @@
 
 impl VersionRequirement {
     /// Returns the requirement of the version with a key (see [`SoftwareVersion::key`]).
-    #[expect(
-        dead_code,
-        reason = "callers that take a stream up don't name its origin yet"
-    )]
     pub(crate) fn from_key(key: u64) -> Self {
         let version = None;
         Self {
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -41,6 +41,7 @@
 use crate::recipients::Origin;
 use crate::roster_sync;
 use crate::send_grants;
+use crate::stream_origins;
 use cranereach_fleet::freshness::Freshness;
 use cranereach_fleet::key::worker_key;
 use cranereach_fleet::membership::MemberUpdate;
@@ -271,6 +272,9 @@
         Message::BrittleEnd(end) => brittle_workers::take_end(node, ip, end),
         Message::SendGranted(grant) => node.grant_questions.answered(grant.ticket, grant),
         Message::Suspect(news) => quarantine::take(node, ip, &[*news]),
+        Message::OriginNotes(notes) => stream_origins::take_notes(node, ip, &notes),
+        Message::OriginAsk(ask) => stream_origins::answer(node, sender, &ask),
+        Message::OriginReply(reply) => stream_origins::take_reply(node, ip, reply),
         Message::List(changes) => roster_sync::take_message(node, ip, &changes),
     }
 }
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -19,6 +19,9 @@
 //! Right before a request is sent to a worker, [`send_permit`] checks whether it may be, and
 //! [`send_grants`] asks the owners of cold or rate-limited workers.
 //!
+//! [`stream_origins`] knows the software versions at which streams began, so that a stream that a
+//! caller takes up again, at any instance, goes on at the same version.
+//!
 //! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays while
 //! an instance can't reach a worker itself.
 //!
@@ -67,6 +70,7 @@
 pub mod store_backoff;
 pub mod store_era;
 pub mod store_failures;
+pub mod stream_origins;
 pub mod traffic;
 pub mod tunnels;
 pub mod unavailable_workers;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -3,6 +3,7 @@
 //! Each message is complete in itself, so that a lost or duplicated one does no harm.
 
 mod grants;
+mod origins;
 mod owner;
 mod packed_parts;
 
@@ -19,6 +20,8 @@
 pub use self::grants::BrittleEnd;
 pub use self::grants::GrantAsk;
 pub use self::grants::SendGrant;
+pub use self::origins::OriginAsk;
+pub use self::origins::OriginReply;
 pub use self::owner::OwnerAsk;
 pub use self::owner::OwnerEvent;
 pub use self::owner::OwnerMessage;
@@ -35,6 +38,7 @@
 use cranereach_fleet::quarantine::SuspectUpdate;
 use cranereach_fleet::reachability::ReachReport;
 use cranereach_fleet::store_position::StorePosition;
+use cranereach_fleet::stream_origins::OriginNote;
 
 /// Version of the message format; messages of other versions are dropped.
 pub const VERSION: u8 = 10;
@@ -120,6 +124,12 @@
     Suspect(Box<SuspectUpdate>),
     /// A request that was granted for a brittle worker has ended.
     BrittleEnd(BrittleEnd),
+    /// Notes of streams, for one of their two holders.
+    OriginNotes(Vec<OriginNote>),
+    /// A question to a holder where a stream began.
+    OriginAsk(OriginAsk),
+    /// Answer of a holder.
+    OriginReply(OriginReply),
 }
 
 /// Time at which a model is expected to be loaded at some worker.
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of an instance.
 
+mod origins;
 mod paths;
 
 use prometheus::CounterVec;
@@ -15,6 +16,7 @@
 use prometheus::histogram_opts;
 use prometheus::opts;
 
+use self::origins::OriginMetrics;
 use self::paths::PathMetrics;
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -99,6 +101,8 @@
     pub store_era: IntGauge,
     /// Paths to workers.
     pub paths: PathMetrics,
+    /// Streams that callers take up.
+    pub origins: OriginMetrics,
     /// Connections opened to workers.
     pub connections_total: IntCounter,
     /// Bytes sent to peers, by kind and distance.
@@ -205,6 +209,7 @@
                 &["purpose"],
             ),
             paths: PathMetrics::new(&make),
+            origins: OriginMetrics::new(&make),
             connections_total: make.counter("connections_total", "connections made to workers"),
             prompts_held_total: make.counter("prompts_held_total", "prompts held back"),
             streams_paused_total: make.counter("streams_paused_total", "streams that paused"),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -38,6 +38,7 @@
 use crate::recipients::Origin;
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::stream_origins::OriginState;
 use crate::unknown_headers::UnknownHeaders;
 use crate::worker_ends::WorkerProbes;
 use crate::worker_paths::WorkerPaths;
@@ -178,6 +179,8 @@
     pub brittle_grants: Mutex<BrittleGrants>,
     /// Pending questions to owners of such workers.
     pub grant_questions: Questions<SendGrant>,
+    /// Where streams began.
+    pub origins: OriginState,
     /// UDP socket for messages to peers; unset before the start.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Leases whose term has ended at this instance, by service key.
@@ -278,6 +281,7 @@
             send_grants: Mutex::default(),
             brittle_grants: Mutex::default(),
             grant_questions: Questions::default(),
+            origins: OriginState::default(),
             peer_socket: OnceLock::new(),
             ended_leases: Mutex::default(),
             is_fetching_list: AtomicBool::new(false),
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -26,6 +26,7 @@
 use crate::roster_sync;
 use crate::settings::Settings;
 use crate::store_era;
+use crate::stream_origins;
 use crate::traffic;
 use crate::worker_paths;
 use cranereach_http::connector::Connector;
@@ -159,6 +160,7 @@
         tasks.spawn(controller::run(Arc::clone(&node)));
         tasks.spawn(traffic::run(Arc::clone(&node)));
         tasks.spawn(worker_paths::run(Arc::clone(&node)));
+        tasks.spawn(stream_origins::run(Arc::clone(&node)));
         let caller_node = Arc::clone(&node);
         let options = ServeOptions {
             header_within_ms: CALLER_KEEP_ALIVE_MS,
--- a/crates/cranereach-gateway/src/traffic.rs
+++ b/crates/cranereach-gateway/src/traffic.rs
@@ -55,6 +55,8 @@
     Evacuation,
     /// Requests during which workers ended, sent apart from digests.
     Suspect,
+    /// Notes of streams, questions for them and their answers.
+    Origin,
     /// Connections to workers that are relayed for peers, or by them.
     Tunnel,
     /// Anything else, such as requests for bodies.
@@ -63,7 +65,7 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Digest,
         Self::List,
         Self::Configuration,
@@ -77,6 +79,7 @@
         Self::Grant,
         Self::Evacuation,
         Self::Suspect,
+        Self::Origin,
         Self::Tunnel,
         Self::Other,
     ];
@@ -97,6 +100,7 @@
             Self::Grant => "grant",
             Self::Evacuation => "evacuation",
             Self::Suspect => "suspect",
+            Self::Origin => "origin",
             Self::Tunnel => "tunnel",
             Self::Other => "other",
         }
@@ -122,6 +126,9 @@
             Message::MaySend(_) | Message::SendGranted(_) | Message::BrittleEnd(_) => Self::Grant,
             Message::Evacuations(_) => Self::Evacuation,
             Message::Suspect(_) => Self::Suspect,
+            Message::OriginNotes(_) | Message::OriginAsk(_) | Message::OriginReply(_) => {
+                Self::Origin
+            }
         }
     }
 }
--- a/crates/cranereach-gateway/tests/worker_headers.rs
+++ b/crates/cranereach-gateway/tests/worker_headers.rs
@@ -30,6 +30,7 @@
     prompt_parts: "parts",
     priority: "priority",
     last_event: "last-event",
+    resumed_request: "resumed-request",
     account: "account",
     worker_header_prefixes: &[],
     known_worker_headers: &[],
