A relay passes a reset on as a reset

A relay that read a reset from one side dropped the other side, which closed in order: a gateway behind it took a body without a declared end for a complete one. The writer is closed with a linger time of zero now, and without an end of its half before, which would arrive first.

--- a/crates/cranereach-standin/src/relay.rs
+++ b/crates/cranereach-standin/src/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -53,6 +54,11 @@
     pub fn set(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
     }
+
+    /// Returns the mode.
+    pub fn mode(&self) -> LinkMode {
+        *self.mode.borrow()
+    }
 }
 
 /// Accepts connections until the relay is dropped.
@@ -116,7 +122,15 @@
 ) -> io::Result<()> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let count = reader.read(&mut chunk).await?;
+        let count = match reader.read(&mut chunk).await {
+            Ok(count) => count,
+            Err(error) => {
+                // A reset arrives as a reset. An end of the writer alone would arrive before it.
+                let _set = SockRef::from(writer.as_ref()).set_linger(Some(Duration::ZERO));
+                writer.forget();
+                return Err(error);
+            }
+        };
         let waited = mode.wait_for(|mode| is_forwarding(*mode)).await;
         let current = *waited.map_err(io::Error::other)?;
         if current == LinkMode::Slow {
