The soak ends bodies in every way, rolls versions of the workers' software and takes streams up

- The service with models has a second set of workers.
Each set has a version of its software; releases replace one set after the other, worker by worker, the new one before the old one leaves.
- Ends of bodies: marked by the connection, by length or chunks, cut at an event's end or inside one, by an order, a reset or a crash.
- Callers whose streams may be resumed send a new request with Last-Event-Id and Resumes, half of them to any gateway.
What they state is kept with the request, so that all tries of a stream can be joined.

An answer that was cut where a whole one could end, without a mark and by an orderly close, can't be told from a whole one. The checks of answers and streams excuse exactly that: the worker cut the body so, ended, or its link was cut. A planned stop isn't blamed for streams that their callers left, nor for what a disturbed worker of a resumed stream did; a take-up that is refused is no valid request that is denied.

--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -2,12 +2,14 @@
 
 mod arrivals;
 mod operator;
+mod releases;
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +19,7 @@
 use tokio::net::TcpListener;
 
 use self::operator::DeclaredState;
+use self::releases::release_name;
 use crate::check::bounded::DRAIN_MS;
 use crate::crash_requests::ENDING;
 use crate::gateways;
@@ -27,8 +30,11 @@
 use crate::schedule::KEYS;
 use crate::schedule::SERVICES;
 use crate::schedule::Size;
+use crate::schedule::WITH_MODELS;
+use crate::schedule::WORKER_SET_COUNT;
 use cranereach_platform::standin::declared::COLD_FOR_MS;
 use cranereach_platform::standin::declared::MODELS;
+use cranereach_platform::standin::ending::Ending;
 use cranereach_platform::standin::store::Store;
 use cranereach_platform::standin::worker::Behaviour;
 use cranereach_platform::standin::worker::Worker;
@@ -69,6 +75,8 @@
     pub store_addresses: Vec<SocketAddr>,
     slots: Vec<WorkerSlot>,
     declared: Mutex<DeclaredState>,
+    /// Number of versions of the software of the workers with models.
+    release_count: AtomicUsize,
 }
 
 /// A position that is filled by one worker at a time.
@@ -76,6 +84,9 @@
 struct WorkerSlot {
     number: usize,
     service: &'static str,
+    /// Version of the software of the workers that start here; none if versions don't matter to
+    /// their service.
+    software_version: Mutex<Option<String>>,
     start_count: AtomicU64,
     current: Mutex<Option<RunningWorker>>,
     /// All workers that were ever started in this slot.
@@ -103,9 +114,14 @@
             store_links.push(link);
             store_addresses.push(address);
         }
-        let slots = (0..size.worker_total()).map(|number| WorkerSlot {
+        let service_of = |number: usize| (number / size.worker_count).min(SERVICES.len() - 1);
+        let slots = (0..size.slot_count()).map(|number| WorkerSlot {
             number,
-            service: SERVICES[number / size.worker_count],
+            service: SERVICES[service_of(number)],
+            software_version: Mutex::new(
+                (SERVICES[service_of(number)] == WITH_MODELS)
+                    .then(|| release_name(number / size.worker_total())),
+            ),
             start_count: AtomicU64::new(0),
             current: Mutex::default(),
             started_workers: Mutex::default(),
@@ -121,6 +137,7 @@
                 revoked: [false; KEYS.len()],
                 evacuated: [false; DOMAINS.len()],
             }),
+            release_count: AtomicUsize::new(WORKER_SET_COUNT),
         };
         for slot in &back_ends.slots {
             slot.start_worker(Duration::ZERO).await?;
@@ -159,6 +176,13 @@
         }
     }
 
+    /// Sets how the bodies of the responses of the worker in a slot end.
+    pub fn end_bodies(&self, number: usize, ending: Ending) {
+        if let Some(running) = lock(&self.slots[number].current).as_ref() {
+            running.worker.end_bodies(ending);
+        }
+    }
+
     /// Makes the worker in a slot announce a rate limit, or none. Returns the worker, if there
     /// is one.
     pub fn announce_limit(&self, number: usize, rate_per_s: Option<f64>) -> Option<Worker> {
@@ -303,7 +327,10 @@
         worker.enable_strict_mode(CALL_DURATION_MS);
         worker.crash_on_path_word(ENDING);
         worker.set_event_pause_ms(EVENT_PAUSES_MS[self.number % EVENT_PAUSES_MS.len()]);
-        if self.service == "models" {
+        if let Some(version) = lock(&self.software_version).clone() {
+            worker.set_software_version(Value::from(version));
+        }
+        if self.service == WITH_MODELS {
             let first = self.number % MODELS.len();
             worker.hold(&[MODELS[first], MODELS[(first + 1) % MODELS.len()]]);
         }
--- a/crates/cranereach-soak/src/back_ends/arrivals.rs
+++ b/crates/cranereach-soak/src/back_ends/arrivals.rs
@@ -6,6 +6,7 @@
 use crate::record::Arrival;
 use crate::schedule::DOMAINS;
 use cranereach_platform::requests::HEADERS;
+use cranereach_platform::standin::ending::Framing;
 
 impl BackEnds {
     /// Returns all requests that arrived at any worker.
@@ -30,6 +31,12 @@
                         let seconds: f64 = retry_after_s.parse().ok()?;
                         Some((seconds * 1_000.0) as u64)
                     }),
+                    software_version: worker.software_version(),
+                    is_end_unmarked: seen.ending.framing == Framing::Connection,
+                    is_cut_hidden: seen
+                        .ending
+                        .hides_cut(seen.headers.contains_key(HEADERS.model)),
+                    worker_ended_ms: worker.ended_at().map(|at| journal.ms_since_start(at)),
                 });
                 arrivals.extend(worker_arrivals);
             }
--- a/crates/cranereach-soak/src/callers.rs
+++ b/crates/cranereach-soak/src/callers.rs
@@ -17,8 +17,11 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
+use crate::events::StreamEvents;
 use crate::gateways::Gateway;
 use crate::journal::Journal;
 use crate::record::Answer;
@@ -38,7 +41,7 @@
 const STREAM_DEADLINE_MS: u64 = 5_000;
 
 /// Time after the deadline at which a caller gives up, in milliseconds.
-const GIVE_UP_DELAY_MS: u64 = 1_000;
+pub const GIVE_UP_DELAY_MS: u64 = 1_000;
 
 /// Time-out for opening a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -49,6 +52,18 @@
 /// Pause after a failed attempt to connect, in milliseconds.
 const RECONNECT_DELAY_MS: u64 = 50;
 
+/// Tokens of a stream as its request announces them: those of the prompt, and the most out.
+pub const TOKENS: &str = "10,50";
+
+/// Until when a caller reads an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadLimits {
+    /// Time at which it leaves.
+    pub until: Instant,
+    /// Number of complete events after which it leaves, if any.
+    pub event_count: Option<usize>,
+}
+
 /// A caller that uses one connection at a time.
 #[derive(Debug)]
 pub struct Caller {
@@ -60,6 +75,17 @@
     sent_count: u64,
 }
 
+impl ReadLimits {
+    /// Returns whether a body has as many events as the caller reads.
+    pub fn is_reached(&self, body: &[u8]) -> bool {
+        let has_events = |event_count| {
+            let text = String::from_utf8_lossy(body);
+            StreamEvents::new(&text).complete().len() >= event_count
+        };
+        self.event_count.is_some_and(has_events)
+    }
+}
+
 impl Caller {
     /// Creates a caller whose requests are determined by the seed and its number.
     pub fn new(
@@ -120,6 +146,8 @@
                 sent_ms,
                 ended_ms: self.journal.now_ms(),
                 end,
+                take_up: None,
+                is_left: false,
             });
             if !is_usable {
                 return;
@@ -150,11 +178,11 @@
             .header("authorization", format!("Bearer {}", KEYS[key]))
             .header(HEADERS.request_id, &id)
             .header(HEADERS.deadline_ms, deadline_ms(kind));
-        if kind == Kind::Stream {
+        if kind.is_stream() {
             let model = MODELS[self.rng.random_range(0..MODELS.len())];
             builder = builder
                 .header(HEADERS.model, model)
-                .header(HEADERS.tokens, "10,50");
+                .header(HEADERS.tokens, TOKENS);
         }
         let body = Full::new(Bytes::from(id));
         builder.body(body).expect("request parts are valid")
@@ -183,19 +211,21 @@
         sent_ms,
         ended_ms: journal.now_ms(),
         end: end.unwrap_or(End::GaveUp),
+        take_up: None,
+        is_left: false,
     });
 }
 
 /// Returns the deadline that callers state for a kind of request, in milliseconds.
 pub fn deadline_ms(kind: Kind) -> u64 {
     match kind {
-        Kind::Stream => STREAM_DEADLINE_MS,
+        Kind::Stream | Kind::Resumable => STREAM_DEADLINE_MS,
         Kind::Once | Kind::Again | Kind::Moved => DEADLINE_MS,
     }
 }
 
 /// Opens a connection; returns `None` on an error or time-out.
-async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+pub async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
     let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = timeout(limit, TcpStream::connect(address))
         .await
@@ -210,13 +240,13 @@
 /// Sends one request and reads as much of the answer as arrives.
 async fn exchange(connection: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> End {
     match connection.send_request(request).await {
-        Ok(response) => End::Answered(read_answer(response).await),
+        Ok(response) => End::Answered(read_answer(response, None).await),
         Err(_closed) => End::Closed,
     }
 }
 
-/// Reads as much of an answer as arrives.
-async fn read_answer(response: Response<Incoming>) -> Answer {
+/// Reads as much of an answer as arrives within the limits.
+pub async fn read_answer(response: Response<Incoming>, limits: Option<ReadLimits>) -> Answer {
     let (head, mut incoming) = response.into_parts();
     let header = |name: &str| {
         let value = head.headers.get(name)?;
@@ -224,7 +254,15 @@
     };
     let mut body = Vec::new();
     let is_whole = loop {
-        match incoming.frame().await {
+        let frame = match limits {
+            None => incoming.frame().await,
+            Some(limits) if limits.is_reached(&body) => break false,
+            Some(limits) => match timeout_at(limits.until, incoming.frame()).await {
+                Ok(frame) => frame,
+                Err(_elapsed) => break false,
+            },
+        };
+        match frame {
             Some(Ok(frame)) => body.extend(frame.into_data().unwrap_or_default()),
             Some(Err(_broken_off)) => break false,
             None => break true,
--- a/crates/cranereach-soak/src/check/gateway_health.rs
+++ b/crates/cranereach-soak/src/check/gateway_health.rs
@@ -35,7 +35,8 @@
     finding
 }
 
-/// Checks that valid requests with a valid key aren't refused as invalid.
+/// Checks that valid requests with a valid key aren't refused as invalid. Those that take up a
+/// stream may be refused; a promise of their own judges how many.
 pub fn denied(records: &Records) -> Finding {
     let revoked = records.events.iter().filter_map(|event| match event {
         Event::Revoked { key, .. } => Some(*key),
@@ -43,7 +44,8 @@
     });
     let revoked: HashSet<usize> = revoked.collect();
     let with_valid_key = records.asked.iter();
-    let with_valid_key = with_valid_key.filter(|record| !revoked.contains(&record.key));
+    let with_valid_key =
+        with_valid_key.filter(|record| record.take_up.is_none() && !revoked.contains(&record.key));
     let mut tried_count = 0;
     let mut denied = Vec::new();
     for record in with_valid_key {
--- a/crates/cranereach-soak/src/check/mod.rs
+++ b/crates/cranereach-soak/src/check/mod.rs
@@ -6,6 +6,7 @@
 pub mod contact;
 pub mod crash_requests;
 pub mod gateway_health;
+pub mod hidden_ends;
 pub mod notices;
 pub mod rate_limits;
 pub mod recovery;
--- a/crates/cranereach-soak/src/check/stop.rs
+++ b/crates/cranereach-soak/src/check/stop.rs
@@ -8,6 +8,7 @@
 use crate::record::Component;
 use crate::record::End;
 use crate::record::Event;
+use crate::record::Kind;
 use crate::record::Records;
 use crate::record::RequestRecord;
 
@@ -22,9 +23,10 @@
 /// whose gateway, store or worker had an unplanned disturbance.
 pub fn check(records: &Records) -> Finding {
     let index = RecordIndex::new(records);
-    let mut workers: HashMap<&str, usize> = HashMap::new();
+    let mut workers: HashMap<&str, Vec<usize>> = HashMap::new();
     for arrival in &records.arrivals {
-        workers.insert(arrival.id.as_str(), arrival.worker);
+        let of_request = workers.entry(arrival.id.as_str()).or_default();
+        of_request.push(arrival.worker);
     }
     let mut judged = HashSet::new();
     let mut finding = Finding::default();
@@ -37,10 +39,11 @@
             record.gateway == *gateway && record.ended_ms >= *at_ms && record.sent_ms <= until_ms
         });
         for record in during_stop {
-            let worker = workers.get(record.id.as_str()).copied();
+            let workers = workers.get(record.id.as_str()).map(Vec::as_slice);
+            let workers = involved_workers(record, workers.unwrap_or_default());
             // A request may have been open at two stop signals.
-            if is_undisturbed(&index, record, worker) && judged.insert(record.id.as_str()) {
-                let is_cut = is_cut(record, worker.is_some());
+            if is_undisturbed(&index, record, workers) && judged.insert(record.id.as_str()) {
+                let is_cut = is_cut(record, !workers.is_empty());
                 let message = || format!("{}: cut off by the stop of gateway {gateway}", record.id);
                 finding.add_trial(is_cut.then(message));
             }
@@ -49,13 +52,26 @@
     finding
 }
 
+/// Returns the workers on which the end of an answer depended, of those that got the request: the
+/// last one, and all of a stream that may be resumed.
+fn involved_workers<'a>(record: &RequestRecord, workers: &'a [usize]) -> &'a [usize] {
+    match record.kind {
+        Kind::Resumable => workers,
+        Kind::Once | Kind::Again | Kind::Moved | Kind::Stream => {
+            &workers[workers.len().saturating_sub(1)..]
+        }
+    }
+}
+
 /// Returns whether no component that took part had an unplanned disturbance.
-fn is_undisturbed(index: &RecordIndex<'_>, record: &RequestRecord, worker: Option<usize>) -> bool {
+fn is_undisturbed(index: &RecordIndex<'_>, record: &RequestRecord, workers: &[usize]) -> bool {
     let is_settled =
         |component| index.is_settled(component, record.sent_ms, record.ended_ms, false);
     is_settled(Component::Gateway(record.gateway))
         && is_settled(Component::Store)
-        && worker.is_none_or(|worker| is_settled(Component::Worker(worker)))
+        && workers
+            .iter()
+            .all(|worker| is_settled(Component::Worker(*worker)))
 }
 
 /// Returns whether a request was read by the gateway but got no complete answer.
@@ -63,7 +79,7 @@
     let was_read = has_arrived || record.ended_ms > record.sent_ms + CLOSE_RACE_MS;
     let is_incomplete = match &record.end {
         End::Closed => true,
-        End::Answered(answer) => !answer.is_whole,
+        End::Answered(answer) => !answer.is_whole && !record.is_left,
         End::GaveUp => false,
     };
     was_read && is_incomplete
--- a/crates/cranereach-soak/src/faults.rs
+++ b/crates/cranereach-soak/src/faults.rs
@@ -14,6 +14,7 @@
 use crate::schedule::Fault;
 use crate::schedule::KEYS;
 use crate::schedule::Step;
+use cranereach_platform::standin::ending::Ending;
 use cranereach_platform::standin::store;
 use cranereach_platform::standin::worker::Behaviour;
 use cranereach_standin::relay::LinkMode;
@@ -85,6 +86,14 @@
             back_ends.set_worker_link(target, mode);
             pause(for_ms).await;
             back_ends.set_worker_link(target, LinkMode::Open);
+            if mode == LinkMode::Cut {
+                let to_ms = journal.now_ms();
+                journal.record_event(Event::LinkCut {
+                    worker: target,
+                    from_ms,
+                    to_ms,
+                });
+            }
             journal.record_disturbance(Component::Worker(target), false, from_ms);
         }
         Fault::Store(fault) => {
@@ -108,6 +117,13 @@
             journal.record_disturbance(Component::Worker(target), false, from_ms);
         }
         Fault::WorkerLeaves => back_ends.leave(target, journal).await,
+        Fault::BodyEnds(ending) => {
+            back_ends.end_bodies(target, ending);
+            pause(for_ms).await;
+            back_ends.end_bodies(target, Ending::default());
+            journal.record_disturbance(Component::Worker(target), false, from_ms);
+        }
+        Fault::Release => back_ends.release(target, for_ms, journal).await,
         Fault::Move => {
             let service = back_ends.move_route().to_owned();
             let at_ms = journal.now_ms();
--- a/crates/cranereach-soak/src/lib.rs
+++ b/crates/cranereach-soak/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`schedule`] derives the faults from a seed, and [`faults`] injects them.
 //! - [`gateways`] starts, signals and stops the gateway processes.
 //! - [`back_ends`] stands in for the platform's store and workers.
-//! - [`callers`] sends requests; [`crash_requests`] keeps resending one that crashes every worker
+//! - [`callers`] sends requests; [`resuming_callers`] takes up streams that break off; [`crash_requests`] keeps resending one that crashes every worker
 //!   that runs it.
 //! - [`rate_limits`] makes workers announce rate limits; [`notices`] makes them leave during a
 //!   store outage and ask for a rest.
@@ -15,6 +15,7 @@
 pub mod callers;
 pub mod check;
 pub mod crash_requests;
+pub mod events;
 pub mod faults;
 pub mod gateways;
 pub mod journal;
@@ -22,5 +23,6 @@
 pub mod rate_limits;
 pub mod record;
 pub mod report;
+pub mod resuming_callers;
 pub mod run;
 pub mod schedule;
--- a/crates/cranereach-soak/src/record.rs
+++ b/crates/cranereach-soak/src/record.rs
@@ -15,12 +15,19 @@
     Moved,
     /// A stream; must run at most once.
     Stream,
+    /// A stream that may be resumed, also by its caller.
+    Resumable,
 }
 
 impl Kind {
     /// Returns whether a request may run more than once.
     pub fn is_repeatable(self) -> bool {
-        matches!(self, Self::Again | Self::Moved)
+        matches!(self, Self::Again | Self::Moved | Self::Resumable)
+    }
+
+    /// Returns whether it is answered by a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resumable)
     }
 
     /// Returns the name of the route, which is also its path.
@@ -30,6 +37,7 @@
             Self::Again => "again",
             Self::Moved => "moved",
             Self::Stream => "stream",
+            Self::Resumable => "resumable",
         }
     }
 }
@@ -60,6 +68,18 @@
     pub body: String,
 }
 
+/// What a caller states when it takes up a stream that broke off.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct TakeUp {
+    /// ID of the request that brought the first event of the stream.
+    pub first_id: String,
+    /// Number of the last event that the caller has.
+    pub last_event: usize,
+    /// Number of workers that could go on with the stream at the start and at the end of the
+    /// request, whichever was smaller: they serve its model with the version that began it.
+    pub serving_count: usize,
+}
+
 /// A request as its caller saw it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct RequestRecord {
@@ -77,6 +97,10 @@
     pub ended_ms: u64,
     /// How it ended.
     pub end: End,
+    /// Set if it takes up a stream that broke off.
+    pub take_up: Option<TakeUp>,
+    /// Whether the caller itself closed the connection before the end of the answer.
+    pub is_left: bool,
 }
 
 /// A request as a worker received it.
@@ -100,6 +124,14 @@
     pub is_run: bool,
     /// Rest that the worker asked for, by `Retry-After`, when it shed the request.
     pub rest_ms: Option<u64>,
+    /// Version of the worker's software, if it has one.
+    pub software_version: Option<String>,
+    /// Whether only the end of the connection marked the end of the body.
+    pub is_end_unmarked: bool,
+    /// Whether the worker cut the body in a way that can't be told from its end.
+    pub is_cut_hidden: bool,
+    /// Time at which the worker ended, if it has.
+    pub worker_ended_ms: Option<u64>,
 }
 
 /// Component that a disturbance affected.
@@ -173,6 +205,15 @@
         /// Time at which the limit ended.
         to_ms: u64,
     },
+    /// The link to a worker was cut for a time.
+    LinkCut {
+        /// Number of the worker slot.
+        worker: usize,
+        /// Start.
+        from_ms: u64,
+        /// End.
+        to_ms: u64,
+    },
     /// A key was revoked.
     Revoked {
         /// Index of the key.
--- a/crates/cranereach-soak/src/run.rs
+++ b/crates/cranereach-soak/src/run.rs
@@ -27,6 +27,7 @@
 use crate::rate_limits;
 use crate::record::Event;
 use crate::record::Records;
+use crate::resuming_callers::ResumingCaller;
 use crate::schedule;
 use crate::schedule::SERVICES;
 use crate::schedule::Size;
@@ -65,6 +66,8 @@
     /// Returns the fault schedule of the run.
     pub fn steps(&self) -> Vec<Step> {
         let mut steps = schedule::from_seed(self.seed, self.run_ms, self.size);
+        schedule::add_body_ends(&mut steps, self.seed, self.run_ms, self.size);
+        schedule::add_releases(&mut steps, self.seed, self.run_ms, self.size);
         if self.restores_store {
             schedule::add_restores(&mut steps, self.seed, self.run_ms);
         }
@@ -138,6 +141,10 @@
         let caller = Caller::new(number, plan.seed, gateways, journal);
         callers.spawn(caller.run(plan.run_ms));
     }
+    for number in 0..plan.size.resuming_caller_count() {
+        let caller = ResumingCaller::new(number, plan.seed, &test_bed);
+        callers.spawn(caller.run(plan.run_ms));
+    }
     let crash_caller = crash_requests::run(
         plan.seed,
         plan.run_ms,
--- a/crates/cranereach-soak/src/schedule.rs
+++ b/crates/cranereach-soak/src/schedule.rs
@@ -1,14 +1,20 @@
 //! The fault schedule of a run, derived from its seed alone.
 
+mod separate;
+
 use std::fmt;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+pub use self::separate::add_body_ends;
+pub use self::separate::add_releases;
+pub use self::separate::add_restores;
 use crate::check::bounded::DRAIN_MS;
 use crate::check::bounded::EVACUATION_MS;
 use crate::check::bounded::REVOCATION_MS;
+use cranereach_platform::standin::ending::Ending;
 use cranereach_platform::standin::store;
 use cranereach_platform::standin::worker::Behaviour;
 use cranereach_standin::relay::LinkMode;
@@ -43,13 +49,6 @@
 /// Range of the pause between two groups of faults, in milliseconds.
 const PAUSE_MS: (u64, u64) = (300, 1_800);
 
-/// Maximum age of the backup that the store is restored from, in milliseconds.
-const BACKUP_MAX_AGE_MS: u64 = 8_000;
-
-/// Range of the time from a restore to the next backup, in milliseconds. Its low end lets two
-/// restores follow each other before the gateways have settled.
-const RESTORE_INTERVAL_MS: (u64, u64) = (200, 9_000);
-
 /// Maximum number of faults in a group.
 const GROUP_MAX_COUNT: usize = 3;
 
@@ -83,10 +82,30 @@
     pub fn worker_total(&self) -> usize {
         SERVICES.len() * self.worker_count
     }
+
+    /// Returns the number of worker slots. The service with models has a second set of workers
+    /// beyond those of all services, with another version of their software.
+    pub fn slot_count(&self) -> usize {
+        self.worker_total() + self.worker_count
+    }
+
+    /// Returns the number of callers that take up streams that broke off.
+    pub fn resuming_caller_count(&self) -> usize {
+        self.caller_count / RESUMING_CALLER_RATIO
+    }
 }
 
-/// Services, each with the same number of workers.
-pub const SERVICES: [&str; 3] = ["plain", "spare", "models"];
+/// Number of callers for each one that takes up streams.
+const RESUMING_CALLER_RATIO: usize = 4;
+
+/// Number of sets of workers of the service with models. Each has a version of its software.
+pub const WORKER_SET_COUNT: usize = 2;
+
+/// Service with models.
+pub const WITH_MODELS: &str = "models";
+
+/// Services, each with the same number of workers; the one with models comes last.
+pub const SERVICES: [&str; 3] = ["plain", "spare", WITH_MODELS];
 
 /// Failure domains, each with its region.
 pub const DOMAINS: [(&str, &str); 3] = [("a", "north"), ("b", "north"), ("c", "south")];
@@ -139,6 +158,10 @@
     WorkerCrashes,
     /// Makes a worker announce that it leaves, drain and be replaced.
     WorkerLeaves,
+    /// Changes how the bodies of a worker's responses end.
+    BodyEnds(Ending),
+    /// Replaces a set of workers by others with a new version of their software, one after another.
+    Release,
     /// Changes the configuration so that a route leads to another service.
     Move,
     /// Revokes a key.
@@ -156,9 +179,10 @@
     pub at_ms: u64,
     /// Fault.
     pub fault: Fault,
-    /// Index of the gateway, worker, service, revocable key or failure domain.
+    /// Index of the gateway, worker, set of workers, service, revocable key or failure domain.
     pub target: usize,
-    /// Duration, in milliseconds. Faults without a duration, such as a reload, ignore it.
+    /// Duration, in milliseconds; for a release the time between two workers. Faults without a
+    /// duration, such as a reload, ignore it.
     pub for_ms: u64,
 }
 
@@ -208,26 +232,6 @@
     steps
 }
 
-/// Adds restores of the store to a schedule. They use a random generator of their own, so that the
-/// other faults of the seed stay the same.
-pub fn add_restores(steps: &mut Vec<Step>, seed: u64, run_ms: u64) {
-    let mut rng = StdRng::seed_from_u64(!seed);
-    let fault_free_ms = FAULT_FREE_END_MS.min(run_ms / 2);
-    let end_ms = run_ms.saturating_sub(fault_free_ms + BACKUP_MAX_AGE_MS);
-    let mut at_ms = FAULT_FREE_START_MS;
-    while at_ms < end_ms {
-        let for_ms = rng.random_range(FAULT_MIN_MS..BACKUP_MAX_AGE_MS);
-        steps.push(Step {
-            at_ms,
-            fault: Fault::StoreRestored,
-            target: 0,
-            for_ms,
-        });
-        at_ms += for_ms + rng.random_range(RESTORE_INTERVAL_MS.0..RESTORE_INTERVAL_MS.1);
-    }
-    steps.sort_by_key(|step| step.at_ms);
-}
-
 /// Returns the number of possible targets of a fault.
 fn target_count(fault: Fault, size: Size) -> usize {
     match fault {
@@ -240,6 +244,8 @@
         Fault::WorkerLink(_) | Fault::Worker(_) | Fault::WorkerCrashes | Fault::WorkerLeaves => {
             size.worker_total()
         }
+        Fault::BodyEnds(_) => size.slot_count(),
+        Fault::Release => WORKER_SET_COUNT,
         Fault::ServiceFull => SERVICES.len(),
         Fault::Revoke => KEYS.len() - FIRST_REVOCABLE,
         Fault::Evacuate => DOMAINS.len(),
--- a/crates/cranereach-soak/tests/soak/schedule.rs
+++ b/crates/cranereach-soak/tests/soak/schedule.rs
@@ -59,6 +59,41 @@
     assert_eq!(lines.len(), 24);
 }
 
+/// Guards against ends of bodies and releases that change the other faults of a seed, leave out a
+/// kind, or disturb the end of a run.
+#[test]
+fn body_ends_and_releases_change_neither_other_faults_nor_the_fault_free_end() {
+    let mut endings = HashSet::new();
+    let mut released_sets = HashSet::new();
+    for seed in 0..50 {
+        let others = schedule::from_seed(seed, 60_000, Size::SMALL);
+        let mut steps = others.clone();
+        schedule::add_body_ends(&mut steps, seed, 60_000, Size::SMALL);
+        schedule::add_releases(&mut steps, seed, 60_000, Size::SMALL);
+        assert!(steps.is_sorted_by_key(|step| step.at_ms));
+        for step in &steps {
+            match step.fault {
+                Fault::BodyEnds(ending) => {
+                    assert!(step.target < Size::SMALL.slot_count());
+                    let cut = ending.cut.map(|cut| (cut.place, cut.close));
+                    endings.insert(format!("{:?} {cut:?}", ending.framing));
+                    assert!(step.at_ms + step.for_ms < 60_000 - FAULT_FREE_END_MS);
+                }
+                Fault::Release => {
+                    released_sets.insert(step.target);
+                    assert!(step.at_ms < 60_000 - FAULT_FREE_END_MS);
+                }
+                _ => {}
+            }
+        }
+        steps.retain(|step| !matches!(step.fault, Fault::BodyEnds(_) | Fault::Release));
+        assert_eq!(steps, others);
+    }
+    // Three ways to mark an end, with seven cuts and none.
+    assert_eq!(endings.len(), 24);
+    assert_eq!(released_sets.len(), 2);
+}
+
 #[test]
 fn restores_change_neither_other_faults_nor_the_fault_free_end() {
     let mut together_count = 0;
