Promises of the soak: ends of answers, one version, tries in order, take-ups that go on

Each is judged by what callers got, joined over all tries of a stream, and found by planted violations.

--- a/crates/cranereach-soak/src/check/mod.rs
+++ b/crates/cranereach-soak/src/check/mod.rs
@@ -1,7 +1,9 @@
 //! The promises, each judged by the records of a run alone.
 
+pub mod answer_ends;
 pub mod answers;
 pub mod bounded;
+pub mod client_streams;
 pub mod cold;
 pub mod contact;
 pub mod crash_requests;
@@ -13,6 +15,9 @@
 pub mod runs;
 pub mod stop;
 pub mod stream_order;
+pub mod stream_versions;
+pub mod taken_up;
+pub mod tries;
 
 use crate::record::Records;
 
@@ -67,13 +72,17 @@
 }
 
 /// All promises, in the order of the report.
-pub const PROMISES: [Promise; 19] = [
+pub const PROMISES: [Promise; 23] = [
     promise("whole-answers", Applicability::Always, answers::check),
     promise(
         "streams-in-order",
         Applicability::Always,
         stream_order::check,
     ),
+    promise("answer-ends", Applicability::Always, answer_ends::check),
+    promise("one-version", Applicability::Always, stream_versions::check),
+    promise("tries-in-order", Applicability::Always, tries::check),
+    promise("taken-up", Applicability::Timed, taken_up::check),
     promise("at-most-once", Applicability::Always, runs::at_most_once),
     promise("not-run-is-true", Applicability::Always, runs::not_run),
     promise(
--- a/crates/cranereach-soak/tests/soak/main.rs
+++ b/crates/cranereach-soak/tests/soak/main.rs
@@ -8,3 +8,4 @@
 mod planted;
 mod requests;
 mod schedule;
+mod streams;
