--- a/crates/cranereach-soak/src/schedule/separate.rs
+++ b/crates/cranereach-soak/src/schedule/separate.rs
@@ -38,6 +38,13 @@
 /// streams.
 const STREAM_SHARE: f64 = 0.7;
 
+/// Share of these faults in which nothing but the place tells that a body was cut: its end is
+/// unmarked, and the connection closes in order inside an event.
+const SILENT_CUT_SHARE: f64 = 0.3;
+
+/// What follows such a cut.
+const SILENT_CLOSES: [Close; 2] = [Close::Orderly, Close::Crash];
+
 /// Mixed into the seed for releases.
 const RELEASES_SALT: u64 = 0x7265_6c65;
 
@@ -133,9 +140,14 @@
 
 /// Draws how bodies end.
 fn draw_ending(rng: &mut StdRng) -> Ending {
-    let framing = pick(rng, &FRAMINGS);
     let event_count = rng.random_range(1..EVENT_COUNT);
-    let cut = pick(rng, &CUTS).map(|(place, close)| Cut {
+    let (framing, cut) = if rng.random_bool(SILENT_CUT_SHARE) {
+        let close = pick(rng, &SILENT_CLOSES);
+        (Framing::Connection, Some((CutPlace::InsideEvent, close)))
+    } else {
+        (pick(rng, &FRAMINGS), pick(rng, &CUTS))
+    };
+    let cut = cut.map(|(place, close)| Cut {
         event_count,
         place,
         close,
--- a/crates/cranereach-soak/tests/soak/schedule.rs
+++ b/crates/cranereach-soak/tests/soak/schedule.rs
@@ -2,6 +2,10 @@
 
 use std::collections::HashSet;
 
+use cranereach_platform::standin::ending::Close;
+use cranereach_platform::standin::ending::CutPlace;
+use cranereach_platform::standin::ending::Ending;
+use cranereach_platform::standin::ending::Framing;
 use cranereach_soak::schedule;
 use cranereach_soak::schedule::FAULT_FREE_END_MS;
 use cranereach_soak::schedule::Fault;
@@ -65,12 +69,18 @@
 fn body_ends_and_releases_change_neither_other_faults_nor_the_fault_free_end() {
     let mut endings = HashSet::new();
     let mut released_sets = HashSet::new();
+    let mut silent_cut_count = 0;
     for seed in 0..50 {
         let others = schedule::from_seed(seed, 60_000, Size::SMALL);
         let mut steps = others.clone();
         schedule::add_body_ends(&mut steps, seed, 60_000, Size::SMALL);
         schedule::add_releases(&mut steps, seed, 60_000, Size::SMALL);
         assert!(steps.is_sorted_by_key(|step| step.at_ms));
+        let is_silent_cut = |step: &&Step| {
+            matches!(step.fault, Fault::BodyEnds(Ending { framing: Framing::Connection, cut: Some(cut) })
+                if cut.place == CutPlace::InsideEvent && cut.close == Close::Orderly)
+        };
+        silent_cut_count += usize::from(steps.iter().any(|step| is_silent_cut(&step)));
         for step in &steps {
             match step.fault {
                 Fault::BodyEnds(ending) => {
@@ -92,6 +102,8 @@
     // Three ways to mark an end, with seven cuts and none.
     assert_eq!(endings.len(), 24);
     assert_eq!(released_sets.len(), 2);
+    // Each run tests the end that nothing tells but its place.
+    assert_eq!(silent_cut_count, 50);
 }
 
 #[test]
