A list of evacuations that can't be taken proves nothing

Cause: an answer of the store whose list names more than 256 failure domains was logged and counted as bad input, but the answer still proved that the instance knew the newest list, and its changes were passed over: the domain wasn't evacuated, and the proof went on.

Now such an answer counts as one with a row that can't be parsed: it proves nothing, and the table is read whole until a list can be taken. What is evacuated by the list before stays so.

Failed before: `a_list_that_is_not_taken_proves_nothing` waited in vain for a second reading of the list.

--- a/crates/cranereach-gateway/src/evacuations.rs
+++ b/crates/cranereach-gateway/src/evacuations.rs
@@ -29,7 +29,7 @@
 const LOGGED_NAME_CHARS: usize = 64;
 
 /// Applies the store's response, which holds either the whole table or its changes. Returns false
-/// if the whole table has to be read again.
+/// if the whole table has to be read again; until then the response proves nothing.
 ///
 /// The domains of workers are unknown until the first list of workers arrives. A list of
 /// evacuations that left out domains for this reason would, being the newest, withdraw their
@@ -82,18 +82,18 @@
             list.changed(key, position, is_gone)
         })
     };
-    take(node, &list, Origin::Own);
-    true
+    take(node, &list, Origin::Own)
 }
 
-/// Applies a list from the store or a peer. A list that is not newer is ignored.
-pub fn take(node: &Node, list: &EvacuationList, origin: Origin) {
+/// Applies a list from the store or a peer. A list that is not newer is ignored. Returns false if
+/// it is newer and can't be taken.
+pub fn take(node: &Node, list: &EvacuationList, origin: Origin) -> bool {
     let now_ms = node.now_ms();
     let known_at_ms = lock(&node.proof).known_at_ms(now_ms);
     let bound_ms = node.settings.bounds.evacuation_ms;
     let mut roster = node.roster();
     if list.position <= roster.evacuations.list().position {
-        return;
+        return true;
     }
     let taken = roster
         .evacuations
@@ -103,7 +103,7 @@
         warn!(node.log, "evacuation list names too many failure domains"; "from" => format!("{origin:?}"), "domains" => list.domains.len());
         let counter = &node.metrics.bad_input_total;
         counter.with_label_values(&["evacuation"]).inc();
-        return;
+        return false;
     };
     lock(&node.proof).evacuations_known(list.position);
     for (domains, is_asked) in [(&change.requested, true), (&change.ended, false)] {
@@ -122,6 +122,7 @@
     node.roster_changed.notify_waiters();
     node.controller_wanted.notify_one();
     node.gossip_news(origin);
+    true
 }
 
 /// Whether a domain is named in the settings or by a worker.
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -266,7 +266,9 @@
         Message::Limit(ask) => account_limits::answer(node, sender, &ask),
         Message::Returned(returned) => account_limits::take_back(node, ip, &returned),
         Message::Granted(grant) => node.limit_questions.answered(grant.ticket, grant),
-        Message::Evacuations(list) => evacuations::take(node, &list, origin(node, ip)),
+        Message::Evacuations(list) => {
+            evacuations::take(node, &list, origin(node, ip));
+        }
         Message::MaySend(ask) => send_grants::answer(node, sender, &ask),
         Message::BrittleEnd(end) => brittle_workers::take_end(node, ip, end),
         Message::SendGranted(grant) => node.grant_questions.answered(grant.ticket, grant),
