--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -20,23 +20,35 @@
 use tokio::time::Sleep;
 
 use super::broken_connection;
-use super::exchange::OfferHistory;
 use super::in_flight::InFlightCall;
+use super::offer_history::OfferHistory;
 use super::request::Call;
 use super::resumption::ReusableConnection;
 use super::resumption::StartedStream;
 use super::resumption::StreamResumption;
 use super::telemetry;
+use super::version_requirement::VersionRequirement;
 use super::worker_body::JudgedEnd;
 use super::worker_body::WorkerBody;
 use super::worker_body::WorkerPart;
 use crate::node::Node;
 use crate::quarantine;
+use crate::stream_origins;
 use crate::worker_ends::ProbeResult;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::events::EventBuffer;
 use cranereach_http::events::ResumePoint;
 
+/// Outcome of a broken stream that goes on at another worker.
+const TAKEN_UP: &str = "taken_up";
+
+/// Outcome of a broken stream with which no worker goes on.
+const ENDED: &str = "ended";
+
+/// Outcome of a broken stream with which only workers of other versions could go on.
+const OTHER_VERSION: &str = "other_version";
+
 /// The stream ended before it was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the stream ended before it was complete")]
@@ -51,8 +63,12 @@
     body: WorkerBody,
     connection: Option<ReusableConnection>,
     in_flight: Option<InFlightCall>,
+    /// Version of the current worker's software; `None` if it is uncertain.
+    software: Option<SoftwareVersion>,
     due: Pin<Box<Sleep>>,
     gaps: ChunkGaps,
+    /// Whether the version at which the stream runs has been noted.
+    is_origin_noted: bool,
     /// Splits the stream into events; `None` if the stream may not be resumed on another worker.
     events: Option<EventBuffer>,
     /// Offers that the call has used so far.
@@ -99,12 +115,14 @@
             body: started.body,
             connection: Some(started.connection),
             in_flight: Some(started.in_flight),
+            software: started.software,
             due: Box::pin(tokio::time::sleep_until(node.instant(call.deadline_at_ms))),
             gaps: ChunkGaps {
                 target_ms: call.route.gap_aim_ms,
                 last_chunk_at: Instant::now(),
                 longest_ms: 0,
             },
+            is_origin_noted: false,
             events: call.route.may_repeat().then(EventBuffer::default),
             history,
             resumption: None,
@@ -121,15 +139,19 @@
                 return Poll::Ready(None);
             }
             if self.due.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(Some(Err(self.abort("deadline"))));
+                return Poll::Ready(Some(Err(self.abort("deadline", ENDED))));
             }
             if let Some(resumption) = &mut self.resumption {
-                let took_ms = resumption.elapsed_ms();
                 match ready!(resumption.poll(cx)) {
-                    Ok((started, history)) => self.continue_with(started, history, took_ms),
+                    Ok((started, history)) => self.continue_with(started, history),
                     Err(refusal) => {
                         let reason = format!("not resumed: {}", refusal.detail);
-                        return Poll::Ready(Some(Err(self.abort(&reason))));
+                        let outcome = if refusal.lacks_version {
+                            OTHER_VERSION
+                        } else {
+                            ENDED
+                        };
+                        return Poll::Ready(Some(Err(self.abort(&reason, outcome))));
                     }
                 }
             }
@@ -150,8 +172,11 @@
                         .as_ref()
                         .is_some_and(EventBuffer::has_non_increasing_id)
                     {
-                        return Poll::Ready(Some(Err(self.abort("event ids are not increasing"))));
+                        return Poll::Ready(Some(Err(
+                            self.abort("event ids are not increasing", ENDED)
+                        )));
                     }
+                    self.note_origin();
                     self.gaps.record_chunk();
                     return Poll::Ready(Some(Ok(frame)));
                 }
@@ -168,13 +193,26 @@
                         if let Some(in_flight) = self.in_flight.take() {
                             in_flight.broke_off();
                         }
-                        return Poll::Ready(Some(Err(self.abort(&reason.to_string()))));
+                        return Poll::Ready(Some(Err(self.abort(&reason.to_string(), ENDED))));
                     }
                 }
             }
         }
     }
 
+    /// Notes the version at which the stream runs once the caller has an event of it.
+    fn note_origin(&mut self) {
+        let has_event =
+            matches!(&self.events, Some(events) if *events.reached() != ResumePoint::Start);
+        if has_event && !self.is_origin_noted {
+            self.is_origin_noted = true;
+            // A stream of which the version isn't known is not taken up as one of another.
+            if let Some(software) = &self.software {
+                stream_origins::note_event(&self.node, &self.call, software.key());
+            }
+        }
+    }
+
     /// Counts and logs the end of the current worker's body.
     fn record_end(&self, judged: JudgedEnd) {
         if let Some(in_flight) = &self.in_flight {
@@ -212,16 +250,24 @@
             ResumePoint::Event(id) => Some(id.clone()),
             ResumePoint::Unknown => return false,
         };
+        let requirement = match (&last_event, &self.software) {
+            (None, _) => self.history.requirement.clone(),
+            (Some(_), Some(software)) => VersionRequirement::same_as(software),
+            (Some(_), None) => return false,
+        };
         let Some(worker_check) = self.investigate_worker() else {
             return false;
         };
-        if let Some(in_flight) = self.in_flight.take() {
-            in_flight.broke_off();
-        }
+        let Some(in_flight) = self.in_flight.take() else {
+            return false;
+        };
+        let from = Arc::clone(in_flight.worker());
+        in_flight.broke_off();
         self.connection = None;
-        let history = std::mem::take(&mut self.history);
-        let started =
-            StreamResumption::spawn(&self.node, &self.call, history, last_event, worker_check);
+        let mut history = std::mem::take(&mut self.history);
+        history.requirement = requirement;
+        let (node, call) = (&self.node, &self.call);
+        let started = StreamResumption::spawn(node, call, from, history, last_event, worker_check);
         self.resumption = Some(started);
         true
     }
@@ -239,17 +285,24 @@
     }
 
     /// Continues with the stream of another worker.
-    fn continue_with(&mut self, started: StartedStream, history: OfferHistory, took_ms: u64) {
+    fn continue_with(&mut self, started: StartedStream, history: OfferHistory) {
+        let Some(resumption) = self.resumption.take() else {
+            return;
+        };
+        let from = &resumption.from;
+        let took_ms = resumption.elapsed_ms();
         info!(self.node.log, "stream resumed"; "request" => self.call.id.clone(),
-            "worker" => started.in_flight.worker().as_ref(), "took_ms" => took_ms,
+            "from" => from.as_ref(), "from_version" => self.software.as_ref().map(ToString::to_string),
+            "worker" => started.in_flight.worker().as_ref(),
+            "version" => started.software.as_ref().map(ToString::to_string), "took_ms" => took_ms,
             "after" => format!("{:?}", self.events.as_ref().map(EventBuffer::reached)));
         let counter = &self.node.metrics.streams_broken_total;
-        counter.with_label_values(&["taken_up"]).inc();
-        self.resumption = None;
+        counter.with_label_values(&[TAKEN_UP]).inc();
         self.first_chunk = Some(started.first_chunk);
         self.body = started.body;
         self.connection = Some(started.connection);
         self.in_flight = Some(started.in_flight);
+        self.software = started.software;
         self.history = history;
         // The gap until the resumption does not count against the new worker.
         self.gaps.last_chunk_at = Instant::now();
@@ -284,17 +337,17 @@
     }
 
     /// Ends the stream before it is complete.
-    fn abort(&mut self, reason: &str) -> StreamInterrupted {
-        let worker = self
-            .in_flight
-            .as_ref()
-            .map(|in_flight| in_flight.worker().to_string());
+    fn abort(&mut self, reason: &str, outcome: &str) -> StreamInterrupted {
+        let worker = match (&self.in_flight, &self.resumption) {
+            (Some(in_flight), _) => Some(in_flight.worker().to_string()),
+            (None, resumption) => resumption.as_ref().map(|ended| ended.from.to_string()),
+        };
         info!(self.node.log, "stream broken off"; "request" => self.call.id.clone(),
-            "worker" => worker, "why" => reason);
+            "worker" => worker, "version" => self.software.as_ref().map(ToString::to_string), "why" => reason);
         let counter = &self.node.metrics.requests_total;
         counter.with_label_values(&["", "broken_midway"]).inc();
         let counter = &self.node.metrics.streams_broken_total;
-        counter.with_label_values(&["ended"]).inc();
+        counter.with_label_values(&[outcome]).inc();
         self.in_flight = None;
         self.connection = None;
         self.resumption = None;
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -41,6 +41,7 @@
 use crate::recipients::Origin;
 use crate::roster_sync;
 use crate::send_grants;
+use crate::stream_origins;
 use cranereach_fleet::freshness::Freshness;
 use cranereach_fleet::key::worker_key;
 use cranereach_fleet::membership::MemberUpdate;
@@ -227,7 +228,8 @@
 
 /// Receives messages from peers until the process ends.
 pub async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    // One byte more than the largest datagram, so that larger ones, which are cut, are recognized.
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES + 1];
     loop {
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             pause(ROUND_MIN_INTERVAL_MS).await;
@@ -266,11 +268,16 @@
         Message::Limit(ask) => account_limits::answer(node, sender, &ask),
         Message::Returned(returned) => account_limits::take_back(node, ip, &returned),
         Message::Granted(grant) => node.limit_questions.answered(grant.ticket, grant),
-        Message::Evacuations(list) => evacuations::take(node, &list, origin(node, ip)),
+        Message::Evacuations(list) => {
+            evacuations::take(node, &list, origin(node, ip));
+        }
         Message::MaySend(ask) => send_grants::answer(node, sender, &ask),
         Message::BrittleEnd(end) => brittle_workers::take_end(node, ip, end),
         Message::SendGranted(grant) => node.grant_questions.answered(grant.ticket, grant),
         Message::Suspect(news) => quarantine::take(node, ip, &[*news]),
+        Message::OriginNotes(notes) => stream_origins::take_notes(node, ip, &notes),
+        Message::OriginAsk(ask) => stream_origins::answer(node, sender, &ask),
+        Message::OriginReply(reply) => stream_origins::take_reply(node, ip, reply),
         Message::List(changes) => roster_sync::take_message(node, ip, &changes),
     }
 }
