Count the software versions of a service as rows change

The versions of each service are looked at at least four times a second, and up to fifty times while the list changes. Each look scanned all workers of the service under the roster's lock, which grows with the fleet. The roster now counts them as rows come and go, in one place beside its index of models.

Test: over 2,000 random rows, restarts, changes of service and removals the counts equal a scan of the listed workers.

--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -9,6 +9,7 @@
 mod holders;
 mod restrictions;
 mod scoring;
+mod versions;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -22,6 +23,7 @@
 use self::scoring::ScoredWorker;
 use self::scoring::cheapest;
 use self::scoring::score_workers;
+use self::versions::VersionCounts;
 use crate::configuration::Engine;
 use crate::departure::DepartureSource;
 use crate::departure::UnlistedDepartures;
@@ -91,6 +93,8 @@
     by_key: HashMap<u64, Arc<str>>,
     /// Workers by the models that their rows list.
     holders: Holders,
+    /// Workers by the versions of software that their rows name.
+    versions: VersionCounts,
     /// Workers whose rows ended during an outage of the store and may come back.
     lapsing: HashSet<Arc<str>>,
     /// Last ended rows, by identity.
@@ -127,6 +131,7 @@
             record.is_leaving |= known.leaves_at > position;
             self.lapsing.remove(&record.id);
             self.holders.change(&known.record, &record);
+            self.versions.change(&known.record, &record);
             if known.record.started_unix_ms != record.started_unix_ms {
                 if let Some(departure) = known.departure {
                     self.unlisted_departures
@@ -172,6 +177,7 @@
         }
         self.by_key.insert(worker_key(&id), Arc::clone(&id));
         self.holders.add(&record);
+        self.versions.add(&record);
         let ids = self.by_service.entry(Arc::clone(&record.service));
         ids.or_default().push(Arc::clone(&id));
         let mut worker = Worker::new(position, record);
@@ -210,6 +216,7 @@
         }
         self.by_key.remove(&worker_key(id));
         self.holders.remove(&removed.record);
+        self.versions.remove(&removed.record);
         self.lapsing.remove(id);
         if let Some(ids) = self.by_service.get_mut(&removed.record.service) {
             ids.retain(|known| known.as_ref() != id);
--- a/crates/cranereach-fleet/tests/software_versions.rs
+++ b/crates/cranereach-fleet/tests/software_versions.rs
@@ -1,9 +1,12 @@
-//! Choice of a worker for requests that only workers of one software version may serve.
+//! Choice of a worker for requests that only workers of one software version may serve, and the
+//! versions of a service.
 
 mod workers;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -17,6 +20,15 @@
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::worker::WorkerRecord;
 
+/// Number of changes of rows.
+const CHANGE_COUNT: u64 = 2_000;
+
+/// Identities of the workers.
+const CHANGED_IDS: [&str; 5] = ["w-0", "w-1", "w-2", "w-3", "w-4"];
+
+/// Services that a worker may belong to.
+const SERVICES: [&str; 2] = ["s", "t"];
+
 /// Number of times that a worker is chosen where the choice is random.
 const DRAW_COUNT: usize = 50;
 
@@ -141,3 +153,36 @@
     );
     assert_eq!(roster.next_ask_and_free_ms(0, &bound_to("v2", MODEL)), None);
 }
+
+/// Guards against versions that are taken for gone, or for still there, after any sequence of rows,
+/// restarts and removals.
+#[test]
+fn the_versions_are_those_of_the_listed_workers() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut roster = Roster::default();
+    for number in 1..=CHANGE_COUNT {
+        // Some rows arrive late.
+        let position = StorePosition::new(0, number.saturating_sub(rng.random_range(0..4)));
+        let id = CHANGED_IDS[rng.random_range(0..CHANGED_IDS.len())];
+        if rng.random_bool(0.3) {
+            roster.remove(position, id);
+        } else {
+            let row = WorkerRecord {
+                service: Arc::from(SERVICES[rng.random_range(0..SERVICES.len())]),
+                software: SoftwareVersion::named(&format!("v{}", rng.random_range(0..3))),
+                started_unix_ms: rng.random_range(0..2),
+                ..record(id, &[])
+            };
+            roster.put(position, row);
+        }
+        for service in SERVICES {
+            let listed = CHANGED_IDS.iter().filter_map(|id| roster.get(id));
+            let of_service = listed.filter(|worker| worker.record.service.as_ref() == service);
+            let expected: BTreeSet<u64> = of_service
+                .map(|worker| worker.record.software.key())
+                .collect();
+            let counted = roster.software_version_keys(service);
+            assert!(counted.iter().eq(&expected), "{number} {service}");
+        }
+    }
+}
--- a/crates/cranereach-gateway/src/stream_origins.rs
+++ b/crates/cranereach-gateway/src/stream_origins.rs
@@ -117,11 +117,7 @@
     let services: Vec<(u64, u64, Vec<u64>)> = {
         let roster = node.roster();
         let services = timeouts_ms.iter().map(|(service, timeout_ms)| {
-            let workers = roster.of_service(service);
-            let mut versions: Vec<u64> =
-                workers.map(|worker| worker.record.software.key()).collect();
-            versions.sort_unstable();
-            versions.dedup();
+            let versions = roster.software_version_keys(service);
             (worker_key(service), stream_life_ms(*timeout_ms), versions)
         });
         services.collect()
