The note of a stream that has just begun is told first

When a service becomes mixed, or members change, all own notes are checked again, 256 at a time; the note of a new stream waited behind them, and until its holders had it a take-up elsewhere was refused, or was answered by holders that knew of one version only. The kernel test failed before.

--- a/crates/cranereach-fleet/src/stream_origins.rs
+++ b/crates/cranereach-fleet/src/stream_origins.rs
@@ -213,10 +213,9 @@
         if is_single {
             return;
         }
-        self.unchecked.push_back(key);
-        while self.unchecked.len() > OWN_NOTE_MAX_COUNT {
-            self.unchecked.pop_front();
-        }
+        // Before those that are only checked again, which may be many.
+        self.unchecked.push_front(key);
+        self.unchecked.truncate(OWN_NOTE_MAX_COUNT);
     }
 
     /// Marks all own notes to be checked again: the members have changed, and with them holders.
--- a/crates/cranereach-fleet/tests/stream_origins/kernel.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/kernel.rs
@@ -9,6 +9,7 @@
 use cranereach_fleet::stream_origins::OriginAnswer;
 use cranereach_fleet::stream_origins::OriginNote;
 use cranereach_fleet::stream_origins::StreamOrigins;
+use cranereach_fleet::stream_origins::TOLD_MAX_COUNT;
 use cranereach_fleet::stream_origins::VersionView;
 use cranereach_fleet::stream_origins::holders;
 use cranereach_fleet::stream_origins::stream_key;
@@ -100,6 +101,22 @@
     assert_eq!(due.keys().collect::<Vec<_>>(), [&second.0]);
 }
 
+/// Guards against the note of a stream that has just begun waiting behind all that are checked again.
+#[test]
+fn a_new_note_is_told_before_those_that_are_checked_again() {
+    let mut origins = watching(&[1, 2]);
+    let count = 2 * TOLD_MAX_COUNT as u64;
+    for key in 1..=count {
+        origins.stream_began(10, key, origin(1), LIFE_MS);
+    }
+    origins.recheck(10);
+    origins.stream_began(20, count + 1, origin(2), LIFE_MS);
+    let peer = (Ipv4Addr::new(10, 0, 0, 2), DomainTag::of("a"));
+    let due = origins.take_due(20, |key| holders(key, [peer].into_iter()));
+    assert_eq!(due[&peer.0].len(), TOLD_MAX_COUNT);
+    assert_eq!(due[&peer.0][0].key, count + 1);
+}
+
 /// Guards against two streams with one key, one of which would continue at the other's version.
 #[test]
 fn notes_that_contradict_each_other_refuse_the_stream() {
