--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -10,16 +10,13 @@
 use hyper::Request;
 use hyper::Uri;
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
-use hyper::header::CONNECTION;
-use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
-use hyper::header::HeaderMap as Headers;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use hyper::header::TRANSFER_ENCODING;
 
 use super::authentication;
+use super::continuation::Continuation;
+use super::forwarded_headers::forwarded_headers;
 use super::refusal::Refusal;
 use crate::node::Node;
 use cranereach_core::codes::ResultCode;
@@ -37,19 +34,6 @@
 use cranereach_http::body;
 use cranereach_http::body::BodyError;
 
-/// Hop-by-hop headers, which concern one connection only and are not forwarded.
-const HOP_BY_HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Model that a request names.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestedModel {
@@ -74,6 +58,8 @@
     pub deadline_at_ms: u64,
     /// Client account of the caller; `None` if no key is needed.
     pub account: Option<Arc<Account>>,
+    /// Whether the call begins a stream or continues one.
+    pub continuation: Continuation,
     /// Label of the account in metrics; empty if there is no account.
     pub account_label: String,
     /// Cost of the request, in units of the account's limit.
@@ -137,6 +123,8 @@
         }
         let account =
             account.map_err(|code| refuse(code, &authentication::rejection_context(node)))?;
+        let continuation = Continuation::read(&route, request.headers(), names)
+            .map_err(|detail| refuse(ResultCode::BadRequest, detail))?;
         let cost = cost(account.as_deref(), text(names.tokens))
             .map_err(|detail| refuse(ResultCode::BadRequest, detail))?;
         let label = account
@@ -181,11 +169,8 @@
         let (head, incoming) = request.into_parts();
         let remaining_ms = deadline_at_ms.saturating_sub(node.now_ms());
         let collected = body::collect(incoming, configuration.limits.body_max_bytes, remaining_ms);
-        let body = collected.await.map_err(|error| match error {
-            BodyError::TooLarge => refuse(ResultCode::BodyTooLarge, "body"),
-            BodyError::TooSlow => refuse(ResultCode::RequestTooSlow, "body"),
-            BodyError::Broken => refuse(ResultCode::CallerLeft, "body"),
-        })?;
+        let body = collected.await;
+        let body = body.map_err(|error| refuse(body_error_code(error), "body"))?;
         Ok(Self {
             id,
             route,
@@ -194,6 +179,7 @@
             deadline_at_ms,
             rank: account_rank.unwrap_or(route_rank),
             account,
+            continuation,
             account_label,
             cost,
             urgent_latency_target_ms,
@@ -305,33 +291,13 @@
     }
 }
 
-/// Copies the headers that are forwarded: all but hop-by-hop headers, the caller's key, and
-/// headers that only this system may set.
-pub fn forwarded_headers(headers: &Headers, reserved: &[&str]) -> Headers {
-    let connection_options: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let is_forwarded = |name: &HeaderName| {
-        let name = name.as_str();
-        !HOP_BY_HOP_HEADERS.contains(&name)
-            && name != AUTHORIZATION.as_str()
-            && !reserved.contains(&name)
-            && (name == HOST.as_str() || !connection_options.iter().any(|listed| listed == name))
-    };
-    let mut forwarded = Headers::with_capacity(headers.len() + 4);
-    for (name, value) in headers {
-        if is_forwarded(name) {
-            forwarded.append(name.clone(), value.clone());
-        }
-    }
-    if headers.contains_key(TRANSFER_ENCODING) {
-        forwarded.remove(CONTENT_LENGTH);
+/// Returns the result code of a request whose body can't be read.
+fn body_error_code(error: BodyError) -> ResultCode {
+    match error {
+        BodyError::TooLarge => ResultCode::BodyTooLarge,
+        BodyError::TooSlow => ResultCode::RequestTooSlow,
+        BodyError::Broken => ResultCode::CallerLeft,
     }
-    forwarded
 }
 
 /// Splits the name of a model from that of its adapter.
