--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -1,6 +1,9 @@
 //! The command line: offline checks, exit codes, diffs and the demo.
 
+use std::ffi::OsStr;
 use std::fs;
+use std::os::unix::ffi::OsStrExt;
+use std::process::Command;
 
 use serde_json::Value;
 use serde_json::json;
@@ -265,3 +268,19 @@
     assert_eq!(exit, 0, "{output}{errors}");
     assert!(output.contains("kept      every promise"), "{output}");
 }
+
+/// Guards against a panic on arguments that are not text, in place of the exit code of an invalid
+/// command line.
+#[test]
+fn arguments_that_are_not_utf_8_are_refused() {
+    let garbled = OsStr::from_bytes(b"z\xff1");
+    for arguments in [&[garbled][..], &[OsStr::new("evacuate"), garbled]] {
+        let output = Command::new(env!("CARGO_BIN_EXE_cranereach"))
+            .args(arguments)
+            .output()
+            .unwrap();
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{errors}");
+        assert!(errors.contains("z\u{fffd}1"), "{errors}");
+    }
+}
