Look through the workers' domains once for an answer of the store

Each row of an evacuation of a domain that the settings don't name looked at all workers under the roster's lock: with 1,000 rows and 10,000 workers ten million comparisons of names. The domains of the workers are now collected at the first such row of an answer, and not at all where there is none. What is taken and what is passed over is the same: the tests of evacuations pass as before. Not measured.

--- a/crates/cranereach-gateway/src/evacuations.rs
+++ b/crates/cranereach-gateway/src/evacuations.rs
@@ -5,6 +5,10 @@
 //! The instances do not confirm it to the operator: the time bound of an evacuation runs from the
 //! store's own response to the write.
 
+use std::cell::OnceCell;
+use std::collections::HashSet;
+use std::sync::Arc;
+
 use slog::info;
 use slog::warn;
 
@@ -49,10 +53,18 @@
     let is_unknown = |(key, _): &&(u64, StorePosition)| node.topology.domain_by_key(*key).is_none();
     let mut unknown_count = known.domains.iter().filter(is_unknown).count();
     let knows_workers = lock(&node.list).age_ms(node.now_ms()).is_some();
+    let worker_domains = OnceCell::new();
+    let is_known = |domain: &str| {
+        let is_in_settings = node.topology.region_of(domain).is_some();
+        is_in_settings
+            || worker_domains
+                .get_or_init(|| domains_of_workers(node))
+                .contains(domain)
+    };
     let mut taken = Vec::new();
     for (key, domain, position, is_gone) in rows_of_domains {
         let is_held = known.domains.iter().any(|(held, _)| *held == key);
-        if !is_gone && !is_held && !is_known_domain(node, &domain) {
+        if !is_gone && !is_held && !is_known(&domain) {
             unknown_count += 1;
             let is_kept = record_unknown(node, &domain, unknown_count);
             if !is_kept && !knows_workers {
@@ -125,15 +137,13 @@
     true
 }
 
-/// Whether a domain is named in the settings or by a worker.
-fn is_known_domain(node: &Node, domain: &str) -> bool {
-    let is_in_settings = node.topology.region_of(domain).is_some();
-    let has_worker = || {
-        let roster = node.roster();
-        let mut workers = roster.workers();
-        workers.any(|worker| worker.record.failure_domain.as_ref() == domain)
-    };
-    is_in_settings || has_worker()
+/// Returns the domains that workers name.
+fn domains_of_workers(node: &Node) -> HashSet<Arc<str>> {
+    let roster = node.roster();
+    let workers = roster.workers();
+    workers
+        .map(|worker| Arc::clone(&worker.record.failure_domain))
+        .collect()
 }
 
 /// Counts and logs an unknown domain. Returns false if it is not kept.
