--- a/crates/cranereach-fleet/tests/stream_origins/kernel.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/kernel.rs
@@ -220,3 +220,23 @@
         assert_ne!(key, other);
     }
 }
+
+/// Guards against a shorter timeout making an instance forget a version whose streams began under the
+/// longer one and still run.
+#[test]
+fn a_shorter_timeout_does_not_shorten_the_life_of_streams_that_run() {
+    let mut origins = StreamOrigins::default();
+    for now_ms in (0..=70_000).step_by(250) {
+        origins.observe(now_ms, SERVICE, 60_000, true, &[1]);
+    }
+    // At another instance, a stream begins at version 1 now, and lasts for up to 60 s. Then the
+    // configuration lowers the timeout, and version 2 replaces version 1.
+    for now_ms in (70_250..72_000).step_by(250) {
+        origins.observe(now_ms, SERVICE, 5_000, true, &[1]);
+    }
+    for now_ms in (72_000..=80_000).step_by(250) {
+        origins.observe(now_ms, SERVICE, 5_000, true, &[2]);
+    }
+    let decision = origins.decide(80_000, SERVICE, 99, true);
+    assert_eq!(decision, Decision::Ask);
+}
