A tunnel that breaks resets the connection to the worker

The relaying peer set both connections to end with a reset, but dropped the owned halves of the sockets first, and dropping one closes its direction in order. So a worker behind a tunnel that broke saw its caller close in order, and the reset only after that. The side of the asking instance was safe: its bytes end with an empty frame.

In the test the asking instance resets a tunnel to a raw worker: before, the worker read an end without an error (UnexpectedEof instead of ConnectionReset). The halves are borrowed now, as in the links of the tests, where the same thing made a reset look like an orderly close.

--- a/crates/cranereach-gateway/src/tunnels/server.rs
+++ b/crates/cranereach-gateway/src/tunnels/server.rs
@@ -10,8 +10,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 
 use super::TunnelRequest;
 use super::TunnelStatus;
@@ -109,51 +109,55 @@
 async fn relay(
     node: &Node,
     peer: Ipv4Addr,
-    stream: TcpStream,
-    worker: TcpStream,
+    mut stream: TcpStream,
+    mut worker: TcpStream,
 ) -> io::Result<()> {
     for connection in [&stream, &worker] {
         SockRef::from(connection).set_linger(Some(Duration::ZERO))?;
     }
-    let (peer_reader, peer_writer) = stream.into_split();
-    let (worker_reader, worker_writer) = worker.into_split();
+    relay_both(node, peer, &mut stream, &mut worker).await?;
+    for connection in [&stream, &worker] {
+        // If this fails, the other end sees a reset after the last byte.
+        let _set = SockRef::from(connection).set_linger(None);
+    }
+    Ok(())
+}
+
+/// Copies both directions until both have ended or one fails. The halves are borrowed, since owned
+/// ones would close their direction in order when they are dropped.
+async fn relay_both(
+    node: &Node,
+    peer: Ipv4Addr,
+    stream: &mut TcpStream,
+    worker: &mut TcpStream,
+) -> io::Result<()> {
+    let (peer_reader, peer_writer) = stream.split();
+    let (worker_reader, worker_writer) = worker.split();
     let forward = copy_to_worker(peer_reader, worker_writer);
     let backward = copy_to_peer(node, peer, worker_reader, peer_writer);
     tokio::pin!(forward, backward);
-    // The halves are kept until the end, since dropping one ends its direction with a reset.
-    let (to_worker, to_peer) = tokio::select! {
+    tokio::select! {
         closed = &mut forward => {
-            let to_worker = closed?;
-            (to_worker, tokio::time::timeout(HALF_CLOSED_TIMEOUT, backward).await??)
+            closed?;
+            tokio::time::timeout(HALF_CLOSED_TIMEOUT, backward).await?
         }
         closed = &mut backward => {
-            let to_peer = closed?;
-            (tokio::time::timeout(HALF_CLOSED_TIMEOUT, forward).await??, to_peer)
+            closed?;
+            tokio::time::timeout(HALF_CLOSED_TIMEOUT, forward).await?
         }
-    };
-    for (_reader, writer) in [&to_worker, &to_peer] {
-        end_orderly(writer);
     }
-    Ok(())
-}
-
-/// Lets a connection that both sides have closed end without a reset.
-fn end_orderly(writer: &OwnedWriteHalf) {
-    // If this fails, the other end sees a reset after the last byte.
-    let _set = SockRef::from(writer.as_ref()).set_linger(None);
 }
 
 /// Copies bytes of the asking instance to the worker until it closes its side.
 async fn copy_to_worker(
-    mut peer_reader: OwnedReadHalf,
-    mut worker_writer: OwnedWriteHalf,
-) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
+    mut peer_reader: ReadHalf<'_>,
+    mut worker_writer: WriteHalf<'_>,
+) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let length = peer_reader.read(&mut buffer).await?;
         if length == 0 {
-            worker_writer.shutdown().await?;
-            return Ok((peer_reader, worker_writer));
+            return worker_writer.shutdown().await;
         }
         worker_writer.write_all(&buffer[..length]).await?;
     }
@@ -163,9 +167,9 @@
 async fn copy_to_peer(
     node: &Node,
     peer: Ipv4Addr,
-    mut worker_reader: OwnedReadHalf,
-    mut peer_writer: OwnedWriteHalf,
-) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
+    mut worker_reader: ReadHalf<'_>,
+    mut peer_writer: WriteHalf<'_>,
+) -> io::Result<()> {
     let sent_bytes = node.sent_bytes_counter(peer, Kind::Tunnel);
     let mut buffer = vec![0; FRAME_HEADER_BYTES + BUFFER_BYTES];
     loop {
@@ -177,8 +181,7 @@
         peer_writer.write_all(frame).await?;
         sent_bytes.inc_by(frame.len() as u64);
         if length == 0 {
-            peer_writer.shutdown().await?;
-            return Ok((worker_reader, peer_writer));
+            return peer_writer.shutdown().await;
         }
     }
 }
