A shorter timeout does not shorten the life of streams that run

The life of a version's streams was overwritten when a configuration lowered the timeout, so that an instance forgot a version at which longer streams still ran; one of them, taken up there, went on at the version that had followed. The longer life is kept.

Test: a_shorter_timeout_does_not_shorten_the_life_of_streams_that_run failed before, with a stream that goes on at the second version.

--- a/crates/cranereach-fleet/src/stream_origins/version_watch.rs
+++ b/crates/cranereach-fleet/src/stream_origins/version_watch.rs
@@ -60,7 +60,8 @@
         let relevant_until_ms = now_ms + self.stream_max_ms;
         let known = self.seen.iter_mut().find(|seen| seen.version == version);
         if let Some(known) = known {
-            known.relevant_until_ms = relevant_until_ms;
+            // Streams that began while they could last longer still run.
+            known.relevant_until_ms = known.relevant_until_ms.max(relevant_until_ms);
         } else if self.seen.len() < VERSION_MAX_COUNT {
             self.seen.push(SeenVersion {
                 version,
