Event buffers know the event that a stream continues after, and lines that end with CR

A worker that does not heed the event after which a caller takes its stream up sends that event again, and nobody noticed: the order of ids was checked within one answer only. The buffer can now be given the caller's last event.

A line that ends with CR alone was taken for a part of the next one. The event's id and data were not seen, so that a resumption could repeat it, and a stream of such lines was held back up to the limit of the buffer. Such a stream now passes as it arrives and can't be resumed.

Both found by a review, by reading; tests in events.

--- a/crates/cranereach-http/src/events.rs
+++ b/crates/cranereach-http/src/events.rs
@@ -45,7 +45,10 @@
     /// Bytes of an event that isn't complete yet.
     buffer: BytesMut,
     reached: ResumePoint,
-    has_exceeded_limit: bool,
+    /// Identity of the event before the first one, if the stream continues another one.
+    before_first: Option<String>,
+    /// Whether events can't be told apart, so that bytes pass as they arrive.
+    is_unsplit: bool,
     has_non_increasing_id: bool,
 }
 
@@ -57,10 +60,18 @@
 }
 
 impl EventBuffer {
+    /// Creates the buffer of a stream that continues after an event.
+    pub fn after(last_event: &str) -> Self {
+        Self {
+            before_first: Some(last_event.to_owned()),
+            ..Self::default()
+        }
+    }
+
     /// Adds received bytes; returns the buffered bytes up to the end of the last complete event.
     ///
-    /// Once an event exceeds the buffer limit of 64 KiB, bytes are returned as they arrive
-    /// and the stream can't be resumed any more.
+    /// Once an event exceeds the buffer limit of 64 KiB, or a line ends with CR alone, bytes are
+    /// returned as they arrive and the stream can't be resumed any more.
     pub fn take(&mut self, bytes: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
@@ -79,8 +90,8 @@
             line_start = next;
         }
         self.buffer = buffer;
-        self.has_exceeded_limit |= self.buffer.len() - end > EVENT_MAX_BYTES;
-        if self.has_exceeded_limit {
+        self.is_unsplit |= self.buffer.len() - end > EVENT_MAX_BYTES || has_lone_cr(&self.buffer);
+        if self.is_unsplit {
             self.reached = ResumePoint::Unknown;
             return self.take_partial();
         }
@@ -91,9 +102,12 @@
     fn finish_event(&mut self, event: Event) {
         match event.id {
             Some(id) => {
-                if let ResumePoint::Event(before) = &self.reached {
-                    self.has_non_increasing_id |= !is_after(before, &id);
-                }
+                let before = match &self.reached {
+                    ResumePoint::Event(before) => Some(before),
+                    ResumePoint::Start => self.before_first.as_ref(),
+                    ResumePoint::Unknown => None,
+                };
+                self.has_non_increasing_id |= before.is_some_and(|before| !is_after(before, &id));
                 self.reached = ResumePoint::Event(id);
             }
             None if event.has_data => self.reached = ResumePoint::Unknown,
@@ -131,6 +145,13 @@
     }
 }
 
+/// Whether some line ends with CR alone, which this buffer does not split at.
+fn has_lone_cr(bytes: &[u8]) -> bool {
+    bytes
+        .windows(2)
+        .any(|pair| pair[0] == b'\r' && pair[1] != b'\n')
+}
+
 /// Returns the line that starts at an offset, without its line ending, and the offset of the
 /// next line. Returns `None` if the line isn't complete.
 fn line_at(bytes: &[u8], start: usize) -> Option<(&[u8], usize)> {
--- a/crates/cranereach-http/tests/events.rs
+++ b/crates/cranereach-http/tests/events.rs
@@ -83,3 +83,25 @@
         );
     }
 }
+
+/// Guards against events that a caller already has being passed on once more, because a worker does
+/// not heed the event that the caller named.
+#[test]
+fn events_up_to_the_one_that_a_stream_continues_after_are_noticed() {
+    for (first, is_repeated) in [("3", true), ("4", true), ("5", false)] {
+        let mut events = EventBuffer::after("4");
+        events.take(format!("id: {first}\ndata: a\n\n").as_bytes());
+        assert_eq!(events.has_non_increasing_id(), is_repeated, "{first}");
+    }
+}
+
+/// Guards against a resumption after the wrong event, and against bytes that are held back, where
+/// lines end with CR alone, at which events are not split.
+#[test]
+fn a_stream_with_lone_crs_passes_and_can_not_be_resumed() {
+    for text in ["id: 1\rdata: a\r\rid: 2", "id: 1\n\nid: 2\rdata: a\n\n"] {
+        let mut events = EventBuffer::default();
+        assert_eq!(events.take(text.as_bytes()), text.as_bytes());
+        assert_eq!(events.reached(), &ResumePoint::Unknown, "{text:?}");
+    }
+}
