A request with an empty Last-Event-Id begins a stream

It was refused as a malformed continuation, although a new request is never to be refused for its continuation; an empty identity stands for no event. Found by a review, by reading.

--- a/crates/cranereach-gateway/src/forward/continuation.rs
+++ b/crates/cranereach-gateway/src/forward/continuation.rs
@@ -4,6 +4,7 @@
 
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 
 use super::request::Call;
 use crate::adapter::HeaderNames;
@@ -37,6 +38,14 @@
         if route.kind != RouteKind::Stream || !route.may_repeat() {
             return Ok(Self::New);
         }
+        let mut last_events = headers
+            .get_all(HeaderName::from_static(names.last_event))
+            .iter();
+        let names_request = headers.contains_key(names.resumed_request);
+        if !names_request && last_events.all(HeaderValue::is_empty) {
+            // An empty identity stands for no event.
+            return Ok(Self::New);
+        }
         let last_event = single_id(headers, names.last_event)?;
         let first_request = single_id(headers, names.resumed_request)?;
         match (last_event, first_request) {
@@ -73,6 +82,14 @@
         self.is_stream() && self.route.may_repeat()
     }
 
+    /// Returns the identity of the last event that the caller has of the stream; none if the call
+    /// begins it.
+    pub(super) fn last_event(&self, node: &Node) -> Option<&str> {
+        let name = node.adapter.headers.last_event;
+        let last_event = self.headers().get(name)?.to_str().ok()?;
+        (self.continuation != Continuation::New).then_some(last_event.trim())
+    }
+
     /// Moves the call to another service of its route, given by its key. Returns whether the route
     /// has that service.
     pub fn move_to(&mut self, node: &Node, service_key: u64) -> bool {
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -198,6 +198,11 @@
         })
     }
 
+    /// Returns the headers that are passed on.
+    pub(super) fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
     /// Returns the size of the body, in bytes.
     pub fn body_bytes(&self) -> u32 {
         u32::try_from(self.body.len()).unwrap_or(u32::MAX)
