Neither trailers nor a response of another kind complete a stream

Trailers are dropped; a body now yields bytes or its end. The entry had the same fault, by reading. - A stream went on with any response of status 200. One of another media type shows no events, so that a cut inside an event looked complete. It is refused. - A compressed stream shows no events either, and was always broken off. It is passed on, and can't be resumed. - A stream that broke off between its last event and its end could not become complete: the next worker's answer without further events counted as a failure. It completes the stream, if its end is declared.

The order of events is also checked against the event that a caller's take-up names.

--- a/crates/cranereach-entry/src/callers/exchange.rs
+++ b/crates/cranereach-entry/src/callers/exchange.rs
@@ -247,8 +247,7 @@
         let deadline = self.context.shared.clock.instant(self.job.deadline_ms);
         let first = tokio::time::timeout_at(deadline, body.next_part()).await;
         match first.map_err(|_elapsed| Event::DeadlinePassed)? {
-            BodyPart::Frame(frame) => {
-                let first = frame.into_data().unwrap_or_default();
+            BodyPart::Data(first) => {
                 let response = Response::from_parts(parts, body);
                 Ok((
                     first,
--- a/crates/cranereach-entry/src/callers/streamed_response.rs
+++ b/crates/cranereach-entry/src/callers/streamed_response.rs
@@ -99,13 +99,13 @@
             return Poll::Ready(None);
         }
         if let Some(first) = self.first_chunk.take() {
-            return Poll::Ready(Some(Ok(self.record_frame(Frame::data(first)))));
+            return Poll::Ready(Some(Ok(self.record_data(first))));
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Some(self.abort(ResultCode::DeadlinePassedRunning)));
         }
         match ready!(self.body.poll_part(cx)) {
-            BodyPart::Frame(frame) => Poll::Ready(Some(Ok(self.record_frame(frame)))),
+            BodyPart::Data(data) => Poll::Ready(Some(Ok(self.record_data(data)))),
             BodyPart::End(end) if self.is_complete(end) => {
                 self.finish();
                 Poll::Ready(None)
@@ -114,24 +114,20 @@
         }
     }
 
-    /// Records a frame that is forwarded, and returns it.
-    fn record_frame(&mut self, frame: Frame<Bytes>) -> Frame<Bytes> {
-        if let Some(data) = frame.data_ref() {
-            let count = if self.kind == BodyKind::EventStream {
-                count_events(data)
-            } else {
-                1
-            };
-            self.record.add_tokens(count);
-            self.dispatch_guard.cost_tokens += count as f64;
-            if self.kind == BodyKind::EventStream {
-                self.stream_end.follow(data);
-            }
-        }
+    /// Records bytes that are forwarded, and returns them as a frame.
+    fn record_data(&mut self, data: Bytes) -> Frame<Bytes> {
+        let count = if self.kind == BodyKind::EventStream {
+            self.stream_end.follow(&data);
+            count_events(&data)
+        } else {
+            1
+        };
+        self.record.add_tokens(count);
+        self.dispatch_guard.cost_tokens += count as f64;
         if self.kind == BodyKind::Plain && self.body.has_reached_declared_end() {
             self.finish();
         }
-        frame
+        Frame::data(data)
     }
 
     /// Whether the forwarded frames are a complete response, now that the upstream's body ended. An
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -55,12 +55,14 @@
 }
 
 impl StartedStream {
-    /// Waits for the first chunk after the head of a response. Fails if the call is bound to a
-    /// version and that of the worker is uncertain.
+    /// Waits for the first chunk after the head of a response, which is empty if the stream goes on
+    /// after earlier events and has no further ones. Fails if the call is bound to a version and that
+    /// of the worker is uncertain.
     pub(super) async fn from_head(
         node: &Node,
         call: &Call,
         requirement: &VersionRequirement,
+        has_earlier_events: bool,
         head: ResponseHead,
     ) -> Result<(Parts, Self), Failure> {
         let ResponseHead {
@@ -73,7 +75,13 @@
         let (parts, body) = response.into_parts();
         let mut body = WorkerBody::new(body, &parts.headers, true);
         let first_chunk = match body.next_part().await {
-            WorkerPart::Frame(first_chunk) => first_chunk,
+            WorkerPart::Data(first_chunk) => first_chunk,
+            // The caller has all events already.
+            WorkerPart::End(judged)
+                if has_earlier_events && body.has_events() && judged.end == BodyEnd::Declared =>
+            {
+                Bytes::new()
+            }
             WorkerPart::End(judged) => {
                 telemetry::record_body_end(node, call, in_flight.worker(), judged);
                 if judged.end == BodyEnd::Declared {
@@ -94,7 +102,7 @@
             }
         }
         let started = Self {
-            first_chunk: first_chunk.into_data().unwrap_or_default(),
+            first_chunk,
             body,
             connection: (connection, keep_alive_ms),
             in_flight,
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -209,16 +209,26 @@
             return Err(Failure::Unknown);
         }
         let requirement = &self.history.requirement;
-        let (_head, started) =
-            StartedStream::from_head(self.node, self.call, requirement, head).await?;
+        let has_earlier_events =
+            self.last_event.is_some() || self.call.last_event(self.node).is_some();
+        let (_head, mut started) =
+            StartedStream::from_head(self.node, self.call, requirement, has_earlier_events, head)
+                .await?;
+        if !started.body.has_events() {
+            // The rest of a stream of events can't be a response of another kind.
+            started.in_flight.failed();
+            return Err(Failure::Unknown);
+        }
         Ok(started)
     }
 
     /// Waits for the first chunk, so that a stream that never began can be retried.
     async fn begin_stream(&self, head: ResponseHead) -> Result<Response<ResponseBody>, Failure> {
         let requirement = &self.history.requirement;
+        let has_earlier_events = self.call.last_event(self.node).is_some();
         let (parts, started) =
-            StartedStream::from_head(self.node, self.call, requirement, head).await?;
+            StartedStream::from_head(self.node, self.call, requirement, has_earlier_events, head)
+                .await?;
         let relay = StreamRelay::new(self.node, self.call, started, self.history.clone());
         let mut response = Response::new(ResponseBody::Streaming(Box::new(relay)));
         *response.status_mut() = parts.status;
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -108,6 +108,11 @@
         started: StartedStream,
         history: OfferHistory,
     ) -> Self {
+        let may_resume = call.route.may_repeat() && started.body.has_events();
+        let events = may_resume.then(|| match call.last_event(node) {
+            Some(last_event) => EventBuffer::after(last_event),
+            None => EventBuffer::default(),
+        });
         Self {
             node: Arc::clone(node),
             call: Arc::clone(call),
@@ -123,7 +128,7 @@
                 longest_ms: 0,
             },
             is_origin_noted: false,
-            events: call.route.may_repeat().then(EventBuffer::default),
+            events,
             history,
             resumption: None,
         }
@@ -156,17 +161,18 @@
                 }
             }
             let part = match self.first_chunk.take() {
-                Some(first_chunk) => WorkerPart::Frame(Frame::data(first_chunk)),
+                Some(first_chunk) => WorkerPart::Data(first_chunk),
                 None => ready!(self.body.poll_part(cx)),
             };
             match part {
-                WorkerPart::Frame(frame) => {
-                    if let (Some(in_flight), Some(chunk)) = (&self.in_flight, frame.data_ref()) {
+                WorkerPart::Data(chunk) => {
+                    if let Some(in_flight) = &self.in_flight {
                         in_flight.received(chunk.len());
                     }
-                    let Some(frame) = self.take_forwardable(frame) else {
+                    let forwardable = self.take_forwardable(chunk);
+                    if forwardable.is_empty() {
                         continue;
-                    };
+                    }
                     if self
                         .events
                         .as_ref()
@@ -178,7 +184,7 @@
                     }
                     self.note_origin();
                     self.gaps.record_chunk();
-                    return Poll::Ready(Some(Ok(frame)));
+                    return Poll::Ready(Some(Ok(Frame::data(forwardable))));
                 }
                 WorkerPart::End(judged) => {
                     self.record_end(judged);
@@ -220,18 +226,12 @@
         }
     }
 
-    /// Returns the part of a frame that can be forwarded now: all of it, or only complete events
-    /// if the stream may be resumed on another worker; `None` if that part is empty.
-    fn take_forwardable(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
-        let Some(events) = &mut self.events else {
-            return Some(frame);
-        };
-        match frame.into_data() {
-            Ok(bytes) => {
-                let complete_events = events.take(&bytes);
-                (!complete_events.is_empty()).then(|| Frame::data(complete_events))
-            }
-            Err(other) => Some(other),
+    /// Returns the part of a chunk that can be forwarded now: all of it, or only complete events if
+    /// the stream may be resumed on another worker.
+    fn take_forwardable(&mut self, chunk: Bytes) -> Bytes {
+        match &mut self.events {
+            Some(events) => events.take(&chunk),
+            None => chunk,
         }
     }
 
--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
-use hyper::body::Frame;
+use hyper::header::CONTENT_ENCODING;
 use hyper::header::CONTENT_TYPE;
 use thiserror::Error;
 
@@ -24,6 +24,9 @@
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Encoding of a body that is sent as it is.
+const IDENTITY: &str = "identity";
+
 /// Why a body counts as incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(super) enum BreakReason {
@@ -57,8 +60,8 @@
 /// Next part of a worker's body.
 #[derive(Debug)]
 pub(super) enum WorkerPart {
-    /// Bytes, or trailers.
-    Frame(Frame<Bytes>),
+    /// Bytes.
+    Data(Bytes),
     /// The body has ended.
     End(JudgedEnd),
 }
@@ -79,12 +82,21 @@
             Some(media_type) => is_event_stream(media_type.as_bytes()),
             None => may_be_unlabeled,
         };
+        // The bytes of an encoded stream show no events.
+        let is_plain = headers
+            .get(CONTENT_ENCODING)
+            .is_none_or(|encoding| encoding == IDENTITY);
         Self {
             body,
-            border: has_events.then(EventBorder::default),
+            border: (has_events && is_plain).then(EventBorder::default),
         }
     }
 
+    /// Whether the body is a stream of events that can be told apart.
+    pub(super) fn has_events(&self) -> bool {
+        self.border.is_some()
+    }
+
     /// Polls for the next part.
     pub(super) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<WorkerPart> {
         let part = ready!(self.body.poll_part(cx));
@@ -118,11 +130,11 @@
     /// Follows the events of a part, and judges its end.
     fn judge(&mut self, part: BodyPart) -> WorkerPart {
         match part {
-            BodyPart::Frame(frame) => {
-                if let (Some(border), Some(bytes)) = (&mut self.border, frame.data_ref()) {
-                    border.follow(bytes);
+            BodyPart::Data(bytes) => {
+                if let Some(border) = &mut self.border {
+                    border.follow(&bytes);
                 }
-                WorkerPart::Frame(frame)
+                WorkerPart::Data(bytes)
             }
             BodyPart::End(end) => WorkerPart::End(judge(end, self.border.as_ref())),
         }
--- a/crates/cranereach-http/src/body_end.rs
+++ b/crates/cranereach-http/src/body_end.rs
@@ -17,7 +17,6 @@
 use hyper::Response;
 use hyper::Version;
 use hyper::body::Body;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use hyper::header::TRANSFER_ENCODING;
@@ -50,8 +49,8 @@
 /// Next part of a body.
 #[derive(Debug)]
 pub enum BodyPart {
-    /// Bytes, or trailers.
-    Frame(Frame<Bytes>),
+    /// Bytes.
+    Data(Bytes),
     /// The body has ended.
     End(BodyEnd),
 }
@@ -98,15 +97,21 @@
         self.incoming.size_hint()
     }
 
-    /// Polls for the next part.
+    /// Polls for the next part. Trailers are dropped: who passed them on would end the body before
+    /// its end has been judged.
     pub fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<BodyPart> {
-        let polled = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
-        Poll::Ready(match polled {
-            Some(Ok(frame)) => BodyPart::Frame(frame),
-            Some(Err(_error)) => BodyPart::End(BodyEnd::Broken),
-            None if self.declares_end => BodyPart::End(BodyEnd::Declared),
-            None => BodyPart::End(BodyEnd::Closed),
-        })
+        loop {
+            let polled = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+            return Poll::Ready(match polled {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => BodyPart::Data(bytes),
+                    Err(_trailers) => continue,
+                },
+                Some(Err(_error)) => BodyPart::End(BodyEnd::Broken),
+                None if self.declares_end => BodyPart::End(BodyEnd::Declared),
+                None => BodyPart::End(BodyEnd::Closed),
+            });
+        }
     }
 
     /// Waits for the next part.
@@ -131,8 +136,8 @@
         let mut first = Bytes::new();
         let mut collected = BytesMut::new();
         loop {
-            let frame = match self.next_part().await {
-                BodyPart::Frame(frame) => frame,
+            let bytes = match self.next_part().await {
+                BodyPart::Data(bytes) => bytes,
                 BodyPart::End(BodyEnd::Broken) => return Err(BodyError::Broken),
                 BodyPart::End(end) => {
                     let bytes = if collected.is_empty() {
@@ -143,9 +148,6 @@
                     return Ok(CollectedBody { bytes, end });
                 }
             };
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
             if first.len().max(collected.len()) + bytes.len() > max_bytes {
                 return Err(BodyError::TooLarge);
             }
--- a/crates/cranereach-standin/src/load.rs
+++ b/crates/cranereach-standin/src/load.rs
@@ -148,13 +148,10 @@
 async fn read_body(mut body: ResponseBody, started: Instant, outcome: &mut Outcome) -> bool {
     let mut last_us = 0;
     loop {
-        let frame = match body.next_part().await {
-            BodyPart::Frame(frame) => frame,
+        let data = match body.next_part().await {
+            BodyPart::Data(data) => data,
             BodyPart::End(end) => return end == BodyEnd::Declared,
         };
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
         let now_us = micros(started.elapsed());
         if outcome.first_us.is_none() {
             outcome.first_us = Some(now_us);
@@ -162,7 +159,7 @@
             outcome.gap_max_us = outcome.gap_max_us.max(now_us - last_us);
         }
         last_us = now_us;
-        outcome.text.push_str(&String::from_utf8_lossy(data));
+        outcome.text.push_str(&String::from_utf8_lossy(&data));
     }
 }
 
