--- a/crates/cranereach-soak/src/resuming_callers.rs
+++ b/crates/cranereach-soak/src/resuming_callers.rs
@@ -34,9 +34,6 @@
 use cranereach_platform::standin::declared::HOST;
 use cranereach_platform::standin::declared::MODELS;
 
-/// Header that names the request that brought the first event of the stream that is taken up.
-const RESUMES_HEADER: &str = "resumes";
-
 /// Mixed into the seed, so that these random draws are independent of others in the run.
 const SEED_SALT: u64 = 0x7265_7375_6d65;
 
@@ -243,7 +240,7 @@
     if let Some(take_up) = take_up {
         builder = builder
             .header(HEADERS.last_event, take_up.last_event)
-            .header(RESUMES_HEADER, &take_up.first_id);
+            .header(HEADERS.resumed_request, &take_up.first_id);
     }
     let body = Full::new(Bytes::from(id.to_owned()));
     builder.body(body).expect("request parts are valid")
