--- a/crates/cranereach-soak/tests/soak/main.rs
+++ b/crates/cranereach-soak/tests/soak/main.rs
@@ -6,6 +6,7 @@
 mod failing;
 mod notices;
 mod planted;
+mod relay;
 mod requests;
 mod schedule;
 mod streams;
