Read evacuations again once a worker names a domain that was passed over

Cause: of the domains that nobody knows 16 are kept in case workers start there; further ones, and names of over 200 bytes, were passed over until the next whole read of the table, which may be hours away. Workers that came up in such a domain got requests.

The keys of the domains that were passed over are remembered, up to 4,096, till the next whole read. The row of a worker that names one makes an instance that watches the store read the table whole; the others get the list from it.

Failed before: `a_domain_that_was_passed_over_is_evacuated_once_a_worker_names_it` waited in vain for the domain on the list.

--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -116,17 +116,18 @@
     }
 }
 
-/// Resets the position if the table has to be read whole: in a new era of the store, and once
-/// more when other writers have rewritten what the restored store had lost. Returns whether it
-/// has to be read whole.
+/// Resets the position if the table has to be read whole: in a new era of the store, once more when
+/// other writers have rewritten what the restored store had lost, and when a worker names a domain
+/// whose evacuation was passed over. Returns whether it has to be read whole.
 fn reset_position(node: &Node, after: &mut Option<StorePosition>, is_settled: &mut bool) -> bool {
     let is_earlier = after.is_some_and(|position| position.era < node.store.eras().newest());
     let settles_now = !*is_settled && !lock(&node.proof).is_settling(node.now_ms());
     *is_settled |= settles_now;
-    if is_earlier || settles_now {
+    let must_read = is_earlier || settles_now || node.passed_over.take_must_read();
+    if must_read {
         *after = None;
     }
-    is_earlier || settles_now
+    must_read
 }
 
 /// Waits until this instance has to call the store. Returns the time for which the store is to
--- a/crates/cranereach-gateway/src/evacuations.rs
+++ b/crates/cranereach-gateway/src/evacuations.rs
@@ -5,6 +5,8 @@
 //! The instances do not confirm it to the operator: the time bound of an evacuation runs from the
 //! store's own response to the write.
 
+mod passed_over;
+
 use std::cell::OnceCell;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -12,6 +14,7 @@
 use slog::info;
 use slog::warn;
 
+pub use self::passed_over::PassedOver;
 use crate::adapter::Row;
 use crate::adapter::Rows;
 use crate::cold;
@@ -61,6 +64,10 @@
                 .get_or_init(|| domains_of_workers(node))
                 .contains(domain)
     };
+    if is_whole {
+        node.passed_over.clear();
+    }
+    let mut passes_over = false;
     let mut taken = Vec::new();
     for (key, domain, position, is_gone) in rows_of_domains {
         let is_held = known.domains.iter().any(|(held, _)| *held == key);
@@ -71,11 +78,19 @@
                 return false;
             }
             if !is_kept {
+                node.passed_over.insert(key);
+                passes_over = true;
                 continue;
             }
         }
         taken.push((key, position, is_gone));
     }
+    if passes_over {
+        // Workers may have come up there in the meantime.
+        for domain in domains_of_workers(node) {
+            node.passed_over.named(&domain);
+        }
+    }
     let list = if is_whole {
         let asked = taken.iter().filter(|(.., is_gone)| !is_gone);
         let asked = asked.map(|(key, position, _)| (*key, *position));
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -25,6 +25,7 @@
 use self::connections::Pools;
 use crate::adapter;
 use crate::adapter::Adapter;
+use crate::evacuations::PassedOver;
 use crate::expected_models::ExpectedModels;
 use crate::list_transfer;
 use crate::messages::LimitGrant;
@@ -134,6 +135,8 @@
     pub list: Mutex<Freshness>,
     /// Proof that the configuration in force was recently the newest.
     pub proof: Mutex<Proof>,
+    /// Domains whose evacuation was requested while nobody knew them.
+    pub passed_over: PassedOver,
     /// State for sending whole worker lists to peers.
     pub list_sending: list_transfer::ListSending,
     /// Wakes the sender of worker list changes.
@@ -252,6 +255,7 @@
             listing: Mutex::default(),
             list: Mutex::new(Freshness::new(settings.bounds.drain_ms)),
             proof: Mutex::new(Proof::new(boot, settings.bounds.configuration_ms)),
+            passed_over: PassedOver::default(),
             list_sending: list_transfer::ListSending::default(),
             list_update_wanted: Notify::new(),
             list_origin: Mutex::default(),
--- a/crates/cranereach-gateway/src/roster_sync/row_effects.rs
+++ b/crates/cranereach-gateway/src/roster_sync/row_effects.rs
@@ -50,6 +50,9 @@
             // Connections to the earlier incarnation are useless.
             self.ended.push(Arc::clone(&record.id));
         }
+        if node.passed_over.named(&record.failure_domain) {
+            node.configuration_wanted.notify_one();
+        }
         let is_new = has_restarted || self.are_new && before.is_none();
         roster.put(row.position, record);
         cold::note_listed(node, roster, &row.key, is_new);
