Split the tests of proofs by topic

Moved code only, with the imports that the new modules need: answers to one instance, and fleets that start on a backup or that nothing disturbs, are modules of their own.

--- a/crates/cranereach-fleet/tests/proof.rs
+++ b/crates/cranereach-fleet/tests/proof/main.rs
@@ -2,6 +2,9 @@
 //! simulated network with delays, loss, duplication, suspended processes, partitions and restarts,
 //! and a store that is restored from backups.
 
+mod answers;
+mod fleets;
+
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
@@ -11,7 +14,6 @@
 use cranereach_fleet::proof::Proof;
 use cranereach_fleet::proof::ProofAnswer;
 use cranereach_fleet::proof::ProofQuery;
-use cranereach_fleet::store_position::StorePosition;
 
 /// Time after which a revoked key must be refused everywhere, in milliseconds.
 const BOUND_MS: u64 = 5_000;
@@ -361,104 +363,3 @@
         simulate(Network { delay_max_ms, loss_ratio, duplication_ratio }, seed, events);
     }
 }
-
-/// Guards against instances that all start while the store is restored and accept a revoked key
-/// because the backup lacks its revocation.
-#[test]
-fn instances_started_on_a_backup_accept_no_key_whose_revocation_it_lacks() {
-    for seed in 0..40 {
-        let mut world = World::start(9, 2, HEALTHY_NETWORK, seed);
-        world.write_version();
-        let advance = |world: &mut World, for_ms: u64| {
-            for _ in 0..for_ms / STEP_MS {
-                world.step();
-                world.check();
-            }
-        };
-        advance(&mut world, 3_000);
-        world.write_version();
-        advance(&mut world, 6_000);
-        world.restore(7_000);
-        for number in 0..world.instances.len() {
-            world.instances[number] = world.new_instance();
-        }
-        advance(&mut world, 8_000);
-        let all = 0..world.instances.len();
-        assert!(all.into_iter().all(|number| world.serves(number)));
-    }
-}
-
-/// Guards against a read of the store that counts as proof before its era has been entered, or
-/// after a later one has been.
-#[test]
-fn an_answer_of_another_era_proves_nothing() {
-    let mut proof = Proof::new(1, CHANGE_MS);
-    proof.record_version(7);
-    proof.read(1, 1_000);
-    assert_eq!(proof.age_ms(1_000), None);
-    proof.enter_era(1_000, 1);
-    proof.read(0, 9_000);
-    assert_eq!(proof.age_ms(9_000), None);
-    proof.read(1, 9_000);
-    assert_eq!(proof.age_ms(9_000), Some(0));
-}
-
-#[test]
-fn undisturbed_instances_always_serve_also_after_a_watcher_fails() {
-    for (count, seed) in [(3, 1), (90, 2), (300, 3)] {
-        let mut world = World::start(count, 2, HEALTHY_NETWORK, seed);
-        world.write_version();
-        for _ in 0..500 {
-            world.step();
-        }
-        for step in 0..2_000 {
-            world.step();
-            if step % 300 == 0 {
-                world.write_version();
-            }
-            if step == 1_000 && count > 2 {
-                // The first watcher fails; the other one continues alone.
-                world.instances[0].partitioned_until_ms = u64::MAX;
-                world.instances[0].frozen_until_ms = u64::MAX;
-            }
-            let healthy =
-                (0..count).filter(|number| world.instances[*number].partitioned_until_ms == 0);
-            for number in healthy {
-                assert!(
-                    world.serves(number),
-                    "instance {number} of {count}, step {step}"
-                );
-            }
-        }
-    }
-}
-
-#[test]
-fn an_answer_counts_only_for_the_querying_start_and_the_versions_in_force() {
-    let mut proof = Proof::new(1, CHANGE_MS);
-    proof.record_version(7);
-    proof.evacuations_known(StorePosition::new(0, 3));
-    let query = proof.question(10_000);
-    let answer = |boot: u64, version: u64, age_ms: Option<u64>| ProofAnswer {
-        question: ProofQuery { boot, ..query },
-        version,
-        era: 0,
-        evacuations_position: StorePosition::new(0, 3),
-        age_ms,
-    };
-    assert!(!proof.take(&answer(2, 7, Some(0))));
-    assert!(!proof.take(&answer(1, 8, Some(0))));
-    assert!(!proof.take(&answer(1, 7, None)));
-    assert!(!proof.take(&answer(1, 7, Some(10_001))));
-    let newer = ProofAnswer {
-        evacuations_position: StorePosition::new(0, 4),
-        ..answer(1, 7, Some(0))
-    };
-    assert!(!proof.take(&newer));
-    assert_eq!(proof.age_ms(10_000), None);
-    assert!(proof.take(&answer(1, 6, Some(400))));
-    assert_eq!(proof.age_ms(10_000), Some(400));
-    // An answer that proves an older moment changes nothing.
-    assert!(!proof.take(&answer(1, 7, Some(900))));
-    assert_eq!(proof.age_ms(10_000), Some(400));
-}
