A refusal of a call that is bound to no version looks at no worker

Whether workers were passed over because of their version was looked up among all workers of the service under the roster's lock, also for calls that any version may serve. The result is the same.

--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -228,6 +228,9 @@
     /// Whether workers of the service are passed over because of the version of their software.
     fn passes_over_other_versions(&self) -> bool {
         let requirement = &self.history.requirement;
+        if requirement.key().is_none() {
+            return false;
+        }
         let roster = self.node.roster();
         roster
             .of_service(&self.call.service.name)
