Versions are looked at four times a second, and notes told before the first look

The watch woke with each change of the roster, up to 50 times a second and instance; a take-up looks for itself anyway.

A service that hasn't been looked at counts as one that may be mixed.

--- a/crates/cranereach-fleet/src/stream_origins.rs
+++ b/crates/cranereach-fleet/src/stream_origins.rs
@@ -240,7 +240,7 @@
                 continue;
             };
             let watch = self.watches.get(&note.origin.service);
-            if watch.is_none_or(|watch| watch.is_single(now_ms)) {
+            if watch.is_some_and(|watch| watch.is_single(now_ms)) {
                 continue;
             }
             let holders = holders_of(key);
--- a/crates/cranereach-gateway/src/stream_origins.rs
+++ b/crates/cranereach-gateway/src/stream_origins.rs
@@ -12,7 +12,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::time::Duration;
 
 use crate::forward::Call;
 use crate::messages::Message;
@@ -34,11 +33,12 @@
 use cranereach_fleet::stream_origins::stream_life_ms;
 use cranereach_fleet::topology::DomainTag;
 
-/// Longest interval at which the versions of the services are looked at, in milliseconds.
+/// Interval at which the versions of the services are looked at, in milliseconds. A take-up looks at
+/// them itself.
 const WATCH_INTERVAL_MS: u64 = 250;
 
-/// Shortest interval, in milliseconds, while the list of workers changes or notes wait to be told.
-const WATCH_MIN_INTERVAL_MS: u64 = 20;
+/// The same while notes wait to be told, in milliseconds.
+const TELL_INTERVAL_MS: u64 = 20;
 
 /// Time after which an instance that has just started asks peers again which versions there were, in
 /// milliseconds; it doubles each time.
@@ -78,7 +78,6 @@
     let mut asks_at_ms = 0;
     let mut ask_interval_ms = CONFIRMATION_INTERVAL_MS;
     loop {
-        let changed = node.roster_changed.notified();
         let now_ms = node.now_ms();
         observe(&node);
         let changed_at_ms = now_ms - node.peers().members().unchanged_for_ms(now_ms);
@@ -96,12 +95,13 @@
             ask_for_confirmation(&node, &unconfirmed).await;
         }
         show_counts(&node);
-        pause(WATCH_MIN_INTERVAL_MS).await;
-        if !node.origins.known().has_unchecked() {
-            // A change of the list ends the wait early.
-            let within = Duration::from_millis(WATCH_INTERVAL_MS);
-            let _waited = tokio::time::timeout(within, changed).await;
-        }
+        let has_unchecked = node.origins.known().has_unchecked();
+        pause(if has_unchecked {
+            TELL_INTERVAL_MS
+        } else {
+            WATCH_INTERVAL_MS
+        })
+        .await;
     }
 }
 
