--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -1,17 +1,16 @@
 //! Forwarding of a caller's request: routing, sending to workers, and the response.
 //!
-//! [`request`] parses the request, and [`authentication`] finds the client account of its key.
-//! [`forwarded_headers`] are those that workers get. [`exchange`] offers the call to workers until there is a response or a final failure:
-//! [`choosing`] selects each worker, [`sending`] makes one offer, [`in_flight`] counts the call
-//! at the worker, and [`broken_connection`] checks whether a worker ended while it ran the call.
-//! [`continuation`] says which stream a request continues; see [`crate::stream_origins`].
-//! [`offer_history`] counts the offers that a call has used, and [`version_requirement`] is the
-//! version of the workers' software that it is bound to.
-//! [`workload`] estimates the work of a call. [`response_head`] checks the head of a response,
-//! [`worker_body`] judges how its body ended,
-//! [`stream_relay`] relays a stream to the caller, and [`resumption`] resumes it on another
-//! worker. [`telemetry`] counts and logs results, and [`refusal`] makes the response to a call
-//! that could not be served.
+//! [`request`] parses the request, [`continuation`] says which stream it continues (see
+//! [`crate::stream_origins`]), and [`authentication`] finds the client account of its key.
+//! [`exchange`] offers the call to workers until there is a response or a final failure:
+//! [`choosing`] selects each worker, [`sending`] makes one offer with the [`forwarded_headers`],
+//! [`in_flight`] counts the call at the worker, and [`broken_connection`] checks whether a worker
+//! ended while it ran the call. [`offer_history`] counts the offers that a call has used,
+//! [`version_requirement`] is the version of the workers' software that it is bound to, and
+//! [`workload`] estimates its work. [`response_head`] checks the head of a response,
+//! [`worker_body`] judges how its body ended, [`stream_relay`] relays a stream to the caller, and
+//! [`resumption`] resumes it on another worker. [`telemetry`] counts and logs results, and
+//! [`refusal`] makes the response to a call that could not be served.
 //!
 //! The owner of a worker is the instance that keeps count of all requests open at it (see
 //! [`crate::owners`]). Cold and rate-limited workers are sent a call only with a grant (see
