--- a/crates/cranereach-http/src/body_end.rs
+++ b/crates/cranereach-http/src/body_end.rs
@@ -82,11 +82,6 @@
         })
     }
 
-    /// Whether the length of the body is declared, or the body comes in chunks.
-    pub fn declares_end(&self) -> bool {
-        self.declares_end
-    }
-
     /// Whether the body is known to have ended as declared.
     pub fn has_reached_declared_end(&self) -> bool {
         self.declares_end && self.incoming.is_end_stream()
