Log the media type, bytes and events of bodies whose end is not declared

The line `body ended` said how a body ended and what was made of it, but not whether anything had come before the end, and of what kind it was: a stream without an event, an answer that is no stream and a stream cut between two events looked alike.

The counts cost an addition for each chunk and event. Tested: event counts against the reference of the property test, however streams are split.

--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -83,7 +83,7 @@
                 Bytes::new()
             }
             WorkerPart::End(judged) => {
-                telemetry::record_body_end(node, call, in_flight.worker(), judged);
+                telemetry::record_body_end(node, call, in_flight.worker(), &judged);
                 if judged.end == BodyEnd::Declared {
                     in_flight.failed();
                     return Err(Failure::Unknown);
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -261,7 +261,7 @@
             in_flight.failed();
             return Err(Failure::Unknown);
         };
-        telemetry::record_body_end(self.node, self.call, in_flight.worker(), judged);
+        telemetry::record_body_end(self.node, self.call, in_flight.worker(), &judged);
         if judged.result.is_err() {
             in_flight.broke_off();
             return Err(Failure::BrokenOff);
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -187,7 +187,7 @@
                     return Poll::Ready(Some(Ok(Frame::data(forwardable))));
                 }
                 WorkerPart::End(judged) => {
-                    self.record_end(judged);
+                    self.record_end(&judged);
                     let Err(reason) = judged.result else {
                         let rest = self.finish(judged.end);
                         return Poll::Ready(rest.map(|rest| Ok(Frame::data(rest))));
@@ -220,7 +220,7 @@
     }
 
     /// Counts and logs the end of the current worker's body.
-    fn record_end(&self, judged: JudgedEnd) {
+    fn record_end(&self, judged: &JudgedEnd) {
         if let Some(in_flight) = &self.in_flight {
             telemetry::record_body_end(&self.node, &self.call, in_flight.worker(), judged);
         }
--- a/crates/cranereach-gateway/src/forward/telemetry.rs
+++ b/crates/cranereach-gateway/src/forward/telemetry.rs
@@ -37,7 +37,7 @@
 
 /// Counts how the body of a worker's response ended, and logs the ends that only the end of the
 /// connection marks and those of incomplete bodies.
-pub fn record_body_end(node: &Node, call: &Call, worker: &str, judged: JudgedEnd) {
+pub fn record_body_end(node: &Node, call: &Call, worker: &str, judged: &JudgedEnd) {
     let verdict = match judged.result {
         Ok(()) => "complete",
         Err(reason) => reason.name(),
@@ -47,9 +47,12 @@
         .with_label_values(&[judged.end.name(), verdict])
         .inc();
     if judged.end != BodyEnd::Declared || judged.result.is_err() {
+        let received = &judged.received;
+        let media_type = received.media_type.as_ref();
         info!(node.log, "body ended"; "request" => call.id.clone(),
             "route" => call.route.name.as_ref(), "worker" => worker, "end" => judged.end.name(),
-            "verdict" => verdict);
+            "verdict" => verdict, "bytes" => received.byte_count, "events" => received.event_count,
+            "media_type" => media_type.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned()));
     }
 }
 
--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -12,6 +12,7 @@
 use hyper::HeaderMap;
 use hyper::header::CONTENT_ENCODING;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use thiserror::Error;
 
 use cranereach_http::body::BodyError;
@@ -49,12 +50,25 @@
 }
 
 /// End of a body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct JudgedEnd {
     /// How the body ended.
     pub(super) end: BodyEnd,
     /// Whether the body is complete, or why not.
     pub(super) result: Result<(), BreakReason>,
+    /// What was read until then.
+    pub(super) received: Received,
+}
+
+/// What was read of a body.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Received {
+    /// `Content-Type` of the response.
+    pub(super) media_type: Option<HeaderValue>,
+    /// Number of bytes; none are counted if a buffered body broke.
+    pub(super) byte_count: u64,
+    /// Number of whole events, if the body is a stream of events.
+    pub(super) event_count: Option<u64>,
 }
 
 /// Next part of a worker's body.
@@ -70,6 +84,14 @@
 #[derive(Debug)]
 pub(super) struct WorkerBody {
     body: ResponseBody,
+    followed: FollowedBody,
+}
+
+/// What was read of a body so far.
+#[derive(Debug)]
+struct FollowedBody {
+    media_type: Option<HeaderValue>,
+    byte_count: u64,
     /// Follows the events, if the body is a stream of events.
     border: Option<EventBorder>,
 }
@@ -78,35 +100,25 @@
     /// Creates the body of a response with these headers. `may_be_unlabeled` says whether the
     /// body is a stream of events also if its head names no media type.
     pub(super) fn new(body: ResponseBody, headers: &HeaderMap, may_be_unlabeled: bool) -> Self {
-        let has_events = match headers.get(CONTENT_TYPE) {
-            Some(media_type) => is_event_stream(media_type.as_bytes()),
-            None => may_be_unlabeled,
-        };
-        // The bytes of an encoded stream show no events.
-        let is_plain = headers
-            .get(CONTENT_ENCODING)
-            .is_none_or(|encoding| encoding == IDENTITY);
-        Self {
-            body,
-            border: (has_events && is_plain).then(EventBorder::default),
-        }
+        let followed = FollowedBody::new(headers, may_be_unlabeled);
+        Self { body, followed }
     }
 
     /// Whether the body is a stream of events that can be told apart.
     pub(super) fn has_events(&self) -> bool {
-        self.border.is_some()
+        self.followed.border.is_some()
     }
 
     /// Polls for the next part.
     pub(super) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<WorkerPart> {
         let part = ready!(self.body.poll_part(cx));
-        Poll::Ready(self.judge(part))
+        Poll::Ready(self.take(part))
     }
 
     /// Waits for the next part.
     pub(super) async fn next_part(&mut self) -> WorkerPart {
         let part = self.body.next_part().await;
-        self.judge(part)
+        self.take(part)
     }
 
     /// Reads the whole body. One that is broken has no bytes.
@@ -115,42 +127,75 @@
         max_bytes: usize,
         timeout_ms: u64,
     ) -> Result<(Bytes, JudgedEnd), BodyError> {
-        let mut border = self.border;
-        let (bytes, end) = match self.body.collect(max_bytes, timeout_ms).await {
+        let Self { body, mut followed } = self;
+        let (bytes, end) = match body.collect(max_bytes, timeout_ms).await {
             Ok(CollectedBody { bytes, end }) => (bytes, end),
             Err(BodyError::Broken) => (Bytes::new(), BodyEnd::Broken),
             Err(error @ (BodyError::TooLarge | BodyError::TooSlow)) => return Err(error),
         };
-        if let Some(border) = &mut border {
-            border.follow(&bytes);
-        }
-        Ok((bytes, judge(end, border.as_ref())))
+        followed.follow(&bytes);
+        Ok((bytes, followed.judge(end)))
     }
 
-    /// Follows the events of a part, and judges its end.
-    fn judge(&mut self, part: BodyPart) -> WorkerPart {
+    /// Follows a part, or judges the end.
+    fn take(&mut self, part: BodyPart) -> WorkerPart {
         match part {
             BodyPart::Data(bytes) => {
-                if let Some(border) = &mut self.border {
-                    border.follow(&bytes);
-                }
+                self.followed.follow(&bytes);
                 WorkerPart::Data(bytes)
             }
-            BodyPart::End(end) => WorkerPart::End(judge(end, self.border.as_ref())),
+            BodyPart::End(end) => WorkerPart::End(self.followed.judge(end)),
         }
     }
 }
 
-/// Decides what the end of a body means. `border` tells whether a stream of events is inside one.
-fn judge(end: BodyEnd, border: Option<&EventBorder>) -> JudgedEnd {
-    let result = match end {
-        BodyEnd::Broken => Err(BreakReason::ConnectionBroke),
-        BodyEnd::Declared | BodyEnd::Closed => match border {
-            Some(border) if border.is_inside_event() => Err(BreakReason::InsideEvent),
-            Some(_) | None => Ok(()),
-        },
-    };
-    JudgedEnd { end, result }
+impl FollowedBody {
+    /// Begins a body with these headers.
+    fn new(headers: &HeaderMap, may_be_unlabeled: bool) -> Self {
+        let media_type = headers.get(CONTENT_TYPE).cloned();
+        let has_events = match &media_type {
+            Some(media_type) => is_event_stream(media_type.as_bytes()),
+            None => may_be_unlabeled,
+        };
+        // The bytes of an encoded stream show no events.
+        let is_plain = headers
+            .get(CONTENT_ENCODING)
+            .is_none_or(|encoding| encoding == IDENTITY);
+        Self {
+            media_type,
+            byte_count: 0,
+            border: (has_events && is_plain).then(EventBorder::default),
+        }
+    }
+
+    /// Follows the next bytes.
+    fn follow(&mut self, bytes: &[u8]) {
+        self.byte_count += bytes.len() as u64;
+        if let Some(border) = &mut self.border {
+            border.follow(bytes);
+        }
+    }
+
+    /// Decides what the end of the body means.
+    fn judge(&self, end: BodyEnd) -> JudgedEnd {
+        let result = match end {
+            BodyEnd::Broken => Err(BreakReason::ConnectionBroke),
+            BodyEnd::Declared | BodyEnd::Closed => match &self.border {
+                Some(border) if border.is_inside_event() => Err(BreakReason::InsideEvent),
+                Some(_) | None => Ok(()),
+            },
+        };
+        let received = Received {
+            media_type: self.media_type.clone(),
+            byte_count: self.byte_count,
+            event_count: self.border.as_ref().map(EventBorder::event_count),
+        };
+        JudgedEnd {
+            end,
+            result,
+            received,
+        }
+    }
 }
 
 /// Whether a `Content-Type` is that of a stream of events, with or without parameters.
--- a/crates/cranereach-http/src/event_border.rs
+++ b/crates/cranereach-http/src/event_border.rs
@@ -16,6 +16,7 @@
 /// assert!(border.is_inside_event());
 /// border.follow(b"\n: a comment\n");
 /// assert!(!border.is_inside_event());
+/// assert_eq!(border.event_count(), 1);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EventBorder {
@@ -23,6 +24,8 @@
     line: Line,
     /// Whether a line of the current event has begun.
     has_event_begun: bool,
+    /// Number of events that have ended.
+    event_count: u64,
     /// Whether the last byte was a CR, which an LF may complete.
     follows_cr: bool,
     /// Whether some line ended with CR LF.
@@ -86,6 +89,11 @@
         self.mark.is_inside() || lacks_lf || self.has_event_begun || self.line == Line::Inside
     }
 
+    /// Returns the number of events that have ended.
+    pub fn event_count(&self) -> u64 {
+        self.event_count
+    }
+
     /// Takes a byte that begins or ends a line.
     fn take(&mut self, byte: u8) {
         if self.takes_mark(byte) {
@@ -98,6 +106,7 @@
             b'\n' if completes_cr_lf => self.uses_cr_lf = true,
             b'\r' | b'\n' => {
                 let is_blank = self.line == Line::Start;
+                self.event_count += u64::from(is_blank && self.has_event_begun);
                 self.has_event_begun &= !is_blank;
                 self.line = Line::Start;
             }
--- a/crates/cranereach-http/tests/event_border_property.rs
+++ b/crates/cranereach-http/tests/event_border_property.rs
@@ -49,6 +49,23 @@
     is_part_of_mark || lacks_lf || !rest.is_empty() || has_event_begun
 }
 
+/// Counts the events of a stream that have ended.
+fn reference_count(stream: &[u8]) -> u64 {
+    let text = normalized(stream);
+    let mut lines: Vec<&[u8]> = text.split(|byte| *byte == b'\n').collect();
+    lines.pop();
+    let mut event_count = 0;
+    let mut has_event_begun = false;
+    for line in lines {
+        match line.first() {
+            Some(b':') => {}
+            Some(_) => has_event_begun = true,
+            None => event_count += u64::from(std::mem::take(&mut has_event_begun)),
+        }
+    }
+    event_count
+}
+
 proptest! {
     /// Guards against an incomplete event that is missed, and a complete one that is not seen, in
     /// streams that nobody thought of, however they are split.
@@ -70,5 +87,6 @@
         }
         border.follow(&chunk);
         prop_assert_eq!(border.is_inside_event(), reference(&stream), "{:?}", stream);
+        prop_assert_eq!(border.event_count(), reference_count(&stream), "{:?}", stream);
     }
 }
