An answer that ends inside a JSON text is no whole answer

Callers saw: half an answer with status 200 and a Content-Length that the instance made for it, where a worker's run broke off and the connection closed in order.

Cause: the class of the incident, success concluded from nothing having gone wrong. A body with neither a length nor chunks was complete as far as could be seen unless it was a stream of events; a JSON text has an end of its own that nothing looked at.

Why this works: the text is followed while it is read, in constant memory and without holding a byte back: brackets are counted, strings and escapes followed.

--- a/crates/cranereach-bench/src/slopes.rs
+++ b/crates/cranereach-bench/src/slopes.rs
@@ -3,10 +3,11 @@
 //! Each cost is measured at four sizes or more that span about a factor of ten or
 //! more, and a line is fitted to it. The largest residual is given as a fraction of the
 //! largest value. [`core_decisions`] measures the decision logic in `cranereach_core`,
-//! [`gateway`] and [`accounts`] the decisions of a gateway, and [`system`] whole
-//! deployments.
+//! [`gateway`] and [`accounts`] the decisions of a gateway, [`contents`] what a gateway does with
+//! the bytes of responses, and [`system`] whole deployments.
 
 pub mod accounts;
+pub mod contents;
 pub mod core_decisions;
 mod fixtures;
 pub mod gateway;
--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -1,8 +1,9 @@
 //! Body of a worker's response, and what its end means for the caller.
 //!
-//! A stream of events that ends inside an event has been broken off, however its end is marked. A
-//! body whose end is not declared is complete as far as can be seen: a worker that closes its
-//! connection in order does so after the last byte, or because its process ends.
+//! A stream of events that ends inside an event has been broken off, however its end is marked, and
+//! so has a JSON text that ends with its connection before it is whole. Any other body whose end is
+//! not declared is complete as far as can be seen: a worker that closes its connection in order does
+//! so after the last byte, or because its process ends.
 
 use std::task::Context;
 use std::task::Poll;
@@ -10,7 +11,6 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
-use hyper::header::CONTENT_ENCODING;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use thiserror::Error;
@@ -20,13 +20,7 @@
 use cranereach_http::body_end::BodyPart;
 use cranereach_http::body_end::CollectedBody;
 use cranereach_http::body_end::ResponseBody;
-use cranereach_http::event_border::EventBorder;
-
-/// Media type of a stream of events.
-const EVENT_STREAM: &str = "text/event-stream";
-
-/// Encoding of a body that is sent as it is.
-const IDENTITY: &str = "identity";
+use cranereach_http::content::Content;
 
 /// Why a body counts as incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -37,6 +31,9 @@
     /// A stream ended inside an event.
     #[error("the stream ended inside an event")]
     InsideEvent,
+    /// The connection closed inside a JSON text.
+    #[error("the response ended inside a JSON text")]
+    InsideJson,
 }
 
 impl BreakReason {
@@ -45,6 +42,7 @@
         match self {
             Self::ConnectionBroke => "connection_broke",
             Self::InsideEvent => "inside_event",
+            Self::InsideJson => "inside_json",
         }
     }
 }
@@ -92,21 +90,24 @@
 struct FollowedBody {
     media_type: Option<HeaderValue>,
     byte_count: u64,
-    /// Follows the events, if the body is a stream of events.
-    border: Option<EventBorder>,
+    content: Content,
 }
 
 impl WorkerBody {
     /// Creates the body of a response with these headers. `may_be_unlabeled` says whether the
     /// body is a stream of events also if its head names no media type.
     pub(super) fn new(body: ResponseBody, headers: &HeaderMap, may_be_unlabeled: bool) -> Self {
-        let followed = FollowedBody::new(headers, may_be_unlabeled);
+        let followed = FollowedBody {
+            media_type: headers.get(CONTENT_TYPE).cloned(),
+            byte_count: 0,
+            content: Content::of_response(&body, headers, may_be_unlabeled),
+        };
         Self { body, followed }
     }
 
     /// Whether the body is a stream of events that can be told apart.
     pub(super) fn has_events(&self) -> bool {
-        self.followed.border.is_some()
+        matches!(self.followed.content, Content::Events(_))
     }
 
     /// Polls for the next part.
@@ -150,45 +151,28 @@
 }
 
 impl FollowedBody {
-    /// Begins a body with these headers.
-    fn new(headers: &HeaderMap, may_be_unlabeled: bool) -> Self {
-        let media_type = headers.get(CONTENT_TYPE).cloned();
-        let has_events = match &media_type {
-            Some(media_type) => is_event_stream(media_type.as_bytes()),
-            None => may_be_unlabeled,
-        };
-        // The bytes of an encoded stream show no events.
-        let is_plain = headers
-            .get(CONTENT_ENCODING)
-            .is_none_or(|encoding| encoding == IDENTITY);
-        Self {
-            media_type,
-            byte_count: 0,
-            border: (has_events && is_plain).then(EventBorder::default),
-        }
-    }
-
     /// Follows the next bytes.
     fn follow(&mut self, bytes: &[u8]) {
         self.byte_count += bytes.len() as u64;
-        if let Some(border) = &mut self.border {
-            border.follow(bytes);
-        }
+        self.content.follow(bytes);
     }
 
     /// Decides what the end of the body means.
     fn judge(&self, end: BodyEnd) -> JudgedEnd {
-        let result = match end {
-            BodyEnd::Broken => Err(BreakReason::ConnectionBroke),
-            BodyEnd::Declared | BodyEnd::Closed => match &self.border {
-                Some(border) if border.is_inside_event() => Err(BreakReason::InsideEvent),
-                Some(_) | None => Ok(()),
-            },
+        let result = match (end, &self.content) {
+            (BodyEnd::Broken, _) => Err(BreakReason::ConnectionBroke),
+            (_, content) if !content.is_cut_off() => Ok(()),
+            (_, Content::Events(_)) => Err(BreakReason::InsideEvent),
+            (_, Content::Json(_) | Content::Opaque) => Err(BreakReason::InsideJson),
+        };
+        let event_count = match &self.content {
+            Content::Events(border) => Some(border.event_count()),
+            Content::Json(_) | Content::Opaque => None,
         };
         let received = Received {
             media_type: self.media_type.clone(),
             byte_count: self.byte_count,
-            event_count: self.border.as_ref().map(EventBorder::event_count),
+            event_count,
         };
         JudgedEnd {
             end,
@@ -197,12 +181,3 @@
         }
     }
 }
-
-/// Whether a `Content-Type` is that of a stream of events, with or without parameters.
-fn is_event_stream(media_type: &[u8]) -> bool {
-    let end = media_type.iter().position(|byte| *byte == b';');
-    let media_type = &media_type[..end.unwrap_or(media_type.len())];
-    media_type
-        .trim_ascii()
-        .eq_ignore_ascii_case(EVENT_STREAM.as_bytes())
-}
--- a/crates/cranereach-http/src/body_end.rs
+++ b/crates/cranereach-http/src/body_end.rs
@@ -82,6 +82,11 @@
         })
     }
 
+    /// Whether the body says itself where it ends.
+    pub fn declares_end(&self) -> bool {
+        self.declares_end
+    }
+
     /// Whether the body is known to have ended as declared.
     pub fn has_reached_declared_end(&self) -> bool {
         self.declares_end && self.incoming.is_end_stream()
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -5,8 +5,9 @@
 //!   request may have been sent.
 //! - [`connector`] opens the TCP connections of a pool.
 //! - [`client`] calls JSON interfaces with a timeout.
-//! - [`body_end`] tells how the body of a response ended, and [`event_border`] whether a stream
-//!   ended inside an event.
+//! - [`body_end`] tells how the body of a response ended.
+//! - [`content`] follows what shows by itself where it is complete: [`event_border`] knows whether
+//!   a stream is inside an event, and [`json_text`] whether a JSON text is cut off.
 //! - [`body`] reads request and response bodies within limits and builds JSON responses.
 //! - [`liveness`] breaks connections whose other end no longer answers.
 //! - [`clock`] provides the monotonic clock of the process.
@@ -19,8 +20,10 @@
 pub mod client;
 pub mod clock;
 pub mod connector;
+pub mod content;
 pub mod event_border;
 pub mod events;
+pub mod json_text;
 pub mod liveness;
 pub mod pool;
 pub mod server;
--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -100,6 +100,7 @@
         if options.slopes {
             slopes::gateway::measure()
                 .iter()
+                .chain(&slopes::contents::measure())
                 .for_each(super::print_json);
             return Exit::Success;
         }
@@ -159,6 +160,7 @@
         .iter()
         .chain(&slopes::gateway::measure())
         .chain(&slopes::accounts::measure())
+        .chain(&slopes::contents::measure())
         .for_each(super::print_json);
     match super::block_on(slopes::system::measure(scenario)) {
         Ok(results) => {
