A stream that its connection ends before the first event is not complete

Callers saw: a stream with status 200, a comment or a byte order mark, and an end that looked complete, where a worker's run broke off before its first event. A stream without a single byte was broken off or requested elsewhere already.

Cause: the border of events alone decided, and a stream that has no event is at one.

Why this works: a stream that was asked for has an event at least, unless its worker declares that it has none. Where its route allows that, it is requested from another worker, since the caller has no event yet. Ruled out: judging declared ends alike, since a take-up may have no further event, and a worker that declares the end says so.

--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -1,7 +1,7 @@
 //! Body of a worker's response, and what its end means for the caller.
 //!
-//! A stream of events that ends inside an event has been broken off, however its end is marked, and
-//! so has a JSON text that ends with its connection before it is whole. Any other body whose end is
+//! A stream of events that ends inside an event has been broken off, however its end is marked. If
+//! the connection ends it, so has a stream without any event, and a JSON text that isn't whole. Any other body whose end is
 //! not declared is complete as far as can be seen: a worker that closes its connection in order does
 //! so after the last byte, or because its process ends.
 
@@ -21,6 +21,7 @@
 use cranereach_http::body_end::CollectedBody;
 use cranereach_http::body_end::ResponseBody;
 use cranereach_http::content::Content;
+use cranereach_http::event_border::EventBorder;
 
 /// Why a body counts as incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -31,6 +32,9 @@
     /// A stream ended inside an event.
     #[error("the stream ended inside an event")]
     InsideEvent,
+    /// The connection closed before the first event of a stream.
+    #[error("the stream ended without an event")]
+    NoEvent,
     /// The connection closed inside a JSON text.
     #[error("the response ended inside a JSON text")]
     InsideJson,
@@ -42,6 +46,7 @@
         match self {
             Self::ConnectionBroke => "connection_broke",
             Self::InsideEvent => "inside_event",
+            Self::NoEvent => "no_event",
             Self::InsideJson => "inside_json",
         }
     }
@@ -90,17 +95,20 @@
 struct FollowedBody {
     media_type: Option<HeaderValue>,
     byte_count: u64,
+    /// Whether the caller asked for a stream of events.
+    is_stream: bool,
     content: Content,
 }
 
 impl WorkerBody {
-    /// Creates the body of a response with these headers. `may_be_unlabeled` says whether the
-    /// body is a stream of events also if its head names no media type.
-    pub(super) fn new(body: ResponseBody, headers: &HeaderMap, may_be_unlabeled: bool) -> Self {
+    /// Creates the body of a response with these headers. `is_stream` says whether the caller asked
+    /// for a stream of events; then the body is one also if its head names no media type.
+    pub(super) fn new(body: ResponseBody, headers: &HeaderMap, is_stream: bool) -> Self {
         let followed = FollowedBody {
             media_type: headers.get(CONTENT_TYPE).cloned(),
             byte_count: 0,
-            content: Content::of_response(&body, headers, may_be_unlabeled),
+            is_stream,
+            content: Content::of_response(&body, headers, is_stream),
         };
         Self { body, followed }
     }
@@ -157,10 +165,18 @@
         self.content.follow(bytes);
     }
 
+    /// Whether the body is a stream that ends before its first event.
+    fn lacks_event(&self, border: &EventBorder) -> bool {
+        self.is_stream && border.event_count() == 0 && !border.is_inside_event()
+    }
+
     /// Decides what the end of the body means.
     fn judge(&self, end: BodyEnd) -> JudgedEnd {
         let result = match (end, &self.content) {
             (BodyEnd::Broken, _) => Err(BreakReason::ConnectionBroke),
+            (BodyEnd::Closed, Content::Events(border)) if self.lacks_event(border) => {
+                Err(BreakReason::NoEvent)
+            }
             (_, content) if !content.is_cut_off() => Ok(()),
             (_, Content::Events(_)) => Err(BreakReason::InsideEvent),
             (_, Content::Json(_) | Content::Opaque) => Err(BreakReason::InsideJson),
