serve: a plain answer that ends inside an event or a JSON text is not complete

Callers saw: half a JSON text of a plain service with status 200 and a last chunk, where the upstream closed its connection in order.

Cause: the same as at the gateway; the entry looked at the events of completions alone, and took any other body whose connection closed for whole.

Evidence: closed_answers::a_json_text_that_its_connection_cuts_is_not_complete, seen to fail before (has_declared_end true with half the text); a whole text without a length still passes. Why this works: the content is followed as at the gateway, by the same type, and judged where the connection alone ends it; the caller's connection closes without a last chunk, as for any answer that breaks off midway.

--- a/crates/cranereach-entry/src/callers/exchange.rs
+++ b/crates/cranereach-entry/src/callers/exchange.rs
@@ -321,7 +321,7 @@
             self.job,
             &self.context.request_name,
             first,
-            body,
+            (&parts.headers, body),
             connection,
             self.dispatch_guard,
             self.record,
--- a/crates/cranereach-entry/src/callers/streamed_response.rs
+++ b/crates/cranereach-entry/src/callers/streamed_response.rs
@@ -11,6 +11,7 @@
 use std::task::ready;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use tokio::time::Instant;
@@ -27,6 +28,7 @@
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::body_end::BodyPart;
 use cranereach_http::body_end::ResponseBody as UpstreamBody;
+use cranereach_http::content::Content;
 use cranereach_http::pool::Connection;
 use cranereach_http::stream_end::StreamEnd;
 
@@ -43,6 +45,8 @@
     deadline: Pin<Box<Sleep>>,
     /// Follows the events, if the body is an event stream.
     stream_end: StreamEnd,
+    /// Follows the content of a plain response.
+    content: Content,
     is_ended: bool,
 }
 
@@ -56,7 +60,7 @@
         job: &Job,
         request_name: &str,
         first_chunk: Option<Bytes>,
-        body: UpstreamBody,
+        (headers, body): (&HeaderMap, UpstreamBody),
         connection: Connection<UpstreamRequestBody>,
         dispatch_guard: DispatchGuard,
         record: RequestRecord,
@@ -66,6 +70,7 @@
             kind: job.kind,
             request_name: request_name.to_owned(),
             first_chunk,
+            content: Content::of_response(&body, headers, false),
             body,
             connection: Some(connection),
             dispatch_guard,
@@ -120,6 +125,7 @@
             self.stream_end.follow(&data);
             count_events(&data)
         } else {
+            self.content.follow(&data);
             1
         };
         self.record.add_tokens(count);
@@ -130,14 +136,14 @@
         Frame::data(data)
     }
 
-    /// Whether the forwarded frames are a complete response, now that the upstream's body ended. An
-    /// event stream says itself where it is complete.
+    /// Whether the forwarded frames are a complete response, now that the upstream's body ended.
+    /// Event streams and JSON texts say themselves where they are complete.
     fn is_complete(&self, end: BodyEnd) -> bool {
-        match end {
-            BodyEnd::Broken => false,
-            BodyEnd::Declared | BodyEnd::Closed => {
-                self.kind != BodyKind::EventStream || self.stream_end.is_complete()
-            }
+        match (end, self.kind) {
+            (BodyEnd::Broken, _) => false,
+            (_, BodyKind::EventStream) => self.stream_end.is_complete(),
+            (BodyEnd::Declared, _) => true,
+            (BodyEnd::Closed, _) => !self.content.is_cut_off(),
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod bad_input;
 mod cli;
+mod closed_answers;
 mod configuration;
 mod cut_files;
 mod docs;
