serve: events and their media type are recognised by the shared types

Events were counted a second time by their blank lines, chunk by chunk, so that one that is split between two chunks, or whose lines end with CR LF, was not counted as a token; the media type was compared by its beginning and in lower case alone. Both now come from the types that the gateway uses. Tested: event_border_property counts events however they are split; whole_answers, closed_answers, at_most_once pass.

--- a/crates/cranereach-entry/src/callers/exchange.rs
+++ b/crates/cranereach-entry/src/callers/exchange.rs
@@ -6,7 +6,6 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header::CONTENT_TYPE;
 
 use super::RequestContext;
 use super::ResponseBody;
@@ -33,6 +32,7 @@
 use cranereach_http::body::BodyError;
 use cranereach_http::body_end::BodyPart;
 use cranereach_http::body_end::ResponseBody as UpstreamBody;
+use cranereach_http::content::Content;
 use cranereach_http::pool::Connection;
 use cranereach_http::pool::SendError;
 use cranereach_wire::upstream::NOT_RUN_HEADER;
@@ -231,12 +231,8 @@
         &mut self,
         head: ResponseHead,
     ) -> Result<(Bytes, ResponseHead), Event> {
-        let is_events = head
-            .response
-            .headers()
-            .get(CONTENT_TYPE)
-            .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-        if !is_events {
+        let content = Content::announced_by(head.response.headers(), false);
+        if !matches!(content, Content::Events(_)) {
             return Err(Event::Garbled);
         }
         let ResponseHead {
--- a/crates/cranereach-entry/src/callers/streamed_response.rs
+++ b/crates/cranereach-entry/src/callers/streamed_response.rs
@@ -122,8 +122,9 @@
     /// Records bytes that are forwarded, and returns them as a frame.
     fn record_data(&mut self, data: Bytes) -> Frame<Bytes> {
         let count = if self.kind == BodyKind::EventStream {
+            let before = self.stream_end.event_count();
             self.stream_end.follow(&data);
-            count_events(&data)
+            self.stream_end.event_count() - before
         } else {
             self.content.follow(&data);
             1
@@ -170,8 +171,3 @@
         Err(ResponseAborted)
     }
 }
-
-/// Counts the events in a chunk of an event stream by their terminating blank lines.
-fn count_events(data: &[u8]) -> u64 {
-    data.windows(2).filter(|pair| pair == b"\n\n").count() as u64
-}
--- a/crates/cranereach-http/src/stream_end.rs
+++ b/crates/cranereach-http/src/stream_end.rs
@@ -86,6 +86,11 @@
         self.border.is_inside_event()
     }
 
+    /// Returns the number of events that have ended.
+    pub fn event_count(&self) -> u64 {
+        self.border.event_count()
+    }
+
     /// Adds bytes to the current line, as far as they matter.
     fn extend_line(&mut self, bytes: &[u8]) {
         let room = LINE_MAX_BYTES - self.line.len();
