--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -323,7 +323,7 @@
     async fn start_worker(&self, cold_for: Duration) -> std::io::Result<String> {
         let start = self.start_count.fetch_add(1, Ordering::Relaxed);
         let id = format!("w-{}-{start}", self.number);
-        let mut worker = Worker::start(&id).await;
+        let mut worker = Worker::start(&id);
         worker.enable_strict_mode(CALL_DURATION_MS);
         worker.crash_on_path_word(ENDING);
         worker.set_event_pause_ms(EVENT_PAUSES_MS[self.number % EVENT_PAUSES_MS.len()]);
