Soak: paths between single gateways and workers are cut

Each gateway now reaches workers by relays of its own, which refuse, reset or leave attempts unanswered: the same product code with another connector, run by soak-gateway. Drawn apart, so that the other faults of a seed stay what they were.

Two promises: a gateway that is cut off from all workers serves half of the share of others at least; a worker that one gateway can't reach is still used by the others. Planted violations of both are found (tests paths), as is a path that excuses a planned stop of another gateway. What crosses a dying tunnel is judged by answer-ends, which a path that resets or refuses does not excuse.

Ruled out on the way: an address by gateway in the rows, since gateways hand lists on; filters by source, since all have one. Relays close their listener when they are dropped; before, they accepted one connection more.

--- /dev/null
+++ b/crates/cranereach-soak/src/addresses.rs
@@ -0,0 +1,65 @@
+//! Loopback addresses and free ports of a run.
+
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+
+use crate::gateways::GatewayError;
+
+/// Last number of the address of the first gateway's links.
+const FIRST_LINK_IP: usize = 100;
+
+/// Number of attempts to find a port that is free on all addresses.
+const PORT_TRIES: usize = 20;
+
+/// Returns a loopback address of this run. Each run has its own, so that concurrent runs don't
+/// collide.
+pub fn loopback_ip(last: usize) -> String {
+    let id = std::process::id();
+    format!("127.{}.{}.{last}", 64 + (id >> 8) % 128, id % 256)
+}
+
+/// Returns the address of the links that lead from a gateway to the workers.
+pub fn link_ip(gateway: usize) -> String {
+    loopback_ip(FIRST_LINK_IP + gateway)
+}
+
+/// Finds a port for peers that is free on all addresses, and keeps it bound.
+pub async fn reserve_peer_port(ips: &[String]) -> Result<(u16, Vec<TcpListener>), GatewayError> {
+    let mut last_error = None;
+    for _ in 0..PORT_TRIES {
+        let (address, listener) = reserve_free_port(&ips[0]).await?;
+        drop(listener);
+        let port = address.port();
+        match reserve_port(ips, port).await {
+            Ok(listeners) => return Ok((port, listeners)),
+            Err(error) => last_error = Some(error),
+        }
+    }
+    Err(GatewayError::Port {
+        ip: ips.join(", "),
+        source: last_error.unwrap_or_else(|| io::ErrorKind::AddrInUse.into()),
+    })
+}
+
+/// Binds a port on all addresses, if it is free there for both TCP and UDP.
+async fn reserve_port(ips: &[String], port: u16) -> io::Result<Vec<TcpListener>> {
+    let mut listeners = Vec::new();
+    for ip in ips {
+        listeners.push(TcpListener::bind((ip.as_str(), port)).await?);
+        UdpSocket::bind((ip.as_str(), port)).await?;
+    }
+    Ok(listeners)
+}
+
+/// Finds a free port, and keeps it bound.
+pub async fn reserve_free_port(ip: &str) -> Result<(SocketAddr, TcpListener), GatewayError> {
+    let bound = TcpListener::bind((ip, 0)).await;
+    let found = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
+    found.map_err(|source| GatewayError::Port {
+        ip: ip.to_owned(),
+        source,
+    })
+}
--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -20,6 +20,7 @@
 
 use self::operator::DeclaredState;
 use self::releases::release_name;
+use crate::addresses::link_ip;
 use crate::check::bounded::DRAIN_MS;
 use crate::crash_requests::ENDING;
 use crate::gateways;
@@ -74,6 +75,7 @@
     /// Addresses at which the gateways reach the store, by gateway.
     pub store_addresses: Vec<SocketAddr>,
     slots: Vec<WorkerSlot>,
+    gateway_count: usize,
     declared: Mutex<DeclaredState>,
     /// Number of versions of the software of the workers with models.
     release_count: AtomicUsize,
@@ -98,6 +100,8 @@
 struct RunningWorker {
     worker: Worker,
     link: Relay,
+    /// Links that lead from each gateway to `link`.
+    paths: Vec<Relay>,
     state: &'static str,
     cold_until: Instant,
     last_row: Option<Value>,
@@ -131,6 +135,7 @@
             store_links,
             store_addresses,
             slots: slots.collect(),
+            gateway_count: size.gateway_count,
             declared: Mutex::new(DeclaredState {
                 version: 1,
                 moved_to: SERVICES[0],
@@ -140,7 +145,8 @@
             release_count: AtomicUsize::new(WORKER_SET_COUNT),
         };
         for slot in &back_ends.slots {
-            slot.start_worker(Duration::ZERO).await?;
+            slot.start_worker(Duration::ZERO, size.gateway_count)
+                .await?;
         }
         back_ends.send_heartbeats();
         back_ends.write_configuration();
@@ -207,6 +213,11 @@
         }
     }
 
+    /// Returns the numbers of all slots.
+    pub fn all_slots(&self) -> Vec<usize> {
+        (0..self.slots.len()).collect()
+    }
+
     /// Returns the numbers of a service's slots.
     pub fn slots_of(&self, service: usize) -> Vec<usize> {
         let slots = self.slots.iter();
@@ -221,6 +232,13 @@
         }
     }
 
+    /// Sets what the path from a gateway to the worker in a slot passes.
+    pub fn set_path(&self, gateway: usize, number: usize, mode: LinkMode) {
+        if let Some(running) = lock(&self.slots[number].current).as_ref() {
+            running.paths[gateway].set(mode);
+        }
+    }
+
     /// Ends a worker as a crash would, and starts a cold replacement after `down_ms`.
     pub async fn crash(&self, number: usize, down_ms: u64, journal: &Journal) {
         let slot = &self.slots[number];
@@ -294,7 +312,8 @@
 
     /// Starts a cold replacement in a slot.
     async fn start_replacement(&self, slot: &WorkerSlot, journal: &Journal) {
-        match slot.start_worker(Duration::from_millis(COLD_FOR_MS)).await {
+        let cold_for = Duration::from_millis(COLD_FOR_MS);
+        match slot.start_worker(cold_for, self.gateway_count).await {
             Ok(worker_id) => journal.record_event(Event::Cold {
                 worker_id,
                 at_ms: journal.now_ms(),
@@ -320,7 +339,11 @@
 
 impl WorkerSlot {
     /// Starts a worker in this slot that is cold for `cold_for`, and returns its ID.
-    async fn start_worker(&self, cold_for: Duration) -> std::io::Result<String> {
+    async fn start_worker(
+        &self,
+        cold_for: Duration,
+        gateway_count: usize,
+    ) -> std::io::Result<String> {
         let start = self.start_count.fetch_add(1, Ordering::Relaxed);
         let id = format!("w-{}-{start}", self.number);
         let mut worker = Worker::start(&id);
@@ -336,10 +359,16 @@
         }
         let (link, address) = start_relay(worker.address).await?;
         worker.address = address;
+        let mut paths = Vec::new();
+        for gateway in 0..gateway_count {
+            let listener = TcpListener::bind((link_ip(gateway), address.port())).await?;
+            paths.push(Relay::start(listener, &address.to_string()));
+        }
         lock(&self.started_workers).push(worker.clone());
         *lock(&self.current) = Some(RunningWorker {
             worker,
             link,
+            paths,
             state: workers::READY,
             cold_until: Instant::now() + cold_for,
             last_row: None,
--- a/crates/cranereach-soak/src/back_ends/releases.rs
+++ b/crates/cranereach-soak/src/back_ends/releases.rs
@@ -84,6 +84,9 @@
         old.worker.set(Behaviour::Serves);
         old.worker.end_bodies(Ending::default());
         old.link.set(LinkMode::Open);
+        for path in &old.paths {
+            path.set(LinkMode::Open);
+        }
         old.state = LEAVING;
         old.worker.announce_leaving();
         self.store.put("servers", &old.worker.id, &old.row(slot));
--- a/crates/cranereach-soak/src/check/contact.rs
+++ b/crates/cranereach-soak/src/check/contact.rs
@@ -46,7 +46,7 @@
         include_planned: bool,
     ) -> bool {
         !self.troubles.iter().any(|disturbance| {
-            disturbance.whom == component
+            affects(disturbance, component)
                 && (include_planned || !disturbance.is_planned)
                 && disturbance.from_ms <= to_ms
                 && from_ms <= disturbance.to_ms + SETTLE_MS
@@ -56,7 +56,7 @@
     /// Returns whether a component was undisturbed within a period.
     pub fn is_undisturbed(&self, component: Component, from_ms: u64, to_ms: u64) -> bool {
         !self.troubles.iter().any(|disturbance| {
-            disturbance.whom == component
+            affects(disturbance, component)
                 && disturbance.from_ms <= to_ms
                 && from_ms <= disturbance.to_ms
         })
@@ -69,3 +69,11 @@
             && self.is_settled(Component::Store, from_ms, to_ms, true)
     }
 }
+
+/// Returns whether a disturbance affected a component. A worker is also affected by paths that may
+/// deliver to it late.
+fn affects(disturbance: &Disturbance, component: Component) -> bool {
+    let is_held_path = |worker| disturbance.whom == Component::HeldPath { worker };
+    disturbance.whom == component
+        || matches!(component, Component::Worker(worker) if is_held_path(worker))
+}
--- a/crates/cranereach-soak/src/check/mod.rs
+++ b/crates/cranereach-soak/src/check/mod.rs
@@ -10,6 +10,7 @@
 pub mod gateway_health;
 pub mod hidden_ends;
 pub mod notices;
+pub mod paths;
 pub mod rate_limits;
 pub mod recovery;
 pub mod runs;
@@ -72,7 +73,7 @@
 }
 
 /// All promises, in the order of the report.
-pub const PROMISES: [Promise; 23] = [
+pub const PROMISES: [Promise; 25] = [
     promise("whole-answers", Applicability::Always, answers::check),
     promise(
         "streams-in-order",
@@ -109,6 +110,8 @@
     ),
     promise("planned-stops", Applicability::Timed, stop::check),
     promise("recovery", Applicability::Timed, recovery::check),
+    promise("isolated-gateways", Applicability::Timed, paths::isolated),
+    promise("reachable-workers", Applicability::Timed, paths::used),
     promise("resources", Applicability::Timed, gateway_health::resources),
     promise("evacuations", Applicability::Timed, bounded::evacuated),
     promise("cold-workers", Applicability::Timed, cold::check),
--- a/crates/cranereach-soak/src/check/stop.rs
+++ b/crates/cranereach-soak/src/check/stop.rs
@@ -20,7 +20,7 @@
 const CLOSE_RACE_MS: u64 = 200;
 
 /// Judges the requests that were open at the start of a stop or sent during it, except those
-/// whose gateway, store or worker had an unplanned disturbance.
+/// whose gateway, store, worker or path between them had an unplanned disturbance.
 pub fn check(records: &Records) -> Finding {
     let index = RecordIndex::new(records);
     let mut workers: HashMap<&str, Vec<usize>> = HashMap::new();
@@ -69,9 +69,13 @@
         |component| index.is_settled(component, record.sent_ms, record.ended_ms, false);
     is_settled(Component::Gateway(record.gateway))
         && is_settled(Component::Store)
-        && workers
-            .iter()
-            .all(|worker| is_settled(Component::Worker(*worker)))
+        && workers.iter().all(|worker| {
+            let path = Component::Path {
+                gateway: record.gateway,
+                worker: *worker,
+            };
+            is_settled(Component::Worker(*worker)) && is_settled(path)
+        })
 }
 
 /// Returns whether a request was read by the gateway but got no complete answer.
--- a/crates/cranereach-soak/src/faults.rs
+++ b/crates/cranereach-soak/src/faults.rs
@@ -83,19 +83,13 @@
             impair_store_links(test_bed, &cut_gateways, LinkMode::Held, for_ms).await;
         }
         Fault::WorkerLink(mode) => {
-            back_ends.set_worker_link(target, mode);
-            pause(for_ms).await;
-            back_ends.set_worker_link(target, LinkMode::Open);
-            if mode == LinkMode::Cut {
-                let to_ms = journal.now_ms();
-                journal.record_event(Event::LinkCut {
-                    worker: target,
-                    from_ms,
-                    to_ms,
-                });
-            }
-            journal.record_disturbance(Component::Worker(target), false, from_ms);
+            impair_worker_link(test_bed, target, mode, for_ms).await;
         }
+        Fault::PathCut(mode) => {
+            let (worker, gateway) = (target / gateways.len(), target % gateways.len());
+            cut_paths(test_bed, gateway, &[worker], mode, for_ms).await;
+        }
+        Fault::Isolation(mode) => isolate(test_bed, target, mode, for_ms).await,
         Fault::Store(fault) => {
             back_ends.store.set_fault(fault);
             pause(for_ms).await;
@@ -244,6 +238,69 @@
     }
 }
 
+/// Impairs the link between all gateways and a worker, for `for_ms`.
+async fn impair_worker_link(test_bed: &TestBed, worker: usize, mode: LinkMode, for_ms: u64) {
+    let TestBed {
+        back_ends, journal, ..
+    } = test_bed;
+    let from_ms = journal.now_ms();
+    back_ends.set_worker_link(worker, mode);
+    pause(for_ms).await;
+    back_ends.set_worker_link(worker, LinkMode::Open);
+    if mode == LinkMode::Cut {
+        let to_ms = journal.now_ms();
+        journal.record_event(Event::LinkCut {
+            worker,
+            from_ms,
+            to_ms,
+        });
+    }
+    journal.record_disturbance(Component::Worker(worker), false, from_ms);
+}
+
+/// Cuts a gateway off from all workers, for `for_ms`.
+async fn isolate(test_bed: &TestBed, gateway: usize, mode: LinkMode, for_ms: u64) {
+    let from_ms = test_bed.journal.now_ms();
+    let all_slots = test_bed.back_ends.all_slots();
+    cut_paths(test_bed, gateway, &all_slots, mode, for_ms).await;
+    let to_ms = test_bed.journal.now_ms();
+    test_bed.journal.record_event(Event::Isolated {
+        gateway,
+        from_ms,
+        to_ms,
+    });
+}
+
+/// Cuts the paths from a gateway to workers, for `for_ms`. A worker that is replaced meanwhile can
+/// be reached.
+async fn cut_paths(
+    test_bed: &TestBed,
+    gateway: usize,
+    workers: &[usize],
+    mode: LinkMode,
+    for_ms: u64,
+) {
+    let from_ms = test_bed.journal.now_ms();
+    for worker in workers {
+        test_bed.back_ends.set_path(gateway, *worker, mode);
+    }
+    pause(for_ms).await;
+    for worker in workers {
+        test_bed
+            .back_ends
+            .set_path(gateway, *worker, LinkMode::Open);
+        let path = Component::Path {
+            gateway,
+            worker: *worker,
+        };
+        test_bed.journal.record_disturbance(path, false, from_ms);
+        if mode == LinkMode::Unreachable {
+            let held = Component::HeldPath { worker: *worker };
+            test_bed.journal.record_disturbance(held, false, from_ms);
+        }
+    }
+}
+
 /// Sets how workers handle requests, for `for_ms`.
 async fn impair_workers(test_bed: &TestBed, workers: &[usize], behaviour: Behaviour, for_ms: u64) {
     let from_ms = test_bed.journal.now_ms();
--- a/crates/cranereach-soak/src/gateways.rs
+++ b/crates/cranereach-soak/src/gateways.rs
@@ -13,13 +13,15 @@
 
 use serde_json::json;
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::UdpSocket;
 use tokio::process::Child;
 use tokio::process::Command;
 use tokio::sync::Mutex;
 
+use crate::addresses::link_ip;
+use crate::addresses::loopback_ip;
+use crate::addresses::reserve_free_port;
+use crate::addresses::reserve_peer_port;
 use crate::check::bounded;
 use crate::check::cold;
 use crate::check::stop;
@@ -36,9 +38,6 @@
 /// probes each second and takes a gateway out of rotation after two failed probes.
 const ROTATION_DELAY_MS: u64 = 2_000;
 
-/// Number of attempts to find a port that is free on all addresses.
-const PORT_TRIES: usize = 20;
-
 /// Error of running a gateway.
 #[derive(Debug, Error)]
 pub enum GatewayError {
@@ -101,11 +100,7 @@
     folder: &Path,
     stores: &[SocketAddr],
 ) -> Result<Vec<Gateway>, GatewayError> {
-    // Each run has its own loopback addresses, so that concurrent runs don't collide.
-    let id = std::process::id();
-    let subnet = format!("127.{}.{}", 64 + (id >> 8) % 128, id % 256);
-    let count = stores.len();
-    let ips: Vec<String> = (1..=count).map(|last| format!("{subnet}.{last}")).collect();
+    let ips: Vec<String> = (1..=stores.len()).map(loopback_ip).collect();
     // Kept bound until all ports are found, so that none is found twice.
     let (peer_port, _peer_listeners) = reserve_peer_port(&ips).await?;
     let mut gateways = Vec::new();
@@ -134,44 +129,6 @@
     Ok(gateways)
 }
 
-/// Finds a port for peers that is free on all addresses, and keeps it bound.
-async fn reserve_peer_port(ips: &[String]) -> Result<(u16, Vec<TcpListener>), GatewayError> {
-    let mut last_error = None;
-    for _ in 0..PORT_TRIES {
-        let (address, listener) = reserve_free_port(&ips[0]).await?;
-        drop(listener);
-        let port = address.port();
-        match reserve_port(ips, port).await {
-            Ok(listeners) => return Ok((port, listeners)),
-            Err(error) => last_error = Some(error),
-        }
-    }
-    Err(GatewayError::Port {
-        ip: ips.join(", "),
-        source: last_error.unwrap_or_else(|| io::ErrorKind::AddrInUse.into()),
-    })
-}
-
-/// Binds a port on all addresses, if it is free there for both TCP and UDP.
-async fn reserve_port(ips: &[String], port: u16) -> io::Result<Vec<TcpListener>> {
-    let mut listeners = Vec::new();
-    for ip in ips {
-        listeners.push(TcpListener::bind((ip.as_str(), port)).await?);
-        UdpSocket::bind((ip.as_str(), port)).await?;
-    }
-    Ok(listeners)
-}
-
-/// Finds a free port, and keeps it bound.
-async fn reserve_free_port(ip: &str) -> Result<(SocketAddr, TcpListener), GatewayError> {
-    let bound = TcpListener::bind((ip, 0)).await;
-    let found = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
-    found.map_err(|source| GatewayError::Port {
-        ip: ip.to_owned(),
-        source,
-    })
-}
-
 impl Gateway {
     /// Starts the process unless it is running, and waits until it listens.
     pub async fn start(&self) -> Result<(), GatewayError> {
@@ -180,9 +137,11 @@
             return Ok(());
         }
         let child = Command::new(&self.binary)
-            .arg("gateway")
+            .arg("soak-gateway")
             .arg("--settings")
             .arg(self.file_path("jsonc"))
+            .arg("--link-ip")
+            .arg(link_ip(self.number))
             .stdin(Stdio::null())
             .stdout(self.open_for_append("log")?)
             .stderr(self.open_for_append("err")?)
--- a/crates/cranereach-soak/src/lib.rs
+++ b/crates/cranereach-soak/src/lib.rs
@@ -2,7 +2,7 @@
 //! promises that callers rely on.
 //!
 //! - [`schedule`] derives the faults from a seed, and [`faults`] injects them.
-//! - [`gateways`] starts, signals and stops the gateway processes.
+//! - [`gateways`] starts, signals and stops the gateway processes, at the [`addresses`] of the run.
 //! - [`back_ends`] stands in for the platform's store and workers.
 //! - [`callers`] sends requests; [`resuming_callers`] takes up streams that break off; [`crash_requests`] keeps resending one that crashes every worker
 //!   that runs it.
@@ -11,6 +11,7 @@
 //! - [`run`] puts the parts together. They record what they observe ([`journal`], [`record`]).
 //! - The modules of [`check`] judge the promises by these records alone.
 
+pub mod addresses;
 pub mod back_ends;
 pub mod callers;
 pub mod check;
--- a/crates/cranereach-soak/src/record.rs
+++ b/crates/cranereach-soak/src/record.rs
@@ -143,6 +143,18 @@
     Store,
     /// A worker slot or its links.
     Worker(usize),
+    /// The path from a gateway to a worker slot.
+    Path {
+        /// Number of the gateway.
+        gateway: usize,
+        /// Number of the worker slot.
+        worker: usize,
+    },
+    /// Some path to a worker slot, which kept what was sent over it and may deliver it late.
+    HeldPath {
+        /// Number of the worker slot.
+        worker: usize,
+    },
 }
 
 /// A period in which a component was disturbed.
@@ -214,6 +226,15 @@
         /// End.
         to_ms: u64,
     },
+    /// A gateway was cut off from all workers for a time.
+    Isolated {
+        /// Number of the gateway.
+        gateway: usize,
+        /// Start.
+        from_ms: u64,
+        /// End.
+        to_ms: u64,
+    },
     /// A key was revoked.
     Revoked {
         /// Index of the key.
--- a/crates/cranereach-soak/src/run.rs
+++ b/crates/cranereach-soak/src/run.rs
@@ -58,17 +58,33 @@
     pub run_ms: u64,
     /// Size of the run.
     pub size: Size,
-    /// Whether the schedule also restores the store from backups.
-    pub restores_store: bool,
+    /// Faults of the schedule.
+    pub faults: FaultSet,
+}
+
+/// Faults that the schedule of a run is made of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultSet {
+    /// All but restores of the store.
+    Usual,
+    /// All.
+    WithRestores,
+    /// Cuts of paths between single gateways and workers alone.
+    PathCuts,
 }
 
 impl Plan {
     /// Returns the fault schedule of the run.
     pub fn steps(&self) -> Vec<Step> {
-        let mut steps = schedule::from_seed(self.seed, self.run_ms, self.size);
+        let mut steps = Vec::new();
+        schedule::add_path_cuts(&mut steps, self.seed, self.run_ms, self.size);
+        if self.faults == FaultSet::PathCuts {
+            return steps;
+        }
+        schedule::add_faults(&mut steps, self.seed, self.run_ms, self.size);
         schedule::add_body_ends(&mut steps, self.seed, self.run_ms, self.size);
         schedule::add_releases(&mut steps, self.seed, self.run_ms, self.size);
-        if self.restores_store {
+        if self.faults == FaultSet::WithRestores {
             schedule::add_restores(&mut steps, self.seed, self.run_ms);
         }
         steps
--- a/crates/cranereach-soak/src/schedule.rs
+++ b/crates/cranereach-soak/src/schedule.rs
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 
 pub use self::separate::add_body_ends;
+pub use self::separate::add_path_cuts;
 pub use self::separate::add_releases;
 pub use self::separate::add_restores;
 use crate::check::bounded::DRAIN_MS;
@@ -144,6 +145,10 @@
     StoreLink(LinkMode),
     /// Impairs the link between all gateways and a worker.
     WorkerLink(LinkMode),
+    /// Cuts the path between a gateway and a worker.
+    PathCut(LinkMode),
+    /// Cuts the paths between a gateway and all workers.
+    Isolation(LinkMode),
     /// Makes the store misbehave.
     Store(store::Fault),
     /// Makes the store forget its change history.
@@ -179,7 +184,8 @@
     pub at_ms: u64,
     /// Fault.
     pub fault: Fault,
-    /// Index of the gateway, worker, set of workers, service, revocable key or failure domain.
+    /// Index of the gateway, worker, path, set of workers, service, revocable key or failure domain.
+    /// The path of a gateway to a worker has the index `worker * gateway_count + gateway`.
     pub target: usize,
     /// Duration, in milliseconds; for a release the time between two workers. Faults without a
     /// duration, such as a reload, ignore it.
@@ -232,6 +238,12 @@
     steps
 }
 
+/// Adds the faults of [`from_seed`] to a schedule.
+pub fn add_faults(steps: &mut Vec<Step>, seed: u64, run_ms: u64, size: Size) {
+    steps.extend(from_seed(seed, run_ms, size));
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Returns the number of possible targets of a fault.
 fn target_count(fault: Fault, size: Size) -> usize {
     match fault {
@@ -240,7 +252,9 @@
         | Fault::Kill
         | Fault::Stop
         | Fault::Reload
-        | Fault::StoreLink(_) => size.gateway_count,
+        | Fault::StoreLink(_)
+        | Fault::Isolation(_) => size.gateway_count,
+        Fault::PathCut(_) => size.gateway_count * size.worker_total(),
         Fault::WorkerLink(_) | Fault::Worker(_) | Fault::WorkerCrashes | Fault::WorkerLeaves => {
             size.worker_total()
         }
--- a/crates/cranereach-soak/src/schedule/separate.rs
+++ b/crates/cranereach-soak/src/schedule/separate.rs
@@ -10,16 +10,20 @@
 use super::FAULT_MAX_MS;
 use super::FAULT_MIN_MS;
 use super::Fault;
+use super::LONG_MS;
+use super::LONG_SHARE;
 use super::Size;
 use super::Step;
 use super::WORKER_SET_COUNT;
 use super::pick;
+use super::target_count;
 use cranereach_platform::standin::ending::Close;
 use cranereach_platform::standin::ending::Cut;
 use cranereach_platform::standin::ending::CutPlace;
 use cranereach_platform::standin::ending::Ending;
 use cranereach_platform::standin::ending::Framing;
 use cranereach_platform::standin::worker::EVENT_COUNT;
+use cranereach_standin::relay::LinkMode;
 
 /// Maximum age of the backup that the store is restored from, in milliseconds.
 const BACKUP_MAX_AGE_MS: u64 = 8_000;
@@ -45,6 +49,18 @@
 /// What follows such a cut.
 const SILENT_CLOSES: [Close; 2] = [Close::Orderly, Close::Crash];
 
+/// Mixed into the seed for cuts of paths.
+const PATH_CUTS_SALT: u64 = 0x7061_7468;
+
+/// Range of the pause between two such cuts, in milliseconds.
+const PATH_CUTS_PAUSE_MS: (u64, u64) = (500, 2_500);
+
+/// Share of these cuts that cut a gateway off from all workers.
+const ISOLATION_SHARE: f64 = 0.4;
+
+/// How a path is cut.
+const PATH_CUTS: [LinkMode; 3] = [LinkMode::Refused, LinkMode::Unreachable, LinkMode::Reset];
+
 /// Mixed into the seed for releases.
 const RELEASES_SALT: u64 = 0x7265_6c65;
 
@@ -117,6 +133,34 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds cuts of the paths between single gateways and workers.
+pub fn add_path_cuts(steps: &mut Vec<Step>, seed: u64, run_ms: u64, size: Size) {
+    let mut rng = StdRng::seed_from_u64(seed ^ PATH_CUTS_SALT);
+    let end_ms = end_ms(run_ms, FAULT_MAX_MS + LONG_MS);
+    let mut at_ms = FAULT_FREE_START_MS;
+    while at_ms < end_ms {
+        let mode = pick(&mut rng, &PATH_CUTS);
+        let fault = if rng.random_bool(ISOLATION_SHARE) {
+            Fault::Isolation(mode)
+        } else {
+            Fault::PathCut(mode)
+        };
+        let extra_ms = if rng.random_bool(LONG_SHARE) {
+            LONG_MS
+        } else {
+            0
+        };
+        steps.push(Step {
+            at_ms,
+            fault,
+            target: rng.random_range(0..target_count(fault, size)),
+            for_ms: extra_ms + rng.random_range(FAULT_MIN_MS..FAULT_MAX_MS),
+        });
+        at_ms += rng.random_range(PATH_CUTS_PAUSE_MS.0..PATH_CUTS_PAUSE_MS.1);
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Adds releases of new versions of the workers' software, in turn to each set of workers.
 pub fn add_releases(steps: &mut Vec<Step>, seed: u64, run_ms: u64, size: Size) {
     let mut rng = StdRng::seed_from_u64(seed ^ RELEASES_SALT);
--- a/crates/cranereach-soak/tests/soak/failing.rs
+++ b/crates/cranereach-soak/tests/soak/failing.rs
@@ -7,6 +7,7 @@
 
 use cranereach_soak::gateways::GatewayError;
 use cranereach_soak::run;
+use cranereach_soak::run::FaultSet;
 use cranereach_soak::run::Plan;
 use cranereach_soak::run::RunError;
 use cranereach_soak::schedule::Size;
@@ -22,7 +23,7 @@
         seed: 1,
         run_ms: 10_000,
         size: Size::SMALL,
-        restores_store: false,
+        faults: FaultSet::Usual,
     }
 }
 
--- a/crates/cranereach-soak/tests/soak/main.rs
+++ b/crates/cranereach-soak/tests/soak/main.rs
@@ -5,6 +5,7 @@
 mod crash_requests;
 mod failing;
 mod notices;
+mod paths;
 mod planted;
 mod relay;
 mod requests;
--- a/crates/cranereach-soak/tests/soak/relay.rs
+++ b/crates/cranereach-soak/tests/soak/relay.rs
@@ -1,6 +1,7 @@
 //! Tests of the links of a run: how a connection ends behind them.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -8,7 +9,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
+use cranereach_standin::relay::LinkMode;
 use cranereach_standin::relay::Relay;
 
 /// What a server sends before it closes the connection.
@@ -42,3 +45,84 @@
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
     assert_eq!(read_end(false).await.unwrap(), 0);
 }
+
+/// Time after which an attempt to connect counts as unanswered.
+const UNANSWERED_AFTER: Duration = Duration::from_millis(300);
+
+/// Starts a server that accepts connections and keeps them; returns a relay to it with the address
+/// of the relay.
+async fn start_relay() -> (Relay, SocketAddr) {
+    let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server_address = server.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        let mut kept = Vec::new();
+        while let Ok((mut accepted, _)) = server.accept().await {
+            accepted.write_all(SENT).await.unwrap();
+            kept.push(accepted);
+        }
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (Relay::start(listener, &server_address), address)
+}
+
+/// Connects, and reads what the server sends.
+async fn connect_and_read(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let mut client = TcpStream::connect(address).await?;
+    client.read_exact(&mut [0; SENT.len()]).await?;
+    Ok(client)
+}
+
+/// Connects until that fails with an error of this kind; connections that are still accepted
+/// while the mode changes are dropped.
+async fn until_fails_with(address: SocketAddr, kind: ErrorKind) {
+    while connect_and_read(address)
+        .await
+        .err()
+        .map(|error| error.kind())
+        != Some(kind)
+    {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a path that is cut by refusals or resets looking like a worker that accepts
+/// connections, and against one that stays cut.
+#[tokio::test]
+async fn a_refused_or_reset_path_ends_connections_and_serves_again() {
+    for (mode, kind) in [
+        (LinkMode::Refused, ErrorKind::ConnectionRefused),
+        (LinkMode::Reset, ErrorKind::ConnectionReset),
+    ] {
+        let (relay, address) = start_relay().await;
+        let mut open = connect_and_read(address).await.unwrap();
+        relay.set(mode);
+        let error = open.read(&mut [0]).await.unwrap_err();
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{mode:?}");
+        until_fails_with(address, kind).await;
+        relay.set(LinkMode::Open);
+        while connect_and_read(address).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Guards against an unreachable path answering attempts to connect, and against open connections
+/// ending there.
+#[tokio::test]
+async fn an_unreachable_path_answers_nothing_and_keeps_connections() {
+    let (relay, address) = start_relay().await;
+    let mut open = connect_and_read(address).await.unwrap();
+    relay.set(LinkMode::Unreachable);
+    while timeout(UNANSWERED_AFTER, connect_and_read(address))
+        .await
+        .is_ok()
+    {}
+    let read = timeout(UNANSWERED_AFTER, open.read(&mut [0])).await;
+    read.unwrap_err();
+    relay.set(LinkMode::Open);
+    while !matches!(
+        timeout(UNANSWERED_AFTER, connect_and_read(address)).await,
+        Ok(Ok(_))
+    ) {}
+}
--- a/crates/cranereach-soak/tests/soak/schedule.rs
+++ b/crates/cranereach-soak/tests/soak/schedule.rs
@@ -126,3 +126,26 @@
     }
     assert!(together_count > 20, "some follow at once: {together_count}");
 }
+
+/// Guards against cuts of paths that change the other faults of a seed, leave out a kind, or disturb
+/// the end of a run.
+#[test]
+fn path_cuts_change_neither_other_faults_nor_the_fault_free_end() {
+    let mut faults = HashSet::new();
+    for seed in 0..50 {
+        let others = schedule::from_seed(seed, 60_000, Size::SMALL);
+        let mut steps = others.clone();
+        schedule::add_path_cuts(&mut steps, seed, 60_000, Size::SMALL);
+        assert!(steps.is_sorted_by_key(|step| step.at_ms));
+        let is_cut = |step: &&Step| matches!(step.fault, Fault::PathCut(_) | Fault::Isolation(_));
+        let cuts: Vec<&Step> = steps.iter().filter(is_cut).collect();
+        assert!(cuts.len() > 3);
+        for cut in cuts {
+            assert!(cut.at_ms + cut.for_ms < 60_000 - FAULT_FREE_END_MS);
+            faults.insert(format!("{:?}", cut.fault));
+        }
+        steps.retain(|step| !is_cut(&step));
+        assert_eq!(steps, others);
+    }
+    assert_eq!(faults.len(), 6);
+}
--- a/crates/cranereach-standin/src/relay.rs
+++ b/crates/cranereach-standin/src/relay.rs
@@ -1,16 +1,23 @@
-//! TCP relay between two processes whose connections can be cut, held or slowed down.
+//! TCP relay between two processes whose connections can be cut, held, slowed down, refused, reset
+//! or left unanswered.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Serialize;
+use socket2::Domain;
+use socket2::SockAddr;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
 /// Size of the copy buffer, in bytes.
@@ -19,8 +26,11 @@
 /// Delay of each chunk by a slow relay, in milliseconds.
 const SLOW_MS: u64 = 150;
 
+/// Number of connections that fill the queue of an unreachable relay, more than it holds.
+const PENDING_COUNT: usize = 8;
+
 /// Forwarding mode of a relay.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum LinkMode {
     /// Forwards everything.
     Open,
@@ -32,6 +42,29 @@
     OneWay,
     /// Forwards everything with a delay.
     Slow,
+    /// Resets open connections and listens no more.
+    Refused,
+    /// Keeps open connections and forwards nothing; attempts to connect get no response.
+    Unreachable,
+    /// Resets open connections, and new ones once they are accepted.
+    Reset,
+}
+
+impl LinkMode {
+    /// Whether bytes of the client pass.
+    fn passes_forward(self) -> bool {
+        !matches!(self, Self::Held | Self::Unreachable)
+    }
+
+    /// Whether bytes of the server pass.
+    fn passes_backward(self) -> bool {
+        self.passes_forward() && self != Self::OneWay
+    }
+
+    /// Whether open connections end.
+    fn ends_connections(self) -> bool {
+        matches!(self, Self::Cut | Self::Refused | Self::Reset)
+    }
 }
 
 /// A running relay.
@@ -61,62 +94,145 @@
     }
 }
 
-/// Accepts connections until the relay is dropped.
+/// Accepts connections, as far as the mode allows it, until the relay is dropped.
 async fn accept(listener: TcpListener, server_address: String, mode: watch::Receiver<LinkMode>) {
+    if let Err(error) = accept_by_mode(listener, &server_address, mode).await {
+        eprintln!("relay to {server_address}: {error}");
+    }
+}
+
+/// Accepts connections as [`accept`] does; fails if the address can't be listened on again.
+async fn accept_by_mode(
+    listener: TcpListener,
+    server_address: &str,
+    mut mode: watch::Receiver<LinkMode>,
+) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut listener = Some(listener);
     loop {
-        let Ok((client, _peer)) = listener.accept().await else {
-            return;
+        let current = *mode.borrow_and_update();
+        let _full_queue = match current {
+            LinkMode::Refused => {
+                listener = None;
+                None
+            }
+            LinkMode::Unreachable => {
+                listener = None;
+                Some(FullQueue::new(address)?)
+            }
+            _ => {
+                if listener.is_none() {
+                    listener = Some(TcpListener::bind(address).await?);
+                }
+                None
+            }
         };
-        if *mode.borrow() != LinkMode::Cut {
-            tokio::spawn(relay_connection(
-                client,
-                server_address.clone(),
-                mode.clone(),
-            ));
+        tokio::select! {
+            Some(client) = accept_next(listener.as_ref()) => {
+                if current != LinkMode::Cut {
+                    let relaying = relay_connection(client?, server_address.to_owned(), mode.clone());
+                    tokio::spawn(relaying);
+                }
+            }
+            changed = mode.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+            }
         }
-        if mode.has_changed().is_err() {
-            return;
+    }
+}
+
+/// Accepts the next connection; returns `None` without a listener.
+async fn accept_next(listener: Option<&TcpListener>) -> Option<io::Result<TcpStream>> {
+    let accepted = listener?.accept().await;
+    Some(accepted.map(|(client, _address)| client))
+}
+
+/// A listener whose queue of connections is full, so that further ones get no response.
+#[derive(Debug)]
+struct FullQueue {
+    _listener: Socket,
+    _pending: Vec<Socket>,
+}
+
+impl FullQueue {
+    /// Listens on an address and fills the queue.
+    fn new(address: SocketAddr) -> io::Result<Self> {
+        let address = SockAddr::from(address);
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        listener.set_reuse_address(true)?;
+        listener.bind(&address)?;
+        listener.listen(0)?;
+        let mut pending = Vec::new();
+        for _ in 0..PENDING_COUNT {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+            socket.set_nonblocking(true)?;
+            // The attempt goes on in the background or waits in the queue; both fill it.
+            let _begun = socket.connect(&address);
+            pending.push(socket);
         }
+        Ok(Self {
+            _listener: listener,
+            _pending: pending,
+        })
     }
 }
 
-/// Relays one connection until both directions have ended, one fails, or the relay is cut.
+/// Relays one connection until both directions have ended, one fails, or the mode ends it.
 async fn relay_connection(
-    client: TcpStream,
+    mut client: TcpStream,
     server_address: String,
     mut mode: watch::Receiver<LinkMode>,
 ) {
-    let mut cut = mode.clone();
-    let exchange = async move {
-        let is_not_held = |mode: &LinkMode| *mode != LinkMode::Held;
-        if mode.wait_for(is_not_held).await.is_err() {
-            return;
-        }
-        let Ok(server) = TcpStream::connect(&server_address).await else {
-            return;
-        };
-        let (client_reader, client_writer) = client.into_split();
-        let (server_reader, server_writer) = server.into_split();
-        let backward = mode.clone();
-        let forward = copy(client_reader, server_writer, mode, |mode| {
-            mode != LinkMode::Held
-        });
-        let backward = copy(server_reader, client_writer, backward, |mode| {
-            !matches!(mode, LinkMode::Held | LinkMode::OneWay)
-        });
-        // An error in one direction ends both; end of file in one leaves the other open.
-        let _ended = tokio::try_join!(forward, backward);
+    let mut ending = mode.clone();
+    let ended = tokio::select! {
+        () = exchange(&mut client, &server_address, &mut mode) => return,
+        ended = ending.wait_for(|mode| mode.ends_connections()) => ended.ok().map(|mode| *mode),
     };
-    tokio::select! {
-        () = exchange => {}
-        _cut = cut.wait_for(|mode| *mode == LinkMode::Cut) => {}
+    if matches!(ended, Some(LinkMode::Refused | LinkMode::Reset)) {
+        let _set = SockRef::from(&client).set_linger(Some(Duration::ZERO));
+    } else {
+        // Closes in order, whatever the client has sent meanwhile.
+        let _closed = client.shutdown().await;
+    }
+}
+
+/// Connects to the server and copies in both directions. An error in one direction ends both; end
+/// of file in one leaves the other open.
+async fn exchange(
+    client: &mut TcpStream,
+    server_address: &str,
+    mode: &mut watch::Receiver<LinkMode>,
+) {
+    if mode.wait_for(|mode| mode.passes_forward()).await.is_err() {
+        return;
     }
+    let Ok(mut server) = TcpStream::connect(server_address).await else {
+        return;
+    };
+    let (client_reader, client_writer) = client.split();
+    let (server_reader, server_writer) = server.split();
+    let backward = mode.clone();
+    let forward = copy(
+        client_reader,
+        server_writer,
+        mode.clone(),
+        LinkMode::passes_forward,
+    );
+    let backward = copy(
+        server_reader,
+        client_writer,
+        backward,
+        LinkMode::passes_backward,
+    );
+    let _ended = tokio::try_join!(forward, backward);
 }
 
 /// Copies one direction while the mode allows it, and pauses otherwise.
 async fn copy(
-    mut reader: OwnedReadHalf,
-    mut writer: OwnedWriteHalf,
+    mut reader: ReadHalf<'_>,
+    mut writer: WriteHalf<'_>,
     mut mode: watch::Receiver<LinkMode>,
     is_forwarding: fn(LinkMode) -> bool,
 ) -> io::Result<()> {
@@ -125,9 +241,8 @@
         let count = match reader.read(&mut chunk).await {
             Ok(count) => count,
             Err(error) => {
-                // A reset arrives as a reset. An end of the writer alone would arrive before it.
+                // A reset arrives as a reset.
                 let _set = SockRef::from(writer.as_ref()).set_linger(Some(Duration::ZERO));
-                writer.forget();
                 return Err(error);
             }
         };
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -10,6 +10,7 @@
 use crate::exit::Exit;
 use cranereach_gateway::run::Gateway;
 use cranereach_gateway::settings::Settings;
+use cranereach_http::connector::Connector;
 // Linked so that the platform adapter registers itself.
 use cranereach_platform as _;
 
@@ -31,7 +32,7 @@
 /// Runs the instance.
 pub fn execute(options: &GatewayArguments) -> Exit {
     match settings(options.settings.as_ref()) {
-        Ok(settings) => super::block_on_one_core(run(settings)),
+        Ok(settings) => super::block_on_one_core(run(settings, Connector::default())),
         Err(exit) => exit,
     }
 }
@@ -50,9 +51,10 @@
     })
 }
 
-/// Starts the instance and shuts it down gracefully on the first signal.
-async fn run(settings: Settings) -> Exit {
-    let gateway = match Gateway::start(settings).await {
+/// Starts the instance, which opens its connections to workers with a connector, and shuts it down
+/// gracefully on the first signal.
+pub async fn run(settings: Settings, worker_connector: Connector) -> Exit {
+    let gateway = match Gateway::start_with(settings, worker_connector).await {
         Ok(gateway) => gateway,
         Err(error) => {
             eprintln!("{error}");
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod serve;
 mod soak;
+mod soak_gateway;
 mod stand_in;
 mod status;
 mod workers;
@@ -76,6 +77,8 @@
     StandIn(stand_in::StandInArguments),
     #[options(help = "run gateway processes under injected faults and check the guarantees")]
     Soak(soak::SoakArguments),
+    #[options(help = "run a gateway instance of a soak test; started by `soak`")]
+    SoakGateway(soak_gateway::SoakGatewayArguments),
 }
 
 /// Runs the subcommand that the arguments name.
@@ -102,6 +105,7 @@
         Some(Command::Measure(options)) => measure::execute(options),
         Some(Command::StandIn(options)) => stand_in::execute(options),
         Some(Command::Soak(options)) => soak::execute(options),
+        Some(Command::SoakGateway(options)) => soak_gateway::execute(options),
         None => {
             eprintln!(
                 "{}\n\n{}",
--- a/src/cmd/soak.rs
+++ b/src/cmd/soak.rs
@@ -10,6 +10,7 @@
 use cranereach_soak::report;
 use cranereach_soak::report::JudgeOptions;
 use cranereach_soak::run;
+use cranereach_soak::run::FaultSet;
 use cranereach_soak::run::Plan;
 use cranereach_soak::run::RunError;
 use cranereach_soak::schedule::Size;
@@ -43,6 +44,12 @@
     out: Option<PathBuf>,
     #[options(help = "also restore the store from backups during the run", no_short)]
     restores: bool,
+    #[options(
+        help = "inject faults of one kind alone: paths, cuts between a gateway and workers",
+        meta = "KIND",
+        no_short
+    )]
+    only: Option<String>,
     #[options(help = "do not judge what depends on speed")]
     untimed: bool,
 }
@@ -105,6 +112,17 @@
     }
 }
 
+/// Returns the faults that the options select.
+fn read_faults(options: &SoakArguments) -> Result<FaultSet, String> {
+    match (options.only.as_deref(), options.restores) {
+        (None, false) => Ok(FaultSet::Usual),
+        (None, true) => Ok(FaultSet::WithRestores),
+        (Some("paths"), false) => Ok(FaultSet::PathCuts),
+        (Some("paths"), true) => Err("--only and --restores exclude each other".to_owned()),
+        (Some(other), _) => Err(format!("kind {other:?} is not one of paths")),
+    }
+}
+
 /// Builds the plan of the run from the options.
 fn read_plan(options: &SoakArguments) -> Result<Plan, String> {
     let size = match options.size.as_str() {
@@ -128,6 +146,6 @@
         seed: options.seed,
         run_ms: options.seconds * 1_000,
         size,
-        restores_store: options.restores,
+        faults: read_faults(options)?,
     })
 }
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -40,6 +40,13 @@
     run_soak(11, 30, "small", &["--restores"]);
 }
 
+/// Guards against answers that are lost, duplicated or cut where single gateways can't reach workers
+/// that others reach.
+#[test]
+fn a_short_run_with_cut_paths_keeps_the_untimed_promises() {
+    run_soak(13, 30, "small", &["--only", "paths"]);
+}
+
 #[test]
 fn a_short_run_keeps_the_untimed_promises() {
     let folder = run_soak(7, 20, "small", &[]);
