Soak: an isolated gateway is compared only with others that serve

The records show a gateway that had just started while cut off, and others that served a fifth, with two keys revoked and three of twelve workers of one domain evacuated: nothing to compare with. A gateway now has the time to find out after its own start as well, and is judged where others serve half at least. Planted violations are found as before.

--- a/crates/cranereach-soak/src/check/paths.rs
+++ b/crates/cranereach-soak/src/check/paths.rs
@@ -19,6 +19,9 @@
 /// Smallest number of requests by which a share is judged.
 pub const JUDGED_MIN_COUNT: usize = 20;
 
+/// Smallest share of their requests that others must serve for a comparison to say anything.
+const COMPARABLE_SHARE: f64 = 0.5;
+
 /// Share of the requests that an isolated gateway must serve, of the share that others serve.
 const SERVED_SHARE: f64 = 0.5;
 
@@ -41,7 +44,7 @@
         let during = records.asked.iter().filter(|record| {
             let gateway = Component::Gateway(record.gateway);
             (from_ms + DETECTION_MS..*to_ms).contains(&record.sent_ms)
-                && index.is_undisturbed(gateway, record.sent_ms, record.ended_ms)
+                && index.is_undisturbed(gateway, record.sent_ms - DETECTION_MS, record.ended_ms)
         });
         let (own, others): (Vec<_>, Vec<_>) = during
             .filter(|record| record.gateway == *gateway || !is_isolated(record.gateway))
@@ -50,6 +53,9 @@
             continue;
         }
         let (own_share, others_share) = (served_share(&own), served_share(&others));
+        if others_share < COMPARABLE_SHARE {
+            continue;
+        }
         let message = || {
             format!(
                 "gateway {gateway}, isolated from {from_ms} to {to_ms} ms, served {own_share:.2} \
