Streams that may be taken up begin at versions that are listed everywhere

Cause: an instance with one version on a fresh list asks nobody, but a stream could begin as soon as one instance listed the version. Why this works: a stream begins at a version that its instance has listed for the age up to which lists are fresh; a list that is fresh at the take-up then holds it, too. As long as workers of such versions can take the stream: else it begins anywhere, as before.

The bound of the test goes from 2 a world to 0. Ruled out: asking holders at each take-up, which costs messages in services with one version. Cost: a lock and a list of at most eight keys for each stream that may be taken up.

--- a/crates/cranereach-bench/src/slopes/gateway.rs
+++ b/crates/cranereach-bench/src/slopes/gateway.rs
@@ -184,6 +184,7 @@
         extra_start_delays_ms: [0.0; 3],
         regions: &regions,
         required_version_key: None,
+        settled_version_keys: &[],
         end_count: 0,
         must_avoid_grants: false,
         tried: &[],
--- a/crates/cranereach-fleet/src/routing_request.rs
+++ b/crates/cranereach-fleet/src/routing_request.rs
@@ -43,6 +43,9 @@
     /// Key of the version that the worker's software must have; none if any will do. See
     /// [`crate::software_version::SoftwareVersion::key`].
     pub required_version_key: Option<u64>,
+    /// Keys of the versions that have been listed for long enough that a stream may begin there; if
+    /// there are any, workers of others are left out.
+    pub settled_version_keys: &'a [u64],
     /// Number of workers that ended in a row while running an equal request.
     pub end_count: usize,
     /// Whether only workers that need no send grant may be chosen, because none could be
@@ -59,9 +62,15 @@
         self.regions.allows(region.map(AsRef::as_ref))
     }
 
-    /// Whether the software of a worker has the version that the request requires.
+    /// Whether the software of a worker has the version that the request requires, and one that is
+    /// settled.
     pub fn accepts_version_of(&self, record: &WorkerRecord) -> bool {
-        self.required_version_key
-            .is_none_or(|required_key| record.software.key() == required_key)
+        let key = record.software.key();
+        let is_settled =
+            self.settled_version_keys.is_empty() || self.settled_version_keys.contains(&key);
+        is_settled
+            && self
+                .required_version_key
+                .is_none_or(|required| key == required)
     }
 }
--- a/crates/cranereach-fleet/src/stream_origins.rs
+++ b/crates/cranereach-fleet/src/stream_origins.rs
@@ -195,6 +195,14 @@
         watch.map_or_else(Vec::new, |watch| watch.versions(now_ms).collect())
     }
 
+    /// Lists the versions of a service that have been seen for at least `settle_ms`. If lists of
+    /// workers count as fresh up to that age, every instance that goes by its own list alone lists
+    /// them, too.
+    pub fn settled_versions(&self, now_ms: u64, service: u64, settle_ms: u64) -> Vec<u64> {
+        let watch = self.watches.get(&service);
+        watch.map_or_else(Vec::new, |watch| watch.settled(now_ms, settle_ms).collect())
+    }
+
     /// Keeps a note of a stream whose first event goes to the caller, or that continues. The
     /// deadline of an earlier note moves.
     pub fn stream_began(&mut self, now_ms: u64, key: u64, origin: Origin, life_ms: u64) {
--- a/crates/cranereach-fleet/src/stream_origins/version_watch.rs
+++ b/crates/cranereach-fleet/src/stream_origins/version_watch.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug)]
 struct SeenVersion {
     version: u64,
+    /// When it was first seen, in milliseconds.
+    since_ms: u64,
     /// When the last stream that may have begun at it has ended, in milliseconds.
     relevant_until_ms: u64,
 }
@@ -65,6 +67,7 @@
         } else if self.seen.len() < VERSION_MAX_COUNT {
             self.seen.push(SeenVersion {
                 version,
+                since_ms: now_ms,
                 relevant_until_ms,
             });
         }
@@ -83,6 +86,15 @@
         relevant.map(|seen| seen.version)
     }
 
+    /// Lists the versions that were first seen this long ago or longer.
+    pub(super) fn settled(&self, now_ms: u64, settle_ms: u64) -> impl Iterator<Item = u64> {
+        let settled = self.seen.iter();
+        let settled = settled.filter(move |seen| {
+            seen.since_ms + settle_ms <= now_ms && now_ms < seen.relevant_until_ms
+        });
+        settled.map(|seen| seen.version)
+    }
+
     /// Whether streams can have begun at one version only.
     pub(super) fn is_single(&self, now_ms: u64) -> bool {
         matches!(self.view(now_ms), VersionView::Only(_))
--- a/crates/cranereach-fleet/tests/software_versions.rs
+++ b/crates/cranereach-fleet/tests/software_versions.rs
@@ -105,6 +105,28 @@
     assert_eq!(gone, Err(NoWorker::OtherVersion));
 }
 
+/// Guards against streams that begin at a version that other instances may not list yet.
+#[test]
+fn workers_of_versions_that_are_not_settled_are_left_out() {
+    let roster = roster(&[("a", "v1", true), ("b", "v2", true)]);
+    let settled = [version("v1").key()];
+    for model in [None, MODEL] {
+        let request = RoutingRequest {
+            settled_version_keys: &settled,
+            ..routing_request(model)
+        };
+        for seed in 0..DRAW_COUNT as u64 {
+            assert_eq!(choose(&roster, &request, seed).as_deref(), Ok("a"));
+        }
+    }
+    let unlisted = [version("v3").key()];
+    let request = RoutingRequest {
+        settled_version_keys: &unlisted,
+        ..routing_request(MODEL)
+    };
+    assert_eq!(choose(&roster, &request, 1), Err(NoWorker::OtherVersion));
+}
+
 /// Guards against a version that keeps requests from workers although none is required.
 #[test]
 fn requests_that_require_no_version_go_to_workers_of_all() {
--- a/crates/cranereach-fleet/tests/stream_origins/kernel.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/kernel.rs
@@ -54,6 +54,20 @@
     assert_eq!(decision, Decision::GoOn(origin(2)));
 }
 
+/// Guards against a version counting as settled too early, or anew each time that it is seen.
+#[test]
+fn a_version_is_settled_some_time_after_it_was_first_seen() {
+    let mut origins = watching(&[1]);
+    for at_ms in (250..=2_000).step_by(250) {
+        origins.observe(at_ms, SERVICE, LIFE_MS, true, &[1, 2]);
+    }
+    assert_eq!(origins.settled_versions(999, SERVICE, 1_000), []);
+    assert_eq!(origins.settled_versions(1_000, SERVICE, 1_000), [1]);
+    assert_eq!(origins.settled_versions(1_249, SERVICE, 1_000), [1]);
+    assert_eq!(origins.settled_versions(1_250, SERVICE, 1_000), [1, 2]);
+    assert_eq!(origins.settled_versions(1_250, SERVICE + 1, 1_000), []);
+}
+
 /// Guards against a list that missed changes counting as watched.
 #[test]
 fn a_list_that_was_not_current_starts_the_watch_anew() {
--- a/crates/cranereach-fleet/tests/stream_origins/releases.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/releases.rs
@@ -11,8 +11,8 @@
 /// Number of worlds of each size in which streams break off right after their start.
 const HASTY_SEED_COUNT: u64 = 4;
 
-/// Number of streams that may hold events of two versions in one such world.
-const HASTY_MIXED_MAX_COUNT: u64 = 2;
+/// Seeds of worlds with ten instances in which such streams are mixed if they begin at any version.
+const HASTY_MIXED_SEEDS: [u64; 5] = [10, 22, 92, 125, 179];
 
 /// Least share of take-ups that go on, as a multiple of that of new streams.
 const SHARE_MIN: f64 = 0.9;
@@ -205,18 +205,34 @@
     assert!(judge.message_count_after(first_calm_second()) > 0);
 }
 
-/// Guards against more than a few streams of two versions where streams break off within some hundred
-/// milliseconds of their start, while the first worker of a new version is not yet listed everywhere.
+/// Returns a release in which most streams break off within some hundred milliseconds of their
+/// start, while the first worker of the new version is not yet listed everywhere.
+fn hasty_release(instance_count: usize) -> Plan {
+    Plan {
+        stream_ms: (100, 400),
+        broken_ratio: 0.9,
+        ..Plan::release(instance_count)
+    }
+}
+
+/// Guards against streams of two versions where callers take them up at once, while the first worker
+/// of a new version is not yet listed everywhere.
 #[test]
-fn hasty_take_ups_mix_at_most_two_streams_a_release() {
+fn hasty_take_ups_mix_no_stream() {
     for count in [3, 10, 100] {
-        let plan = Plan {
-            stream_ms: (100, 400),
-            broken_ratio: 0.9,
-            ..Plan::release(count)
-        };
-        for judge in play_seeds(plan, Mutant::None, HASTY_SEED_COUNT) {
-            assert!(mixed_count(&[judge]) <= HASTY_MIXED_MAX_COUNT);
-        }
+        let judges = play_seeds(hasty_release(count), Mutant::None, HASTY_SEED_COUNT);
+        assert_eq!(mixed_count(&judges), 0, "{count} instances");
+    }
+    for seed in HASTY_MIXED_SEEDS {
+        let judge = play(hasty_release(10), Mutant::None, seed);
+        assert_eq!(judge.mixed_stream_count, 0, "seed {seed}");
     }
 }
+
+/// Guards against worlds in which streams that begin at a version too early would not show.
+#[test]
+fn streams_that_begin_at_a_version_too_early_are_mixed() {
+    let judges =
+        HASTY_MIXED_SEEDS.map(|seed| play(hasty_release(10), Mutant::BeginsAnywhere, seed));
+    assert!(mixed_count(&judges) > 0);
+}
--- a/crates/cranereach-fleet/tests/stream_origins/world.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world.rs
@@ -236,26 +236,19 @@
         if !self.instances[number].presence.is_running(self.now_ms) {
             return;
         }
-        let age_ms = self.list_age_ms(number);
-        let is_current = age_ms <= LIST_CURRENT_MS || self.mutant == Mutant::TrustsStaleLists;
-        let versions = self.list.versions_at(self.now_ms - age_ms);
         let life_ms = self.life_ms();
         let members = self.member_hash(number);
+        let is_list_current = self.list_age_ms(number) <= LIST_CURRENT_MS;
         let instance = &mut self.instances[number];
-        let was_single = is_single(&instance.origins, self.now_ms);
-        if self.mutant == Mutant::TrustsItsStart && age_ms <= LIST_CURRENT_MS {
+        if self.mutant == Mutant::TrustsItsStart && is_list_current {
             let earlier_ms = self.now_ms - life_ms;
             instance
                 .origins
                 .observe(earlier_ms, SERVICE, life_ms, true, &[]);
         }
-        instance
-            .origins
-            .observe(self.now_ms, SERVICE, life_ms, is_current, &versions);
+        self.observe_list(number);
+        let instance = &mut self.instances[number];
         let is_single = is_single(&instance.origins, self.now_ms);
-        if self.mutant == Mutant::TellsNoEarlierNotes && was_single && !is_single {
-            instance.origins.recheck(self.now_ms + STREAM_MAX_MS * 10);
-        }
         if !is_single && instance.seen_members != members {
             instance.seen_members = members;
             instance.origins.recheck(self.now_ms);
@@ -264,6 +257,21 @@
         self.tell(number);
     }
 
+    /// Records the versions on the list of an instance, as it does for each take-up.
+    fn observe_list(&mut self, number: usize) {
+        let age_ms = self.list_age_ms(number);
+        let is_current = age_ms <= LIST_CURRENT_MS || self.mutant == Mutant::TrustsStaleLists;
+        let versions = self.list.versions_at(self.now_ms - age_ms);
+        let life_ms = self.life_ms();
+        let origins = &mut self.instances[number].origins;
+        let was_single = is_single(origins, self.now_ms);
+        origins.observe(self.now_ms, SERVICE, life_ms, is_current, &versions);
+        let became_mixed = was_single && !is_single(origins, self.now_ms);
+        if self.mutant == Mutant::TellsNoEarlierNotes && became_mixed {
+            origins.recheck(self.now_ms + STREAM_MAX_MS * 10);
+        }
+    }
+
     /// Sends the notes of an instance that are due to their holders.
     fn tell(&mut self, number: usize) {
         if self.mutant == Mutant::TellsNobody {
@@ -312,7 +320,7 @@
                 continue;
             };
             self.judge.new_count += 1;
-            let Some((worker, version)) = self.pick_worker(number, None) else {
+            let Some((worker, version)) = self.pick_worker_for_new(number) else {
                 continue;
             };
             self.judge.new_begun_count += 1;
--- a/crates/cranereach-fleet/tests/stream_origins/world/plan.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world/plan.rs
@@ -24,6 +24,8 @@
     TrustsStaleLists,
     /// A later try is noted under its own key.
     NewKeyPerTry,
+    /// A stream may begin at a version that is not listed everywhere yet.
+    BeginsAnywhere,
 }
 
 /// What happens in a world.
--- a/crates/cranereach-fleet/tests/stream_origins/world/take_up.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world/take_up.rs
@@ -45,6 +45,28 @@
         Some((picked.id, picked.version))
     }
 
+    /// Picks a worker for a stream that begins, of a settled version as long as there is one.
+    pub fn pick_worker_for_new(&mut self, number: usize) -> Option<(u64, u64)> {
+        let origins = &self.instances[number].origins;
+        let settled = origins.settled_versions(self.now_ms, SERVICE, LIST_FRESH_MS);
+        let known = self.list.at(self.now_ms - self.list_age_ms(number)).iter();
+        let alive: Vec<_> = known
+            .filter(|worker| self.list.is_alive(worker.id))
+            .collect();
+        let of_settled = alive
+            .iter()
+            .filter(|worker| settled.contains(&worker.version));
+        let of_settled: Vec<_> = of_settled.copied().collect();
+        let may_begin_anywhere = of_settled.is_empty() || self.mutant == Mutant::BeginsAnywhere;
+        let choices = if may_begin_anywhere {
+            alive
+        } else {
+            of_settled
+        };
+        let picked = choices.choose(&mut self.rng)?;
+        Some((picked.id, picked.version))
+    }
+
     pub fn take_up_streams(&mut self) {
         let later = self.waiting.split_off(&(self.now_ms + 1));
         let due = std::mem::replace(&mut self.waiting, later);
@@ -91,6 +113,7 @@
     }
 
     fn resolve(&mut self, number: usize, key: u64) -> Decision {
+        self.observe_list(number);
         let is_fresh =
             self.list_age_ms(number) <= LIST_FRESH_MS || self.mutant == Mutant::TrustsStaleLists;
         let origins = &self.instances[number].origins;
--- a/crates/cranereach-fleet/tests/workers/mod.rs
+++ b/crates/cranereach-fleet/tests/workers/mod.rs
@@ -56,6 +56,7 @@
         extra_start_delays_ms: [0.0; 3],
         regions: &ANY_REGION,
         required_version_key: None,
+        settled_version_keys: &[],
         end_count: 0,
         must_avoid_grants: false,
         tried: &[],
--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::continuation::Continuation;
 use super::exchange::Exchange;
 use super::refusal::NO_HOLDER_RETRY_AFTER_MS;
 use super::refusal::RETRY_AFTER_DEFAULT_MS;
@@ -13,6 +14,7 @@
 use crate::node::pause;
 use crate::owners;
 use crate::quarantine;
+use crate::stream_origins;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::admission::Admission;
 use cranereach_fleet::admission::Verdict;
@@ -66,7 +68,9 @@
             let engine = call.service.engine.as_ref();
             let changed = self.node.roster_changed.notified();
             let expected = self.node.expected_changed.notified();
-            let chosen = self.choose_by_owners(&routing_request, engine).await;
+            let chosen = self
+                .choose_of_settled_version(&routing_request, engine)
+                .await;
             let why = match chosen {
                 Ok(choice) => match self.admit(&choice)? {
                     Some(recheck_in_ms) => {
@@ -211,6 +215,30 @@
         worker_key(model_name.unwrap_or(&self.call.service.name))
     }
 
+    /// Chooses a worker for a stream that its caller may take up among those whose version all
+    /// instances list by now, as long as there are any. Any other call goes to any worker.
+    async fn choose_of_settled_version(
+        &self,
+        routing_request: &RoutingRequest<'_>,
+        engine: Option<&Engine>,
+    ) -> Result<Choice, NoWorker> {
+        let begins_stream = self.call.may_be_taken_up()
+            && self.call.continuation == Continuation::New
+            && routing_request.required_version_key.is_none();
+        if begins_stream {
+            let settled_keys = stream_origins::settled_versions(self.node, self.call);
+            let request = RoutingRequest {
+                settled_version_keys: &settled_keys,
+                ..*routing_request
+            };
+            let chosen = self.choose_by_owners(&request, engine).await;
+            if chosen.is_ok() || settled_keys.is_empty() {
+                return chosen;
+            }
+        }
+        self.choose_by_owners(routing_request, engine).await
+    }
+
     /// Chooses among a few candidates by the current state that their owners report.
     async fn choose_by_owners(
         &self,
@@ -326,6 +354,7 @@
             extra_start_delays_ms: lock(&self.node.round_trips).extra_start_delays_ms(),
             regions: &self.call.regions,
             required_version_key: self.history.requirement.key(),
+            settled_version_keys: &[],
             end_count: quarantine::suspicion(self.node, self.call).end_count,
             must_avoid_grants: self.has_exhausted_permits(),
             tried: self.history.tried(),
--- a/crates/cranereach-gateway/src/stream_origins.rs
+++ b/crates/cranereach-gateway/src/stream_origins.rs
@@ -134,10 +134,22 @@
     lock(&node.list).age_ms(node.now_ms())
 }
 
+/// Returns the age up to which the list of workers is as new as it is in calm, in milliseconds.
+fn list_fresh_ms(node: &Node) -> u64 {
+    (node.settings.bounds.drain_ms as f64 * LIST_FRESH_SHARE) as u64
+}
+
 /// Whether the list of workers is as new as it is in calm.
 fn is_list_fresh(node: &Node) -> bool {
-    let fresh_ms = (node.settings.bounds.drain_ms as f64 * LIST_FRESH_SHARE) as u64;
-    list_age_ms(node).is_some_and(|age_ms| age_ms <= fresh_ms)
+    list_age_ms(node).is_some_and(|age_ms| age_ms <= list_fresh_ms(node))
+}
+
+/// Lists the keys of the versions at which a stream may begin that its caller may take up at once,
+/// at an instance whose list is fresh.
+pub(crate) fn settled_versions(node: &Node, call: &Call) -> Vec<u64> {
+    let service = worker_key(&call.service.name);
+    let known = node.origins.known();
+    known.settled_versions(node.now_ms(), service, list_fresh_ms(node))
 }
 
 /// Keeps the origin of a stream, one of whose events goes to the caller now. `version_key` is that
