Three import circles are undone: views of workers, ports of a soak, waiting

placement and pressure needed each other for the views of workers, which have a module of their own now; addresses and gateways of the soak, and waiting and deployment of the bench, for an error that belongs to the first of each.

--- a/crates/cranereach-bench/src/demo.rs
+++ b/crates/cranereach-bench/src/demo.rs
@@ -9,6 +9,7 @@
 
 use crate::deployment::DeployError;
 use crate::deployment::Deployment;
+use crate::waiting::TimedOut;
 use cranereach_core::names::AccountName;
 use cranereach_core::snapshot::KeyHash;
 use cranereach_standin::engine::state::EngineOptions;
@@ -99,7 +100,7 @@
     let totals_by_account = burst(&deployment).await;
     print_account_totals(&totals_by_account, &mut report);
     print_memory(&deployment, &mut report);
-    let deployment = Arc::into_inner(deployment).ok_or_else(|| DeployError::Timeout {
+    let deployment = Arc::into_inner(deployment).ok_or_else(|| TimedOut {
         what: "all callers to finish".to_owned(),
     })?;
     Ok((report, deployment))
--- a/crates/cranereach-bench/src/deployment.rs
+++ b/crates/cranereach-bench/src/deployment.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use crate::caller::Caller;
+use crate::waiting::TimedOut;
 use crate::waiting::wait_until;
 use cranereach_core::names::FailureDomain;
 use cranereach_core::names::InstanceId;
@@ -57,11 +58,8 @@
     #[error(transparent)]
     Apply(#[from] ApplyError),
     /// A condition was not met before its timeout.
-    #[error("timed out waiting for {what}")]
-    Timeout {
-        /// Description of the condition.
-        what: String,
-    },
+    #[error(transparent)]
+    Timeout(#[from] TimedOut),
 }
 
 /// An upstream worker and its entry in the platform's instance list.
@@ -257,7 +255,7 @@
 
     /// Waits until the given configuration version or a later one is in force on every entry
     /// instance.
-    pub async fn wait_for_version(&self, version: u64, timeout_ms: u64) -> Result<(), DeployError> {
+    pub async fn wait_for_version(&self, version: u64, timeout_ms: u64) -> Result<(), TimedOut> {
         let is_current = |entry: &Entry| entry.shared().config().held().version >= version;
         let what = format!("version {version} on every entry instance");
         wait_until(&what, timeout_ms, || {
@@ -267,11 +265,7 @@
     }
 
     /// Waits until a target is resident on at least one engine.
-    pub async fn wait_for_resident(
-        &self,
-        target: &str,
-        timeout_ms: u64,
-    ) -> Result<(), DeployError> {
+    pub async fn wait_for_resident(&self, target: &str, timeout_ms: u64) -> Result<(), TimedOut> {
         let what = format!("{target} to be resident on an engine");
         wait_until(&what, timeout_ms, || {
             self.engines
--- a/crates/cranereach-bench/src/scenario/run.rs
+++ b/crates/cranereach-bench/src/scenario/run.rs
@@ -17,6 +17,7 @@
 use crate::caller::Caller;
 use crate::deployment::DeployError;
 use crate::deployment::Deployment;
+use crate::waiting::TimedOut;
 use cranereach_entry::settings::PolicySettings;
 use cranereach_standin::engine::state::EngineOptions;
 use cranereach_standin::load::Call;
@@ -65,7 +66,7 @@
     // The last fault may come after the last call.
     let _injected = faults.await;
     let deployment = Arc::into_inner(deployment).map(Mutex::into_inner);
-    let deployment = deployment.ok_or_else(|| DeployError::Timeout {
+    let deployment = deployment.ok_or_else(|| TimedOut {
         what: "all callers to finish".to_owned(),
     })?;
     let report = report::summarize(scenario, seed, &completed, &deployment);
--- a/crates/cranereach-bench/src/waiting.rs
+++ b/crates/cranereach-bench/src/waiting.rs
@@ -3,7 +3,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::deployment::DeployError;
+use thiserror::Error;
+
+/// A condition did not become true in time.
+#[derive(Debug, Error)]
+#[error("timed out waiting for {what}")]
+pub struct TimedOut {
+    /// The condition.
+    pub what: String,
+}
 
 /// Polls a condition until it is true or the timeout has passed.
 ///
@@ -12,11 +20,11 @@
     what: &str,
     timeout_ms: u64,
     mut condition: impl FnMut() -> bool,
-) -> Result<(), DeployError> {
+) -> Result<(), TimedOut> {
     let deadline = Instant::now() + Duration::from_millis(timeout_ms);
     while !condition() {
         if Instant::now() >= deadline {
-            return Err(DeployError::Timeout {
+            return Err(TimedOut {
                 what: what.to_owned(),
             });
         }
--- a/crates/cranereach-fleet/src/ledger.rs
+++ b/crates/cranereach-fleet/src/ledger.rs
@@ -16,9 +16,9 @@
 use self::order_effects::apply;
 use self::order_effects::is_done;
 use crate::demand::ModelKey;
-use crate::placement::ModelReplica;
 use crate::placement::Order;
 use crate::store_position::StorePosition;
+use crate::worker_view::ModelReplica;
 
 /// Time after which an unanswered order is sent again, in milliseconds.
 const RESEND_AFTER_MS: u64 = 40;
--- a/crates/cranereach-fleet/src/ledger/order_effects.rs
+++ b/crates/cranereach-fleet/src/ledger/order_effects.rs
@@ -1,7 +1,7 @@
 //! Effects of orders on what a worker holds.
 
-use crate::placement::ModelReplica;
 use crate::placement::Order;
+use crate::worker_view::ModelReplica;
 
 /// Applies the effect of an order; memory is counted at its maximum during the order.
 pub(super) fn apply(replicas: &mut Vec<ModelReplica>, order: Order) {
--- a/crates/cranereach-fleet/src/ledger/views.rs
+++ b/crates/cranereach-fleet/src/ledger/views.rs
@@ -8,7 +8,7 @@
 use super::order_effects::apply;
 use crate::demand::ModelKey;
 use crate::placement::Order;
-use crate::placement::WorkerView;
+use crate::worker_view::WorkerView;
 
 impl Ledger {
     /// Returns the workers as planning sees them, sorted by identity.
--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -106,3 +106,4 @@
 pub mod topology;
 pub mod ways;
 pub mod worker;
+pub mod worker_view;
--- a/crates/cranereach-fleet/src/placement.rs
+++ b/crates/cranereach-fleet/src/placement.rs
@@ -8,6 +8,7 @@
 
 use crate::demand::ModelKey;
 use crate::pressure::Pressure;
+use crate::worker_view::WorkerView;
 
 /// Minimum ratio of the gain of a swap (evicting one model or adapter for another) to its cost.
 const MIN_SWAP_GAIN_RATIO: f64 = 1.6;
@@ -34,49 +35,6 @@
     pub load_s: f64,
 }
 
-/// A model on a worker, in any state.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ModelReplica {
-    /// Index of the model in the declared list.
-    pub model: u16,
-    /// Its adapters on the worker, numbered from one.
-    pub adapters: Vec<u16>,
-    /// Whether it is being unloaded.
-    pub is_unloading: bool,
-    /// Whether it is still being loaded.
-    pub is_loading: bool,
-}
-
-impl ModelReplica {
-    /// Whether the model is served there.
-    pub fn is_ready(&self) -> bool {
-        !self.is_unloading && !self.is_loading
-    }
-}
-
-/// Planning view of a worker.
-#[derive(Clone, Debug, Default)]
-pub struct WorkerView {
-    /// Models on the worker, including those being loaded or unloaded.
-    pub replicas: Vec<ModelReplica>,
-    /// Whether an order may be sent to the worker now.
-    pub is_free: bool,
-    /// Whether the worker takes requests, that is, is neither leaving nor failing.
-    pub is_serving: bool,
-    /// Whether its failure domain is being evacuated: its models stay loaded but get no requests,
-    /// so the demand needs replicas elsewhere.
-    pub is_evacuated: bool,
-    /// Models of which the worker has a copy in memory or on disk, so that it loads them quickly.
-    pub copies: Vec<u16>,
-}
-
-impl WorkerView {
-    /// Whether demand may be assigned to the worker.
-    pub fn carries_demand(&self) -> bool {
-        self.is_serving && !self.is_evacuated
-    }
-}
-
 /// An order to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
--- a/crates/cranereach-fleet/src/pressure.rs
+++ b/crates/cranereach-fleet/src/pressure.rs
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 
 use crate::demand::ModelKey;
-use crate::placement::WorkerView;
+use crate::worker_view::WorkerView;
 
 /// Cost of demand for a model without a replica, relative to the cost at a fully utilized worker.
 const NO_REPLICA_WEIGHT: f64 = 8.0;
--- a/crates/cranereach-fleet/tests/asked.rs
+++ b/crates/cranereach-fleet/tests/asked.rs
@@ -5,9 +5,9 @@
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::ledger::WorkerRow;
 use cranereach_fleet::ledger::WorkerState;
-use cranereach_fleet::placement::ModelReplica;
 use cranereach_fleet::placement::Order;
 use cranereach_fleet::store_position::StorePosition;
+use cranereach_fleet::worker_view::ModelReplica;
 
 #[test]
 fn a_large_fleet_asks_a_bounded_number_of_workers_and_those_in_the_plan() {
--- a/crates/cranereach-fleet/tests/orders.rs
+++ b/crates/cranereach-fleet/tests/orders.rs
@@ -16,11 +16,11 @@
 use cranereach_fleet::ledger::OrderEnd;
 use cranereach_fleet::ledger::WorkerRow;
 use cranereach_fleet::ledger::WorkerState;
-use cranereach_fleet::placement::ModelReplica;
 use cranereach_fleet::placement::ModelSize;
 use cranereach_fleet::placement::Order;
 use cranereach_fleet::placement::Plan;
 use cranereach_fleet::store_position::StorePosition;
+use cranereach_fleet::worker_view::ModelReplica;
 
 const WORKER_COUNT: usize = 4;
 const MODEL_COUNT: usize = 9;
--- a/crates/cranereach-fleet/tests/placement.rs
+++ b/crates/cranereach-fleet/tests/placement.rs
@@ -7,12 +7,12 @@
 use rand::rngs::StdRng;
 
 use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::placement::ModelReplica;
 use cranereach_fleet::placement::ModelSize;
 use cranereach_fleet::placement::Order;
 use cranereach_fleet::placement::Plan;
 use cranereach_fleet::placement::Planned;
-use cranereach_fleet::placement::WorkerView;
+use cranereach_fleet::worker_view::ModelReplica;
+use cranereach_fleet::worker_view::WorkerView;
 
 fn replica(model: u16) -> ModelReplica {
     ModelReplica {
--- a/crates/cranereach-gateway/src/controller/mod.rs
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -29,9 +29,9 @@
 use cranereach_fleet::lease_state::LeaseState;
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::placement::Plan;
-use cranereach_fleet::placement::WorkerView;
 use cranereach_fleet::pressure::Pressure;
 use cranereach_fleet::pressure::WantedModel;
+use cranereach_fleet::worker_view::WorkerView;
 
 /// Time between two rounds of the control loop, in milliseconds.
 const ROUND_INTERVAL_MS: u64 = 100;
--- a/crates/cranereach-gateway/src/controller/view.rs
+++ b/crates/cranereach-gateway/src/controller/view.rs
@@ -10,10 +10,10 @@
 use cranereach_fleet::key::worker_key;
 use cranereach_fleet::ledger::Ledger;
 use cranereach_fleet::ledger::WorkerRow;
-use cranereach_fleet::placement::ModelReplica;
 use cranereach_fleet::placement::ModelSize;
-use cranereach_fleet::placement::WorkerView;
 use cranereach_fleet::worker::HeldModel;
+use cranereach_fleet::worker_view::ModelReplica;
+use cranereach_fleet::worker_view::WorkerView;
 
 /// Returns the number in an adapter's name, such as 1 for `a1`. A suffix after `@` is ignored.
 pub fn adapter_number(name: &str) -> Option<u16> {
--- a/crates/cranereach-soak/src/addresses.rs
+++ b/crates/cranereach-soak/src/addresses.rs
@@ -3,17 +3,26 @@
 use std::io;
 use std::net::SocketAddr;
 
+use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 
-use crate::gateways::GatewayError;
-
 /// Last number of the address of the first gateway's links.
 const FIRST_LINK_IP: usize = 100;
 
 /// Number of attempts to find a port that is free on all addresses.
 const PORT_TRIES: usize = 20;
 
+/// No free port was found.
+#[derive(Debug, Error)]
+#[error("no free port found on {ip}: {source}")]
+pub struct PortError {
+    /// IP address, or several.
+    pub ip: String,
+    /// Underlying error.
+    pub source: io::Error,
+}
+
 /// Returns a loopback address of this run. Each run has its own, so that concurrent runs don't
 /// collide.
 pub fn loopback_ip(last: usize) -> String {
@@ -27,7 +36,7 @@
 }
 
 /// Finds a port for peers that is free on all addresses, and keeps it bound.
-pub async fn reserve_peer_port(ips: &[String]) -> Result<(u16, Vec<TcpListener>), GatewayError> {
+pub async fn reserve_peer_port(ips: &[String]) -> Result<(u16, Vec<TcpListener>), PortError> {
     let mut last_error = None;
     for _ in 0..PORT_TRIES {
         let (address, listener) = reserve_free_port(&ips[0]).await?;
@@ -38,7 +47,7 @@
             Err(error) => last_error = Some(error),
         }
     }
-    Err(GatewayError::Port {
+    Err(PortError {
         ip: ips.join(", "),
         source: last_error.unwrap_or_else(|| io::ErrorKind::AddrInUse.into()),
     })
@@ -55,10 +64,10 @@
 }
 
 /// Finds a free port, and keeps it bound.
-pub async fn reserve_free_port(ip: &str) -> Result<(SocketAddr, TcpListener), GatewayError> {
+pub async fn reserve_free_port(ip: &str) -> Result<(SocketAddr, TcpListener), PortError> {
     let bound = TcpListener::bind((ip, 0)).await;
     let found = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
-    found.map_err(|source| GatewayError::Port {
+    found.map_err(|source| PortError {
         ip: ip.to_owned(),
         source,
     })
--- a/crates/cranereach-soak/src/gateways.rs
+++ b/crates/cranereach-soak/src/gateways.rs
@@ -18,6 +18,7 @@
 use tokio::process::Command;
 use tokio::sync::Mutex;
 
+use crate::addresses::PortError;
 use crate::addresses::link_ip;
 use crate::addresses::loopback_ip;
 use crate::addresses::reserve_free_port;
@@ -42,13 +43,8 @@
 #[derive(Debug, Error)]
 pub enum GatewayError {
     /// No free port was found.
-    #[error("no free port found on {ip}: {source}")]
-    Port {
-        /// IP address, or several.
-        ip: String,
-        /// Underlying error.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Port(#[from] PortError),
     /// A file cannot be written.
     #[error("{path}: {source}")]
     File {
