A folder of declarations with a name that isn't UTF-8, or an entry that can't be listed, is refused

Operators could lose declarations: two files whose names differ in bytes that aren't UTF-8 were taken for one, and an entry of the folder that could not be listed was skipped; apply would then remove what the others declare. The second was a finding by reading, the first came up beside it.

Seen to fail before: cut_files::a_folder_with_a_name_that_is_not_utf_8_is_refused, check accepted the folder. An entry that can't be listed has no test, as nothing brings the error about; it takes the same way out.

--- a/src/cmd/folder.rs
+++ b/src/cmd/folder.rs
@@ -52,15 +52,17 @@
     source: io::Error,
 }
 
-/// Reads the declaration files of a folder.
+/// Reads the declaration files of a folder. One that can't be read or named is an error, since
+/// without it what it declares would be removed.
 pub fn read(path: &Path) -> Result<Folder, DiskError> {
     let mut files = BTreeMap::new();
-    let entries = fs::read_dir(path).map_err(|source| DiskError {
+    let unreadable = |source| DiskError {
         path: path.to_owned(),
         operation: "read the folder",
         source,
-    })?;
-    for entry in entries.flatten() {
+    };
+    for entry in fs::read_dir(path).map_err(unreadable)? {
+        let entry = entry.map_err(unreadable)?;
         let file = entry.path();
         let is_declaration = file
             .extension()
@@ -71,7 +73,12 @@
                 operation: "read the file",
                 source,
             })?;
-            files.insert(entry.file_name().to_string_lossy().into_owned(), text);
+            let name = entry.file_name().into_string().map_err(|_name| DiskError {
+                path: file,
+                operation: "take the name of the file",
+                source: io::Error::new(io::ErrorKind::InvalidFilename, "it isn't UTF-8"),
+            })?;
+            files.insert(name, text);
         }
     }
     Ok(Folder { files })
--- a/tests/testsuite/cut_files.rs
+++ b/tests/testsuite/cut_files.rs
@@ -1,7 +1,9 @@
 //! Files that end before they are complete, as a write that was interrupted leaves them.
 
 use std::collections::BTreeMap;
+use std::ffi::OsStr;
 use std::fs;
+use std::os::unix::ffi::OsStrExt;
 use std::path::Path;
 
 use crate::harness;
@@ -71,3 +73,16 @@
     assert_eq!(exit, 1, "{output}{errors}");
     assert!(errors.contains("cranereach.base"), "{errors}");
 }
+
+/// Guards against files of declarations whose names can't be told apart being taken for one: what the
+/// others declare would be removed.
+#[test]
+fn a_folder_with_a_name_that_is_not_utf_8_is_refused() {
+    let folder = harness::scratch_folder("names");
+    for name in [&b"a\xff.jsonc"[..], &b"a\xfe.jsonc"[..]] {
+        fs::write(folder.join(OsStr::from_bytes(name)), "{}").unwrap();
+    }
+    let (exit, output, errors) = harness::run(&["check", &folder.display().to_string()]);
+    assert_ne!(exit, 0, "{output}{errors}");
+    assert!(errors.contains("UTF-8"), "{errors}");
+}
