--- a/crates/cranereach-soak/src/callers.rs
+++ b/crates/cranereach-soak/src/callers.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -29,6 +28,9 @@
 use crate::record::Kind;
 use crate::record::RequestRecord;
 use crate::schedule::KEYS;
+use cranereach_http::body_end::BodyEnd;
+use cranereach_http::body_end::BodyPart;
+use cranereach_http::body_end::ResponseBody;
 use cranereach_platform::requests::HEADERS;
 use cranereach_platform::standin::content::SIGNATURE_HEADER;
 use cranereach_platform::standin::declared::HOST;
@@ -247,25 +249,25 @@
 
 /// Reads as much of an answer as arrives within the limits.
 pub async fn read_answer(response: Response<Incoming>, limits: Option<ReadLimits>) -> Answer {
-    let (head, mut incoming) = response.into_parts();
+    let (head, mut incoming) = ResponseBody::wrap(response).into_parts();
     let header = |name: &str| {
         let value = head.headers.get(name)?;
         value.to_str().ok().map(ToOwned::to_owned)
     };
     let mut body = Vec::new();
     let is_whole = loop {
-        let frame = match limits {
-            None => incoming.frame().await,
+        let part = match limits {
+            None => incoming.next_part().await,
             Some(limits) if limits.is_reached(&body) => break false,
-            Some(limits) => match timeout_at(limits.until, incoming.frame()).await {
-                Ok(frame) => frame,
+            Some(limits) => match timeout_at(limits.until, incoming.next_part()).await {
+                Ok(part) => part,
                 Err(_elapsed) => break false,
             },
         };
-        match frame {
-            Some(Ok(frame)) => body.extend(frame.into_data().unwrap_or_default()),
-            Some(Err(_broken_off)) => break false,
-            None => break true,
+        match part {
+            BodyPart::Data(data) => body.extend(data),
+            // An end that isn't declared would not show whether the answer is whole.
+            BodyPart::End(end) => break end == BodyEnd::Declared,
         }
     };
     Answer {
