--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -1,9 +1,9 @@
 //! Body of a worker's response, and what its end means for the caller.
 //!
 //! A stream of events that ends inside an event has been broken off, however its end is marked. If
-//! the connection ends it, so has a stream without any event, and a JSON text that isn't whole. Any other body whose end is
-//! not declared is complete as far as can be seen: a worker that closes its connection in order does
-//! so after the last byte, or because its process ends.
+//! the connection ends it, so has a stream without any event, and a JSON text that isn't whole.
+//! Any other body whose end is not declared is complete as far as can be seen: a worker that closes
+//! its connection in order does so after the last byte, or because its process ends.
 
 use std::task::Context;
 use std::task::Poll;
--- a/crates/cranereach-soak/src/lib.rs
+++ b/crates/cranereach-soak/src/lib.rs
@@ -4,8 +4,8 @@
 //! - [`schedule`] derives the faults from a seed, and [`faults`] injects them.
 //! - [`gateways`] starts, signals and stops the gateway processes, at the [`addresses`] of the run.
 //! - [`back_ends`] stands in for the platform's store and workers.
-//! - [`callers`] sends requests; [`resuming_callers`] takes up streams that break off; [`crash_requests`] keeps resending one that crashes every worker
-//!   that runs it.
+//! - [`callers`] sends requests; [`resuming_callers`] takes up streams that break off;
+//!   [`crash_requests`] keeps resending one that crashes every worker that runs it.
 //! - [`rate_limits`] makes workers announce rate limits; [`notices`] makes them leave during a
 //!   store outage and ask for a rest.
 //! - [`run`] puts the parts together. They record what they observe ([`journal`], [`record`]).
