--- a/crates/cranereach-soak/src/check/paths.rs
+++ b/crates/cranereach-soak/src/check/paths.rs
@@ -6,6 +6,7 @@
 use super::Finding;
 use super::contact::RecordIndex;
 use super::contact::SETTLE_MS;
+use crate::record::Arrival;
 use crate::record::Component;
 use crate::record::Disturbance;
 use crate::record::End;
@@ -135,18 +136,23 @@
 }
 
 /// Returns whether a worker had no trouble of its own from some time before a cut until its end,
-/// and nobody asked to leave it alone.
+/// and neither it nor the operator asked to leave it alone.
 fn is_worker_calm(records: &Records, worker: usize, cut: &Disturbance) -> bool {
     let overlaps =
         |from_ms: u64, to_ms: u64| from_ms <= cut.to_ms && cut.from_ms <= to_ms + SETTLE_MS;
     let is_disturbed = records.troubles.iter().any(|trouble| {
         trouble.whom == Component::Worker(worker) && overlaps(trouble.from_ms, trouble.to_ms)
     });
-    let started_ids = records
-        .arrivals
+    let arrivals = records.arrivals.iter();
+    let arrivals: Vec<&Arrival> = arrivals
+        .filter(|arrival| arrival.worker == worker)
+        .collect();
+    let has_rested = arrivals.iter().any(|arrival| {
+        let rest_ms = arrival.rest_ms;
+        rest_ms.is_some_and(|rest_ms| overlaps(arrival.at_ms, arrival.at_ms + rest_ms))
+    });
+    let started_ids: HashSet<&str> = arrivals
         .iter()
-        .filter(|arrival| arrival.worker == worker);
-    let started_ids: HashSet<&str> = started_ids
         .map(|arrival| arrival.worker_id.as_str())
         .collect();
     let is_avoided = records.events.iter().any(|event| match event {
@@ -154,9 +160,15 @@
         Event::Leaves { worker_id, at_ms } | Event::Cold { worker_id, at_ms } => {
             started_ids.contains(worker_id.as_str()) && overlaps(*at_ms, *at_ms)
         }
+        Event::Limited {
+            place,
+            from_ms,
+            to_ms,
+            ..
+        } => *place == worker && overlaps(*from_ms, *to_ms),
         _ => false,
     });
-    !is_disturbed && !is_avoided
+    !is_disturbed && !is_avoided && !has_rested
 }
 
 /// Returns the gateways whose paths to a worker were cut at some moment of a cut.
--- a/crates/cranereach-soak/tests/soak/paths.rs
+++ b/crates/cranereach-soak/tests/soak/paths.rs
@@ -112,6 +112,27 @@
             disturb(records, whom);
         });
     }
+    // A worker that asks for a rest or names a limit may get nothing.
+    passes(paths::used, |records| {
+        plant(records, 0);
+        let arrival = records
+            .arrivals
+            .iter_mut()
+            .find(|arrival| arrival.worker == 2);
+        arrival.unwrap().rest_ms = Some(1_000);
+    });
+    let limit = |records: &mut Records, place| {
+        plant(records, 0);
+        records.events.push(Event::Limited {
+            worker_id: "w-0".to_owned(),
+            place,
+            rate_per_s: 0.5,
+            from_ms: CUT_MS.0,
+            to_ms: CUT_MS.1,
+        });
+    };
+    passes(paths::used, |records| limit(records, 2));
+    finds(paths::used, |records| limit(records, 1));
 }
 
 /// Guards against a broken path counting as a request that a planned stop cut off, and against
