Soak: a relay keeps its address while it does not listen

A run of the soak's tests hung: relay::an_unreachable_path_answers_nothing... went on connecting to a relay whose address was refused for good. Seen in the process: the relay's connection was open, its address had no listener, and its loop had ended. A relay that refuses, or whose queue is full, closes its listener and binds the address again; where another socket has it at that moment, the bind fails and the relay ends. Four soaks ran beside. Which socket it was can't be shown; the error was in captured output.

The tests wait in bounded time now instead of forever. Relays are started at once, so that some functions no longer wait.

--- a/crates/cranereach-bench/src/deployment.rs
+++ b/crates/cranereach-bench/src/deployment.rs
@@ -1,6 +1,7 @@
 //! Stand-in platform, upstreams and entry instances on loopback, in one process.
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -209,10 +210,10 @@
     }
 
     /// Starts a relay to the platform, for an entry instance; returns it with its address.
-    pub async fn relay_to_platform(&self) -> Result<(Relay, String), DeployError> {
-        let listener = TcpListener::bind(ANY_PORT).await?;
-        let address = listener.local_addr()?.to_string();
-        Ok((Relay::start(listener, &self.platform_address), address))
+    pub fn relay_to_platform(&self) -> Result<(Relay, String), DeployError> {
+        let from = (Ipv4Addr::LOCALHOST, 0).into();
+        let (relay, address) = Relay::start(from, &self.platform_address)?;
+        Ok((relay, address.to_string()))
     }
 
     /// Returns the platform's stores, as the operators' commands access them.
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -10,6 +10,7 @@
 //!   a stream is inside an event, and [`json_text`] whether a JSON text is cut off.
 //! - [`body`] reads request and response bodies within limits and builds JSON responses.
 //! - [`liveness`] breaks connections whose other end no longer answers.
+//! - [`reserved_address`] keeps the address of a listener that comes and goes.
 //! - [`clock`] provides the monotonic clock of the process.
 //! - [`bearer`] extracts the bearer token of a request.
 //! - [`events`] splits event streams into complete events.
@@ -26,5 +27,6 @@
 pub mod json_text;
 pub mod liveness;
 pub mod pool;
+pub mod reserved_address;
 pub mod server;
 pub mod stream_end;
--- a/crates/cranereach-soak/src/addresses.rs
+++ b/crates/cranereach-soak/src/addresses.rs
@@ -1,6 +1,7 @@
 //! Loopback addresses and free ports of a run.
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use thiserror::Error;
@@ -25,13 +26,14 @@
 
 /// Returns a loopback address of this run. Each run has its own, so that concurrent runs don't
 /// collide.
-pub fn loopback_ip(last: usize) -> String {
+pub fn loopback_ip(last: usize) -> Ipv4Addr {
     let id = std::process::id();
-    format!("127.{}.{}.{last}", 64 + (id >> 8) % 128, id % 256)
+    let [second, third] = [64 + (id >> 8) % 128, id % 256].map(|part| part as u8);
+    Ipv4Addr::new(127, second, third, last as u8)
 }
 
 /// Returns the address of the links that lead from a gateway to the workers.
-pub fn link_ip(gateway: usize) -> String {
+pub fn link_ip(gateway: usize) -> Ipv4Addr {
     loopback_ip(FIRST_LINK_IP + gateway)
 }
 
--- a/crates/cranereach-soak/src/back_ends.rs
+++ b/crates/cranereach-soak/src/back_ends.rs
@@ -4,6 +4,7 @@
 mod operator;
 mod releases;
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,7 +17,6 @@
 
 use futures_util::future::join_all;
 use serde_json::Value;
-use tokio::net::TcpListener;
 
 use self::operator::DeclaredState;
 use self::releases::release_name;
@@ -114,7 +114,7 @@
         let mut store_links = Vec::new();
         let mut store_addresses = Vec::new();
         for _ in 0..size.gateway_count {
-            let (link, address) = start_relay(store.address).await?;
+            let (link, address) = start_relay(store.address)?;
             store_links.push(link);
             store_addresses.push(address);
         }
@@ -145,8 +145,7 @@
             release_count: AtomicUsize::new(WORKER_SET_COUNT),
         };
         for slot in &back_ends.slots {
-            slot.start_worker(Duration::ZERO, size.gateway_count)
-                .await?;
+            slot.start_worker(Duration::ZERO, size.gateway_count)?;
         }
         back_ends.send_heartbeats();
         back_ends.write_configuration();
@@ -248,7 +247,7 @@
         running.worker.end();
         let expires_at = tokio::time::Instant::now() + Duration::from_millis(ROW_EXPIRY_MS);
         tokio::time::sleep(Duration::from_millis(down_ms)).await;
-        self.start_replacement(slot, journal).await;
+        self.start_replacement(slot, journal);
         tokio::time::sleep_until(expires_at).await;
         self.store.remove("servers", &running.worker.id);
     }
@@ -272,7 +271,7 @@
         let from_ms = journal.now_ms().saturating_sub(CRASH_CHECK_INTERVAL_MS);
         tokio::time::sleep(Duration::from_millis(ROW_EXPIRY_MS)).await;
         self.store.remove("servers", &running.worker.id);
-        self.start_replacement(slot, journal).await;
+        self.start_replacement(slot, journal);
         journal.record_disturbance(Component::Worker(slot.number), false, from_ms);
     }
 
@@ -306,14 +305,14 @@
         if was_present {
             worker.end();
             self.store.remove("servers", &worker.id);
-            self.start_replacement(slot, journal).await;
+            self.start_replacement(slot, journal);
         }
     }
 
     /// Starts a cold replacement in a slot.
-    async fn start_replacement(&self, slot: &WorkerSlot, journal: &Journal) {
+    fn start_replacement(&self, slot: &WorkerSlot, journal: &Journal) {
         let cold_for = Duration::from_millis(COLD_FOR_MS);
-        match slot.start_worker(cold_for, self.gateway_count).await {
+        match slot.start_worker(cold_for, self.gateway_count) {
             Ok(worker_id) => journal.record_event(Event::Cold {
                 worker_id,
                 at_ms: journal.now_ms(),
@@ -339,11 +338,7 @@
 
 impl WorkerSlot {
     /// Starts a worker in this slot that is cold for `cold_for`, and returns its ID.
-    async fn start_worker(
-        &self,
-        cold_for: Duration,
-        gateway_count: usize,
-    ) -> std::io::Result<String> {
+    fn start_worker(&self, cold_for: Duration, gateway_count: usize) -> std::io::Result<String> {
         let start = self.start_count.fetch_add(1, Ordering::Relaxed);
         let id = format!("w-{}-{start}", self.number);
         let mut worker = Worker::start(&id);
@@ -357,12 +352,13 @@
             let first = self.number % MODELS.len();
             worker.hold(&[MODELS[first], MODELS[(first + 1) % MODELS.len()]]);
         }
-        let (link, address) = start_relay(worker.address).await?;
+        let (link, address) = start_relay(worker.address)?;
         worker.address = address;
         let mut paths = Vec::new();
         for gateway in 0..gateway_count {
-            let listener = TcpListener::bind((link_ip(gateway), address.port())).await?;
-            paths.push(Relay::start(listener, &address.to_string()));
+            let from = SocketAddr::from((link_ip(gateway), address.port()));
+            let (path, _from) = Relay::start(from, &address.to_string())?;
+            paths.push(path);
         }
         lock(&self.started_workers).push(worker.clone());
         *lock(&self.current) = Some(RunningWorker {
@@ -378,10 +374,8 @@
 }
 
 /// Starts a relay to an address; returns it with the address that it listens on.
-async fn start_relay(to: SocketAddr) -> std::io::Result<(Relay, SocketAddr)> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    Ok((Relay::start(listener, &to.to_string()), address))
+fn start_relay(to: SocketAddr) -> std::io::Result<(Relay, SocketAddr)> {
+    Relay::start((Ipv4Addr::LOCALHOST, 0).into(), &to.to_string())
 }
 
 /// Locks a mutex, ignoring poisoning by a panic in another thread.
--- a/crates/cranereach-soak/src/back_ends/releases.rs
+++ b/crates/cranereach-soak/src/back_ends/releases.rs
@@ -79,7 +79,7 @@
         let old = lock(&slot.current)
             .take_if(|running| running.state == workers::READY && !running.worker.has_ended());
         let Some(mut old) = old else { return };
-        self.start_replacement(slot, journal).await;
+        self.start_replacement(slot, journal);
         // The faults of the slot go on at the new worker.
         old.worker.set(Behaviour::Serves);
         old.worker.end_bodies(Ending::default());
--- a/crates/cranereach-soak/src/gateways.rs
+++ b/crates/cranereach-soak/src/gateways.rs
@@ -96,7 +96,9 @@
     folder: &Path,
     stores: &[SocketAddr],
 ) -> Result<Vec<Gateway>, GatewayError> {
-    let ips: Vec<String> = (1..=stores.len()).map(loopback_ip).collect();
+    let ips: Vec<String> = (1..=stores.len())
+        .map(|last| loopback_ip(last).to_string())
+        .collect();
     // Kept bound until all ports are found, so that none is found twice.
     let (peer_port, _peer_listeners) = reserve_peer_port(&ips).await?;
     let mut gateways = Vec::new();
@@ -137,7 +139,7 @@
             .arg("--settings")
             .arg(self.file_path("jsonc"))
             .arg("--link-ip")
-            .arg(link_ip(self.number))
+            .arg(link_ip(self.number).to_string())
             .stdin(Stdio::null())
             .stdout(self.open_for_append("log")?)
             .stderr(self.open_for_append("err")?)
--- a/crates/cranereach-soak/tests/soak/relay.rs
+++ b/crates/cranereach-soak/tests/soak/relay.rs
@@ -21,9 +21,9 @@
 /// closes the connection, by a reset or in order. Returns what the client reads after the bytes.
 async fn read_end(is_reset: bool) -> std::io::Result<usize> {
     let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let _relay = Relay::start(listener, &server.local_addr().unwrap().to_string());
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    let server_address = server.local_addr().unwrap().to_string();
+    let (_relay, address) = Relay::start(any_port, &server_address).unwrap();
     let mut client = TcpStream::connect(address).await.unwrap();
     let (mut accepted, _) = server.accept().await.unwrap();
     accepted.write_all(SENT).await.unwrap();
@@ -49,6 +49,18 @@
 /// Time after which an attempt to connect counts as unanswered.
 const UNANSWERED_AFTER: Duration = Duration::from_millis(300);
 
+/// Pause between two attempts to connect.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Generous timeout of whatever a test waits for.
+const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Number of relays that refuse connections at once.
+const RELAY_COUNT: usize = 50;
+
+/// Number of listeners that are started meanwhile, one after another.
+const LISTENER_COUNT: usize = 2_000;
+
 /// Starts a server that accepts connections and keeps them; returns a relay to it with the address
 /// of the relay.
 async fn start_relay() -> (Relay, SocketAddr) {
@@ -61,9 +73,8 @@
             kept.push(accepted);
         }
     });
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    (Relay::start(listener, &server_address), address)
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    Relay::start(any_port, &server_address).unwrap()
 }
 
 /// Connects, and reads what the server sends.
@@ -82,7 +93,34 @@
         .map(|error| error.kind())
         != Some(kind)
     {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits for what must happen, however slow the machine.
+async fn in_time<T>(awaited: impl Future<Output = T>) -> T {
+    timeout(WAIT_TIMEOUT, awaited)
+        .await
+        .expect("it happens in time")
+}
+
+/// Connects until that succeeds.
+async fn until_served(address: SocketAddr) {
+    while !matches!(
+        timeout(UNANSWERED_AFTER, connect_and_read(address)).await,
+        Ok(Ok(_))
+    ) {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Connects until the attempt gets no answer.
+async fn until_unanswered(address: SocketAddr) {
+    while timeout(UNANSWERED_AFTER, connect_and_read(address))
+        .await
+        .is_ok()
+    {
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
@@ -99,11 +137,9 @@
         relay.set(mode);
         let error = open.read(&mut [0]).await.unwrap_err();
         assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{mode:?}");
-        until_fails_with(address, kind).await;
+        in_time(until_fails_with(address, kind)).await;
         relay.set(LinkMode::Open);
-        while connect_and_read(address).await.is_err() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        in_time(until_served(address)).await;
     }
 }
 
@@ -114,15 +150,27 @@
     let (relay, address) = start_relay().await;
     let mut open = connect_and_read(address).await.unwrap();
     relay.set(LinkMode::Unreachable);
-    while timeout(UNANSWERED_AFTER, connect_and_read(address))
-        .await
-        .is_ok()
-    {}
+    in_time(until_unanswered(address)).await;
     let read = timeout(UNANSWERED_AFTER, open.read(&mut [0])).await;
     read.unwrap_err();
     relay.set(LinkMode::Open);
-    while !matches!(
-        timeout(UNANSWERED_AFTER, connect_and_read(address)).await,
-        Ok(Ok(_))
-    ) {}
+    in_time(until_served(address)).await;
+}
+
+/// Guards against the address of a relay being given to another listener while it refuses
+/// connections: it could not listen again, and its path stayed cut.
+#[tokio::test]
+async fn the_address_of_a_relay_that_refuses_is_given_to_nobody() {
+    let mut relays = Vec::new();
+    for _relay in 0..RELAY_COUNT {
+        let (relay, address) = start_relay().await;
+        relay.set(LinkMode::Refused);
+        in_time(until_fails_with(address, ErrorKind::ConnectionRefused)).await;
+        relays.push((relay, address));
+    }
+    for _listener in 0..LISTENER_COUNT {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        assert!(relays.iter().all(|(_relay, reserved)| *reserved != address));
+    }
 }
--- a/crates/cranereach-standin/src/relay.rs
+++ b/crates/cranereach-standin/src/relay.rs
@@ -20,6 +20,8 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
+use cranereach_http::reserved_address::ReservedAddress;
+
 /// Size of the copy buffer, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -74,13 +76,17 @@
 }
 
 impl Relay {
-    /// Starts relaying connections from a listener to a server at `ip:port`.
-    pub fn start(listener: TcpListener, server_address: &str) -> Self {
+    /// Starts relaying connections from an address, whose port may be zero, to a server at
+    /// `ip:port`. Returns the relay with the address that it listens on.
+    pub fn start(from: SocketAddr, server_address: &str) -> io::Result<(Self, SocketAddr)> {
+        let reserved = ReservedAddress::new(from)?;
+        let address = reserved.address();
+        let listener = reserved.listen()?;
         let (mode, mode_receiver) = watch::channel(LinkMode::Open);
-        tokio::spawn(accept(listener, server_address.to_owned(), mode_receiver));
-        Self {
-            mode: Arc::new(mode),
-        }
+        let server_address = server_address.to_owned();
+        tokio::spawn(accept(reserved, listener, server_address, mode_receiver));
+        let mode = Arc::new(mode);
+        Ok((Self { mode }, address))
     }
 
     /// Changes the mode, also for open connections.
@@ -95,19 +101,24 @@
 }
 
 /// Accepts connections, as far as the mode allows it, until the relay is dropped.
-async fn accept(listener: TcpListener, server_address: String, mode: watch::Receiver<LinkMode>) {
-    if let Err(error) = accept_by_mode(listener, &server_address, mode).await {
+async fn accept(
+    reserved: ReservedAddress,
+    listener: TcpListener,
+    server_address: String,
+    mode: watch::Receiver<LinkMode>,
+) {
+    if let Err(error) = accept_by_mode(&reserved, listener, &server_address, mode).await {
         eprintln!("relay to {server_address}: {error}");
     }
 }
 
 /// Accepts connections as [`accept`] does; fails if the address can't be listened on again.
 async fn accept_by_mode(
+    reserved: &ReservedAddress,
     listener: TcpListener,
     server_address: &str,
     mut mode: watch::Receiver<LinkMode>,
 ) -> io::Result<()> {
-    let address = listener.local_addr()?;
     let mut listener = Some(listener);
     loop {
         let current = *mode.borrow_and_update();
@@ -118,11 +129,11 @@
             }
             LinkMode::Unreachable => {
                 listener = None;
-                Some(FullQueue::new(address)?)
+                Some(FullQueue::new(reserved.address())?)
             }
             _ => {
                 if listener.is_none() {
-                    listener = Some(TcpListener::bind(address).await?);
+                    listener = Some(reserved.listen()?);
                 }
                 None
             }
--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -177,10 +177,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_at_any_time_of_a_call_runs_it_at_most_once() {
     let deployment = fixture::start(Shape::default()).await;
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
     let service = &deployment.services[0];
-    let relay = cranereach_standin::relay::Relay::start(listener, &service.address);
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    let relay = cranereach_standin::relay::Relay::start(any_port, &service.address);
+    let (relay, address) = relay.unwrap();
+    let address = address.to_string();
     deployment.list_worker(
         &service.id,
         &service.pool,
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -230,7 +230,7 @@
     .await;
     // The third instance reaches the platform through a relay and receives nothing from its
     // peers: its peer secret differs, so it accepts no digest of theirs.
-    let (relay, address) = deployment.relay_to_platform().await.unwrap();
+    let (relay, address) = deployment.relay_to_platform().unwrap();
     let third = deployment
         .add_entry_with("d0", &address, |settings| {
             settings.peers.secret = Some("other".to_owned());
