--- a/crates/cranereach-http/src/reserved_address.rs
+++ b/crates/cranereach-http/src/reserved_address.rs
@@ -15,7 +15,8 @@
 /// use cranereach_http::reserved_address::ReservedAddress;
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// let reserved = ReservedAddress::new("127.0.0.1:0".parse()?)?;
+/// let any_port = ([127, 0, 0, 1], 0).into();
+/// let reserved = ReservedAddress::new(any_port)?;
 /// drop(reserved.listen()?);
 /// assert_eq!(reserved.listen()?.local_addr()?, reserved.address());
 /// # std::io::Result::Ok(())
