A listener that is stopped no longer listens in a process that is being started

Cause: to start a process, the library copies all descriptors; until the program is loaded the copy keeps the relay's listening socket open, though the relay has closed it. The address can't be bound by another listener meanwhile, so the relay's task ended. Another test of the same binary starts processes, which is why it took a busy machine to meet.

A listener on a reserved address is shut down when it is dropped, which acts on the socket and not on a descriptor. The listener with a full backlog, written twice, is one type now.

--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`body`] reads request and response bodies within limits and builds JSON responses.
 //! - [`liveness`] breaks connections whose other end no longer answers.
 //! - [`reserved_address`] keeps the address of a listener that comes and goes.
+//! - [`full_backlog`] answers no attempt to connect.
 //! - [`clock`] provides the monotonic clock of the process.
 //! - [`bearer`] extracts the bearer token of a request.
 //! - [`events`] splits event streams into complete events.
@@ -24,6 +25,7 @@
 pub mod content;
 pub mod event_border;
 pub mod events;
+pub mod full_backlog;
 pub mod json_text;
 pub mod liveness;
 pub mod pool;
--- a/crates/cranereach-soak/tests/soak/relay.rs
+++ b/crates/cranereach-soak/tests/soak/relay.rs
@@ -2,6 +2,8 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::process::Command;
+use std::thread;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -61,6 +63,9 @@
 /// Number of listeners that are started meanwhile, one after another.
 const LISTENER_COUNT: usize = 2_000;
 
+/// Number of processes that are started while a relay changes its mode.
+const PROCESS_COUNT: usize = 200;
+
 /// Starts a server that accepts connections and keeps them; returns a relay to it with the address
 /// of the relay.
 async fn start_relay() -> (Relay, SocketAddr) {
@@ -174,3 +179,24 @@
         assert!(relays.iter().all(|(_relay, reserved)| *reserved != address));
     }
 }
+
+/// Guards against a relay that can't listen again because a process that is being started holds a
+/// copy of its socket: its path stayed cut.
+#[tokio::test]
+async fn a_relay_changes_its_mode_while_processes_start() {
+    let (relay, address) = start_relay().await;
+    let starting = thread::spawn(|| {
+        for _process in 0..PROCESS_COUNT {
+            Command::new("true").status().unwrap();
+        }
+    });
+    while !starting.is_finished() {
+        for mode in [LinkMode::Unreachable, LinkMode::Open, LinkMode::Refused] {
+            relay.set(mode);
+            tokio::task::yield_now().await;
+        }
+    }
+    starting.join().unwrap();
+    relay.set(LinkMode::Open);
+    in_time(until_served(address)).await;
+}
--- a/crates/cranereach-standin/src/relay.rs
+++ b/crates/cranereach-standin/src/relay.rs
@@ -7,20 +7,17 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use socket2::Domain;
-use socket2::SockAddr;
 use socket2::SockRef;
-use socket2::Socket;
-use socket2::Type;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
+use cranereach_http::full_backlog::FullBacklog;
 use cranereach_http::reserved_address::ReservedAddress;
+use cranereach_http::reserved_address::ReservedListener;
 
 /// Size of the copy buffer, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -28,9 +25,6 @@
 /// Delay of each chunk by a slow relay, in milliseconds.
 const SLOW_MS: u64 = 150;
 
-/// Number of connections that fill the queue of an unreachable relay, more than it holds.
-const PENDING_COUNT: usize = 8;
-
 /// Forwarding mode of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum LinkMode {
@@ -103,7 +97,7 @@
 /// Accepts connections, as far as the mode allows it, until the relay is dropped.
 async fn accept(
     reserved: ReservedAddress,
-    listener: TcpListener,
+    listener: ReservedListener,
     server_address: String,
     mode: watch::Receiver<LinkMode>,
 ) {
@@ -115,21 +109,21 @@
 /// Accepts connections as [`accept`] does; fails if the address can't be listened on again.
 async fn accept_by_mode(
     reserved: &ReservedAddress,
-    listener: TcpListener,
+    listener: ReservedListener,
     server_address: &str,
     mut mode: watch::Receiver<LinkMode>,
 ) -> io::Result<()> {
     let mut listener = Some(listener);
     loop {
         let current = *mode.borrow_and_update();
-        let _full_queue = match current {
+        let _full_backlog = match current {
             LinkMode::Refused => {
                 listener = None;
                 None
             }
             LinkMode::Unreachable => {
                 listener = None;
-                Some(FullQueue::new(reserved.address())?)
+                Some(FullBacklog::new(reserved.address())?)
             }
             _ => {
                 if listener.is_none() {
@@ -155,39 +149,8 @@
 }
 
 /// Accepts the next connection; returns `None` without a listener.
-async fn accept_next(listener: Option<&TcpListener>) -> Option<io::Result<TcpStream>> {
-    let accepted = listener?.accept().await;
-    Some(accepted.map(|(client, _address)| client))
-}
-
-/// A listener whose queue of connections is full, so that further ones get no response.
-#[derive(Debug)]
-struct FullQueue {
-    _listener: Socket,
-    _pending: Vec<Socket>,
-}
-
-impl FullQueue {
-    /// Listens on an address and fills the queue.
-    fn new(address: SocketAddr) -> io::Result<Self> {
-        let address = SockAddr::from(address);
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        listener.set_reuse_address(true)?;
-        listener.bind(&address)?;
-        listener.listen(0)?;
-        let mut pending = Vec::new();
-        for _ in 0..PENDING_COUNT {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-            socket.set_nonblocking(true)?;
-            // The attempt goes on in the background or waits in the queue; both fill it.
-            let _begun = socket.connect(&address);
-            pending.push(socket);
-        }
-        Ok(Self {
-            _listener: listener,
-            _pending: pending,
-        })
-    }
+async fn accept_next(listener: Option<&ReservedListener>) -> Option<io::Result<TcpStream>> {
+    Some(listener?.accept().await)
 }
 
 /// Relays one connection until both directions have ended, one fails, or the mode ends it.
