Clocks start at an hour, so that moments before the start are representable

What callers saw: after all instances restart, every request with a key is refused with 2008 (configuration last proved the newest: never) for two seconds and more, although peers have a proof that is a fraction of a second old. After any single restart beside an unavailable store the refusals last until the store is back.

Cause: a clock counted from the start of its process. Proof::take gave up on an answer whose age exceeds the time of the query, since the moment that it proves couldn't be written. The other way round, reported_as_of_ms, list_transfer, heard_leases, store_failures, named_limit and membership saturated such moments to zero: a list that a peer hadn't had confirmed for seconds looked as young as the process.

Weighed: an own type of signed milliseconds (every moment of kernel and gateway changes, the sum of two of them included); the system's boot clock as it is (a machine that has just booted has the same fault); a clock that starts at an hour, chosen: elapsed time is counted as before, suspension included, and an offset added that doesn't depend on the boot clock. What meant the time since the start now asks for it (up_for_ms): the start-up periods of limits, grants, joining instances and the controller, and the ages shown before anything is known. Membership starts without a refresh instead of one at zero.

--- a/crates/cranereach-fleet/src/membership.rs
+++ b/crates/cranereach-fleet/src/membership.rs
@@ -111,9 +111,9 @@
     /// The other seeds.
     seeds: Vec<Ipv4Addr>,
     /// Sum of the address hashes of the members that were alive at the last refresh, and
-    /// since when it is unchanged, in milliseconds.
+    /// since when it is unchanged, in milliseconds; none before the first refresh.
     alive_hash_sum: u64,
-    unchanged_since_ms: u64,
+    unchanged_since_ms: Option<u64>,
     /// Since when this instance has heard only a minority of the members it knows, in
     /// milliseconds.
     minority_since_ms: Option<u64>,
@@ -121,7 +121,7 @@
     /// milliseconds.
     last_isolated_ms: u64,
     /// When [`Membership::refresh`] was last called, in milliseconds.
-    last_refresh_ms: u64,
+    last_refresh_ms: Option<u64>,
     known: HashMap<Ipv4Addr, Member>,
 }
 
@@ -136,10 +136,10 @@
             own_domain,
             is_seed,
             alive_hash_sum: 0,
-            unchanged_since_ms: 0,
+            unchanged_since_ms: None,
             minority_since_ms: None,
             last_isolated_ms: 0,
-            last_refresh_ms: 0,
+            last_refresh_ms: None,
             known: known.collect(),
             seeds,
         }
@@ -302,14 +302,14 @@
     pub fn refresh(&mut self, now_ms: u64) {
         let alive = self.alive(now_ms).map(|address| weight(0, address));
         let sum = alive.fold(0, u64::wrapping_add);
-        if sum != self.alive_hash_sum {
+        if sum != self.alive_hash_sum || self.unchanged_since_ms.is_none() {
             self.alive_hash_sum = sum;
-            self.unchanged_since_ms = now_ms;
+            self.unchanged_since_ms = Some(now_ms);
         }
         if self.has_stalled(now_ms) {
             self.last_isolated_ms = now_ms;
         }
-        self.last_refresh_ms = now_ms;
+        self.last_refresh_ms = Some(now_ms);
         if self.hears_minority(now_ms) {
             self.minority_since_ms.get_or_insert(now_ms);
             self.last_isolated_ms = now_ms;
@@ -320,7 +320,8 @@
 
     /// Whether the last refresh is so long ago that other instances may have taken over.
     fn has_stalled(&self, now_ms: u64) -> bool {
-        now_ms > self.last_refresh_ms + STALL_THRESHOLD_MS
+        self.last_refresh_ms
+            .is_some_and(|at_ms| now_ms > at_ms + STALL_THRESHOLD_MS)
     }
 
     /// Whether this instance hears from at most half of the known members, itself included.
@@ -343,7 +344,8 @@
 
     /// Returns for how long the set of live members is unchanged, in milliseconds.
     pub fn unchanged_for_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.unchanged_since_ms)
+        self.unchanged_since_ms
+            .map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
     }
 
     /// Records that a member answered a request.
--- a/crates/cranereach-gateway/src/account_limits.rs
+++ b/crates/cranereach-gateway/src/account_limits.rs
@@ -98,7 +98,7 @@
         units: held,
     };
     let mut grant = ask(node, key, limit, request).await;
-    while grant.is_none() && node.now_ms() < ask_until_ms.min(STARTUP_PERIOD_MS) {
+    while grant.is_none() && node.up_for_ms() < STARTUP_PERIOD_MS && node.now_ms() < ask_until_ms {
         pause(RETRY_DELAY_MS).await;
         grant = ask(node, key, limit, request).await;
     }
@@ -277,7 +277,7 @@
     let peers = node.peers();
     let members = peers.members();
     let window_ms = node.settings.bounds.limit_window_s * 1_000.0;
-    let is_starting = now_ms < STARTUP_PERIOD_MS;
+    let is_starting = node.up_for_ms() < STARTUP_PERIOD_MS;
     // Instances that have just started ask the seeds.
     let is_seed_owner = || members.seed_owner(now_ms, key.owner_key()) == Some(node.own_ip());
     let is_own = members.is_own(now_ms, key.owner_key()) || is_starting && is_seed_owner();
@@ -296,7 +296,7 @@
 fn owner_of(node: &Node, key: PartKey) -> Ipv4Addr {
     let now_ms = node.now_ms();
     let peers = node.peers();
-    let is_settling = now_ms < SETTLING_MS;
+    let is_settling = node.up_for_ms() < SETTLING_MS;
     let seed = is_settling.then(|| peers.members().seed_owner(now_ms, key.owner_key()));
     let members = peers.members();
     seed.flatten()
--- a/crates/cranereach-gateway/src/brittle_workers.rs
+++ b/crates/cranereach-gateway/src/brittle_workers.rs
@@ -181,7 +181,7 @@
     let engine_slots = node
         .service(&service)
         .and_then(|service| Some(service.engine.as_ref()?.slot_count));
-    let ownership = Ownership::of(node.peers().members(), now_ms, worker, now_ms);
+    let ownership = Ownership::of(node.peers().members(), now_ms, worker, node.up_for_ms());
     lock(&node.brittle_grants).ask(
         now_ms,
         worker,
--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -180,7 +180,9 @@
 /// Returns whether an instance that has no proof yet is to read the store itself, instead of
 /// taking the configuration from peers.
 fn should_read_first(node: &Node, now_ms: u64) -> bool {
-    let joining_instance = node.peers().joining_instance(now_ms, RANK_PURPOSE);
+    let joining_instance = node
+        .peers()
+        .joining_instance(now_ms, node.up_for_ms(), RANK_PURPOSE);
     // The configuration is small, and without it every call is refused, so no instance that is
     // listed as a seed waits for another.
     let joining_instance = JoiningInstance {
--- a/crates/cranereach-gateway/src/controller/mod.rs
+++ b/crates/cranereach-gateway/src/controller/mod.rs
@@ -32,6 +32,7 @@
 use cranereach_fleet::pressure::Pressure;
 use cranereach_fleet::pressure::WantedModel;
 use cranereach_fleet::worker_view::WorkerView;
+use cranereach_http::clock::STARTED_AT_MS;
 
 /// Time between two rounds of the control loop, in milliseconds.
 const ROUND_INTERVAL_MS: u64 = 100;
@@ -74,7 +75,7 @@
     load_budget: TokenBucket,
     was_ordering: bool,
     is_first_term: bool,
-    stable_since_ms: Option<u64>,
+    stable_since_ms: u64,
     worker_count: usize,
     plan_logged_at_ms: u64,
 }
@@ -148,7 +149,7 @@
             ),
             was_ordering: false,
             is_first_term: true,
-            stable_since_ms: None,
+            stable_since_ms: STARTED_AT_MS,
             worker_count: 0,
             plan_logged_at_ms: 0,
             service,
@@ -235,12 +236,13 @@
     /// shortly after the start.
     fn is_list_stable(&mut self, node: &Node, now_ms: u64) -> bool {
         let worker_count = node.roster().of_service(&self.service).count();
-        if self.worker_count < worker_count && now_ms < START_DELAY_MS + 2 * LIST_STABLE_FOR_MS {
-            self.stable_since_ms = Some(now_ms);
+        if self.worker_count < worker_count
+            && node.up_for_ms() < START_DELAY_MS + 2 * LIST_STABLE_FOR_MS
+        {
+            self.stable_since_ms = now_ms;
         }
         self.worker_count = worker_count;
-        let since_ms = self.stable_since_ms.unwrap_or(0);
-        worker_count > 0 && now_ms >= since_ms + LIST_STABLE_FOR_MS
+        worker_count > 0 && now_ms >= self.stable_since_ms + LIST_STABLE_FOR_MS
     }
 
     /// Plans and sends the resulting orders.
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -177,7 +177,7 @@
     let age_ms = |freshness: &Mutex<Freshness>| lock(freshness).age_ms(now_ms).unwrap_or(u64::MAX);
     Digest {
         boot: node.boot,
-        up_for_ms: now_ms,
+        up_for_ms: node.up_for_ms(),
         domain,
         count,
         is_leaving: node.is_stopping(),
--- a/crates/cranereach-gateway/src/list_source.rs
+++ b/crates/cranereach-gateway/src/list_source.rs
@@ -151,7 +151,7 @@
         };
         let joining_instance = JoiningInstance {
             holder,
-            ..peers.joining_instance(now_ms, PURPOSE)
+            ..peers.joining_instance(now_ms, node.up_for_ms(), PURPOSE)
         };
         drop(peers);
         if self.failed_count >= FAILED_FETCHES_MAX_COUNT {
@@ -182,7 +182,7 @@
 /// a metric.
 fn due_at_ms(node: &Node, now_ms: u64, rank: u64) -> u64 {
     let list = lock(&node.list);
-    let age_ms = list.age_ms(now_ms).unwrap_or(now_ms);
+    let age_ms = list.age_ms(now_ms).unwrap_or_else(|| node.up_for_ms());
     node.metrics.list_age_ms.set(age_ms as i64);
     let due_at_ms = list.read_due_at_ms(rank);
     let is_restored = list.restored_at_ms().is_some();
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -310,12 +310,18 @@
         self.settings.listen.peers.port()
     }
 
-    /// Returns the time since the start in milliseconds, including time for which the machine
-    /// was suspended.
+    /// Returns the current time of this process's clock, in milliseconds. It includes time for which
+    /// the machine was suspended.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
     }
 
+    /// Returns the time since the start, in milliseconds, including time for which the machine was
+    /// suspended.
+    pub fn up_for_ms(&self) -> u64 {
+        self.clock.up_for_ms()
+    }
+
     /// Converts a time in milliseconds to an instant for timers.
     pub fn instant(&self, at_ms: u64) -> tokio::time::Instant {
         self.clock.instant(at_ms)
--- a/crates/cranereach-gateway/src/peers/selection.rs
+++ b/crates/cranereach-gateway/src/peers/selection.rs
@@ -97,9 +97,9 @@
 
     /// Returns the state of an instance that has no list or configuration yet, except for who
     /// holds what it lacks.
-    pub fn joining_instance(&self, now_ms: u64, purpose: &str) -> JoiningInstance {
+    pub fn joining_instance(&self, now_ms: u64, up_for_ms: u64, purpose: &str) -> JoiningInstance {
         JoiningInstance {
-            up_for_ms: now_ms,
+            up_for_ms,
             seed_rank: self.members.seed_rank(),
             has_heard: !self.peer_states.is_empty(),
             known_count: self.members.known_count(),
--- a/crates/cranereach-gateway/src/proofs.rs
+++ b/crates/cranereach-gateway/src/proofs.rs
@@ -34,7 +34,7 @@
             let proof = lock(&node.proof);
             (proof.age_ms(now_ms), proof.question(now_ms))
         };
-        let reported_ms = age_ms.unwrap_or(now_ms);
+        let reported_ms = age_ms.unwrap_or_else(|| node.up_for_ms());
         node.metrics.configuration_age_ms.set(reported_ms as i64);
         if age_ms.is_some_and(|age_ms| age_ms < FRESH_MS) {
             continue;
--- a/crates/cranereach-gateway/src/send_grants.rs
+++ b/crates/cranereach-gateway/src/send_grants.rs
@@ -198,7 +198,7 @@
         .and_then(|report| report.rate_per_s)
         .map(SendRule::of_limit);
     let rules: Vec<SendRule> = cold_rule.into_iter().chain(limit_rule).collect();
-    let ownership = Ownership::of(node.peers().members(), now_ms, ask.worker, now_ms);
+    let ownership = Ownership::of(node.peers().members(), now_ms, ask.worker, node.up_for_ms());
     let answer = lock(&node.send_grants).ask(now_ms, ask.worker, &rules, ask.rank, ownership);
     Some((answer, limit))
 }
--- a/crates/cranereach-gateway/tests/first_reads/main.rs
+++ b/crates/cranereach-gateway/tests/first_reads/main.rs
@@ -296,9 +296,10 @@
             Holder::Nobody
         };
         let joining_instance = JoiningInstance {
-            up_for_ms: now_ms - instance.started_at_ms,
             holder,
-            ..instance.peers.joining_instance(now_ms, PURPOSE)
+            ..instance
+                .peers
+                .joining_instance(now_ms, now_ms - instance.started_at_ms, PURPOSE)
         };
         (joining_instance.source(), near, far)
     }
--- a/crates/cranereach-http/src/clock.rs
+++ b/crates/cranereach-http/src/clock.rs
@@ -5,6 +5,9 @@
 //! other machines. The clock behind the timers of the async runtime stops during suspension,
 //! so that timers fire late by that time. Code that runs when a timer fires has to check
 //! this clock.
+//!
+//! A clock starts at [`STARTED_AT_MS`] instead of zero. What a process learns from others may have
+//! been true before its own start, and such moments have to be told from the start itself.
 
 use std::time::Duration;
 use std::time::SystemTime;
@@ -16,7 +19,13 @@
 /// Function that a clock reads the time from, in milliseconds.
 type TimeSource = fn() -> u64;
 
-/// Clock that counts milliseconds since its start, by default from `CLOCK_BOOTTIME`.
+/// Time of every clock at its start, in milliseconds. Moments that are at most this long before the
+/// start are representable, however long the machine has been up; it exceeds every age for which
+/// information from others is used.
+pub const STARTED_AT_MS: u64 = 3_600_000;
+
+/// Clock that counts milliseconds, by default from `CLOCK_BOOTTIME`, and starts at
+/// [`STARTED_AT_MS`].
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     source: TimeSource,
@@ -38,12 +47,24 @@
         }
     }
 
-    /// Returns the time since the start of the clock, in milliseconds.
+    /// Returns the current time, in milliseconds.
     ///
     /// ```
-    /// assert!(cranereach_http::clock::Clock::start().now_ms() < 1_000);
+    /// use cranereach_http::clock::Clock;
+    /// use cranereach_http::clock::STARTED_AT_MS;
+    ///
+    /// assert!(Clock::start().now_ms() >= STARTED_AT_MS);
     /// ```
     pub fn now_ms(&self) -> u64 {
+        STARTED_AT_MS + self.up_for_ms()
+    }
+
+    /// Returns the time since the start of the clock, in milliseconds.
+    ///
+    /// ```
+    /// assert!(cranereach_http::clock::Clock::start().up_for_ms() < 1_000);
+    /// ```
+    pub fn up_for_ms(&self) -> u64 {
         (self.source)().saturating_sub(self.started_ms)
     }
 
