Queries for a proof that came too early are answered with the proof

What callers saw: for a second after a start of all instances, keys were refused with 2008 although some instances had a proof.

Cause: an instance asks two others each 200 ms, the first time 200 ms after its start, and one that has no proof yet answers that it has none. So a proof spreads in rounds of questions.

The first question now leaves when the configuration arrives. Queries that come before this instance has a proof are kept (64 at most, one a peer, for a second) and answered when it gets one; the answer still counts from the question, so the revocation bound is untouched. Weighed: asking each 20 ms instead, which costs ten times the messages and still spreads in rounds. Messages don't grow with the fleet: at most one further answer a question. Counted in proofs_answered_later_total.

--- a/crates/cranereach-fleet/src/lib.rs
+++ b/crates/cranereach-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`configuration`]: routes, services and limits; finds the route of a request
 //! - [`accounts`]: client accounts and their API keys
 //! - [`proof`]: how recently the configuration in force is known to have been the newest
+//! - [`unanswered_queries`]: queries for a proof that are answered once there is one
 //! - [`limits`]: rate limits of accounts
 //! - [`admission`]: whether a request is sent, waits or is refused, so that less urgent requests
 //!   leave room for more urgent ones
@@ -104,6 +105,7 @@
 pub mod store_position;
 pub mod stream_origins;
 pub mod topology;
+pub mod unanswered_queries;
 pub mod ways;
 pub mod worker;
 pub mod worker_view;
--- a/crates/cranereach-fleet/tests/proof/fleets.rs
+++ b/crates/cranereach-fleet/tests/proof/fleets.rs
@@ -1,9 +1,13 @@
 //! Fleets that start on a backup, and fleets that nothing disturbs.
 
 use crate::HEALTHY_NETWORK;
+use crate::Network;
 use crate::STEP_MS;
 use crate::World;
 
+/// Time within which all instances of a fleet that starts at once have a proof, in milliseconds.
+const PROVEN_WITHIN_MS: u64 = 300;
+
 /// Guards against instances that all start while the store is restored and accept a revoked key
 /// because the backup lacks its revocation.
 #[test]
@@ -59,3 +63,24 @@
         }
     }
 }
+
+/// Guards against a proof that needs several rounds of queries to reach instances that all have just
+/// got the configuration: keys were refused meanwhile.
+#[test]
+fn a_fleet_that_starts_at_once_has_proofs_soon() {
+    for (count, seed) in [(3, 1), (9, 2), (74, 3), (300, 4), (984, 5)] {
+        let network = Network {
+            loss_ratio: 0.0,
+            ..HEALTHY_NETWORK
+        };
+        let mut world = World::start(count, 2, network, seed);
+        world.write_version();
+        world.tell_version();
+        let started_ms = world.now_ms;
+        while !(0..count).all(|number| world.serves(number)) {
+            world.step();
+            let passed_ms = world.now_ms - started_ms;
+            assert!(passed_ms <= PROVEN_WITHIN_MS, "{count} instances");
+        }
+    }
+}
--- a/crates/cranereach-fleet/tests/proof/main.rs
+++ b/crates/cranereach-fleet/tests/proof/main.rs
@@ -14,6 +14,7 @@
 use cranereach_fleet::proof::Proof;
 use cranereach_fleet::proof::ProofAnswer;
 use cranereach_fleet::proof::ProofQuery;
+use cranereach_fleet::unanswered_queries::UnansweredQueries;
 
 /// Time after which a revoked key must be refused everywhere, in milliseconds.
 const BOUND_MS: u64 = 5_000;
@@ -30,6 +31,9 @@
 /// Length of a step of the simulation, in milliseconds.
 const STEP_MS: u64 = 10;
 
+/// Time of each clock at the start of its process, in milliseconds, as in the gateway.
+const STARTED_AT_MS: u64 = 3_600_000;
+
 /// Age of the oldest backup that the store is restored from, in milliseconds.
 const BACKUP_AGE_MAX_MS: u64 = 8_000;
 
@@ -68,6 +72,7 @@
 /// One instance.
 struct Instance {
     proof: Proof,
+    unanswered: UnansweredQueries<usize>,
     boot: u64,
     version: u64,
     /// Simulated time at which its own clock showed zero.
@@ -101,7 +106,7 @@
             instances: Vec::new(),
             watcher_count,
             network,
-            now_ms: 100_000,
+            now_ms: 2 * STARTED_AT_MS,
             acknowledged_ms: vec![0],
             era: 0,
             missing: None,
@@ -120,9 +125,10 @@
         let boot = self.rng.random();
         Instance {
             proof: Proof::new(boot, CHANGE_MS),
+            unanswered: UnansweredQueries::default(),
             boot,
             version: 0,
-            started_ms: self.now_ms - self.rng.random_range(0..50_000),
+            started_ms: self.now_ms - STARTED_AT_MS - self.rng.random_range(0..50_000),
             frozen_until_ms: 0,
             partitioned_until_ms: 0,
             next_query_ms: self.now_ms + self.rng.random_range(0..QUERY_INTERVAL_MS),
@@ -155,6 +161,16 @@
         self.missing = first_lost.map(|version| (version.max(2) as u64, until_ms));
     }
 
+    /// Gives all instances the newest version without a proof, as from a peer; all query at once.
+    fn tell_version(&mut self) {
+        let version = self.stored_version();
+        for instance in &mut self.instances {
+            instance.version = version;
+            instance.proof.record_version(version);
+            instance.next_query_ms = self.now_ms;
+        }
+    }
+
     fn send(&mut self, to: usize, message: Message, extra_ms: u64) {
         if self.rng.random_bool(self.network.loss_ratio) {
             return;
@@ -195,14 +211,22 @@
             match message {
                 Message::Query(from, query) => {
                     let answer = instance.proof.answer(now_ms, query);
+                    if answer.age_ms.is_none() {
+                        instance.unanswered.record(now_ms, from, query);
+                    }
                     self.send(from, Message::Answer(answer), 0);
                 }
                 Message::Answer(answer) => {
                     // A newer version is fetched from the peer, here at once.
-                    instance.version = instance.version.max(answer.version);
+                    if answer.version > instance.version {
+                        instance.version = answer.version;
+                        instance.next_query_ms = self.now_ms;
+                    }
                     instance.proof.record_version(instance.version);
                     instance.proof.enter_era(now_ms, answer.era);
-                    instance.proof.take(&answer);
+                    if instance.proof.take(&answer) {
+                        self.answer_unanswered(number);
+                    }
                 }
                 Message::Read {
                     boot,
@@ -214,6 +238,7 @@
                     instance.proof.record_version(instance.version);
                     instance.proof.enter_era(now_ms, era);
                     instance.proof.read(era, begun_ms);
+                    self.answer_unanswered(number);
                 }
                 Message::Read { .. } => {}
             }
@@ -248,6 +273,19 @@
         }
     }
 
+    /// Answers the queries that came before an instance had a proof, if it has one now.
+    fn answer_unanswered(&mut self, number: usize) {
+        let instance = &mut self.instances[number];
+        let now_ms = self.now_ms - instance.started_ms;
+        if instance.proof.age_ms(now_ms).is_none() {
+            return;
+        }
+        for (peer, query) in instance.unanswered.take(now_ms) {
+            let answer = self.instances[number].proof.answer(now_ms, query);
+            self.send(peer, Message::Answer(answer), 0);
+        }
+    }
+
     /// Whether an instance would accept a key of its version now.
     fn serves(&self, number: usize) -> bool {
         let instance = &self.instances[number];
--- a/crates/cranereach-gateway/src/configuration_sync.rs
+++ b/crates/cranereach-gateway/src/configuration_sync.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
+use crate::proofs;
 use crate::recipients::Origin;
 use crate::store::StoreError;
 use crate::store_backoff;
@@ -89,6 +90,7 @@
                 let waited_ms = if rows.rows.is_empty() { wait_ms } else { 0 };
                 if apply_rows(&node, key, rows, is_whole) {
                     lock(&node.proof).read(position.era, begun_ms + waited_ms);
+                    proofs::answer_unanswered(&node);
                 } else {
                     // A watch from this position would not return the unparsed row again, so the
                     // table is read whole.
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     /// Time since the moment at which the configuration in force was last known to be the newest,
     /// in milliseconds.
     pub configuration_age_ms: IntGauge,
+    /// Queries for a proof of the configuration that were answered once there was one.
+    pub proofs_answered_later_total: IntCounter,
     /// Requests by client account and result.
     pub account_requests_total: IntCounterVec,
     /// Time to the first byte, in seconds, by client account and route.
@@ -167,6 +169,10 @@
             ),
             account_first_byte_seconds,
             account_units_total,
+            proofs_answered_later_total: make.counter(
+                "proofs_answered_later_total",
+                "queries answered once there was a proof",
+            ),
             configuration_age_ms: gauge("configuration_age_ms", "age of the configuration"),
             configuration_version: gauge("configuration_version", "version in force"),
             list_age_ms: gauge("list_age_ms", "age of the list of workers"),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -66,6 +67,7 @@
 use cranereach_fleet::slot_times::SlotTimes;
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::topology::Topology;
+use cranereach_fleet::unanswered_queries::UnansweredQueries;
 use cranereach_fleet::ways::RoundTrips;
 use cranereach_http::clock::Clock;
 use cranereach_http::connector::Connector;
@@ -136,6 +138,8 @@
     pub list: Mutex<Freshness>,
     /// Proof that the configuration in force was recently the newest.
     pub proof: Mutex<Proof>,
+    /// Queries of peers that came before this instance had a proof.
+    pub unanswered_proof_queries: Mutex<UnansweredQueries<SocketAddr>>,
     /// Domains whose evacuation was requested while nobody knew them.
     pub passed_over: PassedOver,
     /// State for sending whole worker lists to peers.
@@ -258,6 +262,7 @@
             listing: Mutex::default(),
             list: Mutex::new(Freshness::new(settings.bounds.drain_ms)),
             proof: Mutex::new(Proof::new(boot, settings.bounds.configuration_ms)),
+            unanswered_proof_queries: Mutex::default(),
             passed_over: PassedOver::default(),
             list_sending: list_transfer::ListSending::default(),
             list_update_wanted: Notify::new(),
--- a/crates/cranereach-gateway/src/proofs.rs
+++ b/crates/cranereach-gateway/src/proofs.rs
@@ -28,7 +28,12 @@
 /// Asks peers until the process exits.
 pub async fn run(node: Arc<Node>) {
     loop {
-        pause(QUERY_INTERVAL_MS).await;
+        // An instance without a proof asks as soon as it has a configuration.
+        let configuration_changed = node.configuration_changed.notified();
+        tokio::select! {
+            () = pause(QUERY_INTERVAL_MS) => {}
+            () = configuration_changed => {}
+        }
         let now_ms = node.now_ms();
         let (age_ms, question) = {
             let proof = lock(&node.proof);
@@ -55,15 +60,35 @@
         if evacuations.position > question.evacuations_position {
             node.send_now(peer, Message::Evacuations(evacuations));
         }
-        let answer = lock(&node.proof).answer(node.now_ms(), question);
+        let now_ms = node.now_ms();
+        let answer = lock(&node.proof).answer(now_ms, question);
+        if answer.age_ms.is_none() {
+            lock(&node.unanswered_proof_queries).record(now_ms, peer, question);
+        }
         node.send_now(peer, Message::Proof(answer));
     }
 }
 
+/// Answers the recent queries that came before this instance had a proof, if it has one now.
+pub fn answer_unanswered(node: &Node) {
+    let now_ms = node.now_ms();
+    if lock(&node.proof).age_ms(now_ms).is_none() {
+        return;
+    }
+    let unanswered = lock(&node.unanswered_proof_queries).take(now_ms);
+    let count = unanswered.len() as u64;
+    node.metrics.proofs_answered_later_total.inc_by(count);
+    for (peer, question) in unanswered {
+        answer(node, peer, question);
+    }
+}
+
 /// Applies a peer's answer, and fetches the configuration if the peer has a newer one.
 pub fn take(node: &Arc<Node>, peer: Ipv4Addr, answer: &ProofAnswer) {
     node.store.eras().advance_to(answer.era, "peer");
     store_era::enter(node);
     body_transfer::fetch_configuration_if_behind(node, peer, answer.version);
-    lock(&node.proof).take(answer);
+    if lock(&node.proof).take(answer) {
+        answer_unanswered(node);
+    }
 }
