Messages, nodes and the simulated fleet of proofs are split by topic

Digests, demand and limits are modules of messages; what a node tells its peers at once is node/news; the simulated fleet is a module of its test.

--- a/crates/cranereach-fleet/tests/proof/answers.rs
+++ b/crates/cranereach-fleet/tests/proof/answers.rs
@@ -1,6 +1,6 @@
 //! Answers of the store and of peers, and what they prove to one instance.
 
-use crate::CHANGE_MS;
+use crate::world::CHANGE_MS;
 use cranereach_fleet::proof::Proof;
 use cranereach_fleet::proof::ProofAnswer;
 use cranereach_fleet::proof::ProofQuery;
--- a/crates/cranereach-fleet/tests/proof/fleets.rs
+++ b/crates/cranereach-fleet/tests/proof/fleets.rs
@@ -1,9 +1,9 @@
 //! Fleets that start on a backup, and fleets that nothing disturbs.
 
-use crate::HEALTHY_NETWORK;
-use crate::Network;
-use crate::STEP_MS;
-use crate::World;
+use crate::world::HEALTHY_NETWORK;
+use crate::world::Network;
+use crate::world::STEP_MS;
+use crate::world::World;
 
 /// Time within which all instances of a fleet that starts at once have a proof, in milliseconds.
 const PROVEN_WITHIN_MS: u64 = 300;
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -2,14 +2,16 @@
 //!
 //! Each message is complete in itself, so that a lost or duplicated one does no harm.
 
+mod demand;
+mod digest;
 mod grants;
+mod limits;
 mod origins;
 mod owner;
 mod packed_parts;
 
 use std::io::Read;
 use std::io::Write;
-use std::net::Ipv4Addr;
 
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
@@ -17,9 +19,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::demand::DemandMessage;
+pub use self::demand::DemandPart;
+pub use self::digest::Digest;
+pub use self::digest::EndedLease;
+pub use self::digest::HeldLease;
+pub use self::digest::StoreFailure;
 pub use self::grants::BrittleEnd;
 pub use self::grants::GrantAsk;
 pub use self::grants::SendGrant;
+pub use self::limits::LimitAsk;
+pub use self::limits::LimitGrant;
+pub use self::limits::LimitReturn;
 pub use self::origins::OriginAsk;
 pub use self::origins::OriginReply;
 pub use self::owner::OwnerAsk;
@@ -27,16 +38,13 @@
 pub use self::owner::OwnerMessage;
 pub use self::owner::Quote;
 use cranereach_fleet::demand::ModelKey;
-use cranereach_fleet::departure::DepartureNews;
 use cranereach_fleet::evacuation::EvacuationList;
 use cranereach_fleet::listing::ChangedRow;
 use cranereach_fleet::listing::Span;
 use cranereach_fleet::load::RANK_COUNT;
-use cranereach_fleet::membership::MemberUpdate;
 use cranereach_fleet::proof::ProofAnswer;
 use cranereach_fleet::proof::ProofQuery;
 use cranereach_fleet::quarantine::SuspectUpdate;
-use cranereach_fleet::reachability::ReachReport;
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::stream_origins::OriginNote;
 
@@ -65,17 +73,6 @@
     pub held_tokens: u32,
 }
 
-/// Demand seen by the sender for one model or adapter.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct DemandPart {
-    /// Key of the service.
-    pub service: u64,
-    /// Model and adapter.
-    pub model: ModelKey,
-    /// Worker time requested, in milliseconds per second.
-    pub work_ms_per_s: f32,
-}
-
 /// A versioned message, sent as one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Datagram {
@@ -143,60 +140,6 @@
     pub in_ms: Option<u32>,
 }
 
-/// A request for units to the owner of a part of an account's limit.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitAsk {
-    /// Number that the answer must carry.
-    pub ticket: u64,
-    /// Key of the account.
-    pub account: u64,
-    /// Index of the part.
-    pub part: u32,
-    /// Smallest useful grant, in units.
-    pub least: f32,
-    /// Largest grant wanted, in units.
-    pub most: f32,
-}
-
-/// Answer of the owner of a part of a limit.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitGrant {
-    /// Number of the question.
-    pub ticket: u64,
-    /// Granted units; `None` if the limit has no room.
-    pub units: Option<f32>,
-    /// Time until the limit has room, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// Units of an account's limit that were granted but not used.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitReturn {
-    /// Key of the account.
-    pub account: u64,
-    /// Index of the part.
-    pub part: u32,
-    /// Number of units.
-    pub units: f32,
-}
-
-/// Demand seen by the sender.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct DemandMessage {
-    /// Random ID of the sender's process start.
-    pub boot: u64,
-    /// Sequence number of the message within that start.
-    pub count: u64,
-    /// Adapters that the sender's requests wait for because no worker is known to hold them:
-    /// service, model and adapter.
-    pub waits_for: Vec<(u64, ModelKey)>,
-    /// Models that the sender's requests lack: service, model.
-    pub lacks: Vec<(u64, u16)>,
-    /// Demand by model and adapter, compressed since each part repeats its service.
-    #[serde(with = "packed_parts")]
-    pub parts: Vec<DemandPart>,
-}
-
 /// Changes of the worker list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListMessage {
@@ -303,85 +246,3 @@
     unpacked.ok()?;
     (plain.len() as u64 <= max_bytes).then_some(plain)
 }
-
-/// A lease that some instance is known to hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldLease {
-    /// Key of the service.
-    pub service: u64,
-    /// Address of the holder.
-    pub holder: Ipv4Addr,
-    /// Time since the holder last reported it, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// An instance that could not reach the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreFailure {
-    /// Address of the instance.
-    pub address: Ipv4Addr,
-    /// Time since the failure, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// A lease whose term has ended at its holder.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndedLease {
-    /// Key of the service.
-    pub service: u64,
-    /// Store position of the lease row that it was held under.
-    pub position: StorePosition,
-    /// Time since the end of the term, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// State of an instance, gossiped to peers several times a second.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Digest {
-    /// Random ID of the sender's process start.
-    pub boot: u64,
-    /// Time since that start, in milliseconds.
-    pub up_for_ms: u64,
-    /// Key of the sender's failure domain.
-    pub domain: u64,
-    /// Sequence number of the digest within that start.
-    pub count: u64,
-    /// Whether the sender is stopping.
-    pub is_leaving: bool,
-    /// Version of the configuration in force at the sender.
-    pub configuration_version: u64,
-    /// Newest store era that the sender knows.
-    pub store_era: u64,
-    /// Store position at which the sender's worker list is complete.
-    pub list_position: StorePosition,
-    /// Time since that list was last known to be complete, in milliseconds.
-    pub list_age_ms: u64,
-    /// Keys of the services whose lease the sender holds.
-    pub holds: Vec<u64>,
-    /// Leases known to be held, directly or through other instances.
-    pub held: Vec<HeldLease>,
-    /// Leases whose term has ended at the sender.
-    pub ended: Vec<EndedLease>,
-    /// Instances that recently could not reach the store, possibly including the sender.
-    pub store_failed: Vec<StoreFailure>,
-    /// A sample of the other living instances.
-    pub members: Vec<MemberUpdate>,
-    /// Workers whose rows say that they are leaving or gone: key, position.
-    pub leaving: Vec<(u64, StorePosition)>,
-    /// A sample of the workers that recently announced their own departure.
-    pub departures: Vec<DepartureNews>,
-    /// Keys of the workers that the sender recently could not reach.
-    pub unreachable: Vec<u64>,
-    /// Adapters that the sender has loaded: worker, model and adapter.
-    pub adapters: Vec<(u64, ModelKey)>,
-    /// Models that the sender is unloading: worker, model.
-    pub withheld: Vec<(u64, u16)>,
-    /// Failure domains that are to be evacuated, as the sender knows them.
-    pub evacuations: EvacuationList,
-    /// A sample of the requests during which workers ended.
-    pub suspects: Vec<SuspectUpdate>,
-    /// Share of the workers that the sender reaches itself; none from a release that opens no
-    /// tunnels. It follows the datagram, where earlier releases ignore it.
-    #[serde(skip)]
-    pub reach: Option<ReachReport>,
-}
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 pub mod connections;
+mod news;
 mod retries;
 
 use std::collections::HashMap;
@@ -15,7 +16,6 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -371,30 +371,4 @@
     pub fn announced(&self) -> MutexGuard<'_, HashMap<Arc<str>, AnnouncedChanges>> {
         lock(&self.announced)
     }
-
-    /// Whether a stop was requested.
-    pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Acquire)
-    }
-
-    /// Sends a digest at once, since there is news from `origin`.
-    pub fn gossip_news(&self, origin: Origin) {
-        self.peers().note_news(self.now_ms(), origin);
-        self.digest_wanted.notify_one();
-    }
-
-    /// Sends the worker list's changes to peers at once, after the list changed or was
-    /// confirmed as the newest by `origin`.
-    pub fn announce_list(&self, origin: Origin) {
-        let mut widest = lock(&self.list_origin);
-        *widest = Some(widest.map_or(origin, |before| before.max(origin)));
-        self.list_update_wanted.notify_one();
-    }
-
-    /// Requests a stop.
-    pub fn request_stop(&self) {
-        self.is_stopping.store(true, Ordering::Release);
-        self.gossip_news(Origin::Own);
-        self.controller_wanted.notify_one();
-    }
 }
