Tests: an instance that has just started has neither settled nor stalled

Clocks no longer start at zero, so that moments which began as zero lie an hour back. Membership was the one place where that mattered: a lone instance would have counted as settled at once and granted whole limits, and as stalled at its first refresh. It has begun without either since the clocks changed; this test holds it, and fails with the state as it was before that change (unchanged for an hour).

--- a/crates/cranereach-fleet/tests/membership.rs
+++ b/crates/cranereach-fleet/tests/membership.rs
@@ -250,6 +250,18 @@
     assert_eq!(sampled[0].domain, domain(2));
 }
 
+/// Guards against an instance that has just started counting as settled, and granting whole limits, or
+/// as stalled, because its clock doesn't start at zero.
+#[test]
+fn an_instance_that_has_just_started_has_neither_settled_nor_stalled() {
+    let started_at_ms = 3_600_000;
+    let mut members = Membership::new(address(0), domain(0), &[]);
+    assert_eq!(members.unchanged_for_ms(started_at_ms), 0);
+    members.refresh(started_at_ms);
+    assert_eq!(members.unchanged_for_ms(started_at_ms + 200), 200);
+    assert!(members.first_since_ms(started_at_ms + 200, 1) < started_at_ms);
+}
+
 #[test]
 fn an_owner_that_does_not_answer_is_skipped_for_a_while() {
     let mut members = Membership::new(address(0), domain(0), &[]);
