A request that may have run is not refused as not run while its end is checked

What callers saw: 503 (2003, the deadline passed while the request waited) for a request of a route that may not be repeated, although its worker had run it.

Cause: handle_failure cleared 'may run now' when the offer failed, and only check_retry, after that check, noted 'may have run'. A deadline between the two found neither.

The failure is noted as soon as the offer ends. It is then 504 (3003). Ruled out: a wrong verdict of the soak (the worker's record has the run), the deadline before the offer (offers 1).

Test: a_request_that_its_worker_ended_under_is_never_refused_as_not_run, sixty requests with deadlines in the 60 ms after their worker's end.

--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -197,6 +197,8 @@
     /// Decides what follows a failed offer: another offer, or the end of the call.
     async fn handle_failure(&mut self, choice: &Choice, failure: Failure) -> Result<(), Refusal> {
         self.may_run_now = false;
+        // The deadline may pass before the failure has been checked.
+        self.may_have_run |= failure.may_have_run();
         if failure == Failure::NoPermit {
             self.revert_offer();
             return Ok(());
