--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,7 +31,8 @@
         self.taken_up = []
 
     async def attempt(self, gateway, request_id):
-        headers = []
+        headers = [("X-Model", "m0"), ("X-Token-Usage", "1800,120"),
+                   ("X-Prompt-Prefix", f"5c1e07a2:341,91bd3f06:227,{self.number + 4096:08x}:1232")]
         if self.last_event is not None:
             headers = [("Last-Event-Id", self.last_event), ("Resumes", self.first_request)]
         at = now()
@@ -70,24 +71,30 @@
     store = Store()
     await store.start()
     workers = [
-        Worker(store, record, f"i-{number}", "notes", zone, "v1") for number, zone in enumerate(ZONES)
+        Worker(store, record, f"i-{number}", "lm-pool", zone, "v1") for number, zone in enumerate(ZONES)
     ]
     for worker in workers:
         worker.event_count, worker.event_pause_s = 60, 0.2
+        worker.models = ["m0"]
         await worker.start()
     route = {
-        "name": "notes", "host": HOST, "pathPrefix": "/notes/", "routeKind": "streaming",
-        "timeoutMs": 20000, "targetLatencyMs": 800, "gapTargetMs": 400, "priority": 1,
-        "attempts": 2, "sticky": False, "resumable": True, "service": "notes",
+        "name": "scan-brief-free", "host": HOST, "pathPrefix": "/scan/", "routeKind": "streaming",
+        "timeoutMs": 20000, "targetLatencyMs": 8000, "gapTargetMs": 400, "priority": 2,
+        "attempts": 2, "sticky": True, "resumable": True, "service": "lm-pool",
     }
-    service = {"name": "notes", "healthPath": "/health", "connectionLimit": 360}
+    engine = {
+        "slots": 64, "kvCapacityTokens": 132029, "weightsMb": 70000.0, "adapterSlots": 8,
+        "loadsPerS": 1.4, "stride": 2,
+        "models": [{"name": "m0", "weightsMb": 65100.0, "loadS": 9.0, "adapters": 0, "adapterMb": 12.0}],
+    }
+    service = {"name": "lm-pool", "healthPath": "/health", "connectionLimit": 360, "engine": engine}
     await store.put("op", "config", configuration([route], [service]))
     fleet = Fleet(store, ZONES, REGIONS, BOUNDS)
     try:
         await fleet.start()
         # For longer than a stream lasts, the service has had this one version.
         await asyncio.sleep(40)
-        clients = [Client(record, fleet, number, "/notes/x")
+        clients = [Client(record, fleet, number, "/scan/x")
                    for number in range(STREAMS_PER_GATEWAY * len(ZONES))]
         running = [asyncio.create_task(client.run(fleet.gateways[client.number % len(ZONES)]))
                    for client in clients]
@@ -110,7 +117,7 @@
                 client.connection.transport.abort()
         await asyncio.gather(*running)
         # New streams, at the machines in touch.
-        new = [Client(record, fleet, 100 + number, "/notes/x") for number in range(12)]
+        new = [Client(record, fleet, 100 + number, "/scan/x") for number in range(12)]
         for worker in workers:
             worker.event_count = 3
         await asyncio.gather(*[
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -80,10 +80,7 @@
     def __init__(self):
         self.rows = {}
         self.version = 0
-        self.changed = asyncio.Condition()
         self.is_silent = False
-        self.writers = set()
-        self.refused = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -96,14 +93,10 @@
         self.version += 1
         raw = None if value is None else json.dumps(value).encode()
         self.rows[(table, key)] = (self.version, raw)
-        async with self.changed:
-            self.changed.notify_all()
         return True
 
     async def set_silent(self, is_silent):
         self.is_silent = is_silent
-        async with self.changed:
-            self.changed.notify_all()
 
     def row(self, table, key, content):
         version, value = content
@@ -152,14 +145,9 @@
             after, wait_ms = int(query.get("after", 0)), int(query.get("waitMs", 0))
             until = time.monotonic() + wait_ms / 1000
             while not self.listed(table, after, True) and not self.is_silent:
-                left = until - time.monotonic()
-                if left <= 0:
-                    break
-                try:
-                    async with self.changed:
-                        await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
+                if time.monotonic() >= until:
                     break
+                await asyncio.sleep(0.005)
             if self.is_silent:
                 await asyncio.sleep(3600)
             return self.ok({"rows": self.listed(table, after, True)})
@@ -177,8 +165,6 @@
                 self.rows[(row["table"], row["privateKey"])] = (self.version, value)
             for row in change.get("remove", []):
                 self.rows[(row["table"], row["privateKey"])] = (self.version, None)
-            async with self.changed:
-                self.changed.notify_all()
             return self.ok({})
         return "404 Not Found", b"{}"
 
@@ -188,8 +174,8 @@
 
 
 class Worker:
-    """A worker of a service without models (PROTOCOL.md). Its streams name the version of the
-    software that wrote each event."""
+    """A worker (PROTOCOL.md). Its streams name the version of the software that wrote each event. One
+    with models holds what it is given, and takes no orders."""
 
     def __init__(self, store, record, worker_id, service, zone, software, listen_ip="127.0.0.1"):
         self.store, self.record = store, record
@@ -199,6 +185,7 @@
         self.event_count, self.event_pause_s = 40, 0.2
         self.server, self.beats, self.open_writers = None, None, set()
         self.sequence = 0
+        self.models = []
         self.runs = []
 
     async def start(self):
@@ -224,6 +211,7 @@
                 "coldRemainingMs": 0,
                 "sequence": self.sequence,
                 "born": self.born,
+                "models": self.held(),
             }
             written = await self.store.put("servers", self.id, row)
             if (written, self.born) != last:
@@ -232,6 +220,9 @@
             self.sequence += 1
             await asyncio.sleep(1.2 if written else 0.3)
 
+    def held(self):
+        return [{"name": name, "version": 1, "adapters": []} for name in self.models]
+
     async def crash(self):
         """Ends at once, as a process that is killed: all connections break."""
         self.record.note(f"worker {self.id} ends, software {self.software}")
@@ -257,15 +248,28 @@
 
     async def handle(self, line, headers, writer, software):
         if " /api/report" in line:
-            report = {"stage": "combined", "models": [], "busy": False, "sequence": 0, "born": self.born}
+            report = {
+                "stage": "combined", "models": self.held(), "busy": False, "sequence": 0, "waiting": 0,
+                "running": 0, "kvUsed": 0, "kvTotal": 132029, "handles": 0, "born": self.born,
+            }
             writer.write(message("200 OK", [], json.dumps(report).encode()))
             await writer.drain()
             return True
+        if " /api/order" in line:
+            self.record.note(f"worker {self.id} is sent an order and answers 409")
+            writer.write(message("409 Conflict", []))
+            await writer.drain()
+            return True
         request_id = headers.get("x-attempt-id", "")
         if headers.get("x-expected-instance", self.id) != self.id:
             writer.write(message("421 Misdirected Request", [("X-Attempt-Id", request_id)]))
             await writer.drain()
             return True
+        model = headers.get("x-model")
+        if model is not None and model not in self.models:
+            writer.write(message("421 Misdirected Request", [("X-Attempt-Id", request_id)]))
+            await writer.drain()
+            return True
         after = headers.get("last-event-id")
         first = int(after) + 1 if after else 1
         self.runs.append(request_id)
