Review: a poison part that is tied with a part of other requests

Change: a case with three workers of a service with models. It takes the place of the case of brittle workers; the case of killed machines is now the third.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""All machines are killed at the same moment and start again at once. Clients take up the streams
-that were broken off, at machines that are in touch again."""
+"""One part of prompts crashes each worker that begins to write an answer on it. The service has few
+workers, and each of them is at work on sound requests with another common part when it ends."""
 
 import asyncio
 import os
@@ -10,77 +10,120 @@
 
 ZONES = ["pamplemousses-a", "pamplemousses-b", "grandbaie-old"]
 REGIONS = {zone: "mru-north" for zone in ZONES}
-STREAMS_PER_GATEWAY = 8
-# `kill_all` of the site: the machines are down for up to 1.5 s.
-DOWN_S = 1.5
-# Clients wait longer before each further attempt, as long as their deadline allows.
-WAITS_S = [0.5, 1.0, 2.0, 4.0, 4.0]
-DEADLINE_S = 20.0
-
-
-class Client:
-    """A client that wants one stream, and takes it up where it was broken off."""
-
-    def __init__(self, record, fleet, number, path):
-        self.record, self.fleet, self.number, self.path = record, fleet, number, path
-        self.since = now()
-        self.last_event, self.first_request = None, None
-        self.ids, self.is_whole = [], False
-        self.connection = None
-        # Attempts to take the stream up: when, at which machine, status, whether it went on.
-        self.taken_up = []
-
-    async def attempt(self, gateway, request_id):
-        headers = [("X-Model", "m0"), ("X-Token-Usage", "1800,120"),
-                   ("X-Prompt-Prefix", f"5c1e07a2:341,91bd3f06:227,{self.number + 4096:08x}:1232")]
-        if self.last_event is not None:
-            headers = [("Last-Event-Id", self.last_event), ("Resumes", self.first_request)]
-        at = now()
-        left_ms = int((DEADLINE_S - (at - self.since)) * 1000)
-        got = await ask_stream(gateway, self.path, request_id, f"client {self.number}".encode(),
-                               headers, left_ms, self.opened)
-        self.record.note(
-            f"client {self.number} attempt {request_id} at {gateway.number}, sent {at:.3f}, after "
-            f"event {self.last_event}: status {got.status}, events {len(got.events)}, "
-            f"{'whole' if got.is_whole else got.error[:160]}")
-        if self.last_event is not None:
-            self.taken_up.append((at, gateway, got.status, bool(got.events)))
-        if got.events:
-            self.first_request = self.first_request or request_id
-            self.ids += [event_id for event_id, _data in got.events]
-            self.last_event = self.ids[-1]
-        self.is_whole = got.is_whole
-        return got
-
-    def opened(self, connection):
-        self.connection = connection
-
-    async def run(self, gateway):
-        attempts = 0
-        await self.attempt(gateway, f"c{self.number}a0")
-        for wait_s in WAITS_S:
-            if self.is_whole or now() + wait_s - self.since > DEADLINE_S:
-                return
-            await asyncio.sleep(wait_s)
-            attempts += 1
-            gateway = self.fleet.gateways[(self.number + attempts) % len(self.fleet.gateways)]
-            await self.attempt(gateway, f"c{self.number}a{attempts}")
+WORKERS = 3
+BACK_AFTER_S = 2.0
+# A load from the worker's own disk; a prompt is read in a tenth of a second, and an answer has 200 events
+# (the site's longest have 239).
+LOAD_S, PREFILL_S, EVENTS, EVENT_S = 2.0, 0.1, 200, 0.04
+SOUND_PER_S, BAD_PER_S = 16, 2
+TROUBLE_S = 30
+# The first part is common to all requests; the second is one of two, as a kind of request has them.
+FIRST, BAD, OTHER = "5c1e07a2", "91bd3f06", "77aa3f11"
+
+
+class EngineWorker(Worker):
+    """A worker with models: it loads what it is ordered to, and a restart empties it."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.taken, self.busy, self.is_up, self.crashes = 0, False, False, None
+
+    async def start(self):
+        self.taken, self.busy, self.is_up = 0, False, True
+        await super().start()
+
+    async def down(self):
+        self.is_up = False
+        await self.crash()
+        await asyncio.sleep(BACK_AFTER_S)
+        self.models = []
+        await self.start()
+
+    async def load(self, model, born):
+        await asyncio.sleep(LOAD_S)
+        if born == self.born and self.is_up:
+            self.models, self.busy = [model], False
+            self.record.note(f"worker {self.id} holds {model}")
+            self.beats.cancel()
+            self.beats = asyncio.create_task(self.beat())
+
+    async def serve(self, reader, writer):
+        self.open_writers.add(writer)
+        try:
+            while True:
+                line, headers, body = await read_message(reader)
+                self.order_body = body
+                if not await self.handle(line, headers, writer, None):
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.open_writers.discard(writer)
+            writer.close()
+
+    async def handle(self, line, headers, writer, software):
+        async def say(status, extra=(), body=b""):
+            writer.write(message(status, list(extra), body))
+            await writer.drain()
+            return True
+
+        if " /api/report" in line:
+            return await say("200 OK", [], json.dumps({
+                "stage": "combined", "models": self.held(), "busy": self.busy, "sequence": self.taken,
+                "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 132029, "handles": 0,
+                "born": self.born}).encode())
+        if " /api/order" in line:
+            order = json.loads(self.order_body)
+            if self.busy or order["expectedCount"] != self.taken:
+                return await say("409 Conflict")
+            if order["model"] in self.models:
+                return await say("200 OK")
+            self.taken, self.busy = self.taken + 1, True
+            asyncio.create_task(self.load(order["model"], self.born))
+            return await say("202 Accepted")
+        request_id = headers.get("x-attempt-id", "")
+        if headers.get("x-expected-instance", self.id) != self.id or headers.get("x-model") not in self.models:
+            return await say("421 Misdirected Request", [("X-Attempt-Id", request_id)])
+        parts = [part.split(":")[0] for part in headers.get("x-prompt-prefix", "").split(",")]
+        is_bad = BAD in parts
+        self.arrivals.append((now(), request_id, is_bad))
+        if is_bad:
+            self.record.note(f"worker {self.id} runs {request_id} with the part")
+        await asyncio.sleep(PREFILL_S)
+        if is_bad and self.has_trouble:
+            if self.is_up:
+                self.is_up = False
+                self.crashes.append(now())
+                self.record.note(f"worker {self.id} crashes on {request_id}: crash {len(self.crashes)}")
+                asyncio.create_task(self.down())
+            return False
+        writer.write((f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request_id}\r\nX-Server-Signature: s-{self.id}\r\n"
+                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(1, EVENTS + 1):
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            if writer.transport.is_closing():
+                return False
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
 
 
 async def main(record, has_trouble):
     store = Store()
     await store.start()
-    workers = [
-        Worker(store, record, f"i-{number}", "lm-pool", zone, "v1") for number, zone in enumerate(ZONES)
-    ]
+    arrivals, crashes = [], []
+    workers = [EngineWorker(store, record, f"i-{n}", "lm-pool", ZONES[n % 3], "v1") for n in range(WORKERS)]
     for worker in workers:
-        worker.event_count, worker.event_pause_s = 60, 0.2
-        worker.models = ["m0"]
+        worker.models, worker.arrivals, worker.crashes = ["m0"], arrivals, crashes
+        worker.has_trouble = has_trouble
         await worker.start()
     route = {
-        "name": "scan-brief-free", "host": HOST, "pathPrefix": "/scan/", "routeKind": "streaming",
-        "timeoutMs": 20000, "targetLatencyMs": 8000, "gapTargetMs": 400, "priority": 2,
-        "attempts": 2, "sticky": True, "resumable": True, "service": "lm-pool",
+        "name": "desk-reply", "host": HOST, "pathPrefix": "/desk/", "routeKind": "streaming",
+        "timeoutMs": 15000, "targetLatencyMs": 800, "gapTargetMs": 400, "priority": 0, "attempts": 1,
+        "sticky": True, "resumable": False, "service": "lm-pool",
     }
     engine = {
         "slots": 64, "kvCapacityTokens": 132029, "weightsMb": 70000.0, "adapterSlots": 8,
@@ -92,53 +135,48 @@
     fleet = Fleet(store, ZONES, REGIONS, BOUNDS)
     try:
         await fleet.start()
-        # For longer than a stream lasts, the service has had this one version.
-        await asyncio.sleep(40)
-        clients = [Client(record, fleet, number, "/scan/x")
-                   for number in range(STREAMS_PER_GATEWAY * len(ZONES))]
-        running = [asyncio.create_task(client.run(fleet.gateways[client.number % len(ZONES)]))
-                   for client in clients]
-        await asyncio.sleep(3)
-        touch_at = now() + CONTACT_S
-        if has_trouble:
-            record.note("all machines are killed")
-            for gateway in fleet.gateways:
-                gateway.kill()
-            await asyncio.sleep(DOWN_S)
-            record.note("all machines start")
-            touch_at = now() + CONTACT_S
-            for gateway in fleet.gateways:
-                gateway.start()
-        else:
-            # The same clients lose their connections, and no machine ends.
-            record.note("all clients lose their connections")
-            touch_at = now()
-            for client in clients:
-                client.connection.transport.abort()
-        await asyncio.gather(*running)
-        # New streams, at the machines in touch.
-        new = [Client(record, fleet, 100 + number, "/scan/x") for number in range(12)]
-        for worker in workers:
-            worker.event_count = 3
-        await asyncio.gather(*[
-            client.attempt(fleet.gateways[client.number % len(ZONES)], f"c{client.number}a0")
-            for client in new])
-        begun = sum(bool(client.ids) for client in new)
-        in_touch = [attempt for client in clients for attempt in client.taken_up
-                    if attempt[0] > touch_at and attempt[2] is not None]
-        gone_on = sum(goes_on for _at, _gateway, _status, goes_on in in_touch)
-        streams = {client.number for client in clients
-                   if any(at > touch_at and status is not None
-                          for at, _gateway, status, _goes_on in client.taken_up)}
-        record.note(f"machines in touch from {touch_at:.3f}; streams taken up there: {len(streams)} in "
-                    f"{len(in_touch)} attempts, {gone_on} went on; new streams: {begun} of {len(new)} "
-                    f"began; whole: {sum(client.is_whole for client in clients)} of {len(clients)}")
-        if has_trouble and len(streams) < 12:
-            raise CannotRun("fewer than 12 streams were taken up at machines in touch")
-        if not in_touch:
-            return False
-        # LOST: the share that goes on is under half of the share of new streams that begin.
-        return len(streams) >= 12 and gone_on / len(in_touch) < 0.5 * begun / len(new)
+        await asyncio.sleep(4)
+        got, asked, count = [], [], 0
+        begins_at = now() + 6
+
+        async def ask(is_bad, number):
+            part = BAD if is_bad else OTHER
+            headers = [("X-Model", "m0"), ("X-Token-Usage", "1110,172"),
+                       ("X-Prompt-Prefix", f"{FIRST}:210,{part}:140,{0x10000000 + number:08x}:760")]
+            at = now()
+            answer = await ask_stream(fleet.gateways[number % 3], "/desk/x",
+                                      f"{'p' if is_bad else 's'}{number}", f"body {number}".encode(),
+                                      headers, 15000)
+            got.append((at, is_bad, answer.status, len(answer.events), answer.is_whole, answer.error[:60]))
+
+        next_sound, next_bad = now(), begins_at
+        until = begins_at + TROUBLE_S
+        while now() < until:
+            if now() >= next_sound:
+                next_sound += 1 / SOUND_PER_S
+                count += 1
+                asked.append(asyncio.create_task(ask(False, count)))
+            if now() >= next_bad:
+                next_bad += 1 / BAD_PER_S
+                count += 1
+                asked.append(asyncio.create_task(ask(True, count)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*asked)
+        late_from = crashes[4] + CONTACT_S if len(crashes) >= 5 else None
+        late = [arrival for arrival in arrivals
+                if arrival[2] and late_from is not None and arrival[0] > late_from]
+
+        def begun(since, before):
+            sound = [answer for answer in got if not answer[1] and since <= answer[0] < before]
+            return f"{sum(answer[3] > 0 for answer in sound)} of {len(sound)}"
+
+        settled = (crashes[4] if len(crashes) >= 5 else begins_at) + 2 * CONTACT_S
+        record.note(f"{len(crashes)} crashes; {len(late)} requests with the part arrived later than "
+                    f"{late_from}; sound requests begun: before {begun(0, begins_at)}, from {settled:.3f} on "
+                    f"{begun(settled, until)}; whole since {begins_at:.3f}: "
+                    f"{sum(answer[4] for answer in got if not answer[1] and answer[0] > begins_at)}")
+        # BUDGET: more than three requests with the part later than contactMs after the fifth crash.
+        return len(late) > 3
     finally:
         fleet.end()
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,185 +1,144 @@
-"""The workers of a service say that they are brittle. A quarter of them crashes and comes back
-while many users come at once: as long as one has not answered, it gets more at once than it has room
-for, and falls over."""
+"""All machines are killed at the same moment and start again at once. Clients take up the streams
+that were broken off, at machines that are in touch again."""
 
 import asyncio
 import os
 import sys
-from collections import deque
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from standins import *  # noqa: E402,F403
 
 ZONES = ["pamplemousses-a", "pamplemousses-b", "grandbaie-old"]
 REGIONS = {zone: "mru-north" for zone in ZONES}
-WORKERS = 20
-SLOTS = 5
-WORK_S = 0.4
-QUEUE_BEFORE, QUEUE_BRITTLE = 24, 2
-BORNE = 3
-BACK_AFTER_S = 2.0
-# `srv_crash` of the site: a share of 0.25 of a service's workers for 2.0 s.
-CRASHED, CRASH_S = WORKERS // 4, 2.0
-# Requests a second that the workers can take, and the share of it that is asked for usually and in the
-# burst. The site's largest doses of `burst` for one kind of request are x = 2.4 for 4.5 s and x = 2.8
-# for 3.0 s; this is x = 1.7 for 4.5 s.
-CAPACITY = WORKERS * SLOTS / WORK_S
-USUAL, BURST, BURST_S = 0.8, 0.8 * 1.7, 4.5
-WATCHED_S = 10
-
-
-class BrittleWorker(Worker):
-    """A worker without models that may be brittle."""
-
-    def __init__(self, *args):
-        super().__init__(*args)
-        self.slots = SLOTS
-        self.brittle_since = None
-        self.running, self.waiting = 0, deque()
-        self.rejected_at = deque()
-        self.falls, self.lost, self.is_up = 0, 0, False
-
-    async def start(self):
-        self.running, self.waiting = 0, deque()
-        self.rejected_at.clear()
-        self.is_up = True
-        await super().start()
-
-    def extra(self):
-        return [("Server-Brittle", str(BORNE))] if self.brittle_since is not None else []
-
-    def queue(self):
-        is_short = self.brittle_since is not None and now() > self.brittle_since + CONTACT_S
-        return QUEUE_BRITTLE if is_short else QUEUE_BEFORE
-
-    async def down(self, for_s, why):
-        self.is_up = False
-        self.lost += self.running + len(self.waiting)
-        self.record.note(f"worker {self.id} {why}; {self.running} requests were running, "
-                         f"{len(self.waiting)} waited")
-        await self.crash()
-        await asyncio.sleep(for_s)
-        await self.start()
-
-    async def handle(self, line, headers, writer, software):
-        request_id = headers.get("x-attempt-id", "")
-        if headers.get("x-expected-instance", self.id) != self.id or not request_id:
-            writer.write(message("421 Misdirected Request", [("X-Attempt-Id", request_id)]))
-            await writer.drain()
-            return True
-        born = self.born
-        load = ("X-Instance-Load", f"{self.running},{len(self.waiting)},{SLOTS}")
-        if self.running >= SLOTS:
-            if len(self.waiting) >= self.queue():
-                self.rejected_at.append(now())
-                while self.rejected_at[0] < now() - 1:
-                    self.rejected_at.popleft()
-                answer = [("X-Attempt-Id", request_id), ("X-Not-Executed", "1"), load]
-                writer.write(message("503 Service Unavailable", answer + self.extra()))
-                await writer.drain()
-                if self.brittle_since is not None and len(self.rejected_at) > BORNE and self.is_up:
-                    self.falls += 1
-                    self.is_up = False
-                    asyncio.create_task(self.down(
-                        BACK_AFTER_S, f"falls over: {len(self.rejected_at)} rejected in a second"))
-                return True
-            turn = asyncio.get_running_loop().create_future()
-            self.waiting.append(turn)
-            await turn
-        self.running += 1
-        await asyncio.sleep(WORK_S)
-        if born != self.born:
-            return False
-        self.running -= 1
-        while self.waiting and self.running < SLOTS:
-            turn = self.waiting.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                break
-        answer = [("X-Attempt-Id", request_id), ("X-Server-Signature", f"sig-{self.id}"), load]
-        writer.write(message("200 OK", answer + self.extra(), b"done"))
-        await writer.drain()
-        return True
-
-
-class Caller:
-    """Sends requests on kept connections."""
-
-    def __init__(self, fleet):
-        self.fleet, self.idle, self.count, self.statuses = fleet, {}, 0, {}
-
-    async def ask(self):
-        self.count += 1
-        number = self.count
-        gateway = self.fleet.gateways[number % len(self.fleet.gateways)]
-        idle = self.idle.setdefault(gateway.number, [])
-        status = "broken"
-        try:
-            reader, writer = idle.pop() if idle else await asyncio.open_connection(
-                gateway.ip, gateway.callers)
-            body = f"request {number}".encode()
-            writer.write(
-                (f"POST /desk/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: q{number}\r\n"
-                 f"X-Deadline-Ms: 4000\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
-            line, _headers, _body = await asyncio.wait_for(read_message(reader), 6)
-            status = line.split(" ")[1]
-            idle.append((reader, writer))
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-            pass
-        self.statuses[status] = self.statuses.get(status, 0) + 1
+STREAMS_PER_GATEWAY = 8
+# `kill_all` of the site: the machines are down for up to 1.5 s.
+DOWN_S = 1.5
+# Clients wait longer before each further attempt, as long as their deadline allows.
+WAITS_S = [0.5, 1.0, 2.0, 4.0, 4.0]
+DEADLINE_S = 20.0
+
+
+class Client:
+    """A client that wants one stream, and takes it up where it was broken off."""
+
+    def __init__(self, record, fleet, number, path):
+        self.record, self.fleet, self.number, self.path = record, fleet, number, path
+        self.since = now()
+        self.last_event, self.first_request = None, None
+        self.ids, self.is_whole = [], False
+        self.connection = None
+        # Attempts to take the stream up: when, at which machine, status, whether it went on.
+        self.taken_up = []
+
+    async def attempt(self, gateway, request_id):
+        headers = [("X-Model", "m0"), ("X-Token-Usage", "1800,120"),
+                   ("X-Prompt-Prefix", f"5c1e07a2:341,91bd3f06:227,{self.number + 4096:08x}:1232")]
+        if self.last_event is not None:
+            headers = [("Last-Event-Id", self.last_event), ("Resumes", self.first_request)]
+        at = now()
+        left_ms = int((DEADLINE_S - (at - self.since)) * 1000)
+        got = await ask_stream(gateway, self.path, request_id, f"client {self.number}".encode(),
+                               headers, left_ms, self.opened)
+        self.record.note(
+            f"client {self.number} attempt {request_id} at {gateway.number}, sent {at:.3f}, after "
+            f"event {self.last_event}: status {got.status}, events {len(got.events)}, "
+            f"{'whole' if got.is_whole else got.error[:160]}")
+        if self.last_event is not None:
+            self.taken_up.append((at, gateway, got.status, bool(got.events)))
+        if got.events:
+            self.first_request = self.first_request or request_id
+            self.ids += [event_id for event_id, _data in got.events]
+            self.last_event = self.ids[-1]
+        self.is_whole = got.is_whole
+        return got
+
+    def opened(self, connection):
+        self.connection = connection
+
+    async def run(self, gateway):
+        attempts = 0
+        await self.attempt(gateway, f"c{self.number}a0")
+        for wait_s in WAITS_S:
+            if self.is_whole or now() + wait_s - self.since > DEADLINE_S:
+                return
+            await asyncio.sleep(wait_s)
+            attempts += 1
+            gateway = self.fleet.gateways[(self.number + attempts) % len(self.fleet.gateways)]
+            await self.attempt(gateway, f"c{self.number}a{attempts}")
 
 
 async def main(record, has_trouble):
     store = Store()
     await store.start()
     workers = [
-        BrittleWorker(store, record, f"i-{number}", "desk", ZONES[number % 3], "v1")
-        for number in range(WORKERS)
+        Worker(store, record, f"i-{number}", "lm-pool", zone, "v1") for number, zone in enumerate(ZONES)
     ]
     for worker in workers:
+        worker.event_count, worker.event_pause_s = 60, 0.2
+        worker.models = ["m0"]
         await worker.start()
     route = {
-        "name": "desk", "host": HOST, "pathPrefix": "/desk/", "routeKind": "non_idempotent",
-        "timeoutMs": 4000, "targetLatencyMs": 2000, "priority": 1, "attempts": 1, "sticky": False,
-        "resumable": False, "service": "desk",
+        "name": "scan-brief-free", "host": HOST, "pathPrefix": "/scan/", "routeKind": "streaming",
+        "timeoutMs": 20000, "targetLatencyMs": 8000, "gapTargetMs": 400, "priority": 2,
+        "attempts": 2, "sticky": True, "resumable": True, "service": "lm-pool",
     }
-    service = {"name": "desk", "healthPath": "/health", "connectionLimit": 360}
+    engine = {
+        "slots": 64, "kvCapacityTokens": 132029, "weightsMb": 70000.0, "adapterSlots": 8,
+        "loadsPerS": 1.4, "stride": 2,
+        "models": [{"name": "m0", "weightsMb": 65100.0, "loadS": 9.0, "adapters": 0, "adapterMb": 12.0}],
+    }
+    service = {"name": "lm-pool", "healthPath": "/health", "connectionLimit": 360, "engine": engine}
     await store.put("op", "config", configuration([route], [service]))
     fleet = Fleet(store, ZONES, REGIONS, BOUNDS)
     try:
         await fleet.start()
-        await asyncio.sleep(4)
-        caller = Caller(fleet)
-        asked = []
-
-        async def load(share, for_s):
-            until, every = now() + for_s, 1 / (CAPACITY * share)
-            due = now()
-            while due < until:
-                await asyncio.sleep(max(0, due - now()))
-                asked.append(asyncio.create_task(caller.ask()))
-                due += every
-
-        await load(USUAL, 2)
-        record.note("the workers are brittle")
-        for worker in workers:
-            worker.brittle_since = now()
-        await load(USUAL, CONTACT_S + 2)
-        record.note(f"so far {caller.statuses}")
-        crashing = []
+        # For longer than a stream lasts, the service has had this one version.
+        await asyncio.sleep(40)
+        clients = [Client(record, fleet, number, "/scan/x")
+                   for number in range(STREAMS_PER_GATEWAY * len(ZONES))]
+        running = [asyncio.create_task(client.run(fleet.gateways[client.number % len(ZONES)]))
+                   for client in clients]
+        await asyncio.sleep(3)
+        touch_at = now() + CONTACT_S
         if has_trouble:
-            crashing = [asyncio.create_task(worker.down(CRASH_S, "crashes"))
-                        for worker in workers[:CRASHED]]
-        await load(BURST, BURST_S)
-        record.note(f"the burst is over; so far {caller.statuses}")
-        await load(USUAL, WATCHED_S)
-        await asyncio.gather(*asked)
-        await asyncio.gather(*crashing)
-        falls = sum(worker.falls for worker in workers)
-        record.note(f"{caller.count} requests: {caller.statuses}; {falls} falls, "
-                    f"{sum(worker.lost for worker in workers)} requests taken by workers were lost")
-        # LIMIT: the workers fall over more often than 2 + a tenth of their number.
-        return falls > 2 + WORKERS / 10
+            record.note("all machines are killed")
+            for gateway in fleet.gateways:
+                gateway.kill()
+            await asyncio.sleep(DOWN_S)
+            record.note("all machines start")
+            touch_at = now() + CONTACT_S
+            for gateway in fleet.gateways:
+                gateway.start()
+        else:
+            # The same clients lose their connections, and no machine ends.
+            record.note("all clients lose their connections")
+            touch_at = now()
+            for client in clients:
+                client.connection.transport.abort()
+        await asyncio.gather(*running)
+        # New streams, at the machines in touch.
+        new = [Client(record, fleet, 100 + number, "/scan/x") for number in range(12)]
+        for worker in workers:
+            worker.event_count = 3
+        await asyncio.gather(*[
+            client.attempt(fleet.gateways[client.number % len(ZONES)], f"c{client.number}a0")
+            for client in new])
+        begun = sum(bool(client.ids) for client in new)
+        in_touch = [attempt for client in clients for attempt in client.taken_up
+                    if attempt[0] > touch_at and attempt[2] is not None]
+        gone_on = sum(goes_on for _at, _gateway, _status, goes_on in in_touch)
+        streams = {client.number for client in clients
+                   if any(at > touch_at and status is not None
+                          for at, _gateway, status, _goes_on in client.taken_up)}
+        record.note(f"machines in touch from {touch_at:.3f}; streams taken up there: {len(streams)} in "
+                    f"{len(in_touch)} attempts, {gone_on} went on; new streams: {begun} of {len(new)} "
+                    f"began; whole: {sum(client.is_whole for client in clients)} of {len(clients)}")
+        if has_trouble and len(streams) < 12:
+            raise CannotRun("fewer than 12 streams were taken up at machines in touch")
+        if not in_touch:
+            return False
+        # LOST: the share that goes on is under half of the share of new streams that begin.
+        return len(streams) >= 12 and gone_on / len(in_touch) < 0.5 * begun / len(new)
     finally:
         fleet.end()
 
