Measure what an instance takes in and what binds it

Cause: nothing tells a full link, a slow processor, used up descriptors and memory, and bad workers apart. An instance doesn't know what it has.

Settings take over memory, descriptors and link from the platform. Each caller's, worker's, peer's and store connection counts its bytes; the event loop's busy time and the delay of a timer are sampled ten times a second. Shown as metrics and as an 'intake' line, every second while the instance is nearly overloaded. No decision depends on it yet.

--- a/crates/cranereach-core/src/lib.rs
+++ b/crates/cranereach-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`attempt`] decides whether a failed request is retried;
 //! - [`control`] with [`lease`], [`fence`] and [`ledger`] ensures safe control of the workers'
 //!   memory, and [`residency`] plans which models are loaded where;
+//! - [`overload`] decides which connections of callers an instance takes;
 //! - [`config`] and [`membership`] track which configuration is in force and which instances
 //!   are live.
 //!
@@ -35,6 +36,7 @@
 pub mod membership;
 pub mod names;
 pub mod order;
+pub mod overload;
 pub mod residency;
 pub mod retry_budget;
 pub mod route;
--- a/crates/cranereach-entry/src/entry.rs
+++ b/crates/cranereach-entry/src/entry.rs
@@ -112,6 +112,7 @@
         let serve_options = ServeOptions {
             header_within_ms: shared.settings.limits.header_within_ms,
             header_max_bytes: shared.settings.limits.header_max_bytes,
+            intake: None,
         };
         let server_task = server::serve(callers, serve_options, stop_receiver, move |request| {
             callers::handle(Arc::clone(&for_callers), request)
--- a/crates/cranereach-gateway/src/body_transfer.rs
+++ b/crates/cranereach-gateway/src/body_transfer.rs
@@ -30,6 +30,8 @@
 use crate::tunnels::TunnelRequest;
 use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::topology::Distance;
+use cranereach_http::meter::Metered;
+use cranereach_http::meter::Side;
 
 /// Delay after a failed accept, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 20;
@@ -185,7 +187,8 @@
     let fetching = async {
         let connecting = TcpStream::connect(SocketAddr::from((peer, port)));
         let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let mut stream = tokio::time::timeout(connect_timeout, connecting).await??;
+        let stream = tokio::time::timeout(connect_timeout, connecting).await??;
+        let mut stream = Metered::new(stream, node.intake.meter(), Side::Peers);
         let message = postcard::to_stdvec(&request).map_err(io::Error::other)?;
         stream.write_all(&message).await?;
         stream.shutdown().await?;
@@ -199,7 +202,7 @@
 
 /// Reads from a peer until it closes the connection; fails if it sends nothing for too
 /// long, or too much in total.
-async fn read_whole(stream: &mut TcpStream) -> io::Result<Bytes> {
+async fn read_whole(stream: &mut Metered<TcpStream>) -> io::Result<Bytes> {
     let mut body = BytesMut::new();
     let idle_timeout = Duration::from_millis(IDLE_TIMEOUT_MS);
     loop {
@@ -244,6 +247,7 @@
         (BodyRequest::Tunnel(_), IpAddr::V6(_)) => {}
         (BodyRequest::Configuration | BodyRequest::Workers(_), _) => {
             // A peer whose connection breaks asks again.
+            let stream = Metered::new(stream, node.intake.meter(), Side::Peers);
             let answering = answer(&node, peer, stream, request);
             let _answered = tokio::time::timeout(answer_timeout, answering).await;
         }
@@ -269,7 +273,7 @@
 async fn answer(
     node: &Node,
     peer: SocketAddr,
-    mut stream: TcpStream,
+    mut stream: Metered<TcpStream>,
     request: BodyRequest,
 ) -> io::Result<()> {
     // The slot for sending a whole list, if any, is held until the body is sent.
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -235,6 +235,7 @@
             pause(ROUND_MIN_INTERVAL_MS).await;
             continue;
         };
+        node.intake.meter().add_received(length);
         let message = decode(&buffer[..length]);
         if let (Some(message), IpAddr::V4(ip)) = (message, sender.ip()) {
             handle_message(&node, sender, ip, message).await;
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -22,6 +22,8 @@
 //! [`stream_origins`] knows the software versions at which streams began, so that a stream that a
 //! caller takes up again, at any instance, goes on at the same version.
 //!
+//! [`overload`] samples what the instance takes in.
+//!
 //! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays while
 //! an instance can't reach a worker itself.
 //!
@@ -52,6 +54,7 @@
 pub mod named_limits;
 pub mod node;
 pub mod operators;
+pub mod overload;
 pub mod owners;
 pub mod peer_updates;
 pub mod peers;
--- a/crates/cranereach-gateway/src/metrics.rs
+++ b/crates/cranereach-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of an instance.
 
+mod intake;
 mod origins;
 mod paths;
 mod quarantine;
@@ -17,6 +18,7 @@
 use prometheus::histogram_opts;
 use prometheus::opts;
 
+use self::intake::IntakeMetrics;
 use self::origins::OriginMetrics;
 use self::paths::PathMetrics;
 use self::quarantine::QuarantineMetrics;
@@ -99,6 +101,8 @@
     pub store_unknown_words_total: IntCounterVec,
     /// Era of the store.
     pub store_era: IntGauge,
+    /// What the instance takes in.
+    pub intake: IntakeMetrics,
     /// Paths to workers.
     pub paths: PathMetrics,
     /// Metrics of requests and parts of prompts under which workers ended.
@@ -212,6 +216,7 @@
                 "sends within limits",
                 &["purpose"],
             ),
+            intake: IntakeMetrics::new(&make),
             paths: PathMetrics::new(&make),
             quarantine: QuarantineMetrics::new(&make),
             origins: OriginMetrics::new(&make),
--- /dev/null
+++ b/crates/cranereach-gateway/src/metrics/intake.rs
@@ -0,0 +1,84 @@
+//! Metrics of what the instance takes in and what binds it, updated when they are requested.
+
+use prometheus::IntCounter;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+
+use super::Registrar;
+use cranereach_http::intake::Intake;
+use cranereach_http::meter::Side;
+use cranereach_http::system;
+
+/// Metrics of connections, bytes, delays and of what the instance has for them.
+#[derive(Debug)]
+pub struct IntakeMetrics {
+    /// Open connections, by who is at the other end.
+    pub open_connections: IntGaugeVec,
+    /// Connections of callers with an open request.
+    pub busy_connections: IntGauge,
+    /// Bytes that passed through the network link, by direction.
+    pub link_bytes: IntGaugeVec,
+    /// Use of the link in its busier direction, in percent.
+    pub link_percent: IntGauge,
+    /// Share of the time for which the event loop is not idle, in percent.
+    pub busy_percent: IntGauge,
+    /// Latest delay of the instance's own work, in milliseconds.
+    pub own_delay_ms: IntGauge,
+    /// Total of the delays of all samples, in milliseconds.
+    pub own_delay_ms_total: IntCounter,
+    /// Memory in use, in bytes.
+    pub resident_bytes: IntGauge,
+    /// Connections on which something was read.
+    pub first_reads: IntGauge,
+    /// Total of the times from accepting them until then, in milliseconds.
+    pub first_read_delay_ms: IntGauge,
+}
+
+impl IntakeMetrics {
+    /// Creates and registers the metrics.
+    pub(super) fn new(make: &Registrar<'_>) -> Self {
+        Self {
+            open_connections: make.gauges("open_connections", "connections open", &["side"]),
+            busy_connections: make.gauge("busy_connections", "callers with an open request"),
+            link_bytes: make.gauges("link_bytes_total", "bytes on the link", &["direction"]),
+            link_percent: make.gauge("link_percent", "use of the link"),
+            busy_percent: make.gauge("busy_percent", "time that the event loop isn't idle"),
+            own_delay_ms: make.gauge("own_delay_ms", "latest delay of own work"),
+            own_delay_ms_total: make.counter("own_delay_ms_total", "delays of own work"),
+            resident_bytes: make.gauge("resident_bytes", "memory in use"),
+            first_reads: make.gauge("first_reads_total", "connections with a first read"),
+            first_read_delay_ms: make.gauge(
+                "first_read_delay_ms_total",
+                "time from accepting a connection to its first read",
+            ),
+        }
+    }
+
+    /// Updates the gauges.
+    pub fn update(&self, intake: &Intake) {
+        let meter = intake.meter();
+        for side in Side::ALL {
+            let gauge = self.open_connections.with_label_values(&[side.name()]);
+            gauge.set(meter.open_count(side) as i64);
+        }
+        let (first_read_count, first_read_delay_ms) = intake.first_reads();
+        self.first_reads.set(first_read_count as i64);
+        self.first_read_delay_ms.set(first_read_delay_ms as i64);
+        let bytes = [
+            ("sent", meter.sent_bytes()),
+            ("received", meter.received_bytes()),
+        ];
+        for (direction, byte_count) in bytes {
+            let gauge = self.link_bytes.with_label_values(&[direction]);
+            gauge.set(byte_count as i64);
+        }
+        if let Some(resident_bytes) = system::resident_bytes() {
+            self.resident_bytes.set(resident_bytes as i64);
+        }
+        let admission = intake.admission();
+        self.busy_connections.set(admission.busy_count() as i64);
+        let load = admission.load();
+        self.link_percent.set((load.link_share() * 100.0) as i64);
+        self.busy_percent.set((load.busy_share() * 100.0) as i64);
+    }
+}
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -71,6 +71,7 @@
 use cranereach_fleet::ways::RoundTrips;
 use cranereach_http::clock::Clock;
 use cranereach_http::connector::Connector;
+use cranereach_http::intake::Intake;
 
 /// Changes that this instance's orders have made at workers, to be gossiped to peers.
 #[derive(Clone, Debug, Default)]
@@ -96,6 +97,8 @@
     pub log: Logger,
     /// Metrics.
     pub metrics: Metrics,
+    /// What this instance takes in.
+    pub intake: Arc<Intake>,
     /// Opens connections to workers.
     pub worker_connector: Connector,
     /// The platform's store.
@@ -235,11 +238,15 @@
         let topology = settings.instance.topology().ok()?;
         let peers = Peers::new(own_ip, &settings.instance.failure_domain, &seeds);
         let metrics = Metrics::new();
+        let clock = Clock::start();
+        let intake = Arc::new(Intake::new(settings.resources.resources(), clock));
         Some(Self {
             peers: Mutex::new(peers.with_topology(&topology)),
             topology,
             adapter,
-            store: Store::new(&settings.platform.store, adapter, &log, &metrics),
+            store: Store::new(&settings.platform.store, adapter, &log, &metrics)
+                .with_meter(intake.meter()),
+            intake,
             log,
             metrics,
             worker_connector,
@@ -300,7 +307,7 @@
             configuration_heard: AtomicU64::new(0),
             own_ip,
             is_stopping: AtomicBool::new(false),
-            clock: Clock::start(),
+            clock,
             settings,
         })
     }
--- a/crates/cranereach-gateway/src/node/connections.rs
+++ b/crates/cranereach-gateway/src/node/connections.rs
@@ -8,6 +8,7 @@
 
 use super::Node;
 use super::lock;
+use cranereach_http::meter::Side;
 use cranereach_http::pool::Pool;
 
 /// Time for which a worker may acknowledge nothing before a connection to it is broken, in
@@ -26,7 +27,8 @@
         let mut pools = lock(&self.pools);
         let make = || {
             let pool = Pool::new(address).with_connector(&self.worker_connector);
-            Arc::new(pool.with_silent_max_ms(WORKER_SILENT_MAX_MS))
+            let pool = pool.with_silent_max_ms(WORKER_SILENT_MAX_MS);
+            Arc::new(pool.with_meter(self.intake.meter(), Side::Workers))
         };
         let pool = pools.entry(Arc::clone(worker)).or_insert_with(make);
         if pool.address() != address {
--- a/crates/cranereach-gateway/src/operators.rs
+++ b/crates/cranereach-gateway/src/operators.rs
@@ -62,6 +62,7 @@
             let limited_count = named_limits::count(node);
             node.metrics.limited_workers.set(limited_count as i64);
             unavailable_workers::update_gauges(node);
+            node.metrics.intake.update(&node.intake);
             (StatusCode::OK, node.metrics.text())
         }
         (&Method::GET, LIMITS_PATH, _) => {
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -22,6 +22,7 @@
 use crate::node::Node;
 use crate::node::pause;
 use crate::operators;
+use crate::overload;
 use crate::proofs;
 use crate::roster_sync;
 use crate::settings::Settings;
@@ -159,12 +160,14 @@
         tasks.spawn(store_era::run(Arc::clone(&node)));
         tasks.spawn(controller::run(Arc::clone(&node)));
         tasks.spawn(traffic::run(Arc::clone(&node)));
+        tasks.spawn(overload::run(Arc::clone(&node)));
         tasks.spawn(worker_paths::run(Arc::clone(&node)));
         tasks.spawn(stream_origins::run(Arc::clone(&node)));
         let caller_node = Arc::clone(&node);
         let options = ServeOptions {
             header_within_ms: CALLER_KEEP_ALIVE_MS,
             header_max_bytes: HEADER_MAX_BYTES,
+            intake: Some(Arc::clone(&node.intake)),
         };
         let serving = server::serve(callers, options, stop, move |request| {
             forward::handle_request(Arc::clone(&caller_node), request)
--- a/crates/cranereach-gateway/src/settings.rs
+++ b/crates/cranereach-gateway/src/settings.rs
@@ -3,6 +3,8 @@
 //! All defaults are defined here. A platform may generate the settings file from a template.
 //! Unknown keys are rejected.
 
+mod resources;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -11,6 +13,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+pub use self::resources::ResourceSettings;
 use crate::adapter;
 use cranereach_fleet::limits::Tolerance;
 use cranereach_fleet::topology::Topology;
@@ -33,6 +36,9 @@
     /// Bounds that the deployment guarantees.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// What the instance has for its work.
+    #[serde(default)]
+    pub resources: ResourceSettings,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
@@ -225,6 +231,14 @@
         /// Key of the bound.
         key: &'static str,
     },
+    /// A resource is out of range.
+    #[error("{file}: resources.{key}: must be more than zero")]
+    Resource {
+        /// The file.
+        file: String,
+        /// Key of the resource.
+        key: &'static str,
+    },
     /// The failure domains are inconsistent.
     #[error("{file}: instance.failure_domains: {source}")]
     Topology {
@@ -263,6 +277,13 @@
                 file: path.display().to_string(),
                 key,
             })?;
+        settings
+            .resources
+            .check()
+            .map_err(|key| SettingsError::Resource {
+                file: path.display().to_string(),
+                key,
+            })?;
         let topology = settings.instance.topology();
         topology.map_err(|source| SettingsError::Topology {
             file: path.display().to_string(),
--- a/crates/cranereach-gateway/src/store.rs
+++ b/crates/cranereach-gateway/src/store.rs
@@ -2,6 +2,8 @@
 
 mod eras;
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use slog::Logger;
 use thiserror::Error;
@@ -18,6 +20,8 @@
 use cranereach_http::client::Answer;
 use cranereach_http::client::CallError;
 use cranereach_http::client::JsonClient;
+use cranereach_http::meter::Meter;
+use cranereach_http::meter::Side;
 
 /// Time allowed for an answer on top of any wait that the call asks for, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 900;
@@ -77,6 +81,13 @@
         }
     }
 
+    /// Counts the connections to the store and their bytes.
+    #[must_use]
+    pub fn with_meter(mut self, meter: &Arc<Meter>) -> Self {
+        self.client = self.client.with_meter(meter, Side::Store);
+        self
+    }
+
     /// Returns the tracker of the store's era.
     pub fn eras(&self) -> &StoreEras {
         &self.eras
--- a/crates/cranereach-gateway/src/traffic.rs
+++ b/crates/cranereach-gateway/src/traffic.rs
@@ -184,6 +184,7 @@
         let kind = Kind::of(&message);
         let datagram = encode(message);
         if let (Ok(byte_count), IpAddr::V4(ip)) = (socket.try_send_to(&datagram, peer), peer.ip()) {
+            self.intake.meter().add_sent(byte_count);
             self.note_sent(ip, kind, byte_count);
         }
     }
@@ -199,6 +200,7 @@
             let address = SocketAddr::from((*recipient, self.peer_port()));
             // The next message makes up for a lost datagram.
             if let Ok(byte_count) = socket.send_to(&datagram, address).await {
+                self.intake.meter().add_sent(byte_count);
                 self.note_sent(*recipient, kind, byte_count);
             }
         }
--- a/crates/cranereach-gateway/src/tunnels/server.rs
+++ b/crates/cranereach-gateway/src/tunnels/server.rs
@@ -21,6 +21,8 @@
 use crate::traffic::Kind;
 use crate::worker_paths;
 use cranereach_fleet::reachability::ConnectFailure;
+use cranereach_http::meter::Meter;
+use cranereach_http::meter::Side;
 
 /// Maximum number of tunnels relayed at a time. Each takes two file descriptors and two buffers.
 const TUNNEL_MAX_COUNT: i64 = 384;
@@ -112,6 +114,8 @@
     mut stream: TcpStream,
     mut worker: TcpStream,
 ) -> io::Result<()> {
+    let meter = node.intake.meter();
+    let _open = (meter.open(Side::Peers), meter.open(Side::Workers));
     for connection in [&stream, &worker] {
         SockRef::from(connection).set_linger(Some(Duration::ZERO))?;
     }
@@ -133,7 +137,7 @@
 ) -> io::Result<()> {
     let (peer_reader, peer_writer) = stream.split();
     let (worker_reader, worker_writer) = worker.split();
-    let forward = copy_to_worker(peer_reader, worker_writer);
+    let forward = copy_to_worker(node.intake.meter(), peer_reader, worker_writer);
     let backward = copy_to_peer(node, peer, worker_reader, peer_writer);
     tokio::pin!(forward, backward);
     tokio::select! {
@@ -150,6 +154,7 @@
 
 /// Copies bytes of the asking instance to the worker until it closes its side.
 async fn copy_to_worker(
+    meter: &Meter,
     mut peer_reader: ReadHalf<'_>,
     mut worker_writer: WriteHalf<'_>,
 ) -> io::Result<()> {
@@ -159,6 +164,8 @@
         if length == 0 {
             return worker_writer.shutdown().await;
         }
+        meter.add_received(length);
+        meter.add_sent(length);
         worker_writer.write_all(&buffer[..length]).await?;
     }
 }
@@ -171,6 +178,7 @@
     mut peer_writer: WriteHalf<'_>,
 ) -> io::Result<()> {
     let sent_bytes = node.sent_bytes_counter(peer, Kind::Tunnel);
+    let meter = node.intake.meter();
     let mut buffer = vec![0; FRAME_HEADER_BYTES + BUFFER_BYTES];
     loop {
         let length = worker_reader
@@ -180,6 +188,8 @@
         let frame = &buffer[..FRAME_HEADER_BYTES + length];
         peer_writer.write_all(frame).await?;
         sent_bytes.inc_by(frame.len() as u64);
+        meter.add_received(length);
+        meter.add_sent(frame.len());
         if length == 0 {
             return peer_writer.shutdown().await;
         }
--- a/crates/cranereach-http/src/client.rs
+++ b/crates/cranereach-http/src/client.rs
@@ -1,6 +1,7 @@
 //! Client for JSON interfaces; each call has a timeout.
 
 use std::future::ready;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,8 @@
 use thiserror::Error;
 
 use crate::connector::Connector;
+use crate::meter::Meter;
+use crate::meter::Side;
 use crate::pool::Pool;
 use crate::pool::SendError;
 
@@ -98,6 +101,13 @@
         self
     }
 
+    /// Counts the connections, as those to a side, and their bytes.
+    #[must_use]
+    pub fn with_meter(mut self, meter: &Arc<Meter>, side: Side) -> Self {
+        self.pool = self.pool.with_meter(meter, side);
+        self
+    }
+
     /// Adds a header to each call.
     #[must_use]
     pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -1,6 +1,8 @@
 //! HTTP building blocks over `hyper` that instances, command-line tools and stand-ins share.
 //!
 //! - [`server`] accepts connections and shuts down gracefully.
+//! - [`intake`] decides which connections of callers are taken, and [`meter`] counts connections and
+//!   their bytes.
 //! - [`pool`] keeps connections to one upstream and reports whether any byte of a failed
 //!   request may have been sent.
 //! - [`connector`] opens the TCP connections of a pool.
@@ -12,6 +14,7 @@
 //! - [`liveness`] breaks connections whose other end no longer answers.
 //! - [`reserved_address`] keeps the address of a listener that comes and goes.
 //! - [`full_backlog`] answers no attempt to connect.
+//! - [`system`] reads what the system grants to the process.
 //! - [`clock`] provides the monotonic clock of the process.
 //! - [`bearer`] extracts the bearer token of a request.
 //! - [`events`] splits event streams into complete events.
@@ -26,9 +29,12 @@
 pub mod event_border;
 pub mod events;
 pub mod full_backlog;
+pub mod intake;
 pub mod json_text;
 pub mod liveness;
+pub mod meter;
 pub mod pool;
 pub mod reserved_address;
 pub mod server;
 pub mod stream_end;
+pub mod system;
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -25,6 +25,9 @@
 use crate::clock::boottime_ms;
 use crate::connector::Connector;
 use crate::liveness;
+use crate::meter::Meter;
+use crate::meter::Metered;
+use crate::meter::Side;
 
 /// Maximum number of idle connections kept per upstream.
 const IDLE_MAX_COUNT: usize = 256;
@@ -73,6 +76,7 @@
     idle: IdleList<B>,
     silent_max_ms: Option<u64>,
     resets_on_close: bool,
+    meter: Option<(Arc<Meter>, Side)>,
 }
 
 impl<B> std::fmt::Debug for Pool<B> {
@@ -114,6 +118,7 @@
             idle: Arc::default(),
             silent_max_ms: None,
             resets_on_close: false,
+            meter: None,
         }
     }
 
@@ -141,6 +146,13 @@
         self
     }
 
+    /// Counts the connections, as those to a side, and their bytes.
+    #[must_use]
+    pub fn with_meter(mut self, meter: &Arc<Meter>, side: Side) -> Self {
+        self.meter = Some((Arc::clone(meter), side));
+        self
+    }
+
     /// Returns the address of the upstream.
     pub fn address(&self) -> &str {
         &self.address
@@ -196,13 +208,10 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(BUFFER_MAX_BYTES);
-        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
-        tokio::spawn(async move {
-            // A connection error is also reported to the task that waits on the sender.
-            let _ended = connection.await;
-        });
+        let sender = match &self.meter {
+            Some((meter, side)) => handshake(Metered::new(stream, meter, *side)).await?,
+            None => handshake(stream).await?,
+        };
         Ok(Connection {
             sender,
             idle_list: Arc::clone(&self.idle),
@@ -237,6 +246,24 @@
     }
 }
 
+/// Makes an HTTP connection of a byte stream.
+async fn handshake<S, B>(stream: S) -> hyper::Result<SendRequest<B>>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(BUFFER_MAX_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(async move {
+        // A connection error is also reported to the task that waits on the sender.
+        let _ended = connection.await;
+    });
+    Ok(sender)
+}
+
 impl<B> Connection<B>
 where
     B: Body + 'static,
--- a/crates/cranereach-http/src/server.rs
+++ b/crates/cranereach-http/src/server.rs
@@ -7,7 +7,10 @@
 mod reset;
 mod response_body;
 
+use std::convert::Infallible;
 use std::io;
+use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,26 +23,30 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use self::reset::ResetSignal;
 use self::reset::ResettableStream;
 use self::response_body::ResponseBody;
+use crate::intake::Intake;
+use crate::intake::TakenConnection;
 
 /// Delay before the next attempt after accepting a connection failed, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
 
-/// Limits of a listener.
-#[derive(Clone, Copy, Debug)]
+/// Options of a listener.
+#[derive(Clone, Debug)]
 pub struct ServeOptions {
     /// Timeout for receiving the headers of a request, in milliseconds.
     pub header_within_ms: u64,
     /// Largest size of the headers of a request, in bytes.
     pub header_max_bytes: usize,
+    /// Counts the connections and what passes through them.
+    pub intake: Option<Arc<Intake>>,
 }
 
 impl Default for ServeOptions {
@@ -47,6 +54,7 @@
         Self {
             header_within_ms: 10_000,
             header_max_bytes: 32 * 1024,
+            intake: None,
         }
     }
 }
@@ -64,14 +72,15 @@
     stopping: watch::Receiver<bool>,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<B>, Closed>> + Send + 'static,
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Unpin,
 {
-    let graceful = GracefulShutdown::new();
-    let builder = builder(options);
+    let builder = Arc::new(builder(&options));
     let mut stop = stopping.clone();
+    // Each connection holds a sender, so that the channel closes with the last one.
+    let (open, mut all_closed) = mpsc::channel::<Infallible>(1);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -81,29 +90,61 @@
             tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
             continue;
         };
-        let handler = handler.clone();
-        let signal = ResetSignal::default();
-        let stream = ResettableStream::new(stream, &signal);
-        let service = service_fn(move |request: Request<Incoming>| {
-            let version = request.version();
-            let responding = handler(request);
-            let signal = signal.clone();
-            async move {
-                let response = responding.await?;
-                Ok::<_, Closed>(response.map(|body| ResponseBody::new(body, version, &signal)))
-            }
-        });
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
-        let watched = graceful.watch(connection);
+        let taken = options.intake.as_ref().map(Intake::open).map(Arc::new);
+        let connection = serve_connection(
+            Arc::clone(&builder),
+            stream,
+            taken,
+            stopping.clone(),
+            handler.clone(),
+        );
+        let open = open.clone();
         tokio::spawn(async move {
-            // Connection errors need no handling here: open requests end with their connection.
-            let _ended = watched.await;
+            connection.await;
+            drop(open);
         });
     }
     drop(listener);
-    graceful.shutdown().await;
+    drop(open);
+    let _all_closed = all_closed.recv().await;
+}
+
+/// Serves one connection until it ends. Once `stopping` becomes true, it ends after the requests in
+/// progress.
+async fn serve_connection<H, F, B>(
+    builder: Arc<auto::Builder<TokioExecutor>>,
+    stream: TcpStream,
+    taken: Option<Arc<TakenConnection>>,
+    mut stopping: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Result<Response<B>, Closed>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Unpin,
+{
+    let signal = ResetSignal::default();
+    let stream = ResettableStream::new(stream, &signal, taken.clone());
+    let request_taken = taken;
+    let service = service_fn(move |request: Request<Incoming>| {
+        let version = request.version();
+        let open = request_taken.as_deref().map(TakenConnection::begin_request);
+        // Boxed, since an idle connection would otherwise reserve the memory of a request.
+        let responding = Box::pin(handler(request));
+        let signal = signal.clone();
+        async move {
+            let response = responding.await?;
+            Ok::<_, Closed>(response.map(|body| ResponseBody::new(body, version, &signal, open)))
+        }
+    });
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // Connection errors need no handling here: open requests end with their connection.
+        _ended = connection.as_mut() => return,
+        _changed = stopping.wait_for(|stopping| *stopping) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ended = connection.await;
 }
 
 /// Configures the socket of an accepted connection.
@@ -114,7 +155,7 @@
 }
 
 /// Creates the connection builder of a listener.
-fn builder(options: ServeOptions) -> auto::Builder<TokioExecutor> {
+fn builder(options: &ServeOptions) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
--- a/crates/cranereach-http/src/server/reset.rs
+++ b/crates/cranereach-http/src/server/reset.rs
@@ -15,6 +15,10 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::intake::TakenConnection;
+use crate::meter::Metered;
+use crate::meter::Side;
+
 /// Tells the stream of a connection that it is to end with a reset.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ResetSignal {
@@ -36,16 +40,46 @@
 /// Stream of a connection to a caller, which ends with a reset once its signal is set.
 #[derive(Debug)]
 pub(super) struct ResettableStream {
-    stream: TcpStream,
+    stream: CallerStream,
     signal: ResetSignal,
+    /// Set until the first bytes have been read.
+    unread: Option<Arc<TakenConnection>>,
+}
+
+/// Stream of a caller, whose bytes are counted if something decides on connections.
+#[derive(Debug)]
+enum CallerStream {
+    Plain(TcpStream),
+    Metered(Metered<TcpStream>),
+}
+
+impl CallerStream {
+    /// Returns the socket.
+    fn socket(&self) -> &TcpStream {
+        match self {
+            Self::Plain(stream) => stream,
+            Self::Metered(stream) => stream.get_ref(),
+        }
+    }
 }
 
 impl ResettableStream {
     /// Creates the stream of a connection.
-    pub(super) fn new(stream: TcpStream, signal: &ResetSignal) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        signal: &ResetSignal,
+        taken: Option<Arc<TakenConnection>>,
+    ) -> Self {
+        let stream = match &taken {
+            Some(taken) => {
+                CallerStream::Metered(Metered::new(stream, taken.meter(), Side::Callers))
+            }
+            None => CallerStream::Plain(stream),
+        };
         Self {
             stream,
             signal: signal.clone(),
+            unread: taken,
         }
     }
 }
@@ -54,7 +88,7 @@
     fn drop(&mut self) {
         if self.signal.is_set() {
             // If this fails, the caller sees an orderly close.
-            let _set = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            let _set = SockRef::from(self.stream.socket()).set_linger(Some(Duration::ZERO));
         }
     }
 }
@@ -65,7 +99,17 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+        let this = self.get_mut();
+        let polled = match &mut this.stream {
+            CallerStream::Plain(stream) => Pin::new(stream).poll_read(cx, buf),
+            CallerStream::Metered(stream) => Pin::new(stream).poll_read(cx, buf),
+        };
+        if !buf.filled().is_empty()
+            && let Some(taken) = this.unread.take()
+        {
+            taken.note_first_read();
+        }
+        polled
     }
 }
 
@@ -75,7 +119,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        match &mut self.get_mut().stream {
+            CallerStream::Plain(stream) => Pin::new(stream).poll_write(cx, buf),
+            CallerStream::Metered(stream) => Pin::new(stream).poll_write(cx, buf),
+        }
     }
 
     fn poll_write_vectored(
@@ -83,15 +130,24 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        match &mut self.get_mut().stream {
+            CallerStream::Plain(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
+            CallerStream::Metered(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        match &self.stream {
+            CallerStream::Plain(stream) => stream.is_write_vectored(),
+            CallerStream::Metered(stream) => stream.is_write_vectored(),
+        }
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        match &mut self.get_mut().stream {
+            CallerStream::Plain(stream) => Pin::new(stream).poll_flush(cx),
+            CallerStream::Metered(stream) => Pin::new(stream).poll_flush(cx),
+        }
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -100,6 +156,9 @@
             // A shutdown would look like the end of the body.
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut this.stream).poll_shutdown(cx)
+        match &mut this.stream {
+            CallerStream::Plain(stream) => Pin::new(stream).poll_shutdown(cx),
+            CallerStream::Metered(stream) => Pin::new(stream).poll_shutdown(cx),
+        }
     }
 }
--- a/crates/cranereach-http/src/server/response_body.rs
+++ b/crates/cranereach-http/src/server/response_body.rs
@@ -11,6 +11,7 @@
 use hyper::body::SizeHint;
 
 use super::reset::ResetSignal;
+use crate::intake::OpenRequest;
 
 /// Body of a response. If it fails, its connection first sends what came before, and is then reset
 /// if the caller would not see the failure otherwise.
@@ -19,16 +20,24 @@
     /// Set once the body has failed.
     failure: Option<B::Error>,
     signal: Option<ResetSignal>,
+    /// Counts the request as open until the body is dropped.
+    _open: Option<OpenRequest>,
 }
 
 impl<B: Body> ResponseBody<B> {
     /// Wraps the body of a response to a request of an HTTP version.
-    pub(super) fn new(body: B, version: Version, signal: &ResetSignal) -> Self {
+    pub(super) fn new(
+        body: B,
+        version: Version,
+        signal: &ResetSignal,
+        open: Option<OpenRequest>,
+    ) -> Self {
         let ends_with_connection = version < Version::HTTP_11;
         Self {
             body,
             failure: None,
             signal: ends_with_connection.then(|| signal.clone()),
+            _open: open,
         }
     }
 }
--- a/crates/cranereach-standin/src/lib.rs
+++ b/crates/cranereach-standin/src/lib.rs
@@ -37,7 +37,7 @@
 /// Spawns a task that serves requests on a listener until `stopping` turns true.
 fn serve<H, F, B>(listener: TcpListener, stopping: watch::Receiver<bool>, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<B>, Closed>> + Send + 'static,
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Unpin,
