Turn away connections that an instance can't serve well

Cause: an instance takes in without bound.

A kernel type decides on each new connection from descriptors, memory, use of the link, busy time and delay of the event loop. What isn't taken is closed unread; the oldest idle connection gives way where descriptors or memory are short; while requests are limited, kept connections end with their answer. The limit follows what is served under the measured pressure. An instance that turns callers away isn't ready, unless many of its peers aren't either (a bit in digests).

--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -1,11 +1,69 @@
-//! Callers' connections that an instance has open, and its load.
+//! Admission of callers' connections.
+//!
+//! A connection costs a file descriptor and memory for as long as it is open, one more descriptor
+//! for the call to a worker while it is busy, and processor time and bytes on the link for each of
+//! its requests. A connection that would exceed the descriptors or the memory replaces the one that
+//! has been idle for longest, or is turned away if none is idle. While the processor or the link is
+//! overloaded, only as many requests a second are taken as the instance can serve: new connections
+//! beyond that are turned away before anything is read, and kept ones end after their answer, so
+//! that their callers come back as new ones, here or elsewhere.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use super::load::Bottleneck;
 use super::load::Load;
 use super::load::Pressure;
+use super::load::SAMPLE_INTERVAL_MS;
 use super::load::Sample;
 
+/// Share of the descriptors that is set aside for files, the store, peers and operators.
+const RESERVED_DESCRIPTOR_SHARE: f64 = 0.125;
+
+/// Bounds of the number of descriptors that are set aside.
+const RESERVED_DESCRIPTOR_COUNTS: (u64, u64) = (8, 1_024);
+
+/// Share of the memory above which no connection is added.
+const MEMORY_MAX_SHARE: f64 = 0.8;
+
+/// Memory that a connection may take that isn't part of the last sample yet, in bytes.
+const CONNECTION_BYTES: u64 = 48 * 1024;
+
+/// Share of a number of connections that once fitted into the memory which may be open although
+/// much memory is in use: allocators keep the memory of closed connections for new ones.
+const PROVEN_COUNT_SHARE: f64 = 0.75;
+
+/// Number of connections that are open at any use of memory.
+const CONNECTION_MIN_COUNT: usize = 32;
+
+/// Requests a second that are taken at any load, so that the instance notices when it has room.
+const MIN_RATE_PER_S: f64 = 10.0;
+
+/// Share of the way to a higher rate that one sample allows.
+const RAISE_SHARE: f64 = 0.3;
+
+/// Least factor by which one sample without overload raises the rate.
+const RAISE_MIN_FACTOR: f64 = 1.05;
+
+/// Pressure below which rates are no longer limited.
+const UNLIMITED_PRESSURE: f64 = 0.7;
+
+/// Least pressure that a capacity is derived from.
+const PRESSURE_MIN: f64 = 0.1;
+
+/// Time without a connection turned away after which rates are no longer limited, in milliseconds.
+const CALM_MS: u64 = 1_000;
+
+/// Time for which unused requests are carried over, in milliseconds.
+const BURST_MS: f64 = 100.0;
+
+/// Time for which the requests of kept connections may exceed the rate before no new connection is
+/// taken for as long, in milliseconds.
+const OVERDRAFT_MS: f64 = 500.0;
+
+/// Weight of a new sample in the smoothed rate of completed requests.
+const COMPLETED_WEIGHT: f64 = 0.2;
+
 /// What an instance has for its work.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Resources {
@@ -20,11 +78,65 @@
     pub delay_target_ms: u64,
 }
 
-/// Open connections of callers, and the load of the instance.
+/// Why a connection was turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// No descriptor is left.
+    Descriptors,
+    /// No memory is left.
+    Memory,
+    /// The processor is overloaded.
+    Processor,
+    /// The network link is overloaded.
+    Link,
+}
+
+impl Reason {
+    /// All reasons.
+    pub const ALL: [Self; 4] = [Self::Descriptors, Self::Memory, Self::Processor, Self::Link];
+
+    /// Returns the name used in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Descriptors => "descriptors",
+            Self::Memory => "memory",
+            Self::Processor => "processor",
+            Self::Link => "link",
+        }
+    }
+}
+
+/// Decision on a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The connection is taken under a number. If `closes` is set, that idle one is closed for it.
+    Take {
+        /// Number of the connection.
+        connection: u64,
+        /// Number of the idle connection that is to be closed.
+        closes: Option<u64>,
+    },
+    /// The connection is closed unread.
+    TurnAway(Reason),
+}
+
+/// An open connection.
+#[derive(Clone, Copy, Debug)]
+struct Connection {
+    open_request_count: u32,
+    /// Since when it is idle, in milliseconds; `None` while a request is open, and once it is to be
+    /// closed.
+    idle_since_ms: Option<u64>,
+    has_had_request: bool,
+}
+
+/// Decides which connections of callers are taken and kept.
 ///
 /// ```
 /// use cranereach_core::overload::admission::ConnectionAdmission;
+/// use cranereach_core::overload::admission::Reason;
 /// use cranereach_core::overload::admission::Resources;
+/// use cranereach_core::overload::admission::Verdict;
 ///
 /// let mut admission = ConnectionAdmission::new(Resources {
 ///     descriptor_count: 12,
@@ -32,19 +144,95 @@
 ///     link_bytes_per_s: None,
 ///     delay_target_ms: 30,
 /// });
-/// let connection = admission.open();
-/// admission.request_began(connection);
-/// assert_eq!((admission.open_count(), admission.busy_count()), (1, 1));
-/// admission.closed(connection);
-/// assert_eq!((admission.open_count(), admission.busy_count()), (0, 0));
+/// for connection in 0..2 {
+///     assert_eq!(admission.open(0, 0), Verdict::Take { connection, closes: None });
+///     admission.request_began(0, connection);
+/// }
+/// // Two descriptors for each busy connection, and eight are set aside.
+/// assert_eq!(admission.open(0, 0), Verdict::TurnAway(Reason::Descriptors));
+/// admission.request_ended(10, 0);
+/// assert_eq!(admission.open(20, 0), Verdict::Take { connection: 2, closes: Some(0) });
 /// ```
 #[derive(Clone, Debug)]
 pub struct ConnectionAdmission {
+    resources: Resources,
     load: Load,
-    /// Numbers of open requests by connection.
-    connections: HashMap<u64, u32>,
+    rate: RateLimit,
+    connections: HashMap<u64, Connection>,
+    /// Idle connections by the time since when they are idle, in milliseconds.
+    idle: BTreeSet<(u64, u64)>,
     next_number: u64,
     busy_count: usize,
+    /// Connections that are about to be closed.
+    closing_count: usize,
+    resident_bytes: u64,
+    /// Connections taken since the memory was sampled.
+    unsampled_count: u64,
+    /// Largest number of connections that were seen open within the memory.
+    proven_count: usize,
+    /// Requests completed since the last sample.
+    completed_count: u64,
+    completed_per_s: f64,
+    last_sample_ms: Option<u64>,
+    last_turned_away_ms: Option<u64>,
+}
+
+/// Limit of the rate of requests while the instance is overloaded.
+#[derive(Clone, Copy, Debug, Default)]
+struct RateLimit {
+    /// Requests a second; `None` while the rate isn't limited.
+    max_per_s: Option<f64>,
+    /// Requests that may be taken now; negative if kept connections had more.
+    allowance_count: f64,
+    refilled_at_ms: u64,
+}
+
+impl RateLimit {
+    /// Adds what has accrued since the last call.
+    fn refill(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.refilled_at_ms) as f64;
+        self.refilled_at_ms = self.refilled_at_ms.max(now_ms);
+        if let Some(max_per_s) = self.max_per_s {
+            let accrued = max_per_s * passed_ms / 1_000.0;
+            let burst_count = 1.0 + max_per_s * BURST_MS / 1_000.0;
+            self.allowance_count = (self.allowance_count + accrued).min(burst_count);
+        }
+    }
+
+    /// Whether a request may be taken.
+    fn has_room(&self) -> bool {
+        self.max_per_s.is_none() || self.allowance_count >= 1.0
+    }
+
+    /// Counts a request that is taken.
+    fn take(&mut self) {
+        if let Some(max_per_s) = self.max_per_s {
+            let least = -max_per_s * OVERDRAFT_MS / 1_000.0;
+            self.allowance_count = (self.allowance_count - 1.0).max(least);
+        }
+    }
+
+    /// Adapts the limit to the load. Under the pressure `level`, `completed_per_s` requests are
+    /// served, so that as many divided by it can be served well.
+    fn adapt(&mut self, level: f64, completed_per_s: f64, is_calm: bool) {
+        let capacity_per_s = (completed_per_s / level.max(PRESSURE_MIN)).max(MIN_RATE_PER_S);
+        match self.max_per_s {
+            None if level > 1.0 => {
+                self.max_per_s = Some(capacity_per_s);
+                self.allowance_count = 0.0;
+            }
+            None => {}
+            Some(max_per_s) if level > 1.0 => {
+                self.max_per_s = Some(max_per_s.min(capacity_per_s));
+            }
+            Some(_) if level < UNLIMITED_PRESSURE && is_calm => self.max_per_s = None,
+            Some(max_per_s) => {
+                let way = (capacity_per_s - max_per_s).max(0.0);
+                let raised = max_per_s + way * RAISE_SHARE;
+                self.max_per_s = Some(raised.max(max_per_s * RAISE_MIN_FACTOR));
+            }
+        }
+    }
 }
 
 impl ConnectionAdmission {
@@ -52,50 +240,190 @@
     pub fn new(resources: Resources) -> Self {
         Self {
             load: Load::new(resources.link_bytes_per_s, resources.delay_target_ms),
+            resources,
+            rate: RateLimit::default(),
             connections: HashMap::new(),
+            idle: BTreeSet::new(),
             next_number: 0,
             busy_count: 0,
+            closing_count: 0,
+            resident_bytes: 0,
+            unsampled_count: 0,
+            proven_count: CONNECTION_MIN_COUNT,
+            completed_count: 0,
+            completed_per_s: 0.0,
+            last_sample_ms: None,
+            last_turned_away_ms: None,
         }
     }
 
-    /// Records a new connection and returns its number.
-    pub fn open(&mut self) -> u64 {
+    /// Decides on a new connection. `other_count` is the number of descriptors that other
+    /// connections use: those to workers, peers and the store.
+    pub fn open(&mut self, now_ms: u64, other_count: u64) -> Verdict {
+        self.rate.refill(now_ms);
+        if !self.rate.has_room() {
+            let reason = match self.load.pressure().bottleneck {
+                Bottleneck::Processor => Reason::Processor,
+                Bottleneck::Link => Reason::Link,
+            };
+            return self.turn_away(now_ms, reason);
+        }
+        let closes = match self.shortage(other_count) {
+            None => None,
+            Some(reason) => match self.close_oldest_idle() {
+                Some(closed) => Some(closed),
+                None => return self.turn_away(now_ms, reason),
+            },
+        };
+        self.rate.take();
+        self.unsampled_count += 1;
         let connection = self.next_number;
         self.next_number += 1;
-        self.connections.insert(connection, 0);
-        connection
+        self.idle.insert((now_ms, connection));
+        self.connections.insert(
+            connection,
+            Connection {
+                open_request_count: 0,
+                idle_since_ms: Some(now_ms),
+                has_had_request: false,
+            },
+        );
+        Verdict::Take { connection, closes }
+    }
+
+    /// Counts a connection that is turned away.
+    fn turn_away(&mut self, now_ms: u64, reason: Reason) -> Verdict {
+        self.last_turned_away_ms = Some(now_ms);
+        Verdict::TurnAway(reason)
+    }
+
+    /// Returns what is missing for one more busy connection, if anything is.
+    fn shortage(&self, other_count: u64) -> Option<Reason> {
+        let open_count = self.open_count() as u64 + 1;
+        let call_count = (self.busy_count as u64 + 1).max(other_count);
+        if open_count + call_count > self.usable_descriptor_count() {
+            return Some(Reason::Descriptors);
+        }
+        (!self.has_memory()).then_some(Reason::Memory)
+    }
+
+    /// Returns the number of descriptors for callers and the calls to workers.
+    fn usable_descriptor_count(&self) -> u64 {
+        let (least, most) = RESERVED_DESCRIPTOR_COUNTS;
+        let all = self.resources.descriptor_count;
+        let reserved = (all as f64 * RESERVED_DESCRIPTOR_SHARE) as u64;
+        all.saturating_sub(reserved.clamp(least, most))
+    }
+
+    /// Whether there is memory for one more connection.
+    fn has_memory(&self) -> bool {
+        let used = self.resident_bytes + (self.unsampled_count + 1) * CONNECTION_BYTES;
+        let max_bytes = self.resources.memory_bytes as f64 * MEMORY_MAX_SHARE;
+        let proven_count = (self.proven_count as f64 * PROVEN_COUNT_SHARE) as usize;
+        (used as f64) <= max_bytes || self.open_count() < proven_count
+    }
+
+    /// Marks the connection that has been idle for longest as closing.
+    fn close_oldest_idle(&mut self) -> Option<u64> {
+        let (_since_ms, oldest) = self.idle.pop_first()?;
+        if let Some(connection) = self.connections.get_mut(&oldest) {
+            connection.idle_since_ms = None;
+        }
+        self.closing_count += 1;
+        Some(oldest)
     }
 
     /// Records that a request begins on a connection.
-    pub fn request_began(&mut self, number: u64) {
-        if let Some(open_request_count) = self.connections.get_mut(&number) {
-            *open_request_count += 1;
-            self.busy_count += usize::from(*open_request_count == 1);
+    pub fn request_began(&mut self, now_ms: u64, number: u64) {
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return;
+        };
+        connection.open_request_count += 1;
+        if connection.open_request_count == 1 {
+            self.busy_count += 1;
+            match connection.idle_since_ms.take() {
+                Some(since_ms) => {
+                    self.idle.remove(&(since_ms, number));
+                }
+                // It was about to be closed, and is busy instead.
+                None => self.closing_count = self.closing_count.saturating_sub(1),
+            }
+        }
+        // The first request was counted with the connection.
+        if std::mem::replace(&mut connection.has_had_request, true) {
+            self.rate.refill(now_ms);
+            self.rate.take();
         }
     }
 
     /// Records that a request has ended.
-    pub fn request_ended(&mut self, number: u64) {
-        if let Some(open_request_count) = self.connections.get_mut(&number) {
-            *open_request_count = open_request_count.saturating_sub(1);
-            self.busy_count -= usize::from(*open_request_count == 0);
+    pub fn request_ended(&mut self, now_ms: u64, number: u64) {
+        self.completed_count += 1;
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return;
+        };
+        connection.open_request_count = connection.open_request_count.saturating_sub(1);
+        if connection.open_request_count == 0 {
+            self.busy_count -= 1;
+            connection.idle_since_ms = Some(now_ms);
+            self.idle.insert((now_ms, number));
         }
     }
 
     /// Records that a connection has been closed.
     pub fn closed(&mut self, number: u64) {
-        let open_request_count = self.connections.remove(&number);
-        self.busy_count -= usize::from(open_request_count.is_some_and(|count| count > 0));
+        let Some(connection) = self.connections.remove(&number) else {
+            return;
+        };
+        match connection.idle_since_ms {
+            Some(since_ms) => {
+                self.idle.remove(&(since_ms, number));
+            }
+            None if connection.open_request_count > 0 => self.busy_count -= 1,
+            None => self.closing_count = self.closing_count.saturating_sub(1),
+        }
     }
 
-    /// Adds a sample of the load.
+    /// Adds a sample of the load, and adapts the rate of requests to it.
     pub fn sample(&mut self, sample: Sample) {
         self.load.add(sample);
+        let last_ms = self.last_sample_ms.replace(sample.at_ms);
+        let passed_ms = last_ms.map_or(SAMPLE_INTERVAL_MS, |last_ms| {
+            sample.at_ms.saturating_sub(last_ms).max(1)
+        });
+        let completed_per_s = self.completed_count as f64 * 1_000.0 / passed_ms as f64;
+        self.completed_count = 0;
+        self.completed_per_s += COMPLETED_WEIGHT * (completed_per_s - self.completed_per_s);
+        self.rate.refill(sample.at_ms);
+        let level = self.load.pressure().level;
+        let is_calm = !self.is_turning_away(sample.at_ms);
+        self.rate.adapt(level, self.completed_per_s, is_calm);
+    }
+
+    /// Records how much memory is in use, in bytes.
+    pub fn sample_memory(&mut self, resident_bytes: u64) {
+        self.resident_bytes = resident_bytes;
+        self.unsampled_count = 0;
+        let max_bytes = self.resources.memory_bytes as f64 * MEMORY_MAX_SHARE;
+        if resident_bytes as f64 <= max_bytes {
+            self.proven_count = self.proven_count.max(self.open_count());
+        }
+    }
+
+    /// Whether connections have been turned away within the last second.
+    pub fn is_turning_away(&self, now_ms: u64) -> bool {
+        self.last_turned_away_ms
+            .is_some_and(|at_ms| now_ms < at_ms + CALM_MS)
     }
 
-    /// Returns the number of open connections.
+    /// Whether a connection ends with its current answer instead of being kept.
+    pub fn ends_after_answer(&self, now_ms: u64) -> bool {
+        self.rate.max_per_s.is_some() && self.is_turning_away(now_ms)
+    }
+
+    /// Returns the number of open connections that aren't about to be closed.
     pub fn open_count(&self) -> usize {
-        self.connections.len()
+        self.connections.len() - self.closing_count
     }
 
     /// Returns the number of connections with an open request.
@@ -103,6 +431,11 @@
         self.busy_count
     }
 
+    /// Returns the largest number of requests taken a second; `None` if it isn't limited.
+    pub fn max_per_s(&self) -> Option<f64> {
+        self.rate.max_per_s
+    }
+
     /// Returns the load of the instance.
     pub fn load(&self) -> &Load {
         &self.load
--- a/crates/cranereach-gateway/src/gossip.rs
+++ b/crates/cranereach-gateway/src/gossip.rs
@@ -198,6 +198,7 @@
         evacuations,
         suspects: quarantine::news(node),
         reach: Some(reach),
+        is_withdrawn: lock(&node.withdrawal).is_withdrawn(),
     }
 }
 
--- a/crates/cranereach-gateway/src/messages.rs
+++ b/crates/cranereach-gateway/src/messages.rs
@@ -158,7 +158,9 @@
 /// Encodes a message as a datagram.
 pub fn encode(message: Message) -> Vec<u8> {
     let appended = match &message {
-        Message::Digest(digest) => digest.reach.map(|reach| postcard::to_stdvec(&reach)),
+        Message::Digest(digest) => digest
+            .reach
+            .map(|reach| postcard::to_stdvec(&(reach, digest.is_withdrawn))),
         Message::Quote(quote) => quote.borne_count.map(|count| postcard::to_stdvec(&count)),
         Message::MaySend(ask) => ask.brittle.map(|brittle| postcard::to_stdvec(&brittle)),
         _ => None,
@@ -201,7 +203,12 @@
     }
     let mut message = datagram.message;
     match &mut message {
-        Message::Digest(digest) => digest.reach = postcard::from_bytes(rest).ok(),
+        Message::Digest(digest) => {
+            if let Ok((reach, rest)) = postcard::take_from_bytes(rest) {
+                digest.reach = Some(reach);
+                digest.is_withdrawn = postcard::from_bytes(rest).unwrap_or_default();
+            }
+        }
         Message::Quote(quote) => quote.borne_count = postcard::from_bytes(rest).ok(),
         Message::MaySend(ask) => ask.brittle = postcard::from_bytes(rest).ok(),
         _ => {}
--- a/crates/cranereach-gateway/src/messages/digest.rs
+++ b/crates/cranereach-gateway/src/messages/digest.rs
@@ -93,4 +93,8 @@
     /// tunnels. It follows the datagram, where earlier releases ignore it.
     #[serde(skip)]
     pub reach: Option<ReachReport>,
+    /// Whether the sender is not ready because it turns callers away. It follows `reach`, where
+    /// earlier releases ignore it.
+    #[serde(skip)]
+    pub is_withdrawn: bool,
 }
--- a/crates/cranereach-gateway/src/metrics/intake.rs
+++ b/crates/cranereach-gateway/src/metrics/intake.rs
@@ -5,6 +5,7 @@
 use prometheus::IntGaugeVec;
 
 use super::Registrar;
+use cranereach_core::overload::admission::Reason;
 use cranereach_http::intake::Intake;
 use cranereach_http::meter::Side;
 use cranereach_http::system;
@@ -16,6 +17,8 @@
     pub open_connections: IntGaugeVec,
     /// Connections of callers with an open request.
     pub busy_connections: IntGauge,
+    /// Connections of callers that were turned away, by reason.
+    pub turned_away_connections: IntGaugeVec,
     /// Bytes that passed through the network link, by direction.
     pub link_bytes: IntGaugeVec,
     /// Use of the link in its busier direction, in percent.
@@ -32,6 +35,10 @@
     pub first_reads: IntGauge,
     /// Total of the times from accepting them until then, in milliseconds.
     pub first_read_delay_ms: IntGauge,
+    /// Largest number of requests taken a second; zero if it isn't limited.
+    pub request_limit_per_s: IntGauge,
+    /// Whether the instance has withdrawn.
+    pub is_withdrawn: IntGauge,
 }
 
 impl IntakeMetrics {
@@ -40,6 +47,11 @@
         Self {
             open_connections: make.gauges("open_connections", "connections open", &["side"]),
             busy_connections: make.gauge("busy_connections", "callers with an open request"),
+            turned_away_connections: make.gauges(
+                "turned_away_connections_total",
+                "callers' connections closed unread",
+                &["reason"],
+            ),
             link_bytes: make.gauges("link_bytes_total", "bytes on the link", &["direction"]),
             link_percent: make.gauge("link_percent", "use of the link"),
             busy_percent: make.gauge("busy_percent", "time that the event loop isn't idle"),
@@ -51,6 +63,8 @@
                 "first_read_delay_ms_total",
                 "time from accepting a connection to its first read",
             ),
+            request_limit_per_s: make.gauge("request_limit_per_s", "requests taken a second"),
+            is_withdrawn: make.gauge("is_withdrawn", "whether not ready since overloaded"),
         }
     }
 
@@ -61,6 +75,12 @@
             let gauge = self.open_connections.with_label_values(&[side.name()]);
             gauge.set(meter.open_count(side) as i64);
         }
+        for reason in Reason::ALL {
+            let gauge = self
+                .turned_away_connections
+                .with_label_values(&[reason.name()]);
+            gauge.set(intake.turned_away_count(reason) as i64);
+        }
         let (first_read_count, first_read_delay_ms) = intake.first_reads();
         self.first_reads.set(first_read_count as i64);
         self.first_read_delay_ms.set(first_read_delay_ms as i64);
@@ -77,6 +97,8 @@
         }
         let admission = intake.admission();
         self.busy_connections.set(admission.busy_count() as i64);
+        self.request_limit_per_s
+            .set(admission.max_per_s().unwrap_or_default() as i64);
         let load = admission.load();
         self.link_percent.set((load.link_share() * 100.0) as i64);
         self.busy_percent.set((load.busy_share() * 100.0) as i64);
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -44,6 +44,7 @@
 use crate::unknown_headers::UnknownHeaders;
 use crate::worker_ends::WorkerProbes;
 use crate::worker_paths::WorkerPaths;
+use cranereach_core::overload::withdrawal::Withdrawal;
 use cranereach_fleet::brittle::BrittleGrants;
 use cranereach_fleet::configuration::Configuration;
 use cranereach_fleet::demand::Demand;
@@ -99,6 +100,8 @@
     pub metrics: Metrics,
     /// What this instance takes in.
     pub intake: Arc<Intake>,
+    /// Whether this instance is not ready because it turns callers away.
+    pub withdrawal: Mutex<Withdrawal>,
     /// Opens connections to workers.
     pub worker_connector: Connector,
     /// The platform's store.
@@ -247,6 +250,7 @@
             store: Store::new(&settings.platform.store, adapter, &log, &metrics)
                 .with_meter(intake.meter()),
             intake,
+            withdrawal: Mutex::default(),
             log,
             metrics,
             worker_connector,
--- a/crates/cranereach-gateway/src/node/configuration.rs
+++ b/crates/cranereach-gateway/src/node/configuration.rs
@@ -68,7 +68,7 @@
 
     /// Whether the platform should route callers here.
     ///
-    /// Not while the instance is stopping, nor while it would have to refuse every call that
+    /// Not while the instance is stopping or has withdrawn because of overload, nor while it would have to refuse every call that
     /// carries a key for lack of a recent proof, or every call for lack of a configuration or
     /// worker list.
     pub fn is_ready(&self) -> bool {
@@ -76,6 +76,7 @@
             return false;
         };
         let may_serve = !configuration.accounts.are_declared() || self.may_serve_keys();
-        !self.is_stopping() && may_serve && !self.list_position().is_none()
+        let has_withdrawn = self.is_stopping() || lock(&self.withdrawal).is_withdrawn();
+        !has_withdrawn && may_serve && !self.list_position().is_none()
     }
 }
--- a/crates/cranereach-gateway/src/peers.rs
+++ b/crates/cranereach-gateway/src/peers.rs
@@ -40,6 +40,9 @@
 /// at once.
 const JOIN_REPLY_INTERVAL_MS: u64 = 3;
 
+/// Age up to which a peer's word that it has withdrawn, or has not, counts, in milliseconds.
+const WITHDRAWAL_NEWS_MAX_AGE_MS: u64 = 5_000;
+
 pub use selection::FAN_OUT_COUNT;
 pub use selection::Holders;
 
@@ -53,6 +56,7 @@
     count: u64,
     configuration_version: u64,
     list_position: StorePosition,
+    is_withdrawn: bool,
     holds: Vec<u64>,
     ended: Vec<EndedLease>,
     /// When the peer was last sent list changes because its list was behind, in milliseconds.
@@ -61,6 +65,16 @@
     join_reply_at_ms: Option<u64>,
 }
 
+/// Returns the share of peers that have withdrawn; `None` if there are no peers.
+fn share_of_withdrawn<'a>(
+    peers: impl Iterator<Item = (&'a Ipv4Addr, &'a PeerState)>,
+) -> Option<f64> {
+    let (count, withdrawn_count) = peers.fold((0, 0), |(count, withdrawn_count), (_, state)| {
+        (count + 1, withdrawn_count + u32::from(state.is_withdrawn))
+    });
+    (count > 0).then(|| f64::from(withdrawn_count) / f64::from(count))
+}
+
 /// State of all peers.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -176,6 +190,7 @@
             count: digest.count,
             configuration_version: digest.configuration_version,
             list_position: digest.list_position,
+            is_withdrawn: digest.is_withdrawn,
             holds: digest.holds.clone(),
             ended: digest.ended.clone(),
             lagging_updated_at_ms: before.lagging_updated_at_ms,
@@ -194,6 +209,20 @@
             && heard.all(|state| state.up_for_ms + now_ms < within_ms + state.heard_at_ms)
     }
 
+    /// Returns the share of the peers heard of late that have withdrawn because of overload: of those
+    /// in this failure domain, if there are any, since they get callers in its place.
+    pub fn withdrawn_share(&self, now_ms: u64) -> f64 {
+        let own_domain = DomainTag::from_key(self.own_domain);
+        let heard = || {
+            let states = self.peer_states.iter();
+            states.filter(|(_, state)| now_ms < state.heard_at_ms + WITHDRAWAL_NEWS_MAX_AGE_MS)
+        };
+        let is_near = |peer: &Ipv4Addr| self.members.domain_of(*peer) == Some(own_domain);
+        let near = share_of_withdrawn(heard().filter(|(peer, _)| is_near(peer)));
+        near.or_else(|| share_of_withdrawn(heard()))
+            .unwrap_or_default()
+    }
+
     /// Returns the sequence number of a peer's last digest; `None` before the first.
     pub fn last_digest_count(&self, peer: Ipv4Addr) -> Option<u64> {
         self.peer_states.get(&peer).map(|state| state.count)
--- a/crates/cranereach-http/src/server.rs
+++ b/crates/cranereach-http/src/server.rs
@@ -8,6 +8,7 @@
 mod response_body;
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::io;
 use std::pin::pin;
 use std::sync::Arc;
@@ -16,8 +17,11 @@
 use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -45,7 +49,7 @@
     pub header_within_ms: u64,
     /// Largest size of the headers of a request, in bytes.
     pub header_max_bytes: usize,
-    /// Counts the connections and what passes through them.
+    /// Decides which connections are taken; `None` takes all.
     pub intake: Option<Arc<Intake>>,
 }
 
@@ -90,7 +94,11 @@
             tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
             continue;
         };
-        let taken = options.intake.as_ref().map(Intake::open).map(Arc::new);
+        let taken = match options.intake.as_ref().map(Intake::open).transpose() {
+            Ok(taken) => taken.map(Arc::new),
+            // Dropping the stream closes the connection unread.
+            Err(_reason) => continue,
+        };
         let connection = serve_connection(
             Arc::clone(&builder),
             stream,
@@ -109,8 +117,8 @@
     let _all_closed = all_closed.recv().await;
 }
 
-/// Serves one connection until it ends. Once `stopping` becomes true, it ends after the requests in
-/// progress.
+/// Serves one connection until it ends. Once `stopping` becomes true, or the connection is to be
+/// closed, it ends after the requests in progress.
 async fn serve_connection<H, F, B>(
     builder: Arc<auto::Builder<TokioExecutor>>,
     stream: TcpStream,
@@ -125,16 +133,21 @@
 {
     let signal = ResetSignal::default();
     let stream = ResettableStream::new(stream, &signal, taken.clone());
-    let request_taken = taken;
+    let request_taken = taken.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let version = request.version();
         let open = request_taken.as_deref().map(TakenConnection::begin_request);
         // Boxed, since an idle connection would otherwise reserve the memory of a request.
         let responding = Box::pin(handler(request));
         let signal = signal.clone();
+        let taken = request_taken.clone();
         async move {
             let response = responding.await?;
-            Ok::<_, Closed>(response.map(|body| ResponseBody::new(body, version, &signal, open)))
+            let mut response = response.map(|body| ResponseBody::new(body, version, &signal, open));
+            if let Some(taken) = taken.filter(|taken| taken.ends_after_answer()) {
+                end_after_answer(&taken, version, &mut response);
+            }
+            Ok::<_, Closed>(response)
         }
     });
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
@@ -142,11 +155,30 @@
         // Connection errors need no handling here: open requests end with their connection.
         _ended = connection.as_mut() => return,
         _changed = stopping.wait_for(|stopping| *stopping) => {}
+        () = until_closing(taken.as_deref()) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ended = connection.await;
 }
 
+/// Waits until a connection is to be closed; forever if nothing decides on that.
+async fn until_closing(taken: Option<&TakenConnection>) {
+    match taken {
+        Some(taken) => taken.until_closing().await,
+        None => pending().await,
+    }
+}
+
+/// Ends a connection after its answer.
+fn end_after_answer<B>(taken: &TakenConnection, version: Version, response: &mut Response<B>) {
+    if version == Version::HTTP_2 {
+        taken.close();
+    } else {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+}
+
 /// Configures the socket of an accepted connection.
 fn configure(accepted: io::Result<(TcpStream, std::net::SocketAddr)>) -> io::Result<TcpStream> {
     let (stream, _peer) = accepted?;
