Times that are late by an instance's own delay are no evidence

What callers saw: requests refused at once for workers that 'begin in 1.2 s' or hold no model while they were idle; 2,798 times 'worker not connected' within 14 s.

Cause: an instance whose loop is late or whose link is full measured silence, slowness and missing answers of workers, owners, peers and the store, remembered them and told others. Connection attempts get more time while this instance is late; time-outs, paces, pauses and durations that its own delay explains are not booked to anybody.

--- a/crates/cranereach-gateway/src/forward/choosing.rs
+++ b/crates/cranereach-gateway/src/forward/choosing.rs
@@ -170,7 +170,10 @@
                         target_at_ms.min(at_ms + LISTING_DELAY_MS)
                     }
                     Some(Expectation::At(_) | Expectation::NotLoading) => received_ms,
-                    None => received_ms + LOAD_EXPECTATION_WAIT_MS,
+                    None => {
+                        let own_delay_ms = self.node.own_delay_since_ms(received_ms);
+                        received_ms + LOAD_EXPECTATION_WAIT_MS + own_delay_ms
+                    }
                 }
             }
         }
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -89,8 +89,10 @@
         if let (true, Some(worker)) = (exchange.may_run_now, exchange.history.tried().last()) {
             let now_ms = node.now_ms();
             let is_path_cut = node.paths.is_silently_cut(now_ms, worker);
+            let is_own_delay = node.is_own_delay(call.route.latency_target_ms);
             if let Some(worker) = node.roster().get_mut(worker)
                 && !is_path_cut
+                && !is_own_delay
             {
                 worker.health.failed(now_ms);
             }
--- a/crates/cranereach-gateway/src/forward/in_flight.rs
+++ b/crates/cranereach-gateway/src/forward/in_flight.rs
@@ -14,6 +14,7 @@
 use crate::owners::ReportedRequest;
 use crate::worker_ends;
 use crate::worker_ends::ProbeResult;
+use crate::worker_paths::CONNECT_TIMEOUT_MS;
 use crate::worker_paths::NotConnected;
 use cranereach_fleet::brittle::ASK_AGAIN_AFTER_MS;
 use cranereach_fleet::key::worker_key;
@@ -21,6 +22,7 @@
 use cranereach_fleet::owned::Outcome;
 use cranereach_fleet::owned::SentRequest;
 use cranereach_fleet::quarantine::ALONE_FROM_COUNT;
+use cranereach_fleet::reachability::ConnectFailure;
 use cranereach_fleet::roster::Choice;
 use cranereach_fleet::routing_request::RoutingRequest;
 use cranereach_fleet::topology::Distance;
@@ -153,6 +155,12 @@
         };
         self.answering_since = Some(Instant::now());
         let took_ms = pending_prefill.started_at.elapsed().as_secs_f64() * 1_000.0;
+        if self.node.is_own_delay(took_ms as u64) {
+            // The time says nothing about the worker.
+            self.reported_request
+                .report_prefilled(&self.node, pending_prefill.prefill_ms);
+            return;
+        }
         self.reported_request.report_prefilled(&self.node, took_ms);
         if let (true, Some(model)) = (pending_prefill.is_first, &self.model) {
             self.node
@@ -189,19 +197,23 @@
         }
         if let (Some(since), Some(model)) = (self.answering_since, &self.model) {
             let slot_time_ms = since.elapsed().as_secs_f64() * 1_000.0;
-            let mut slot_times = self.node.slot_times();
-            slot_times.learn(model, self.answer_tokens, slot_time_ms);
+            if !self.node.is_own_delay(slot_time_ms as u64) {
+                let mut slot_times = self.node.slot_times();
+                slot_times.learn(model, self.answer_tokens, slot_time_ms);
+            }
         }
         if let Some(plain_call) = &self.plain_call {
             let took_ms = plain_call.started_at.elapsed().as_secs_f64() * 1_000.0;
-            let mut times = self.node.service_times();
-            times.learn(
-                &plain_call.service,
-                &plain_call.route,
-                took_ms,
-                plain_call.open_before_count,
-                plain_call.slot_count,
-            );
+            if !self.node.is_own_delay(took_ms as u64) {
+                let mut times = self.node.service_times();
+                times.learn(
+                    &plain_call.service,
+                    &plain_call.route,
+                    took_ms,
+                    plain_call.open_before_count,
+                    plain_call.slot_count,
+                );
+            }
         }
     }
 
@@ -215,7 +227,7 @@
     }
 
     /// Records that no connection to the worker could be opened. The owner of the worker is told
-    /// only if the worker is at fault, not a path of this instance.
+    /// only if the worker is at fault, not a path of this instance, nor this instance itself.
     pub fn not_connected(&mut self, not_connected: NotConnected) {
         let now_ms = self.node.now_ms();
         let key = worker_key(&self.worker);
@@ -225,7 +237,12 @@
             .reachability(|reachability| reachability.is_dark_for_all(now_ms, key));
         info!(self.node.log, "worker not connected"; "worker" => self.worker.as_ref(),
             "direct" => format!("{:?}", not_connected.direct),
-            "peer" => format!("{:?}", not_connected.peer), "is_dark" => is_dark);
+            "peer" => format!("{:?}", not_connected.peer), "is_dark" => is_dark,
+            "is_own_delay" => self.node.is_own_delay(CONNECT_TIMEOUT_MS));
+        let is_silent = not_connected.direct != Some(ConnectFailure::Refused);
+        if is_silent && self.node.is_own_delay(CONNECT_TIMEOUT_MS) {
+            return;
+        }
         let mut roster = self.node.roster();
         let Some(worker) = roster.get_mut(&self.worker) else {
             return;
@@ -319,7 +336,16 @@
 
 impl Drop for InFlightCall {
     fn drop(&mut self) {
-        self.clear_pending_prefill();
+        let pending_prefill = self.clear_pending_prefill();
+        if let Some(pending_prefill) = pending_prefill
+            && self
+                .node
+                .is_own_delay(pending_prefill.started_at.elapsed().as_millis() as u64)
+        {
+            // Otherwise the owner takes the worker to have stalled.
+            self.reported_request
+                .report_prefilled(&self.node, pending_prefill.prefill_ms);
+        }
         self.reported_request.report_ended(&self.node, self.outcome);
         if let Some(worker) = self.node.roster().get_mut(&self.worker) {
             worker.ended(self.held_tokens, self.stay_ms);
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -167,7 +167,7 @@
         let paths = &self.node.paths;
         let sent_ms = self.node.now_ms();
         pause(QUIET_MAX_MS).await;
-        if paths.is_quiet_since(sent_ms) {
+        if paths.is_quiet_since(sent_ms) && !self.node.is_own_delay(QUIET_MAX_MS) {
             paths.suspect(self.node.now_ms(), worker);
         }
         paths.until_silently_cut(self.node, worker).await;
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -315,7 +315,8 @@
             quarantine::record_whole_response(&self.node, &self.call, worker, StatusCode::OK, end);
         }
         if let Some(mut in_flight) = self.in_flight.take() {
-            if self.gaps.exceed_target() {
+            let is_own_delay = self.node.is_own_delay(self.gaps.longest_ms);
+            if self.gaps.exceed_target() && !is_own_delay {
                 in_flight.paused();
                 self.node.metrics.streams_paused_total.inc();
                 info!(self.node.log, "paused"; "request" => self.call.id.clone(),
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -3,6 +3,7 @@
 mod configuration;
 pub mod connections;
 mod news;
+mod own_delay;
 mod retries;
 
 use std::collections::HashMap;
--- a/crates/cranereach-gateway/src/owners.rs
+++ b/crates/cranereach-gateway/src/owners.rs
@@ -92,7 +92,11 @@
     }
     collect_quotes(node, &mut question, &mut pending).await;
     drop(question);
+    let asked_ms = now_ms;
     let now_ms = node.now_ms();
+    if node.is_own_delay(now_ms.saturating_sub(asked_ms)) {
+        return;
+    }
     for pending in pending.values() {
         node.peers()
             .members_mut()
@@ -128,7 +132,9 @@
         };
         if let Some(matched) = pending.remove(&quote.worker) {
             let took_ms = started.elapsed().as_secs_f64() * 1_000.0;
-            lock(&node.round_trips).reply_received(matched.distance, took_ms);
+            if !node.is_own_delay(took_ms as u64) {
+                lock(&node.round_trips).reply_received(matched.distance, took_ms);
+            }
             node.peers().members_mut().reply_received(matched.owner);
             record_status(node, matched.worker, decode_status(&quote));
             if let Some(limit) = &quote.limit {
--- a/crates/cranereach-gateway/src/store.rs
+++ b/crates/cranereach-gateway/src/store.rs
@@ -24,7 +24,7 @@
 use cranereach_http::meter::Side;
 
 /// Time allowed for an answer on top of any wait that the call asks for, in milliseconds.
-const ANSWER_TIMEOUT_MS: u64 = 900;
+pub const ANSWER_TIMEOUT_MS: u64 = 900;
 
 /// Failure of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
--- a/crates/cranereach-gateway/src/store_backoff.rs
+++ b/crates/cranereach-gateway/src/store_backoff.rs
@@ -9,6 +9,7 @@
 use crate::adapter::WriteAnswer;
 use crate::node::Node;
 use crate::node::pause;
+use crate::store::ANSWER_TIMEOUT_MS;
 use crate::store::StoreError;
 use cranereach_fleet::outage_pace;
 
@@ -37,7 +38,9 @@
 /// Reports a failed call to peers and waits for a backoff with jitter, which grows with the
 /// number of consecutive failures.
 pub async fn back_off_after_failure(node: &Node, failure_count: u32) {
-    node.peers().store_failed(node.now_ms());
+    if !node.is_own_delay(ANSWER_TIMEOUT_MS) {
+        node.peers().store_failed(node.now_ms());
+    }
     let uncapped_ms = BACKOFF_BASE_MS << failure_count.min(4);
     let backoff_ms = uncapped_ms.min(BACKOFF_MAX_MS);
     pause(backoff_ms / 2 + rand::random_range(0..=backoff_ms / 2)).await;
--- a/crates/cranereach-gateway/src/tunnels/server.rs
+++ b/crates/cranereach-gateway/src/tunnels/server.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::traffic::Kind;
 use crate::worker_paths;
+use crate::worker_paths::CONNECT_TIMEOUT_MS;
 use cranereach_fleet::reachability::ConnectFailure;
 use cranereach_http::meter::Meter;
 use cranereach_http::meter::Side;
@@ -93,6 +94,10 @@
     if node.is_stopping() {
         return Err(TunnelStatus::Stopping);
     }
+    // What is too much for this instance would not get through it either.
+    if node.intake.admission().is_turning_away(node.now_ms()) {
+        return Err(TunnelStatus::Busy);
+    }
     if node.paths.is_isolated(node.now_ms()) {
         return Err(TunnelStatus::Isolated);
     }
@@ -102,6 +107,7 @@
         .await
         .map_err(|failure| match failure {
             ConnectFailure::Refused => TunnelStatus::Refused,
+            ConnectFailure::Silent if node.is_own_delay(CONNECT_TIMEOUT_MS) => TunnelStatus::Busy,
             ConnectFailure::Silent => TunnelStatus::Silent,
         })
 }
--- a/crates/cranereach-gateway/src/worker_paths.rs
+++ b/crates/cranereach-gateway/src/worker_paths.rs
@@ -8,6 +8,7 @@
 mod prober;
 
 use std::net::Ipv4Addr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -38,7 +39,11 @@
 use cranereach_http::pool::Connection;
 
 /// Timeout for connecting to a worker, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 250;
+pub const CONNECT_TIMEOUT_MS: u64 = 250;
+
+/// Number of times that a connection attempt is given as long again because this instance itself was
+/// too slow to notice its end.
+const OWN_DELAY_EXTENSION_MAX_COUNT: usize = 2;
 
 /// Time after which the next path is attempted while an earlier attempt is still open, in
 /// milliseconds: several round trips between regions.
@@ -190,7 +195,9 @@
         } else if attempts.is_empty() {
             return Err(not_connected);
         }
-        let next_path_in = Duration::from_millis(NEXT_PATH_AFTER_MS);
+        // A path isn't slow if it is this instance that is.
+        let own_delay_ms = node.own_delay_since_ms(node.now_ms());
+        let next_path_in = Duration::from_millis(NEXT_PATH_AFTER_MS + 2 * own_delay_ms);
         match tokio::time::timeout(next_path_in, attempts.next()).await {
             Ok(Some(Attempt::Connected(connection))) => {
                 finish_in_background(attempts);
@@ -296,14 +303,14 @@
     made.map_err(|_closed| ConnectFailure::Refused)
 }
 
-/// Opens a direct TCP connection to a worker and records the evidence.
+/// Opens a direct TCP connection to a worker and records the evidence. A time-out that this instance
+/// itself explains is none.
 pub async fn connect(
     node: &Node,
     worker: u64,
     pool: &WorkerPool,
 ) -> Result<TcpStream, ConnectFailure> {
-    let within = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let connected = tokio::time::timeout(within, pool.connect()).await;
+    let connected = connect_within_own_delay(node, pool).await;
     let now_ms = node.now_ms();
     let failure = match connected {
         Ok(Ok(stream)) => {
@@ -314,6 +321,7 @@
             return Ok(stream);
         }
         Ok(Err(_)) => ConnectFailure::Refused,
+        Err(_) if node.is_own_delay(CONNECT_TIMEOUT_MS) => return Err(ConnectFailure::Silent),
         Err(_) => ConnectFailure::Silent,
     };
     node.paths
@@ -322,6 +330,22 @@
     Err(failure)
 }
 
+/// Opens a TCP connection to a worker. The time-out is extended while this instance itself is slow.
+async fn connect_within_own_delay(
+    node: &Node,
+    pool: &WorkerPool,
+) -> Result<std::io::Result<TcpStream>, tokio::time::error::Elapsed> {
+    let within = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let mut connecting = pin!(pool.connect());
+    for _extension in 0..OWN_DELAY_EXTENSION_MAX_COUNT {
+        let connected = tokio::time::timeout(within, connecting.as_mut()).await;
+        if connected.is_ok() || !node.is_own_delay(CONNECT_TIMEOUT_MS) {
+            return connected;
+        }
+    }
+    tokio::time::timeout(within, connecting).await
+}
+
 /// Opens a connection through a peer and records the evidence.
 async fn through_peer(
     node: &Node,
@@ -330,6 +354,7 @@
     peer: Ipv4Addr,
 ) -> Attempt {
     let key = worker_key(worker);
+    let asked_ms = node.now_ms();
     let opened = tunnels::open(node, peer, key).await;
     let now_ms = node.now_ms();
     match opened {
@@ -349,6 +374,9 @@
                 .reachability(|reachability| reachability.peer_missed(now_ms, key, peer));
             Attempt::PeerFailed(Some(failure))
         }
+        Err(TunnelError::Peer(_)) if node.is_own_delay(now_ms.saturating_sub(asked_ms)) => {
+            Attempt::PeerFailed(None)
+        }
         Err(TunnelError::Declined(_) | TunnelError::Peer(_)) => {
             node.paths
                 .reachability(|reachability| reachability.peer_failed(now_ms, peer));
