--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -1,8 +1,7 @@
 //! Admission of callers' connections.
 //!
 //! A connection costs a file descriptor and memory for as long as it is open, one more descriptor
-//! for the call to a worker while it is busy, and processor time and bytes on the link for each of
-//! its requests. A connection that would exceed the descriptors or the memory replaces the one that
+//! for its call to a worker, and processor time and bytes on the link for each of its requests. A connection that would exceed the descriptors or the memory replaces the one that
 //! has been idle for longest, or is turned away if none is idle. While the processor or the link is
 //! overloaded, only as many requests a second are taken as the instance can serve: new connections
 //! beyond that are turned away before anything is read, and kept ones end after their answer, so
@@ -23,6 +22,10 @@
 /// Bounds of the number of descriptors that are set aside.
 const RESERVED_DESCRIPTOR_COUNTS: (u64, u64) = (8, 1_024);
 
+/// Number of reserved descriptors for each of which one connection is taken however many descriptors
+/// the connections to workers use, so that callers are not locked out.
+const MIN_CONNECTIONS_PER_RESERVED: u64 = 4;
+
 /// Share of the memory above which no connection is added.
 const MEMORY_MAX_SHARE: f64 = 0.8;
 
@@ -297,22 +300,27 @@
         Verdict::TurnAway(reason)
     }
 
-    /// Returns what is missing for one more busy connection, if anything is.
+    /// Returns what is missing for one more connection, if anything is.
     fn shortage(&self, other_count: u64) -> Option<Reason> {
         let open_count = self.open_count() as u64 + 1;
-        let call_count = (self.busy_count as u64 + 1).max(other_count);
-        if open_count + call_count > self.usable_descriptor_count() {
+        // Each connection may become busy at any time, and then needs one to a worker.
+        let needed_count = open_count + open_count.max(other_count);
+        let (usable_count, reserved_count) = self.descriptor_counts();
+        let is_minimum = open_count <= reserved_count / MIN_CONNECTIONS_PER_RESERVED;
+        if needed_count > usable_count && !is_minimum {
             return Some(Reason::Descriptors);
         }
         (!self.has_memory()).then_some(Reason::Memory)
     }
 
-    /// Returns the number of descriptors for callers and the calls to workers.
-    fn usable_descriptor_count(&self) -> u64 {
+    /// Returns the number of descriptors for callers and the calls to workers, and the number of
+    /// those that are set aside.
+    fn descriptor_counts(&self) -> (u64, u64) {
         let (least, most) = RESERVED_DESCRIPTOR_COUNTS;
         let all = self.resources.descriptor_count;
         let reserved = (all as f64 * RESERVED_DESCRIPTOR_SHARE) as u64;
-        all.saturating_sub(reserved.clamp(least, most))
+        let reserved = reserved.clamp(least, most);
+        (all.saturating_sub(reserved), reserved)
     }
 
     /// Whether there is memory for one more connection.
--- a/crates/cranereach-core/src/overload/load.rs
+++ b/crates/cranereach-core/src/overload/load.rs
@@ -122,14 +122,15 @@
         smooth(&mut self.link_share, link_share);
     }
 
-    /// Adds the delay of a sample; drops those that the window no longer covers.
+    /// Adds the delay of a sample; drops those that the window no longer covers, but for the last of
+    /// them, which tells of its beginning.
     fn add_delay(&mut self, sample: Sample) {
         self.delays.push_back((sample.at_ms, sample.delay_ms));
         let from_ms = sample.at_ms.saturating_sub(DELAY_WINDOW_MS);
         while self
             .delays
-            .front()
-            .is_some_and(|(at_ms, _)| *at_ms < from_ms)
+            .get(1)
+            .is_some_and(|(at_ms, _)| *at_ms <= from_ms)
         {
             self.delays.pop_front();
         }
--- a/crates/cranereach-core/src/overload/withdrawal.rs
+++ b/crates/cranereach-core/src/overload/withdrawal.rs
@@ -125,7 +125,7 @@
     fn withdraw_if_due(&mut self, observation: Observation) -> Option<Change> {
         let now_ms = observation.now_ms;
         let since_ms = self.turning_away_since_ms?;
-        let has_lasted = now_ms >= since_ms + WITHDRAW_AFTER_MS;
+        let has_lasted = self.last_turned_away_ms >= Some(since_ms + WITHDRAW_AFTER_MS);
         if !has_lasted || observation.withdrawn_peer_share > WITHDRAWN_PEER_MAX_SHARE {
             return None;
         }
