A link that is narrower than its settings say shows by late callers

Cause: the use of the link never reached the share that counts as full; bytes of connections that are turned away aren't counted either. The fastest of the callers of the last half second is compared with the fastest of the last half minute or more: if even it is late, bytes wait on their way.

--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -341,6 +341,12 @@
         Some(oldest)
     }
 
+    /// Records the time from accepting a connection until its first bytes were read, in
+    /// milliseconds.
+    pub fn first_read(&mut self, now_ms: u64, took_ms: u64) {
+        self.load.add_first_read(now_ms, took_ms);
+    }
+
     /// Records that a request begins on a connection.
     pub fn request_began(&mut self, now_ms: u64, number: u64) {
         let Some(connection) = self.connections.get_mut(&number) else {
--- a/crates/cranereach-core/src/overload/load.rs
+++ b/crates/cranereach-core/src/overload/load.rs
@@ -1,7 +1,15 @@
 //! Use of an instance's processor and network link, from samples taken at a fixed interval.
+//!
+//! The capacity of the link need not be what is left of it: others may use it, and bytes that are
+//! never read take room as well. So what callers send on new connections is also timed: if even the
+//! fastest of them is late by more than ever lately, bytes wait somewhere on their way.
+
+mod arrival_delays;
 
 use std::collections::VecDeque;
 
+use self::arrival_delays::ArrivalDelays;
+
 /// Interval between two samples, in milliseconds.
 pub const SAMPLE_INTERVAL_MS: u64 = 100;
 
@@ -28,6 +36,9 @@
 /// Interval between two samples below which no rates are computed, in milliseconds.
 const RATE_MIN_INTERVAL_MS: u64 = SAMPLE_INTERVAL_MS / 2;
 
+/// Delay of what callers send above which the link counts as overloaded, in milliseconds.
+const ARRIVAL_DELAY_TARGET_MS: u64 = 100;
+
 /// Counters of an instance at one moment. Those without a time are totals since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sample {
@@ -84,6 +95,9 @@
     link_share: f64,
     /// Times and delays of the latest samples, in milliseconds.
     delays: VecDeque<(u64, u64)>,
+    arrival_delays: ArrivalDelays,
+    /// Latest delay of what callers send, in milliseconds.
+    arrival_delay_ms: u64,
 }
 
 impl Load {
@@ -97,11 +111,19 @@
             busy_share: 0.0,
             link_share: 0.0,
             delays: VecDeque::new(),
+            arrival_delays: ArrivalDelays::default(),
+            arrival_delay_ms: 0,
         }
     }
 
+    /// Adds the time from accepting a connection until its first bytes were read, in milliseconds.
+    pub fn add_first_read(&mut self, now_ms: u64, took_ms: u64) {
+        self.arrival_delays.add(now_ms, took_ms);
+    }
+
     /// Adds a sample.
     pub fn add(&mut self, sample: Sample) {
+        self.arrival_delay_ms = self.arrival_delays.excess_ms(sample.at_ms);
         self.add_delay(sample);
         let Some(last) = self.last else {
             self.last = Some(sample);
@@ -166,15 +188,20 @@
         self.link_share
     }
 
+    /// Returns by how much what callers send is late, in milliseconds.
+    pub fn arrival_delay_ms(&self) -> u64 {
+        self.arrival_delay_ms
+    }
+
     /// Whether delays on the link are likely.
     pub fn is_link_full(&self) -> bool {
-        self.link_share >= LINK_FULL_SHARE
+        self.link_share >= LINK_FULL_SHARE || self.arrival_delay_ms >= ARRIVAL_DELAY_TARGET_MS
     }
 
     /// Returns the load in relation to what the instance bears.
     pub fn pressure(&self) -> Pressure {
         let processor = self.processor_pressure();
-        let link = self.link_share / LINK_TARGET_SHARE;
+        let link = self.link_pressure();
         if link > processor {
             Pressure {
                 level: link,
@@ -188,6 +215,16 @@
         }
     }
 
+    /// Returns the pressure on the link.
+    fn link_pressure(&self) -> f64 {
+        let by_share = self.link_share / LINK_TARGET_SHARE;
+        if self.arrival_delay_ms < ARRIVAL_DELAY_TARGET_MS {
+            return by_share;
+        }
+        let by_delay = self.arrival_delay_ms as f64 / ARRIVAL_DELAY_TARGET_MS as f64;
+        by_share.max(by_delay.min(DELAY_PRESSURE_MAX))
+    }
+
     /// Returns the pressure on the processor. A processor that is always busy is overloaded only if
     /// its work is late.
     fn processor_pressure(&self) -> f64 {
--- a/crates/cranereach-core/tests/overload/capacity.rs
+++ b/crates/cranereach-core/tests/overload/capacity.rs
@@ -27,9 +27,9 @@
     remaining_bytes: f64,
 }
 
-/// What an instance took in a time.
+/// What an instance was offered in a time, and what it took.
 #[derive(Debug, Default)]
-struct Taken {
+struct Offer {
     offered: usize,
     taken: usize,
     /// Time that the last request to end took, in milliseconds.
@@ -65,8 +65,8 @@
     }
 
     /// Offers connections with one request each at a rate for a time, in milliseconds.
-    fn offer(&mut self, per_s: f64, time_ms: u64) -> Taken {
-        let mut taken = Taken::default();
+    fn offer(&mut self, per_s: f64, time_ms: u64) -> Offer {
+        let mut taken = Offer::default();
         let until_ms = self.now_ms + time_ms;
         while self.now_ms < until_ms {
             self.owed += per_s * STEP_MS as f64 / 1_000.0;
@@ -95,7 +95,7 @@
     }
 
     /// Sends what the link carries in one step, and takes a sample each tenth of a second.
-    fn step(&mut self, taken: &mut Taken) {
+    fn step(&mut self, taken: &mut Offer) {
         self.now_ms += STEP_MS;
         let mut room_bytes = self.link_bytes_per_s * STEP_MS as f64 / 1_000.0;
         for request in &mut self.open {
--- a/crates/cranereach-core/tests/overload/load.rs
+++ b/crates/cranereach-core/tests/overload/load.rs
@@ -80,3 +80,45 @@
     }
     assert!(load.pressure().level < 1.0 && !load.is_link_full());
 }
+
+/// Adds times until first bytes were read, in milliseconds, one each 20 ms.
+fn add_first_reads(load: &mut Load, from_ms: u64, times_ms: &[u64]) {
+    let mut at_ms = from_ms;
+    for time_ms in times_ms {
+        load.add_first_read(at_ms, *time_ms);
+        at_ms += 20;
+    }
+    load.add(Sample {
+        at_ms,
+        ..Sample::default()
+    });
+}
+
+/// Guards against a link that is narrower than its stated capacity, or full of bytes that are never
+/// read: what callers send waits, and nothing shows it.
+#[test]
+fn callers_that_are_all_later_than_usual_mean_a_full_link() {
+    let mut load = Load::new(Some(1e9), DELAY_TARGET_MS);
+    add_first_reads(&mut load, 1_000, &[3; 20]);
+    assert!(load.pressure().level < 1.0);
+    add_first_reads(&mut load, 3_000, &[400; 20]);
+    assert!(load.is_link_full());
+    assert!(load.pressure().level > 2.0, "{:?}", load.pressure());
+    assert_eq!(load.pressure().bottleneck, Bottleneck::Link);
+    // Nobody came since.
+    load.add(Sample {
+        at_ms: 5_000,
+        ..Sample::default()
+    });
+    assert!(!load.is_link_full());
+}
+
+#[test]
+fn callers_that_are_far_away_or_slow_mean_no_full_link() {
+    let mut load = Load::new(Some(1e9), DELAY_TARGET_MS);
+    add_first_reads(&mut load, 1_000, &[300; 20]);
+    assert!(!load.is_link_full(), "all are far away");
+    let mut load = Load::new(Some(1e9), DELAY_TARGET_MS);
+    add_first_reads(&mut load, 1_000, &[5, 2_000, 900, 2_000, 4, 700, 2_000]);
+    assert!(!load.is_link_full(), "some take their time");
+}
--- a/crates/cranereach-gateway/src/overload.rs
+++ b/crates/cranereach-gateway/src/overload.rs
@@ -144,6 +144,7 @@
         "bottleneck" => format!("{:?}", admission.pressure().bottleneck),
         "busy_share" => load.busy_share(), "link_share" => load.link_share(),
         "delay_ms" => delay_ms, "lasting_delay_ms" => load.lasting_delay_ms(),
+        "arrival_delay_ms" => load.arrival_delay_ms(), "max_per_s" => admission.max_per_s(),
         "callers" => meter.open_count(Side::Callers), "busy" => admission.busy_count(),
         "workers" => meter.open_count(Side::Workers), "resident_bytes" => system::resident_bytes());
 }
--- a/crates/cranereach-http/src/intake.rs
+++ b/crates/cranereach-http/src/intake.rs
@@ -131,7 +131,8 @@
             if let Some(resident_bytes) = resident_bytes {
                 admission.sample_memory(resident_bytes);
             }
-            admission.load().is_link_full()
+            // The bytes of connections that are turned away are not counted.
+            admission.load().is_link_full() || admission.is_turning_away(at_ms)
         };
         lock(&self.own_delays).add(at_ms, delay_ms, is_link_full);
     }
@@ -188,7 +189,9 @@
 
     /// Records that the first bytes of the caller have been read.
     pub fn note_first_read(&self) {
-        let delay_ms = self.intake.clock.now_ms().saturating_sub(self.opened_ms);
+        let now_ms = self.intake.clock.now_ms();
+        let delay_ms = now_ms.saturating_sub(self.opened_ms);
+        self.intake.admission().first_read(now_ms, delay_ms);
         self.intake.first_read_count.fetch_add(1, Ordering::Relaxed);
         self.intake
             .first_read_delay_ms
