Soak: most new connections at one gateway, narrow links, a balancer

'--only connections': callers that open a connection for each request and keep it, a balancer that asks each second and hands nine in ten to one gateway (to another once it is out), a relay of 800 KB a second before each gateway, whose settings say 1 MB and 600 descriptors. The promise is the rule: three quarters of the share before, from 3 s on.

--- a/crates/cranereach-soak/src/callers.rs
+++ b/crates/cranereach-soak/src/callers.rs
@@ -254,7 +254,10 @@
 }
 
 /// Sends one request and reads as much of the answer as arrives.
-async fn exchange(connection: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> End {
+pub async fn exchange(
+    connection: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> End {
     match connection.send_request(request).await {
         Ok(response) => End::Answered(read_answer(response, None).await),
         Err(_closed) => End::Closed,
--- a/crates/cranereach-soak/src/check/mod.rs
+++ b/crates/cranereach-soak/src/check/mod.rs
@@ -5,6 +5,7 @@
 pub mod bounded;
 pub mod client_streams;
 pub mod cold;
+pub mod concentrated;
 pub mod contact;
 pub mod crash_requests;
 pub mod gateway_health;
@@ -73,7 +74,7 @@
 }
 
 /// All promises, in the order of the report.
-pub const PROMISES: [Promise; 27] = [
+pub const PROMISES: [Promise; 28] = [
     promise("whole-answers", Applicability::Always, answers::check),
     promise(
         "streams-in-order",
@@ -112,6 +113,11 @@
     promise("recovery", Applicability::Timed, recovery::check),
     promise("isolated-gateways", Applicability::Timed, paths::isolated),
     promise("reachable-workers", Applicability::Timed, paths::used),
+    promise(
+        "concentrated-connections",
+        Applicability::Timed,
+        concentrated::check,
+    ),
     promise("resources", Applicability::Timed, gateway_health::resources),
     promise("evacuations", Applicability::Timed, bounded::evacuated),
     promise("cold-workers", Applicability::Timed, cold::check),
--- a/crates/cranereach-soak/src/gateways.rs
+++ b/crates/cranereach-soak/src/gateways.rs
@@ -26,8 +26,10 @@
 use crate::check::bounded;
 use crate::check::cold;
 use crate::check::stop;
+use crate::concentrated_callers::LINK_BYTES_PER_S;
 use crate::schedule::DOMAINS;
 use cranereach_bench::process;
+use cranereach_standin::narrow_link;
 
 /// Interval at which a process is polled, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 20;
@@ -39,12 +41,21 @@
 /// probes each second and takes a gateway out of rotation after two failed probes.
 const ROTATION_DELAY_MS: u64 = 2_000;
 
+/// Number of file descriptors of a gateway with a narrow link.
+const DESCRIPTOR_COUNT: u64 = 600;
+
+/// Delay of a gateway's own work above which its processor counts as overloaded, in milliseconds.
+const DELAY_TARGET_MS: u64 = 2_000;
+
 /// Error of running a gateway.
 #[derive(Debug, Error)]
 pub enum GatewayError {
     /// No free port was found.
     #[error(transparent)]
     Port(#[from] PortError),
+    /// The network link before it cannot be started.
+    #[error("cannot start a network link: {0}")]
+    Link(#[from] io::Error),
     /// A file cannot be written.
     #[error("{path}: {source}")]
     File {
@@ -68,7 +79,7 @@
 pub struct Gateway {
     /// Number of the gateway.
     pub number: usize,
-    /// Address for callers.
+    /// Address that callers connect to.
     pub caller_address: SocketAddr,
     /// Address of the readiness probe.
     pub ready_address: SocketAddr,
@@ -85,16 +96,26 @@
     is_stopping: bool,
 }
 
+/// Addresses that a gateway listens on, beside that of the readiness probe.
+#[derive(Debug)]
+struct ListenAddresses {
+    callers: SocketAddr,
+    peers: String,
+    metrics: SocketAddr,
+}
+
 /// Returns the failure domain and region of the gateway or worker with a number.
 pub fn domain_and_region_of(number: usize) -> (&'static str, &'static str) {
     DOMAINS[number % DOMAINS.len()]
 }
 
-/// Finds free ports and writes settings for one gateway per address in `stores`.
+/// Finds free ports and writes settings for one gateway per address in `stores`, each with a network
+/// link of `link_mbps` if it is narrow.
 pub async fn prepare(
     binary: &Path,
     folder: &Path,
     stores: &[SocketAddr],
+    link_mbps: Option<f64>,
 ) -> Result<Vec<Gateway>, GatewayError> {
     let ips: Vec<String> = (1..=stores.len())
         .map(|last| loopback_ip(last).to_string())
@@ -111,17 +132,25 @@
         ];
         let [caller_address, ready_address, metrics] =
             reserved.each_ref().map(|(address, _)| *address);
+        let entry_address = match link_mbps {
+            Some(_narrow) => narrow_link::start(caller_address, LINK_BYTES_PER_S).await?,
+            None => caller_address,
+        };
         let gateway = Gateway {
             number,
-            caller_address,
+            caller_address: entry_address,
             ready_address,
             is_in_rotation: AtomicBool::new(true),
             binary: binary.to_owned(),
             folder: folder.to_owned(),
             state: Mutex::default(),
         };
-        let peers = format!("{ip}:{peer_port}");
-        gateway.write_settings(&peers, metrics, *store, &ips)?;
+        let listen = ListenAddresses {
+            callers: caller_address,
+            peers: format!("{ip}:{peer_port}"),
+            metrics,
+        };
+        gateway.write_settings(&listen, *store, &ips, link_mbps)?;
         gateways.push(gateway);
     }
     Ok(gateways)
@@ -296,10 +325,10 @@
     /// Writes the settings file.
     fn write_settings(
         &self,
-        peers: &str,
-        metrics: SocketAddr,
+        listen: &ListenAddresses,
         store: SocketAddr,
         seeds: &[String],
+        link_mbps: Option<f64>,
     ) -> Result<(), GatewayError> {
         let (domain, region) = domain_and_region_of(self.number);
         let domains: serde_json::Map<_, _> = DOMAINS
@@ -312,8 +341,8 @@
                 "region": region, "failure_domains": domains,
             },
             "listen": {
-                "callers": self.caller_address, "ready": self.ready_address, "peers": peers,
-                "metrics": metrics,
+                "callers": listen.callers, "ready": self.ready_address, "peers": listen.peers,
+                "metrics": listen.metrics,
             },
             "platform": { "adapter": cranereach_platform::ADAPTER.name, "store": store.to_string() },
             "peers": { "seeds": seeds.iter().map(|ip| format!("{ip}:1")).collect::<Vec<_>>() },
@@ -327,6 +356,12 @@
                 "cold_excess_ratio": cold::EXCESS_RATIO,
                 "cold_allowance_count": cold::ALLOWANCE_COUNT,
             },
+            "resources": {
+                "link_mbps": link_mbps,
+                "descriptor_count": link_mbps.map(|_narrow| DESCRIPTOR_COUNT),
+                // All processes of a run share a machine, which may be busy with other things.
+                "delay_target_ms": DELAY_TARGET_MS,
+            },
         });
         let path = self.file_path("jsonc");
         fs::write(&path, settings.to_string()).map_err(|source| file_error(&path, source))
--- a/crates/cranereach-soak/src/lib.rs
+++ b/crates/cranereach-soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`back_ends`] stands in for the platform's store and workers.
 //! - [`callers`] sends requests; [`resuming_callers`] takes up streams that break off;
 //!   [`crash_requests`] keeps resending one that crashes every worker that runs it.
+//! - [`concentrated_callers`] sends most new connections to one gateway.
 //! - [`rate_limits`] makes workers announce rate limits; [`notices`] makes them leave during a
 //!   store outage and ask for a rest.
 //! - [`run`] puts the parts together. They record what they observe ([`journal`], [`record`]).
@@ -15,6 +16,7 @@
 pub mod back_ends;
 pub mod callers;
 pub mod check;
+pub mod concentrated_callers;
 pub mod crash_requests;
 pub mod events;
 pub mod faults;
--- a/crates/cranereach-soak/src/record.rs
+++ b/crates/cranereach-soak/src/record.rs
@@ -258,6 +258,13 @@
         /// Time of the cancellation.
         to_ms: u64,
     },
+    /// Most new connections of some callers went to one gateway for a time.
+    Concentrated {
+        /// Start.
+        from_ms: u64,
+        /// End.
+        to_ms: u64,
+    },
     /// A gateway exited although nothing had stopped it.
     EndedByItself {
         /// Number of the gateway.
--- a/crates/cranereach-soak/src/run.rs
+++ b/crates/cranereach-soak/src/run.rs
@@ -15,6 +15,8 @@
 
 use crate::back_ends::BackEnds;
 use crate::callers::Caller;
+use crate::concentrated_callers;
+use crate::concentrated_callers::LINK_MBPS;
 use crate::crash_requests;
 use crate::faults;
 use crate::faults::TestBed;
@@ -71,12 +73,17 @@
     WithRestores,
     /// Cuts of paths between single gateways and workers alone.
     PathCuts,
+    /// Most new connections at one gateway behind a narrow link alone.
+    Connections,
 }
 
 impl Plan {
     /// Returns the fault schedule of the run.
     pub fn steps(&self) -> Vec<Step> {
         let mut steps = Vec::new();
+        if self.faults == FaultSet::Connections {
+            return steps;
+        }
         schedule::add_path_cuts(&mut steps, self.seed, self.run_ms, self.size);
         if self.faults == FaultSet::PathCuts {
             return steps;
@@ -111,7 +118,9 @@
 /// Runs a plan. Ends every process that it started, also when `interrupted` completes first.
 pub async fn run(plan: &Plan, interrupted: impl Future<Output = ()>) -> Result<Records, RunError> {
     let back_ends = BackEnds::start(plan.size).await?;
-    let prepared = gateways::prepare(&plan.binary, &plan.folder, &back_ends.store_addresses);
+    let link_mbps = (plan.faults == FaultSet::Connections).then_some(LINK_MBPS);
+    let stores = &back_ends.store_addresses;
+    let prepared = gateways::prepare(&plan.binary, &plan.folder, stores, link_mbps);
     let gateways: Vec<Arc<Gateway>> = prepared.await?.into_iter().map(Arc::new).collect();
     let result = tokio::select! {
         result = execute(plan, back_ends, &gateways) => result,
@@ -161,6 +170,44 @@
         let caller = ResumingCaller::new(number, plan.seed, &test_bed);
         callers.spawn(caller.run(plan.run_ms));
     }
+    if plan.faults == FaultSet::Connections {
+        spawn_concentrated_callers(&mut callers, plan, gateways, journal);
+    } else {
+        spawn_troubling_callers(&mut callers, plan, gateways, &test_bed);
+    }
+    inject_all(&test_bed, plan.steps()).await;
+    join_tasks(callers).await;
+    background.shutdown().await;
+    let mut records = journal.take();
+    records.arrivals = test_bed.back_ends.arrivals(journal);
+    records.end_ms = journal.now_ms();
+    Ok(records)
+}
+
+/// Starts the callers whose connections are concentrated on one gateway.
+fn spawn_concentrated_callers(
+    callers: &mut JoinSet<()>,
+    plan: &Plan,
+    gateways: &[Arc<Gateway>],
+    journal: &Arc<Journal>,
+) {
+    callers.spawn(concentrated_callers::run(
+        plan.seed,
+        plan.run_ms,
+        gateways.to_vec(),
+        Arc::clone(journal),
+    ));
+}
+
+/// Starts the callers whose requests crash workers, and what makes workers announce limits and
+/// leave.
+fn spawn_troubling_callers(
+    callers: &mut JoinSet<()>,
+    plan: &Plan,
+    gateways: &[Arc<Gateway>],
+    test_bed: &Arc<TestBed>,
+) {
+    let journal = &test_bed.journal;
     let crash_caller = crash_requests::run(
         plan.seed,
         plan.run_ms,
@@ -177,21 +224,14 @@
     callers.spawn(rate_limits::run(
         plan.seed,
         plan.run_ms,
-        Arc::clone(&test_bed),
+        Arc::clone(test_bed),
     ));
     callers.spawn(notices::run(
         plan.seed,
         plan.run_ms,
         plan.size.worker_total(),
-        Arc::clone(&test_bed),
+        Arc::clone(test_bed),
     ));
-    inject_all(&test_bed, plan.steps()).await;
-    join_tasks(callers).await;
-    background.shutdown().await;
-    let mut records = journal.take();
-    records.arrivals = test_bed.back_ends.arrivals(journal);
-    records.end_ms = journal.now_ms();
-    Ok(records)
 }
 
 /// Injects each fault at its scheduled time and waits until all have ended.
--- a/crates/cranereach-standin/src/balancer.rs
+++ b/crates/cranereach-standin/src/balancer.rs
@@ -1,20 +1,22 @@
-//! A stand-in for the platform's balancer: it asks instances whether they are ready, and hands new
+//! Stand-in of the platform's balancer: it asks instances whether they are ready, and hands new
 //! connections to those that are, or most of them to one.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
+use hyper::Method;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::timeout;
 
-use crate::support;
+use crate::load;
+use crate::load::Call;
+use cranereach_http::pool::Pool;
 
 /// Interval between two questions to an instance, and the time that it has to answer.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -34,6 +36,7 @@
     pub ready: SocketAddr,
 }
 
+/// What the balancer knows, and where it sends most connections.
 #[derive(Debug)]
 struct State {
     missed_counts: Vec<u32>,
@@ -50,8 +53,8 @@
 }
 
 impl Balancer {
-    /// Starts a balancer before some instances, which count as ready.
-    pub fn start(targets: Vec<Target>, seed: u64) -> Self {
+    /// Starts a balancer before some instances, which count as ready and answer at `ready_path`.
+    pub fn start(targets: Vec<Target>, ready_path: &'static str, seed: u64) -> Self {
         let state = State {
             missed_counts: vec![0; targets.len()],
             favourite: None,
@@ -62,41 +65,43 @@
             state: Arc::new(Mutex::new(state)),
         };
         for number in 0..balancer.targets.len() {
-            tokio::spawn(balancer.clone().check(number));
+            tokio::spawn(balancer.clone().check(number, ready_path));
         }
         balancer
     }
 
     /// Asks an instance whether it is ready, again and again.
-    async fn check(self, number: usize) {
+    async fn check(self, number: usize, ready_path: &str) {
+        let pool = Pool::new(&self.targets[number].ready.to_string());
+        let probe = Call::plain("", Method::GET, ready_path, "");
         loop {
-            let ready = self.targets[number].ready;
-            let is_ready = timeout(CHECK_INTERVAL, is_ready(ready)).await;
-            self.note_answer(number, is_ready == Ok(true));
+            let answered = timeout(CHECK_INTERVAL, load::send(&pool, &probe)).await;
+            let is_ready = answered.is_ok_and(|answer| answer.status == 200);
+            self.note_answer(number, is_ready);
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
     }
 
     /// Records whether an instance said in time that it is ready.
     fn note_answer(&self, number: usize, is_ready: bool) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         let missed_count = &mut state.missed_counts[number];
         *missed_count = if is_ready { 0 } else { *missed_count + 1 };
     }
 
     /// Hands most new connections to one instance from now on, and to another once it is out.
     pub fn concentrate_on(&self, number: usize) {
-        self.state.lock().unwrap().favourite = Some(number);
+        self.lock().favourite = Some(number);
     }
 
     /// Spreads new connections again.
     pub fn spread(&self) {
-        self.state.lock().unwrap().favourite = None;
+        self.lock().favourite = None;
     }
 
     /// Chooses the instance for a new connection; `failed` is the one of the try before.
     pub fn choose(&self, failed: Option<usize>) -> usize {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         let in_count = (0..self.targets.len())
             .filter(|number| state.missed_counts[*number] < MISS_COUNT)
             .count();
@@ -124,21 +129,13 @@
         }
     }
 
+    /// Locks the state, ignoring poisoning.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the address of an instance for callers.
     pub fn address(&self, number: usize) -> SocketAddr {
         self.targets[number].callers
     }
 }
-
-/// Asks an instance whether it is ready.
-async fn is_ready(address: SocketAddr) -> bool {
-    let request = Request::builder()
-        .uri("/api/readiness")
-        .header("host", "x")
-        .body(Full::new(Bytes::new()))
-        .unwrap();
-    match support::try_send(address, request).await {
-        Some(response) => response.status == 200,
-        None => false,
-    }
-}
--- a/crates/cranereach-standin/src/lib.rs
+++ b/crates/cranereach-standin/src/lib.rs
@@ -4,10 +4,13 @@
 //! Each runs as its own process (`cranereach stand-in ...`) or inside a test. They count what the
 //! guarantees are checked against (memory in use, runs per call) and accept faults to inject at
 //! `POST /stand-in/faults`. [`relay`] is a TCP relay that can interrupt or delay the connections
-//! between two processes. [`load`] is a test client.
+//! between two processes, and [`narrow_link`] one that limits their bytes. [`balancer`] chooses the
+//! instances that callers connect to. [`load`] is a test client.
 
+pub mod balancer;
 pub mod engine;
 pub mod load;
+pub mod narrow_link;
 pub mod platform;
 pub mod relay;
 pub mod service;
--- a/crates/cranereach-standin/src/narrow_link.rs
+++ b/crates/cranereach-standin/src/narrow_link.rs
@@ -1,10 +1,12 @@
-//! A TCP relay on the loopback interface that carries a limited number of bytes a second in each
-//! direction, for all its connections together, as the network link of a machine does.
+//! TCP relay that carries a limited number of bytes a second in each direction, for all its
+//! connections together, as the network link of a machine does.
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -16,7 +18,7 @@
 use tokio::time::Instant;
 
 /// Time that a packet takes through an idle link.
-const DELAY: Duration = Duration::from_millis(3);
+const PACKET_DELAY: Duration = Duration::from_millis(3);
 
 /// Size of the buffer of one direction, in bytes.
 const BUFFER_BYTES: usize = 4 * 1024;
@@ -29,6 +31,7 @@
 }
 
 impl Direction {
+    /// Creates an idle direction.
     fn new(bytes_per_s: f64) -> Arc<Self> {
         Arc::new(Self {
             bytes_per_s,
@@ -39,19 +42,23 @@
     /// Waits until bytes have passed behind those that came before.
     async fn pass(&self, byte_count: usize) {
         let passed_at = {
-            let mut free_from = self.free_from.lock().unwrap();
+            let mut free_from = self
+                .free_from
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
             let takes = Duration::from_secs_f64(byte_count as f64 / self.bytes_per_s);
             *free_from = (*free_from).max(Instant::now()) + takes;
             *free_from
         };
-        tokio::time::sleep_until(passed_at + DELAY).await;
+        tokio::time::sleep_until(passed_at + PACKET_DELAY).await;
     }
 }
 
-/// Starts a link to the address `to`; returns the address that callers connect to.
-pub async fn start(to: SocketAddr, bytes_per_s: f64) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+/// Starts a link to the address `to` that carries `bytes_per_s` in each direction; returns the
+/// address that callers connect to.
+pub async fn start(to: SocketAddr, bytes_per_s: f64) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = listener.local_addr()?;
     let inward = Direction::new(bytes_per_s);
     let outward = Direction::new(bytes_per_s);
     tokio::spawn(async move {
@@ -63,7 +70,7 @@
             });
         }
     });
-    address
+    Ok(address)
 }
 
 /// Relays one connection until either side closes it.
@@ -75,7 +82,7 @@
 ) -> io::Result<()> {
     let target = TcpStream::connect(to).await?;
     // The first bytes come a round trip after the connection.
-    tokio::time::sleep(DELAY).await;
+    tokio::time::sleep(PACKET_DELAY).await;
     let (caller_reader, caller_writer) = caller.into_split();
     let (target_reader, target_writer) = target.into_split();
     tokio::select! {
--- a/src/cmd/soak.rs
+++ b/src/cmd/soak.rs
@@ -45,7 +45,7 @@
     #[options(help = "also restore the store from backups during the run", no_short)]
     restores: bool,
     #[options(
-        help = "inject faults of one kind alone: paths, cuts between a gateway and workers",
+        help = "inject faults of one kind alone: paths, cuts between a gateway and workers; connections, most new ones at one gateway",
         meta = "KIND",
         no_short
     )]
@@ -118,8 +118,11 @@
         (None, false) => Ok(FaultSet::Usual),
         (None, true) => Ok(FaultSet::WithRestores),
         (Some("paths"), false) => Ok(FaultSet::PathCuts),
-        (Some("paths"), true) => Err("--only and --restores exclude each other".to_owned()),
-        (Some(other), _) => Err(format!("kind {other:?} is not one of paths")),
+        (Some("connections"), false) => Ok(FaultSet::Connections),
+        (Some("paths" | "connections"), true) => {
+            Err("--only and --restores exclude each other".to_owned())
+        }
+        (Some(other), _) => Err(format!("kind {other:?} is not one of connections, paths")),
     }
 }
 
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -47,6 +47,13 @@
     run_soak(13, 30, "small", &["--only", "paths"]);
 }
 
+/// Guards against answers that are lost, duplicated or cut, and gateways that end, while most new
+/// connections come to one gateway.
+#[test]
+fn a_short_run_with_concentrated_connections_keeps_the_untimed_promises() {
+    run_soak(17, 30, "small", &["--only", "connections"]);
+}
+
 #[test]
 fn a_short_run_keeps_the_untimed_promises() {
     let folder = run_soak(7, 20, "small", &[]);
