--- a/crates/cranereach-bench/src/path_cost.rs
+++ b/crates/cranereach-bench/src/path_cost.rs
@@ -13,6 +13,7 @@
 
 use crate::process;
 use cranereach_http::pool::Pool;
+use cranereach_http::system;
 use cranereach_standin::load;
 use cranereach_standin::load::Call;
 
@@ -79,7 +80,7 @@
     let direct = Arc::new(Pool::new(&path.direct));
     let small = Call::chat(&path.key, &path.model, "small", 1, false);
     wait_until_served(&through, &small).await;
-    let rest_bytes = process::resident_bytes(&path.process);
+    let rest_bytes = system::resident_bytes_of(&path.process).unwrap_or_default();
     let mut durations_us = [Vec::new(), Vec::new()];
     // The calls alternate, so that other load on the machine affects both paths alike.
     for _call in 0..SEQUENTIAL_CALL_COUNT {
@@ -90,7 +91,7 @@
     let calls = measure_throughput(&through, &small, path).await;
     let stream = Call::chat(&path.key, &path.model, "stream", STREAM_TOKENS, true);
     let streams = measure_throughput(&through, &stream, path).await;
-    let after_busy_bytes = process::resident_bytes(&path.process);
+    let after_busy_bytes = system::resident_bytes_of(&path.process).unwrap_or_default();
     let open_bytes = open_streams_memory(&through, path).await;
     PathCost {
         through_us: quantiles(&durations_us[0]),
@@ -164,7 +165,7 @@
         })
         .collect();
     tokio::time::sleep(Duration::from_secs(3)).await;
-    let bytes = process::resident_bytes(&path.process);
+    let bytes = system::resident_bytes_of(&path.process).unwrap_or_default();
     for stream in &streams {
         stream.abort();
     }
--- a/crates/cranereach-bench/src/process.rs
+++ b/crates/cranereach-bench/src/process.rs
@@ -1,13 +1,10 @@
-//! Processor time and memory of a process, read from `/proc`.
+//! Processor time of a process, read from `/proc`.
 
 use std::fs;
 
 /// Clock ticks per second of the times in `/proc`; fixed by the kernel's interface.
 const TICKS_PER_S: f64 = 100.0;
 
-/// Bytes in a KiB, the unit of memory sizes in `/proc/.../status`.
-const KIB_BYTES: u64 = 1024;
-
 /// Returns the user and system time that a process has used, in seconds.
 ///
 /// `process` is a process id or `self`. Returns zero if the time can't be read.
@@ -32,15 +29,3 @@
     };
     (ticks(11) + ticks(12)) / TICKS_PER_S
 }
-
-/// Returns the resident memory of a process, in bytes; zero if it can't be read.
-pub fn resident_bytes(process: &str) -> u64 {
-    let Ok(text) = fs::read_to_string(format!("/proc/{process}/status")) else {
-        return 0;
-    };
-    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line
-        .and_then(|line| line.split_whitespace().nth(1))
-        .and_then(|number| number.parse::<u64>().ok());
-    kib.unwrap_or(0) * KIB_BYTES
-}
--- a/crates/cranereach-bench/src/slopes.rs
+++ b/crates/cranereach-bench/src/slopes.rs
@@ -4,9 +4,11 @@
 //! more, and a line is fitted to it. The largest residual is given as a fraction of the
 //! largest value. [`core_decisions`] measures the decision logic in `cranereach_core`,
 //! [`gateway`] and [`accounts`] the decisions of a gateway, [`contents`] what a gateway does with
-//! the bytes of responses, and [`system`] whole deployments.
+//! the bytes of responses, [`connections`] the memory of callers' connections, and [`system`] whole
+//! deployments.
 
 pub mod accounts;
+pub mod connections;
 pub mod contents;
 pub mod core_decisions;
 mod fixtures;
--- a/crates/cranereach-http/src/system.rs
+++ b/crates/cranereach-http/src/system.rs
@@ -14,9 +14,6 @@
 /// File with the memory of the machine.
 const MACHINE_MEMORY_PATH: &str = "/proc/meminfo";
 
-/// File with the memory that the process uses, in pages.
-const USED_MEMORY_PATH: &str = "/proc/self/statm";
-
 /// Folder with one folder for each network interface.
 const INTERFACES_PATH: &str = "/sys/class/net";
 
@@ -73,9 +70,20 @@
     (speed > 0.0).then_some(speed)
 }
 
-/// Returns the memory that the process uses, in bytes; `None` if the system does not tell.
+/// Returns the memory that this process uses, in bytes; `None` if the system does not tell.
 pub fn resident_bytes() -> Option<u64> {
-    let text = fs::read_to_string(USED_MEMORY_PATH).ok()?;
+    resident_bytes_of("self")
+}
+
+/// Returns the memory that a process uses, given by its id, in bytes; `None` if the system does not
+/// tell.
+///
+/// ```
+/// let own = std::process::id().to_string();
+/// assert!(cranereach_http::system::resident_bytes_of(&own) > Some(0));
+/// ```
+pub fn resident_bytes_of(process: &str) -> Option<u64> {
+    let text = fs::read_to_string(format!("/proc/{process}/statm")).ok()?;
     let pages: u64 = text.split_whitespace().nth(1)?.parse().ok()?;
     let page_bytes = sysconf(SysconfVar::PAGE_SIZE).ok().flatten();
     Some(pages * page_bytes.map_or(DEFAULT_PAGE_BYTES, |bytes| bytes as u64))
--- a/crates/cranereach-soak/src/gateways.rs
+++ b/crates/cranereach-soak/src/gateways.rs
@@ -28,7 +28,7 @@
 use crate::check::stop;
 use crate::concentrated_callers::LINK_BYTES_PER_S;
 use crate::schedule::DOMAINS;
-use cranereach_bench::process;
+use cranereach_http::system;
 use cranereach_standin::narrow_link;
 
 /// Interval at which a process is polled, in milliseconds.
@@ -296,7 +296,7 @@
     /// runs.
     pub async fn resource_usage(&self) -> Option<(u64, u64)> {
         let id = self.state.lock().await.child.as_ref()?.id()?;
-        let memory_bytes = process::resident_bytes(&id.to_string());
+        let memory_bytes = system::resident_bytes_of(&id.to_string())?;
         let descriptors = fs::read_dir(format!("/proc/{id}/fd")).ok()?;
         Some((memory_bytes, descriptors.count() as u64))
     }
--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -102,7 +102,7 @@
                 .iter()
                 .chain(&slopes::contents::measure())
                 .for_each(super::print_json);
-            return Exit::Success;
+            return measure_connections();
         }
         eprintln!("{}", MeasureArguments::usage());
         return Exit::Usage;
@@ -154,6 +154,20 @@
     Exit::Success
 }
 
+/// Measures the memory of connections and prints it.
+fn measure_connections() -> Exit {
+    match super::block_on_one_core(slopes::connections::measure()) {
+        Ok(results) => {
+            results.iter().for_each(super::print_json);
+            Exit::Success
+        }
+        Err(error) => {
+            eprintln!("cannot open connections: {error}");
+            Exit::Unavailable
+        }
+    }
+}
+
 /// Measures all slopes and prints each as a line of JSON.
 fn measure_slopes(scenario: &Scenario) -> Exit {
     slopes::core_decisions::measure(scenario)
