Memory that isn't known limits no connections; an entry instance keeps descriptors for itself

Where the system doesn't tell the memory in use, the memory of connections taken since the last sample added up until all were turned away (found by reading; test). The listener of 'serve' closes idle connections, or turns new ones away, before descriptors run out; nothing samples its load yet.

--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -168,7 +168,8 @@
     busy_count: usize,
     /// Connections that are about to be closed.
     closing_count: usize,
-    resident_bytes: u64,
+    /// Memory in use, in bytes; `None` if it isn't known, so that it limits nothing.
+    resident_bytes: Option<u64>,
     /// Connections taken since the memory was sampled.
     unsampled_count: u64,
     /// Largest number of connections that were seen open within the memory.
@@ -250,7 +251,7 @@
             next_number: 0,
             busy_count: 0,
             closing_count: 0,
-            resident_bytes: 0,
+            resident_bytes: None,
             unsampled_count: 0,
             proven_count: CONNECTION_MIN_COUNT,
             completed_count: 0,
@@ -325,7 +326,10 @@
 
     /// Whether there is memory for one more connection.
     fn has_memory(&self) -> bool {
-        let used = self.resident_bytes + (self.unsampled_count + 1) * CONNECTION_BYTES;
+        let Some(resident_bytes) = self.resident_bytes else {
+            return true;
+        };
+        let used = resident_bytes + (self.unsampled_count + 1) * CONNECTION_BYTES;
         let max_bytes = self.resources.memory_bytes as f64 * MEMORY_MAX_SHARE;
         let proven_count = (self.proven_count as f64 * PROVEN_COUNT_SHARE) as usize;
         (used as f64) <= max_bytes || self.open_count() < proven_count
@@ -416,7 +420,7 @@
 
     /// Records how much memory is in use, in bytes.
     pub fn sample_memory(&mut self, resident_bytes: u64) {
-        self.resident_bytes = resident_bytes;
+        self.resident_bytes = Some(resident_bytes);
         self.unsampled_count = 0;
         let max_bytes = self.resources.memory_bytes as f64 * MEMORY_MAX_SHARE;
         if resident_bytes as f64 <= max_bytes {
--- a/crates/cranereach-core/tests/overload/admission.rs
+++ b/crates/cranereach-core/tests/overload/admission.rs
@@ -5,6 +5,7 @@
 use proptest::prelude::*;
 
 use cranereach_core::overload::admission::ConnectionAdmission;
+use cranereach_core::overload::admission::Reason;
 use cranereach_core::overload::admission::Resources;
 use cranereach_core::overload::admission::Verdict;
 use cranereach_core::overload::load::SAMPLE_INTERVAL_MS;
@@ -13,6 +14,9 @@
 /// Link of the instances, in bytes a second.
 const LINK_BYTES_PER_S: f64 = 100_000.0;
 
+/// Memory of the instances, in bytes.
+const MEMORY_BYTES: u64 = 1 << 20;
+
 /// Number of descriptors that are set aside at least.
 const RESERVED_COUNT: u64 = 8;
 
@@ -47,7 +51,7 @@
 fn resources(descriptor_count: u64) -> Resources {
     Resources {
         descriptor_count,
-        memory_bytes: 1 << 20,
+        memory_bytes: MEMORY_BYTES,
         link_bytes_per_s: Some(LINK_BYTES_PER_S),
         delay_target_ms: 30,
     }
@@ -136,6 +140,40 @@
     }
 }
 
+/// Guards against callers who are turned away for good where the system doesn't tell what is in use.
+#[test]
+fn memory_that_is_not_known_limits_nothing() {
+    let mut instance = Instance::new(1_000_000);
+    for _connection in 0..1_000 {
+        let verdict = instance.apply(&Event::Open, 0);
+        assert!(matches!(verdict, Some(Verdict::Take { closes: None, .. })));
+    }
+}
+
+/// Guards against an instance that is killed for the memory of its connections.
+#[test]
+fn memory_that_runs_short_closes_idle_connections_first() {
+    let mut instance = Instance::new(1_000_000);
+    for _connection in 0..100 {
+        instance.apply(&Event::Open, 0);
+    }
+    instance.apply(&Event::Memory(MEMORY_BYTES), 0);
+    let verdict = instance.apply(&Event::Open, 0);
+    let is_replaced = matches!(
+        verdict,
+        Some(Verdict::Take {
+            closes: Some(0),
+            ..
+        })
+    );
+    assert!(is_replaced, "{verdict:?}");
+    for index in 0..instance.open.len() {
+        instance.apply(&Event::Begin(index), 0);
+    }
+    let verdict = instance.apply(&Event::Open, 0);
+    assert_eq!(verdict, Some(Verdict::TurnAway(Reason::Memory)));
+}
+
 proptest! {
     /// Guards against connections that use up the descriptors of those to workers, or count wrongly.
     #[test]
--- a/crates/cranereach-entry/src/entry.rs
+++ b/crates/cranereach-entry/src/entry.rs
@@ -32,9 +32,13 @@
 use cranereach_core::dispatch::DispatchOptions;
 use cranereach_core::drain::Phase;
 use cranereach_core::order;
+use cranereach_core::overload::admission::Resources;
 use cranereach_core::route;
+use cranereach_http::clock::Clock;
+use cranereach_http::intake::Intake;
 use cranereach_http::server;
 use cranereach_http::server::ServeOptions;
+use cranereach_http::system;
 
 /// Time between two ticks of the dispatcher, in milliseconds.
 const DISPATCH_TICK_INTERVAL_MS: u64 = 20;
@@ -112,7 +116,7 @@
         let serve_options = ServeOptions {
             header_within_ms: shared.settings.limits.header_within_ms,
             header_max_bytes: shared.settings.limits.header_max_bytes,
-            intake: None,
+            intake: Some(Arc::new(Intake::new(resources(), Clock::start()))),
         };
         let server_task = server::serve(callers, serve_options, stop_receiver, move |request| {
             callers::handle(Arc::clone(&for_callers), request)
@@ -165,6 +169,17 @@
     }
 }
 
+/// Returns what the process has for callers' connections. Nothing samples its load, so that only
+/// descriptors limit them.
+fn resources() -> Resources {
+    Resources {
+        descriptor_count: system::descriptor_count(),
+        memory_bytes: u64::MAX,
+        link_bytes_per_s: None,
+        delay_target_ms: u64::MAX,
+    }
+}
+
 /// Returns the options of the dispatcher.
 ///
 /// Unknown policy names have been rejected by [`Settings::check`] before.
