--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -265,7 +265,7 @@
     /// connections use: those to workers, peers and the store.
     pub fn open(&mut self, now_ms: u64, other_count: u64) -> Verdict {
         self.rate.refill(now_ms);
-        if !self.rate.has_room() {
+        if !self.has_room() {
             let reason = match self.load.pressure().bottleneck {
                 Bottleneck::Processor => Reason::Processor,
                 Bottleneck::Link => Reason::Link,
@@ -439,6 +439,11 @@
         self.rate.max_per_s.is_some() && self.is_turning_away(now_ms)
     }
 
+    /// Whether the rate of requests leaves room for one more.
+    pub fn has_room(&self) -> bool {
+        self.rate.has_room()
+    }
+
     /// Returns the number of open connections that aren't about to be closed.
     pub fn open_count(&self) -> usize {
         self.connections.len() - self.closing_count
