A few requests are taken at any load

By reading: an instance that has just started is busy with its own start, has completed nothing, and would take ten connections a second until its pressure falls. Eight open requests don't overload an instance; with fewer, none is turned away for the processor or the link. Test fails without.

--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -39,6 +39,10 @@
 /// Number of connections that are open at any use of memory.
 const CONNECTION_MIN_COUNT: usize = 32;
 
+/// Number of requests that are open at any load: so few are not what overloads an instance, as when
+/// it has just started.
+const BUSY_MIN_COUNT: usize = 8;
+
 /// Requests a second that are taken at any load, so that the instance notices when it has room.
 const MIN_RATE_PER_S: f64 = 10.0;
 
@@ -166,6 +170,8 @@
     idle: BTreeSet<(u64, u64)>,
     next_number: u64,
     busy_count: usize,
+    /// Connections whose first request has not come yet.
+    unused_count: usize,
     /// Connections that are about to be closed.
     closing_count: usize,
     /// Memory in use, in bytes; `None` if it isn't known, so that it limits nothing.
@@ -250,6 +256,7 @@
             idle: BTreeSet::new(),
             next_number: 0,
             busy_count: 0,
+            unused_count: 0,
             closing_count: 0,
             resident_bytes: None,
             unsampled_count: 0,
@@ -280,6 +287,7 @@
             },
         };
         self.rate.take();
+        self.unused_count += 1;
         self.unsampled_count += 1;
         let connection = self.next_number;
         self.next_number += 1;
@@ -367,10 +375,12 @@
                 None => self.closing_count = self.closing_count.saturating_sub(1),
             }
         }
-        // The first request was counted with the connection.
         if std::mem::replace(&mut connection.has_had_request, true) {
             self.rate.refill(now_ms);
             self.rate.take();
+        } else {
+            // It was counted with the connection.
+            self.unused_count -= 1;
         }
     }
 
@@ -393,6 +403,7 @@
         let Some(connection) = self.connections.remove(&number) else {
             return;
         };
+        self.unused_count -= usize::from(!connection.has_had_request);
         match connection.idle_since_ms {
             Some(since_ms) => {
                 self.idle.remove(&(since_ms, number));
@@ -439,9 +450,9 @@
         self.rate.max_per_s.is_some() && self.is_turning_away(now_ms)
     }
 
-    /// Whether the rate of requests leaves room for one more.
+    /// Whether the load leaves room for one more request.
     pub fn has_room(&self) -> bool {
-        self.rate.has_room()
+        self.rate.has_room() || self.busy_count + self.unused_count < BUSY_MIN_COUNT
     }
 
     /// Returns the number of open connections that aren't about to be closed.
--- a/crates/cranereach-core/tests/overload/admission.rs
+++ b/crates/cranereach-core/tests/overload/admission.rs
@@ -150,6 +150,20 @@
     }
 }
 
+/// Guards against an instance that turns its first callers away since its own start keeps it busy.
+#[test]
+fn a_few_requests_are_taken_at_any_load() {
+    let mut instance = Instance::new(1_000);
+    for _sample in 0..20 {
+        instance.apply(&Event::Sample(30_000, 500), 0);
+        let verdict = instance.apply(&Event::Open, 0);
+        assert!(matches!(verdict, Some(Verdict::Take { .. })), "{verdict:?}");
+        instance.apply(&Event::Begin(0), 0);
+        instance.apply(&Event::End(0), 0);
+        instance.apply(&Event::Close(0), 0);
+    }
+}
+
 /// Guards against an instance that is killed for the memory of its connections.
 #[test]
 fn memory_that_runs_short_closes_idle_connections_first() {
