--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -25,6 +25,9 @@
 /// Log message of an instance that noticed that the store was restored from a backup.
 const STORE_RESTORED_MESSAGE: &str = "store restored";
 
+/// Log messages of an instance that begins and ends to turn connections of callers away.
+const OVERLOAD_MESSAGES: [&str; 2] = ["turning connections away", "taking all connections again"];
+
 /// Log message of an instance that found a worker ended whose request was broken off.
 const WORKER_ENDED_MESSAGE: &str = "worker ended under request";
 
@@ -41,8 +44,8 @@
 /// Number of shared values to show, those under which the most workers ended.
 const SHARED_VALUE_MAX_COUNT: usize = 12;
 
-/// Number of worker announcements to show for a request, the latest ones.
-const WORKER_STATE_MAX_COUNT: usize = 12;
+/// Number of lines of a kind that preceded those of a request to show, the latest ones.
+const PRECEDING_MAX_COUNT: usize = 12;
 
 /// Options of `explain`.
 #[derive(Debug, Options)]
@@ -130,13 +133,24 @@
     println!("{request}, sorted by the clocks of the instances, which may differ:");
     matching.into_iter().for_each(print_line);
     print_equal_requests(logs, request);
-    print_worker_states(logs, request);
+    print_instance_lines(
+        logs,
+        request,
+        "Worker announcements",
+        &WORKER_STATE_MESSAGES,
+    );
+    print_instance_lines(
+        logs,
+        request,
+        "Overload of the instance",
+        &OVERLOAD_MESSAGES,
+    );
     Exit::Success
 }
 
-/// Prints the latest worker announcements that preceded the last line about the request, as
+/// Prints the latest lines with some messages that preceded the last line about the request, as
 /// logged by the same instance. They can explain which worker was chosen, or why none was.
-fn print_worker_states(logs: &Logs, request: &str) {
+fn print_instance_lines(logs: &Logs, request: &str, title: &str, messages: &[&str]) {
     let request_lines = logs
         .lines
         .iter()
@@ -144,15 +158,15 @@
     let Some(last) = request_lines.max_by(|left, right| left.ts.cmp(&right.ts)) else {
         return;
     };
-    let is_worker_state = |line: &&LogLine| {
-        WORKER_STATE_MESSAGES.contains(&line.msg.as_str())
+    let is_wanted = |line: &&LogLine| {
+        messages.contains(&line.msg.as_str())
             && line.instance == last.instance
             && line.ts <= last.ts
     };
-    let states: Vec<&LogLine> = logs.lines.iter().filter(is_worker_state).collect();
-    let recent = &states[states.len().saturating_sub(WORKER_STATE_MAX_COUNT)..];
+    let preceding: Vec<&LogLine> = logs.lines.iter().filter(is_wanted).collect();
+    let recent = &preceding[preceding.len().saturating_sub(PRECEDING_MAX_COUNT)..];
     if !recent.is_empty() {
-        println!("Worker announcements until then:");
+        println!("{title} until then:");
     }
     recent.iter().copied().for_each(print_line);
 }
@@ -221,6 +235,7 @@
     }
     print_store_restores(logs);
     print_worker_ends(logs);
+    print_overloads(logs);
     Exit::Success
 }
 
@@ -276,6 +291,17 @@
     }
 }
 
+/// Prints when instances turned connections of callers away, and for which reasons.
+fn print_overloads(logs: &Logs) {
+    let mut lines: Vec<&LogLine> = logs
+        .lines
+        .iter()
+        .filter(|line| OVERLOAD_MESSAGES.contains(&line.msg.as_str()))
+        .collect();
+    lines.sort_by_key(|line| (&line.instance, &line.ts));
+    lines.into_iter().for_each(print_line);
+}
+
 /// Formats the fields that aren't common to all lines.
 fn format_fields(fields: &Map<String, Value>) -> String {
     let shown = fields
