--- a/tests/testsuite/gateway_settings.rs
+++ b/tests/testsuite/gateway_settings.rs
@@ -48,6 +48,9 @@
     "coldStartAllowance",
 ];
 
+/// Resources that a deployment may leave out, likewise.
+const OPTIONAL_RESOURCES: [&str; 3] = ["memoryMb", "fileDescriptors", "linkMbps"];
+
 /// Fills in the template as the platform does, with example values.
 fn filled_template() -> String {
     let template = fs::read_to_string(root("deploy/settings.jsonc")).unwrap();
@@ -77,16 +80,21 @@
         ("{{bounds.quotaWindowS}}", "8"),
         ("{{bounds.quotaExcess}}", "0.1"),
         ("{{bounds.quotaAllowance}}", "17000"),
+        ("{{limits.memoryMb}}", "160"),
+        ("{{limits.fileDescriptors}}", "4100"),
+        ("{{limits.linkMbps}}", "10.0"),
     ];
     let mut text = template;
     for (placeholder, value) in placeholders {
         assert!(text.contains(placeholder), "the template has {placeholder}");
         text = text.replace(placeholder, value);
     }
-    for bound in OPTIONAL_BOUNDS {
+    let bounds = OPTIONAL_BOUNDS.map(|bound| format!("bounds.{bound}"));
+    let resources = OPTIONAL_RESOURCES.map(|resource| format!("limits.{resource}"));
+    for optional in bounds.iter().chain(&resources) {
         for tag in [
-            format!("{{{{#bounds.{bound}}}}}"),
-            format!("{{{{/bounds.{bound}}}}}"),
+            format!("{{{{#{optional}}}}}"),
+            format!("{{{{/{optional}}}}}"),
         ] {
             assert!(text.contains(&tag), "the template has {tag}");
             text = text.replace(&tag, "");
@@ -126,6 +134,11 @@
         ("\"users\"", "\"usres\"", "users"),
         ("3000", "\"soon\"", "filled"),
         ("\"127.0.0.1:1\"", "\"nowhere\"", "filled"),
+        (
+            "\"memory_mb\": 160",
+            "\"memory_mb\": 0",
+            "resources.memory_mb",
+        ),
         ("{", "[", "filled"),
     ];
     for (number, (from, to, expected_text)) in table.into_iter().enumerate() {
