--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -1,15 +1,21 @@
 //! Admission of callers' connections.
 //!
 //! A connection costs a file descriptor and memory for as long as it is open, one more descriptor
-//! for its call to a worker, and processor time and bytes on the link for each of its requests. A connection that would exceed the descriptors or the memory replaces the one that
-//! has been idle for longest, or is turned away if none is idle. While the processor or the link is
-//! overloaded, only as many requests a second are taken as the instance can serve: new connections
-//! beyond that are turned away before anything is read, and kept ones end after their answer, so
-//! that their callers come back as new ones, here or elsewhere.
+//! for its call to a worker, and processor time and bytes on the link for each of its requests. A
+//! connection that would exceed the descriptors or the memory replaces the one that has been idle
+//! for longest, or is turned away if none is idle. While the processor or the link is overloaded,
+//! only as many requests a second are taken as the instance can serve: new connections beyond that
+//! are turned away before anything is read, and kept ones end after their answer, so that their
+//! callers come back as new ones, here or elsewhere.
+
+mod memory_use;
+mod rate_limit;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use self::memory_use::MemoryUse;
+use self::rate_limit::RateLimit;
 use super::load::Bottleneck;
 use super::load::Load;
 use super::load::Pressure;
@@ -26,48 +32,13 @@
 /// the connections to workers use, so that callers are not locked out.
 const MIN_CONNECTIONS_PER_RESERVED: u64 = 4;
 
-/// Share of the memory above which no connection is added.
-const MEMORY_MAX_SHARE: f64 = 0.8;
-
-/// Memory that a connection may take that isn't part of the last sample yet, in bytes.
-const CONNECTION_BYTES: u64 = 48 * 1024;
-
-/// Share of a number of connections that once fitted into the memory which may be open although
-/// much memory is in use: allocators keep the memory of closed connections for new ones.
-const PROVEN_COUNT_SHARE: f64 = 0.75;
-
-/// Number of connections that are open at any use of memory.
-const CONNECTION_MIN_COUNT: usize = 32;
-
 /// Number of requests that are open at any load: so few are not what overloads an instance, as when
 /// it has just started.
 const BUSY_MIN_COUNT: usize = 8;
 
-/// Requests a second that are taken at any load, so that the instance notices when it has room.
-const MIN_RATE_PER_S: f64 = 10.0;
-
-/// Share of the way to a higher rate that one sample allows.
-const RAISE_SHARE: f64 = 0.3;
-
-/// Least factor by which one sample without overload raises the rate.
-const RAISE_MIN_FACTOR: f64 = 1.05;
-
-/// Pressure below which rates are no longer limited.
-const UNLIMITED_PRESSURE: f64 = 0.7;
-
-/// Least pressure that a capacity is derived from.
-const PRESSURE_MIN: f64 = 0.1;
-
 /// Time without a connection turned away after which rates are no longer limited, in milliseconds.
 const CALM_MS: u64 = 1_000;
 
-/// Time for which unused requests are carried over, in milliseconds.
-const BURST_MS: f64 = 100.0;
-
-/// Time for which the requests of kept connections may exceed the rate before no new connection is
-/// taken for as long, in milliseconds.
-const OVERDRAFT_MS: f64 = 500.0;
-
 /// Weight of a new sample in the smoothed rate of completed requests.
 const COMPLETED_WEIGHT: f64 = 0.2;
 
@@ -174,12 +145,7 @@
     unused_count: usize,
     /// Connections that are about to be closed.
     closing_count: usize,
-    /// Memory in use, in bytes; `None` if it isn't known, so that it limits nothing.
-    resident_bytes: Option<u64>,
-    /// Connections taken since the memory was sampled.
-    unsampled_count: u64,
-    /// Largest number of connections that were seen open within the memory.
-    proven_count: usize,
+    memory: MemoryUse,
     /// Requests completed since the last sample.
     completed_count: u64,
     completed_per_s: f64,
@@ -187,64 +153,6 @@
     last_turned_away_ms: Option<u64>,
 }
 
-/// Limit of the rate of requests while the instance is overloaded.
-#[derive(Clone, Copy, Debug, Default)]
-struct RateLimit {
-    /// Requests a second; `None` while the rate isn't limited.
-    max_per_s: Option<f64>,
-    /// Requests that may be taken now; negative if kept connections had more.
-    allowance_count: f64,
-    refilled_at_ms: u64,
-}
-
-impl RateLimit {
-    /// Adds what has accrued since the last call.
-    fn refill(&mut self, now_ms: u64) {
-        let passed_ms = now_ms.saturating_sub(self.refilled_at_ms) as f64;
-        self.refilled_at_ms = self.refilled_at_ms.max(now_ms);
-        if let Some(max_per_s) = self.max_per_s {
-            let accrued = max_per_s * passed_ms / 1_000.0;
-            let burst_count = 1.0 + max_per_s * BURST_MS / 1_000.0;
-            self.allowance_count = (self.allowance_count + accrued).min(burst_count);
-        }
-    }
-
-    /// Whether a request may be taken.
-    fn has_room(&self) -> bool {
-        self.max_per_s.is_none() || self.allowance_count >= 1.0
-    }
-
-    /// Counts a request that is taken.
-    fn take(&mut self) {
-        if let Some(max_per_s) = self.max_per_s {
-            let least = -max_per_s * OVERDRAFT_MS / 1_000.0;
-            self.allowance_count = (self.allowance_count - 1.0).max(least);
-        }
-    }
-
-    /// Adapts the limit to the load. Under the pressure `level`, `completed_per_s` requests are
-    /// served, so that as many divided by it can be served well.
-    fn adapt(&mut self, level: f64, completed_per_s: f64, is_calm: bool) {
-        let capacity_per_s = (completed_per_s / level.max(PRESSURE_MIN)).max(MIN_RATE_PER_S);
-        match self.max_per_s {
-            None if level > 1.0 => {
-                self.max_per_s = Some(capacity_per_s);
-                self.allowance_count = 0.0;
-            }
-            None => {}
-            Some(max_per_s) if level > 1.0 => {
-                self.max_per_s = Some(max_per_s.min(capacity_per_s));
-            }
-            Some(_) if level < UNLIMITED_PRESSURE && is_calm => self.max_per_s = None,
-            Some(max_per_s) => {
-                let way = (capacity_per_s - max_per_s).max(0.0);
-                let raised = max_per_s + way * RAISE_SHARE;
-                self.max_per_s = Some(raised.max(max_per_s * RAISE_MIN_FACTOR));
-            }
-        }
-    }
-}
-
 impl ConnectionAdmission {
     /// Creates the state of an instance without connections.
     pub fn new(resources: Resources) -> Self {
@@ -258,9 +166,7 @@
             busy_count: 0,
             unused_count: 0,
             closing_count: 0,
-            resident_bytes: None,
-            unsampled_count: 0,
-            proven_count: CONNECTION_MIN_COUNT,
+            memory: MemoryUse::new(resources.memory_bytes),
             completed_count: 0,
             completed_per_s: 0.0,
             last_sample_ms: None,
@@ -288,7 +194,7 @@
         };
         self.rate.take();
         self.unused_count += 1;
-        self.unsampled_count += 1;
+        self.memory.connection_taken();
         let connection = self.next_number;
         self.next_number += 1;
         self.idle.insert((now_ms, connection));
@@ -319,7 +225,8 @@
         if needed_count > usable_count && !is_minimum {
             return Some(Reason::Descriptors);
         }
-        (!self.has_memory()).then_some(Reason::Memory)
+        let has_memory = self.memory.has_room(self.open_count());
+        (!has_memory).then_some(Reason::Memory)
     }
 
     /// Returns the number of descriptors for callers and the calls to workers, and the number of
@@ -332,17 +239,6 @@
         (all.saturating_sub(reserved), reserved)
     }
 
-    /// Whether there is memory for one more connection.
-    fn has_memory(&self) -> bool {
-        let Some(resident_bytes) = self.resident_bytes else {
-            return true;
-        };
-        let used = resident_bytes + (self.unsampled_count + 1) * CONNECTION_BYTES;
-        let max_bytes = self.resources.memory_bytes as f64 * MEMORY_MAX_SHARE;
-        let proven_count = (self.proven_count as f64 * PROVEN_COUNT_SHARE) as usize;
-        (used as f64) <= max_bytes || self.open_count() < proven_count
-    }
-
     /// Marks the connection that has been idle for longest as closing.
     fn close_oldest_idle(&mut self) -> Option<u64> {
         let (_since_ms, oldest) = self.idle.pop_first()?;
@@ -431,12 +327,8 @@
 
     /// Records how much memory is in use, in bytes.
     pub fn sample_memory(&mut self, resident_bytes: u64) {
-        self.resident_bytes = Some(resident_bytes);
-        self.unsampled_count = 0;
-        let max_bytes = self.resources.memory_bytes as f64 * MEMORY_MAX_SHARE;
-        if resident_bytes as f64 <= max_bytes {
-            self.proven_count = self.proven_count.max(self.open_count());
-        }
+        let open_count = self.open_count();
+        self.memory.sample(resident_bytes, open_count);
     }
 
     /// Whether connections have been turned away within the last second.
--- a/crates/cranereach-gateway/src/node/configuration.rs
+++ b/crates/cranereach-gateway/src/node/configuration.rs
@@ -76,7 +76,7 @@
             return false;
         };
         let may_serve = !configuration.accounts.are_declared() || self.may_serve_keys();
-        let has_withdrawn = self.is_stopping() || lock(&self.withdrawal).is_withdrawn();
-        !has_withdrawn && may_serve && !self.list_position().is_none()
+        let is_withdrawn = lock(&self.withdrawal).is_withdrawn();
+        !self.is_stopping() && !is_withdrawn && may_serve && !self.list_position().is_none()
     }
 }
