--- a/crates/cranereach-core/src/overload/own_delays.rs
+++ b/crates/cranereach-core/src/overload/own_delays.rs
@@ -35,7 +35,7 @@
 /// assert!(!delays.explain(1_010, 1_000, 20));
 /// delays.add(1_400, 300, false);
 /// assert!(delays.explain(1_410, 1_150, 250));
-/// assert!(!delays.explain(1_700, 1_450, 250));
+/// assert!(!delays.explain(1_490, 1_410, 80));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct OwnDelays {
