--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -22,7 +22,7 @@
 //! [`stream_origins`] knows the software versions at which streams began, so that a stream that a
 //! caller takes up again, at any instance, goes on at the same version.
 //!
-//! [`overload`] samples what the instance takes in.
+//! [`overload`] samples what the instance takes in, and withdraws it while it turns callers away.
 //!
 //! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays while
 //! an instance can't reach a worker itself.
--- a/crates/cranereach-gateway/src/node/configuration.rs
+++ b/crates/cranereach-gateway/src/node/configuration.rs
@@ -68,9 +68,9 @@
 
     /// Whether the platform should route callers here.
     ///
-    /// Not while the instance is stopping or has withdrawn because of overload, nor while it would have to refuse every call that
-    /// carries a key for lack of a recent proof, or every call for lack of a configuration or
-    /// worker list.
+    /// Not while the instance is stopping or has withdrawn because of overload, nor while it would
+    /// have to refuse every call that carries a key for lack of a recent proof, or every call for
+    /// lack of a configuration or worker list.
     pub fn is_ready(&self) -> bool {
         let Some(configuration) = self.configuration() else {
             return false;
