The rate of requests during overload is kept by the token bucket that exists

Cause: RateLimit wrote refilling, bursts and overdraft again, which cranereach_core::token_bucket has, and its callers had to refill it by hand before each question.

Ruled out: a floor in TokenBucket itself, which no other user wants.

Conclusion: one copy; callers pass the time and nothing else.

--- a/crates/cranereach-core/src/overload/admission.rs
+++ b/crates/cranereach-core/src/overload/admission.rs
@@ -177,8 +177,7 @@
     /// Decides on a new connection. `other_count` is the number of descriptors that other
     /// connections use: those to workers, peers and the store.
     pub fn open(&mut self, now_ms: u64, other_count: u64) -> Verdict {
-        self.rate.refill(now_ms);
-        if !self.has_room() {
+        if !self.has_room(now_ms) {
             let reason = match self.load.pressure().bottleneck {
                 Bottleneck::Processor => Reason::Processor,
                 Bottleneck::Link => Reason::Link,
@@ -192,7 +191,7 @@
                 None => return self.turn_away(now_ms, reason),
             },
         };
-        self.rate.take();
+        self.rate.take(now_ms);
         self.unused_count += 1;
         self.memory.connection_taken();
         let connection = self.next_number;
@@ -272,8 +271,7 @@
             }
         }
         if std::mem::replace(&mut connection.has_had_request, true) {
-            self.rate.refill(now_ms);
-            self.rate.take();
+            self.rate.take(now_ms);
         } else {
             // It was counted with the connection.
             self.unused_count -= 1;
@@ -319,10 +317,10 @@
         let completed_per_s = self.completed_count as f64 * 1_000.0 / passed_ms as f64;
         self.completed_count = 0;
         self.completed_per_s += COMPLETED_WEIGHT * (completed_per_s - self.completed_per_s);
-        self.rate.refill(sample.at_ms);
         let level = self.load.pressure().level;
         let is_calm = !self.is_turning_away(sample.at_ms);
-        self.rate.adapt(level, self.completed_per_s, is_calm);
+        self.rate
+            .adapt(sample.at_ms, level, self.completed_per_s, is_calm);
     }
 
     /// Records how much memory is in use, in bytes.
@@ -340,12 +338,12 @@
     /// Whether connections have been turned away within the last second while the processor or the
     /// link was overloaded. Kept ones then end with their current answer.
     pub fn is_shedding_load(&self, now_ms: u64) -> bool {
-        self.rate.max_per_s.is_some() && self.is_turning_away(now_ms)
+        self.rate.max_per_s().is_some() && self.is_turning_away(now_ms)
     }
 
     /// Whether the load leaves room for one more request.
-    pub fn has_room(&self) -> bool {
-        self.rate.has_room() || self.busy_count + self.unused_count < BUSY_MIN_COUNT
+    pub fn has_room(&mut self, now_ms: u64) -> bool {
+        self.rate.has_room(now_ms) || self.busy_count + self.unused_count < BUSY_MIN_COUNT
     }
 
     /// Returns the number of open connections that aren't about to be closed.
@@ -360,7 +358,7 @@
 
     /// Returns the largest number of requests taken a second; `None` if it isn't limited.
     pub fn max_per_s(&self) -> Option<f64> {
-        self.rate.max_per_s
+        self.rate.max_per_s()
     }
 
     /// Returns the load of the instance.
--- a/crates/cranereach-http/tests/intake.rs
+++ b/crates/cranereach-http/tests/intake.rs
@@ -114,7 +114,7 @@
             });
         }
         // What accrued over this time is used up.
-        while admission.has_room() {
+        while admission.has_room(now_ms) {
             let _verdict = admission.open(now_ms, 0);
         }
     }
