Every caller's stream and pooled connection is metered, with or without an intake

Ruled out: an optional meter inside Metered, which only moves the branch.

After: listeners and pools without a meter of their own count into one that nobody reads.

Conclusion: a default in place of an option.

--- a/crates/cranereach-http/src/intake.rs
+++ b/crates/cranereach-http/src/intake.rs
@@ -197,11 +197,6 @@
             .first_read_delay_ms
             .fetch_add(delay_ms, Ordering::Relaxed);
     }
-
-    /// Returns the counts of connections and bytes.
-    pub fn meter(&self) -> &Arc<Meter> {
-        &self.intake.meter
-    }
 }
 
 impl Drop for TakenConnection {
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -76,7 +76,8 @@
     idle: IdleList<B>,
     silent_max_ms: Option<u64>,
     resets_on_close: bool,
-    meter: Option<(Arc<Meter>, Side)>,
+    meter: Arc<Meter>,
+    side: Side,
 }
 
 impl<B> std::fmt::Debug for Pool<B> {
@@ -118,7 +119,8 @@
             idle: Arc::default(),
             silent_max_ms: None,
             resets_on_close: false,
-            meter: None,
+            meter: Arc::default(),
+            side: Side::Workers,
         }
     }
 
@@ -149,7 +151,8 @@
     /// Counts the connections, as those to a side, and their bytes.
     #[must_use]
     pub fn with_meter(mut self, meter: &Arc<Meter>, side: Side) -> Self {
-        self.meter = Some((Arc::clone(meter), side));
+        self.meter = Arc::clone(meter);
+        self.side = side;
         self
     }
 
@@ -208,10 +211,14 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let sender = match &self.meter {
-            Some((meter, side)) => handshake(Metered::new(stream, meter, *side)).await?,
-            None => handshake(stream).await?,
-        };
+        let stream = Metered::new(stream, &self.meter, self.side);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_MAX_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            // A connection error is also reported to the task that waits on the sender.
+            let _ended = connection.await;
+        });
         Ok(Connection {
             sender,
             idle_list: Arc::clone(&self.idle),
@@ -246,24 +253,6 @@
     }
 }
 
-/// Makes an HTTP connection of a byte stream.
-async fn handshake<S, B>(stream: S) -> hyper::Result<SendRequest<B>>
-where
-    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
-    B: Body + Send + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(BUFFER_MAX_BYTES);
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(async move {
-        // A connection error is also reported to the task that waits on the sender.
-        let _ended = connection.await;
-    });
-    Ok(sender)
-}
-
 impl<B> Connection<B>
 where
     B: Body + 'static,
--- a/crates/cranereach-http/src/server.rs
+++ b/crates/cranereach-http/src/server.rs
@@ -38,6 +38,8 @@
 use self::response_body::ResponseBody;
 use crate::intake::Intake;
 use crate::intake::TakenConnection;
+use crate::meter::Metered;
+use crate::meter::Side;
 
 /// Delay before the next attempt after accepting a connection failed, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 50;
@@ -82,6 +84,10 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>> + Send + Unpin,
 {
     let builder = Arc::new(builder(&options));
+    let meter = options
+        .intake
+        .as_ref()
+        .map_or_else(Arc::default, |intake| Arc::clone(intake.meter()));
     let mut stop = stopping.clone();
     // Each connection holds a sender, so that the channel closes with the last one.
     let (open, mut all_closed) = mpsc::channel::<Infallible>(1);
@@ -101,7 +107,7 @@
         };
         let connection = serve_connection(
             Arc::clone(&builder),
-            stream,
+            Metered::new(stream, &meter, Side::Callers),
             taken,
             stopping.clone(),
             handler.clone(),
@@ -121,7 +127,7 @@
 /// closed, it ends after the requests in progress.
 async fn serve_connection<H, F, B>(
     builder: Arc<auto::Builder<TokioExecutor>>,
-    stream: TcpStream,
+    stream: Metered<TcpStream>,
     taken: Option<Arc<TakenConnection>>,
     mut stopping: watch::Receiver<bool>,
     handler: H,
--- a/crates/cranereach-http/src/server/reset.rs
+++ b/crates/cranereach-http/src/server/reset.rs
@@ -17,7 +17,6 @@
 
 use crate::intake::TakenConnection;
 use crate::meter::Metered;
-use crate::meter::Side;
 
 /// Tells the stream of a connection that it is to end with a reset.
 #[derive(Clone, Debug, Default)]
@@ -40,42 +39,19 @@
 /// Stream of a connection to a caller, which ends with a reset once its signal is set.
 #[derive(Debug)]
 pub(super) struct ResettableStream {
-    stream: CallerStream,
+    stream: Metered<TcpStream>,
     signal: ResetSignal,
     /// Set until the first bytes have been read.
     unread: Option<Arc<TakenConnection>>,
 }
 
-/// Stream of a caller, whose bytes are counted if something decides on connections.
-#[derive(Debug)]
-enum CallerStream {
-    Plain(TcpStream),
-    Metered(Metered<TcpStream>),
-}
-
-impl CallerStream {
-    /// Returns the socket.
-    fn socket(&self) -> &TcpStream {
-        match self {
-            Self::Plain(stream) => stream,
-            Self::Metered(stream) => stream.get_ref(),
-        }
-    }
-}
-
 impl ResettableStream {
     /// Creates the stream of a connection.
     pub(super) fn new(
-        stream: TcpStream,
+        stream: Metered<TcpStream>,
         signal: &ResetSignal,
         taken: Option<Arc<TakenConnection>>,
     ) -> Self {
-        let stream = match &taken {
-            Some(taken) => {
-                CallerStream::Metered(Metered::new(stream, taken.meter(), Side::Callers))
-            }
-            None => CallerStream::Plain(stream),
-        };
         Self {
             stream,
             signal: signal.clone(),
@@ -88,7 +64,7 @@
     fn drop(&mut self) {
         if self.signal.is_set() {
             // If this fails, the caller sees an orderly close.
-            let _set = SockRef::from(self.stream.socket()).set_linger(Some(Duration::ZERO));
+            let _set = SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO));
         }
     }
 }
@@ -100,10 +76,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let polled = match &mut this.stream {
-            CallerStream::Plain(stream) => Pin::new(stream).poll_read(cx, buf),
-            CallerStream::Metered(stream) => Pin::new(stream).poll_read(cx, buf),
-        };
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
         if !buf.filled().is_empty()
             && let Some(taken) = this.unread.take()
         {
@@ -119,10 +92,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        match &mut self.get_mut().stream {
-            CallerStream::Plain(stream) => Pin::new(stream).poll_write(cx, buf),
-            CallerStream::Metered(stream) => Pin::new(stream).poll_write(cx, buf),
-        }
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -130,24 +100,15 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        match &mut self.get_mut().stream {
-            CallerStream::Plain(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
-            CallerStream::Metered(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
-        }
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        match &self.stream {
-            CallerStream::Plain(stream) => stream.is_write_vectored(),
-            CallerStream::Metered(stream) => stream.is_write_vectored(),
-        }
+        self.stream.is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match &mut self.get_mut().stream {
-            CallerStream::Plain(stream) => Pin::new(stream).poll_flush(cx),
-            CallerStream::Metered(stream) => Pin::new(stream).poll_flush(cx),
-        }
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -156,9 +117,6 @@
             // A shutdown would look like the end of the body.
             return Poll::Ready(Ok(()));
         }
-        match &mut this.stream {
-            CallerStream::Plain(stream) => Pin::new(stream).poll_shutdown(cx),
-            CallerStream::Metered(stream) => Pin::new(stream).poll_shutdown(cx),
-        }
+        Pin::new(&mut this.stream).poll_shutdown(cx)
     }
 }
