Totals of what an instance takes in are shown as counters

Cause: turned_away_connections_total, link_bytes_total and the totals of first reads were registered as gauges, since they are kept outside of the metrics. Monitoring takes a gauge for a value that may fall, and a restart for a drop.

Ruled out: counting in the metrics themselves, which cranereach-http doesn't know.

Before: what_an_instance_takes_in_is_shown_as_counters fails on the first line it looks for. After: it passes; names and values are the same.

Conclusion: counters that are raised to the totals when they are asked for.

--- a/crates/cranereach-gateway/src/metrics/intake.rs
+++ b/crates/cranereach-gateway/src/metrics/intake.rs
@@ -1,6 +1,7 @@
 //! Metrics of what the instance takes in and what binds it, updated when they are requested.
 
 use prometheus::IntCounter;
+use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
 
@@ -18,9 +19,9 @@
     /// Connections of callers with an open request.
     pub busy_connections: IntGauge,
     /// Connections of callers that were turned away, by reason.
-    pub turned_away_connections: IntGaugeVec,
+    pub turned_away_connections_total: IntCounterVec,
     /// Bytes that passed through the network link, by direction.
-    pub link_bytes: IntGaugeVec,
+    pub link_bytes_total: IntCounterVec,
     /// Use of the link in its busier direction, in percent.
     pub link_percent: IntGauge,
     /// Share of the time for which the event loop is not idle, in percent.
@@ -32,9 +33,9 @@
     /// Memory in use, in bytes.
     pub resident_bytes: IntGauge,
     /// Connections on which something was read.
-    pub first_reads: IntGauge,
+    pub first_reads_total: IntCounter,
     /// Total of the times from accepting them until then, in milliseconds.
-    pub first_read_delay_ms: IntGauge,
+    pub first_read_delay_ms_total: IntCounter,
     /// Largest number of requests taken a second; zero if it isn't limited.
     pub request_limit_per_s: IntGauge,
     /// Whether the instance has withdrawn.
@@ -47,19 +48,23 @@
         Self {
             open_connections: make.gauges("open_connections", "connections open", &["side"]),
             busy_connections: make.gauge("busy_connections", "callers with an open request"),
-            turned_away_connections: make.gauges(
+            turned_away_connections_total: make.counters(
                 "turned_away_connections_total",
                 "callers' connections closed unread",
                 &["reason"],
             ),
-            link_bytes: make.gauges("link_bytes_total", "bytes on the link", &["direction"]),
+            link_bytes_total: make.counters(
+                "link_bytes_total",
+                "bytes on the link",
+                &["direction"],
+            ),
             link_percent: make.gauge("link_percent", "use of the link"),
             busy_percent: make.gauge("busy_percent", "time that the event loop isn't idle"),
             own_delay_ms: make.gauge("own_delay_ms", "latest delay of own work"),
             own_delay_ms_total: make.counter("own_delay_ms_total", "delays of own work"),
             resident_bytes: make.gauge("resident_bytes", "memory in use"),
-            first_reads: make.gauge("first_reads_total", "connections with a first read"),
-            first_read_delay_ms: make.gauge(
+            first_reads_total: make.counter("first_reads_total", "connections with a first read"),
+            first_read_delay_ms_total: make.counter(
                 "first_read_delay_ms_total",
                 "time from accepting a connection to its first read",
             ),
@@ -68,7 +73,7 @@
         }
     }
 
-    /// Updates the gauges.
+    /// Updates all of them.
     pub fn update(&self, intake: &Intake) {
         let meter = intake.meter();
         for side in Side::ALL {
@@ -76,21 +81,20 @@
             gauge.set(meter.open_count(side) as i64);
         }
         for reason in Reason::ALL {
-            let gauge = self
-                .turned_away_connections
-                .with_label_values(&[reason.name()]);
-            gauge.set(intake.turned_away_count(reason) as i64);
+            let counter = &self.turned_away_connections_total;
+            let counter = counter.with_label_values(&[reason.name()]);
+            raise_to(&counter, intake.turned_away_count(reason));
         }
         let (first_read_count, first_read_delay_ms) = intake.first_reads();
-        self.first_reads.set(first_read_count as i64);
-        self.first_read_delay_ms.set(first_read_delay_ms as i64);
+        raise_to(&self.first_reads_total, first_read_count);
+        raise_to(&self.first_read_delay_ms_total, first_read_delay_ms);
         let bytes = [
             ("sent", meter.sent_bytes()),
             ("received", meter.received_bytes()),
         ];
         for (direction, byte_count) in bytes {
-            let gauge = self.link_bytes.with_label_values(&[direction]);
-            gauge.set(byte_count as i64);
+            let counter = self.link_bytes_total.with_label_values(&[direction]);
+            raise_to(&counter, byte_count);
         }
         if let Some(resident_bytes) = system::resident_bytes() {
             self.resident_bytes.set(resident_bytes as i64);
@@ -104,3 +108,8 @@
         self.busy_percent.set((load.busy_share() * 100.0) as i64);
     }
 }
+
+/// Raises a counter to a total that is kept elsewhere.
+fn raise_to(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
