Tunnels don't tell the capacity of an instance's link

What callers would have seen: on a machine whose real interface tells no speed, and which has a tunnel, an instance without the setting takes its link for one of 10 megabits a second, as every tunnel states, and turns callers away at 8. Found by reading.

Cause: the default is the fastest speed that any interface tells.

Ruled out: no default, which the setting promises; asking for the interface of an address, which a tunnel may have.

Conclusion: only interfaces with a device behind them count.

--- a/crates/cranereach-http/src/system.rs
+++ b/crates/cranereach-http/src/system.rs
@@ -53,9 +53,16 @@
 /// Returns the speed of the fastest network interface, in megabits a second; `None` if no
 /// interface tells.
 pub fn link_mbps() -> Option<f64> {
-    let interfaces = fs::read_dir(INTERFACES_PATH).ok()?;
+    fastest_mbps(Path::new(INTERFACES_PATH))
+}
+
+/// Returns the speed of the fastest interface with a device behind it, in megabits a second, given
+/// the folder of all interfaces. Tunnels tell a speed that says nothing about what they carry.
+pub fn fastest_mbps(interfaces: &Path) -> Option<f64> {
+    let interfaces = fs::read_dir(interfaces).ok()?;
     let speeds = interfaces
         .flatten()
+        .filter(|interface| interface.path().join("device").exists())
         .filter_map(|interface| read_speed(&interface.path()));
     speeds.reduce(f64::max)
 }
