--- a/crates/cranereach-http/tests/intake.rs
+++ b/crates/cranereach-http/tests/intake.rs
@@ -2,12 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -15,6 +20,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use cranereach_core::overload::admission::Resources;
 use cranereach_core::overload::load::Sample;
@@ -28,6 +34,9 @@
 /// Descriptors for two connections, beside those that are set aside.
 const TWO_CONNECTIONS: u64 = 12;
 
+/// Generous timeout of a wait.
+const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// A time-out, in milliseconds.
 const TIMEOUT_MS: u64 = 250;
 
@@ -194,6 +203,35 @@
     assert_eq!(answer(&mut kept).await, None);
 }
 
+/// Guards against connections of HTTP/2, which know no `connection: close`, that stay at an overloaded
+/// instance for good.
+#[tokio::test]
+async fn a_kept_connection_of_http_2_ends_after_its_answer_during_overload() {
+    let instance = Instance::start(1_000).await;
+    let stream = TcpStream::connect(instance.address).await.unwrap();
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.unwrap();
+    let connection = tokio::spawn(connection);
+    let before = sender.send_request(http_2_request()).await.unwrap();
+    assert_eq!(before.status(), 200);
+    drop(before);
+    instance.overload();
+    let mut turned_away = instance.send("/").await;
+    assert_eq!(answer(&mut turned_away).await, None);
+    let during = sender.send_request(http_2_request()).await.unwrap();
+    let body = during.into_body().collect().await.unwrap();
+    assert_eq!(body.to_bytes(), "answer");
+    // It ends in order.
+    let ended = timeout(WAIT_TIMEOUT, connection).await;
+    ended.unwrap().unwrap().unwrap();
+}
+
+/// Builds a request of HTTP/2.
+fn http_2_request() -> Request<Full<Bytes>> {
+    let request = Request::builder().uri("http://x/");
+    request.body(Full::new(Bytes::new())).unwrap()
+}
+
 /// Guards against silent workers that go unnoticed for as long as callers are turned away for lack of
 /// descriptors, although neither the link nor the processor is overloaded.
 #[tokio::test]
--- a/crates/cranereach-soak/src/concentrated_callers.rs
+++ b/crates/cranereach-soak/src/concentrated_callers.rs
@@ -59,6 +59,9 @@
 /// Largest number of connections that are kept.
 const KEPT_MAX_COUNT: usize = 2_000;
 
+/// Marks the identities of these requests.
+const ID_MARK: char = 'n';
+
 /// A connection that its caller keeps.
 type KeptConnection = SendRequest<Full<Bytes>>;
 
@@ -167,9 +170,6 @@
     format!("{seed:x}-{ID_MARK}{number}-{try_number}")
 }
 
-/// Marks the identities of these requests.
-const ID_MARK: char = 'n';
-
 /// Returns the number of the request that a try with an identity belongs to; `None` if it isn't one
 /// of these callers'.
 ///
--- a/crates/cranereach-soak/tests/soak/main.rs
+++ b/crates/cranereach-soak/tests/soak/main.rs
@@ -2,6 +2,7 @@
 //! that are planted into records and nothing else.
 
 mod bounded;
+mod concentrated;
 mod crash_requests;
 mod failing;
 mod notices;
