Streams go on only at the start of a worker that the worker itself tells

Cause: a worker that starts again keeps its identity and address. Until its new row is written and read, its version was taken from the row of the start before, however old the list was and whatever this instance had seen of the worker (reset and refused connections). Nothing in a call says which start it reaches.

What a worker tells in its report does: the time of its start, over a connection that ends with the process. A stream that goes on is now sent only over a connection on which the worker has told the start that its row names. A stream that begins is asked for in the same way only while the row is in doubt (list older than its bound, or an end seen since), and is of uncertain version if nothing proves it, so that nobody is led to the wrong one by its note. A later start than that of the row makes the row outdated for whatever depends on who the worker is; limit, rest, brittleness and load learned of the start before are dropped, as they are when the new row arrives.

Related path: reports that the lease holder asks for tell the start as well.

--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -34,6 +34,7 @@
 use crate::routing_request::RoutingRequest;
 use crate::store_position::StorePosition;
 use crate::worker::EJECTED_PENALTY_MS;
+use crate::worker::RowDoubt;
 use crate::worker::Worker;
 use crate::worker::WorkerRecord;
 
@@ -132,7 +133,11 @@
             self.lapsing.remove(&record.id);
             self.holders.change(&known.record, &record);
             self.versions.change(&known.record, &record);
-            if known.record.started_unix_ms != record.started_unix_ms {
+            let told_start_unix_ms = known.row_doubt.told_start_unix_ms();
+            if told_start_unix_ms == Some(record.started_unix_ms) {
+                // What has been learned since the worker told its start is about this one.
+                known.row_doubt = RowDoubt::default();
+            } else if known.record.started_unix_ms != record.started_unix_ms {
                 if let Some(departure) = known.departure {
                     self.unlisted_departures
                         .keep(known.record.incarnation_key(), departure);
@@ -224,6 +229,44 @@
         true
     }
 
+    /// Takes the start that a worker told, in milliseconds of Unix time. If it is later than that of
+    /// its row, nothing learned about the worker applies any more, and the row is outdated. Returns
+    /// whether that is new.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    ///
+    /// use cranereach_fleet::roster::Roster;
+    /// use cranereach_fleet::store_position::StorePosition;
+    /// use cranereach_fleet::worker::WorkerRecord;
+    ///
+    /// let mut roster = Roster::default();
+    /// let record = WorkerRecord {
+    ///     id: Arc::from("w"),
+    ///     started_unix_ms: 1_000,
+    ///     ..WorkerRecord::default()
+    /// };
+    /// roster.put(StorePosition::new(0, 1), record);
+    /// assert!(!roster.note_start("w", 1_000));
+    /// assert!(roster.note_start("w", 5_000));
+    /// assert!(roster.get("w").is_some_and(|worker| worker.row_doubt.is_outdated()));
+    /// ```
+    pub fn note_start(&mut self, id: &str, started_unix_ms: u64) -> bool {
+        let Some(known) = self.workers.get_mut(id) else {
+            return false;
+        };
+        let told_unix_ms = known.row_doubt.told_start_unix_ms();
+        let known_unix_ms = told_unix_ms.unwrap_or(known.record.started_unix_ms);
+        if started_unix_ms <= known_unix_ms {
+            return false;
+        }
+        let leaves_at = known.leaves_at;
+        *known = Worker::new(known.position, known.record.clone());
+        known.leaves_at = leaves_at;
+        known.row_doubt = RowDoubt::of_later_start(started_unix_ms);
+        true
+    }
+
     /// Drops the older half of the tombstones.
     fn drop_older_tombstones(&mut self) {
         let all = self.tombstones.values();
--- a/crates/cranereach-fleet/src/roster/holders.rs
+++ b/crates/cranereach-fleet/src/roster/holders.rs
@@ -110,7 +110,7 @@
                 reason = reason.max(NoWorker::NotAllowed);
                 return false;
             }
-            if !request.accepts_version_of(&worker.record) {
+            if !request.accepts_version_of(worker) {
                 reason = NoWorker::OtherVersion;
                 return false;
             }
--- a/crates/cranereach-fleet/src/roster/restrictions.rs
+++ b/crates/cranereach-fleet/src/roster/restrictions.rs
@@ -69,7 +69,7 @@
             let may_send = worker.rest.may_send(now_ms, request.rank)
                 && worker.ask_pause.may_ask(now_ms, request.rank);
             !worker.is_leaving()
-                && request.accepts_version_of(&worker.record)
+                && request.accepts_version_of(worker)
                 && worker.has(now_ms, request.model).is_ok()
                 && !may_send
         };
--- a/crates/cranereach-fleet/src/roster/scoring.rs
+++ b/crates/cranereach-fleet/src/roster/scoring.rs
@@ -49,7 +49,7 @@
             reason = reason.max(NoWorker::NotAllowed);
             continue;
         }
-        if !request.accepts_version_of(&worker.record) {
+        if !request.accepts_version_of(worker) {
             reason = reason.max(NoWorker::OtherVersion);
             continue;
         }
--- a/crates/cranereach-fleet/src/routing_request.rs
+++ b/crates/cranereach-fleet/src/routing_request.rs
@@ -5,6 +5,7 @@
 use crate::prefixes::PromptPart;
 use crate::regions::AllowedRegions;
 use crate::topology::Topology;
+use crate::worker::Worker;
 use crate::worker::WorkerRecord;
 
 /// A request for which a worker is being chosen.
@@ -63,9 +64,13 @@
     }
 
     /// Whether the software of a worker has the version that the request requires, and one that is
-    /// settled.
-    pub fn accepts_version_of(&self, record: &WorkerRecord) -> bool {
-        let key = record.software.key();
+    /// settled. The version of a worker that has started again since its row was written isn't known.
+    pub fn accepts_version_of(&self, worker: &Worker) -> bool {
+        let is_any = self.settled_version_keys.is_empty() && self.required_version_key.is_none();
+        if worker.row_doubt.is_outdated() {
+            return is_any;
+        }
+        let key = worker.record.software.key();
         let is_settled =
             self.settled_version_keys.is_empty() || self.settled_version_keys.contains(&key);
         is_settled
--- a/crates/cranereach-fleet/src/worker.rs
+++ b/crates/cranereach-fleet/src/worker.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod models;
 mod record;
+mod row_doubt;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -14,6 +15,7 @@
 
 pub use self::record::HeldModel;
 pub use self::record::WorkerRecord;
+pub use self::row_doubt::RowDoubt;
 use crate::brittle::Brittleness;
 use crate::cold::Coldness;
 use crate::configuration::Engine;
@@ -67,6 +69,8 @@
     pub record: WorkerRecord,
     /// Position of that row in the store.
     pub position: StorePosition,
+    /// What contradicts that row.
+    pub row_doubt: RowDoubt,
     /// Health, as observed from the results of requests.
     pub health: Health,
     /// Set while the row may have lapsed only because of an outage: position of its end, and the
@@ -136,6 +140,7 @@
             domain_key: worker_key(&record.failure_domain),
             record,
             position,
+            row_doubt: RowDoubt::default(),
             health: Health::default(),
             lapsed: None,
             leaves_at: StorePosition::default(),
--- a/crates/cranereach-fleet/tests/roster/main.rs
+++ b/crates/cranereach-fleet/tests/roster/main.rs
@@ -1,6 +1,7 @@
 //! The roster of known workers and the choice of one for a request.
 
 mod health;
+mod starts;
 #[path = "../workers/mod.rs"]
 mod workers;
 
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -213,6 +213,8 @@
 /// Report of a worker about itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerReport {
+    /// Start of the worker, in milliseconds of Unix time, if the report tells it.
+    pub started_unix_ms: Option<u64>,
     /// Number of orders that the worker has accepted.
     pub sequence: u64,
     /// Whether an order is in progress.
--- a/crates/cranereach-gateway/src/controller/orders.rs
+++ b/crates/cranereach-gateway/src/controller/orders.rs
@@ -16,7 +16,9 @@
 use crate::node::Node;
 use crate::send_permit;
 use crate::send_permit::Permit;
+use crate::send_permit::RequiredRow;
 use crate::worker_headers;
+use crate::worker_start;
 use cranereach_fleet::configuration::Engine;
 use cranereach_fleet::lease_state::LeaseState;
 use cranereach_fleet::ledger::OpenOrder;
@@ -212,8 +214,14 @@
     let format = &node.adapter.engine;
     let body = Bytes::from((format.encode_order)(&order));
     let permit = || async {
-        let permit =
-            send_permit::ask(node, worker, Purpose::Order, LEAST_URGENT_RANK, None).await?;
+        let permit = send_permit::ask(
+            node,
+            worker,
+            Purpose::Order,
+            LEAST_URGENT_RANK,
+            RequiredRow::default(),
+        )
+        .await?;
         // Last check of the lease before the order is sent.
         (lease_state.token(node.now_ms()) == Some(token)).then_some(permit)
     };
@@ -253,7 +261,15 @@
     worker: &Arc<str>,
 ) -> Option<WorkerState> {
     let format = &node.adapter.engine;
-    let permit = || send_permit::ask(node, worker, Purpose::Report, LEAST_URGENT_RANK, None);
+    let permit = || {
+        send_permit::ask(
+            node,
+            worker,
+            Purpose::Report,
+            LEAST_URGENT_RANK,
+            RequiredRow::default(),
+        )
+    };
     let answer = client
         .get_with_permit(format.report_path, REPORT_TIMEOUT_MS, permit)
         .await;
@@ -264,6 +280,9 @@
         return None;
     }
     let report = (format.parse_report)(&answer.body).ok()?;
+    if let Some(started_unix_ms) = report.started_unix_ms {
+        worker_start::note(node, worker, started_unix_ms);
+    }
     let service = node.service(service)?;
     Some(worker_state(service.engine.as_ref()?, &report))
 }
--- a/crates/cranereach-gateway/src/forward/in_flight.rs
+++ b/crates/cranereach-gateway/src/forward/in_flight.rs
@@ -16,6 +16,7 @@
 use crate::worker_ends::ProbeResult;
 use crate::worker_paths::CONNECT_TIMEOUT_MS;
 use crate::worker_paths::NotConnected;
+use crate::worker_start;
 use cranereach_fleet::brittle::ASK_AGAIN_AFTER_MS;
 use cranereach_fleet::key::worker_key;
 use cranereach_fleet::load::RANK_COUNT;
@@ -239,6 +240,9 @@
             "direct" => format!("{:?}", not_connected.direct),
             "peer" => format!("{:?}", not_connected.peer), "is_dark" => is_dark,
             "is_own_delay" => self.node.is_own_delay(CONNECT_TIMEOUT_MS));
+        if not_connected.direct == Some(ConnectFailure::Refused) {
+            worker_start::note_end(&self.node, &self.worker);
+        }
         let is_silent = not_connected.direct != Some(ConnectFailure::Refused);
         if is_silent && self.node.is_own_delay(CONNECT_TIMEOUT_MS) {
             return;
@@ -262,6 +266,7 @@
     pub fn broke_off(mut self) {
         let node = Arc::clone(&self.node);
         let worker = Arc::clone(&self.worker);
+        worker_start::note_end(&node, &worker);
         let was_relayed = self.was_relayed;
         tokio::spawn(async move {
             let found = worker_ends::check(&node, &worker).await;
--- a/crates/cranereach-gateway/src/forward/response_head.rs
+++ b/crates/cranereach-gateway/src/forward/response_head.rs
@@ -54,8 +54,9 @@
     pub keep_alive_ms: Option<u64>,
     /// In-flight count of the call at the worker.
     pub in_flight: InFlightCall,
-    /// Version of the worker's software according to the row by which the call was sent.
-    pub software: SoftwareVersion,
+    /// Version of the worker's software according to the row by which the call was sent; `None` if
+    /// that row may describe an earlier start of the worker.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Processes the head of a response, and checks that it belongs to this call and that the worker
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -113,17 +113,17 @@
 }
 
 /// Returns the version of the software of a worker that has sent the first chunk of a stream, given
-/// that of the row by which the call was sent. `None` if the worker's row names another one by now:
-/// the row may have been late when the call was sent, so that either may have written the chunk.
+/// that of the row by which the call was sent, if it was certain. `None` if the worker's row names
+/// another one by now: the row may have been late when the call was sent, so that either may have
+/// written the chunk.
 fn confirmed_version(
     node: &Node,
     worker: &str,
-    sent_by: SoftwareVersion,
+    sent_by: Option<SoftwareVersion>,
 ) -> Option<SoftwareVersion> {
     let roster = node.roster();
     let known = roster.get(worker);
-    let is_same = known.is_none_or(|known| known.record.software == sent_by);
-    is_same.then_some(sent_by)
+    sent_by.filter(|sent_by| known.is_none_or(|known| known.record.software == *sent_by))
 }
 
 /// Resumed stream with the offers used so far, or the reason why the stream is not resumed.
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -24,11 +24,16 @@
 use crate::node::pause;
 use crate::quarantine;
 use crate::send_permit;
+use crate::send_permit::Permit;
+use crate::send_permit::RequiredRow;
 use crate::worker_headers::DEFAULT_KEEP_ALIVE_MS;
 use crate::worker_paths;
 use crate::worker_paths::WorkerConnection;
+use crate::worker_start;
+use crate::worker_start::ToldStart;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::Choice;
+use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::pool::SendError;
 
@@ -44,6 +49,38 @@
 /// sent before their scheduled time caused half of all pauses.
 const HOLD_MAX_SHARE: f64 = 1.0;
 
+/// What is known of the start of the worker at the other end of a connection.
+#[derive(Clone, Copy, Debug)]
+enum Start {
+    /// Nothing contradicts the worker's row.
+    AsListed,
+    /// The worker told it over the connection, in milliseconds of Unix time.
+    Told(u64),
+    /// The worker's row may describe an earlier one.
+    Unknown,
+}
+
+impl Start {
+    /// Returns the start that the worker told, in milliseconds of Unix time.
+    fn told_unix_ms(self) -> Option<u64> {
+        match self {
+            Self::Told(told_unix_ms) => Some(told_unix_ms),
+            Self::AsListed | Self::Unknown => None,
+        }
+    }
+
+    /// Returns the version of the worker's software by the row that a permit was given for, if that
+    /// row describes this start.
+    fn attested_version(self, permit: &Permit) -> Option<SoftwareVersion> {
+        let is_attested = match self {
+            Self::AsListed => true,
+            Self::Told(told_unix_ms) => told_unix_ms == permit.started_unix_ms,
+            Self::Unknown => false,
+        };
+        is_attested.then(|| permit.software.clone())
+    }
+}
+
 impl Exchange<'_> {
     /// Offers the call to one worker and makes the response to the caller.
     pub(super) async fn offer(
@@ -78,17 +115,11 @@
             node.metrics.prompts_held_total.inc();
         }
         self.hold(choice, hold_ms).await?;
-        let mut connection = self.connect(choice, &mut in_flight).await?;
+        let (mut connection, start) = self.connect(choice, &mut in_flight).await?;
         let permit = if in_flight.ask_for_brittle(call.deadline_at_ms).await {
-            let required_version_key = self.history.requirement.key();
-            send_permit::ask(
-                node,
-                &choice.id,
-                Purpose::Call,
-                call.rank,
-                required_version_key,
-            )
-            .await
+            let required_row = self.required_row(start);
+            let purpose = Purpose::Call;
+            send_permit::ask(node, &choice.id, purpose, call.rank, required_row).await
         } else {
             None
         };
@@ -141,15 +172,51 @@
             connection,
             keep_alive_ms: parsed_headers.connection_keep_alive_ms,
             in_flight,
-            software: permit.software,
+            software: start.attested_version(&permit),
         })
     }
 
-    /// Reuses or opens a connection to the worker.
+    /// Returns what the row of the worker must say for the call to be sent at a start.
+    fn required_row(&self, start: Start) -> RequiredRow {
+        let version_key = self.history.requirement.key();
+        RequiredRow {
+            version_key,
+            started_unix_ms: version_key.and(start.told_unix_ms()),
+        }
+    }
+
+    /// Reuses or opens a connection to the worker, and finds out what is known of the start of the
+    /// worker at its other end as far as the call depends on it.
     async fn connect(
         &self,
         choice: &Choice,
         in_flight: &mut InFlightCall,
+    ) -> Result<(WorkerConnection, Start), Failure> {
+        let mut connection = self.open(choice, in_flight).await?;
+        let is_bound = self.history.requirement.key().is_some();
+        let is_doubtful =
+            self.call.may_be_taken_up() && worker_start::is_row_doubtful(self.node, &choice.id);
+        if !is_bound && !is_doubtful {
+            return Ok((connection, Start::AsListed));
+        }
+        let rank = self.call.rank;
+        let told = worker_start::ask(self.node, &choice.id, rank, &mut connection).await;
+        match told {
+            ToldStart::At(told_unix_ms) => Ok((connection, Start::Told(told_unix_ms))),
+            ToldStart::Untold if !is_doubtful => Ok((connection, Start::AsListed)),
+            ToldStart::NotPermitted if is_bound => Err(Failure::NoPermit),
+            ToldStart::Untold | ToldStart::Unanswered if is_bound => Err(Failure::NotSent),
+            ToldStart::Untold | ToldStart::NotPermitted => Ok((connection, Start::Unknown)),
+            // A stream may begin at a worker of unknown start; it only isn't taken up later.
+            ToldStart::Unanswered => Ok((self.open(choice, in_flight).await?, Start::Unknown)),
+        }
+    }
+
+    /// Reuses or opens a connection to the worker.
+    async fn open(
+        &self,
+        choice: &Choice,
+        in_flight: &mut InFlightCall,
     ) -> Result<WorkerConnection, Failure> {
         match worker_paths::take(self.node, &choice.id, &choice.address).await {
             Ok(connection) => Ok(connection),
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -81,3 +81,4 @@
 pub mod worker_ends;
 pub mod worker_headers;
 pub mod worker_paths;
+pub mod worker_start;
--- a/crates/cranereach-gateway/src/metrics/origins.rs
+++ b/crates/cranereach-gateway/src/metrics/origins.rs
@@ -10,6 +10,8 @@
 pub struct OriginMetrics {
     /// Streams that callers took up, by who knew the origin and by the result.
     pub take_ups_total: IntCounterVec,
+    /// Questions to workers for the time of their start, by the result.
+    pub starts_asked_total: IntCounterVec,
     /// Notes of streams, by whose they are.
     pub notes: IntGaugeVec,
 }
@@ -23,6 +25,11 @@
                 "streams that callers took up",
                 &["origin", "result"],
             ),
+            starts_asked_total: make.counters(
+                "worker_starts_asked_total",
+                "questions to workers for their start",
+                &["result"],
+            ),
             notes: make.gauges("stream_origin_notes", "notes of streams", &["kind"]),
         }
     }
--- a/crates/cranereach-gateway/src/send_permit.rs
+++ b/crates/cranereach-gateway/src/send_permit.rs
@@ -13,6 +13,7 @@
 use crate::send_grants;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::software_version::SoftwareVersion;
+use cranereach_fleet::worker::WorkerRecord;
 
 /// Permission to send one request to a worker immediately. The response is attributed to the
 /// incarnation of the worker recorded here.
@@ -30,15 +31,36 @@
     pub sent_ms: u64,
 }
 
+/// What the row of a worker must say for a request to be sent to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequiredRow {
+    /// Key of the version of the software; `None` if any will do.
+    pub version_key: Option<u64>,
+    /// Start of the worker, in milliseconds of Unix time; `None` if any will do.
+    pub started_unix_ms: Option<u64>,
+}
+
+impl RequiredRow {
+    /// Whether a row says what is required.
+    fn is_met_by(&self, record: &WorkerRecord) -> bool {
+        let has_version = self
+            .version_key
+            .is_none_or(|required_key| record.software.key() == required_key);
+        let has_start = self
+            .started_unix_ms
+            .is_none_or(|required_unix_ms| record.started_unix_ms == required_unix_ms);
+        has_version && has_start
+    }
+}
+
 /// Requests a permit to send one request of a given priority rank. Returns `None` if the worker
-/// must not receive it now, or if its software has another version than the one with the key
-/// `required_version_key`.
+/// must not receive it now, or if its row does not say what is required.
 pub async fn ask(
     node: &Node,
     worker: &Arc<str>,
     purpose: Purpose,
     rank: u8,
-    required_version_key: Option<u64>,
+    required_row: RequiredRow,
 ) -> Option<Permit> {
     if is_barred(node, worker, purpose, rank) {
         return None;
@@ -55,10 +77,10 @@
     let (started_unix_ms, software) = {
         let mut roster = node.roster();
         let worker = roster.get_mut(worker)?;
-        let software = worker.record.software.clone();
-        if required_version_key.is_some_and(|required_key| software.key() != required_key) {
+        if !required_row.is_met_by(&worker.record) {
             return None;
         }
+        let software = worker.record.software.clone();
         if purpose == Purpose::Call {
             worker.rest.sent(sent_ms);
         }
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -64,6 +64,7 @@
     /// Time until which it may be used, in milliseconds since the machine booted; `None` if
     /// it may be used for as long as it is open.
     expires_at_ms: Option<u64>,
+    told_start_unix_ms: Option<u64>,
 }
 
 /// Idle connections, the most recently used at the end.
@@ -95,6 +96,9 @@
     is_reused: bool,
     /// Host that relays the connection; none if it is direct.
     via: Option<Ipv4Addr>,
+    /// Start of the process at the other end, as it told over this connection, in milliseconds of
+    /// Unix time.
+    told_start_unix_ms: Option<u64>,
 }
 
 impl<B> std::fmt::Debug for Connection<B> {
@@ -172,12 +176,13 @@
     /// Takes the most recently used idle connection among those that may be used, given the host
     /// that relays each, if any.
     pub fn take_idle(&self, may_use: impl Fn(Option<Ipv4Addr>) -> bool) -> Option<Connection<B>> {
-        let (sender, via) = self.pop_idle(may_use)?;
+        let idle = self.pop_idle(may_use)?;
         Some(Connection {
-            sender,
+            sender: idle.sender,
             idle_list: Arc::clone(&self.idle),
             is_reused: true,
-            via,
+            via: idle.via,
+            told_start_unix_ms: idle.told_start_unix_ms,
         })
     }
 
@@ -224,15 +229,13 @@
             idle_list: Arc::clone(&self.idle),
             is_reused: false,
             via,
+            told_start_unix_ms: None,
         })
     }
 
     /// Removes the most recently used idle connection that may be used, is open and hasn't expired.
     /// Drops those found closed or expired before it.
-    fn pop_idle(
-        &self,
-        may_use: impl Fn(Option<Ipv4Addr>) -> bool,
-    ) -> Option<(SendRequest<B>, Option<Ipv4Addr>)> {
+    fn pop_idle(&self, may_use: impl Fn(Option<Ipv4Addr>) -> bool) -> Option<IdleConnection<B>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = boottime_ms();
         let mut index = idle.len();
@@ -245,8 +248,7 @@
             if !is_fresh || !candidate.sender.is_ready() {
                 idle.remove(index);
             } else if may_use(candidate.via) {
-                let taken = idle.remove(index);
-                return Some((taken.sender, taken.via));
+                return Some(idle.remove(index));
             }
         }
         None
@@ -267,6 +269,24 @@
         self.via
     }
 
+    /// Returns the start of the process at the other end, in milliseconds of Unix time, if it has
+    /// told that over this connection. It holds for as long as the connection, which ends with the
+    /// process that accepted it.
+    pub fn told_start_unix_ms(&self) -> Option<u64> {
+        self.told_start_unix_ms
+    }
+
+    /// Records the start that the process at the other end told over this connection, in
+    /// milliseconds of Unix time.
+    pub fn set_told_start_unix_ms(&mut self, started_unix_ms: u64) {
+        self.told_start_unix_ms = Some(started_unix_ms);
+    }
+
+    /// Waits until another request can be sent. Returns whether the connection is still open.
+    pub async fn until_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Returns whether the connection has been closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
@@ -316,6 +336,7 @@
                 sender: self.sender,
                 via: self.via,
                 expires_at_ms,
+                told_start_unix_ms: self.told_start_unix_ms,
             });
         }
     }
