--- a/crates/cranereach-gateway/src/worker_start.rs
+++ b/crates/cranereach-gateway/src/worker_start.rs
@@ -96,6 +96,8 @@
         connection.set_told_start_unix_ms(started_unix_ms);
         note(node, worker, started_unix_ms);
     }
+    info!(node.log, "worker asked for its start"; "worker" => worker.as_ref(),
+        "told" => format!("{told:?}"));
     let counter = &node.metrics.origins.starts_asked_total;
     counter.with_label_values(&[told.name()]).inc();
     told
