Rows that name no start are never in doubt

Workers that tell their starts nowhere have another identity after each, so that their rows describe the process that answers. Now nobody is asked.

--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -230,8 +230,8 @@
     }
 
     /// Takes the start that a worker told, in milliseconds of Unix time. If it is later than that of
-    /// its row, nothing learned about the worker applies any more, and the row is outdated. Returns
-    /// whether that is new.
+    /// its row, nothing learned about the worker applies any more, and the row is outdated. A row that
+    /// names no start never is. Returns whether that is new.
     ///
     /// ```
     /// use std::sync::Arc;
@@ -257,7 +257,7 @@
         };
         let told_unix_ms = known.row_doubt.told_start_unix_ms();
         let known_unix_ms = told_unix_ms.unwrap_or(known.record.started_unix_ms);
-        if started_unix_ms <= known_unix_ms {
+        if known_unix_ms == 0 || started_unix_ms <= known_unix_ms {
             return false;
         }
         let leaves_at = known.leaves_at;
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -30,6 +30,7 @@
 use crate::worker_paths;
 use crate::worker_paths::WorkerConnection;
 use crate::worker_start;
+use crate::worker_start::RowState;
 use crate::worker_start::ToldStart;
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::Choice;
@@ -194,9 +195,10 @@
     ) -> Result<(WorkerConnection, Start), Failure> {
         let mut connection = self.open(choice, in_flight).await?;
         let is_bound = self.history.requirement.key().is_some();
-        let is_doubtful =
-            self.call.may_be_taken_up() && worker_start::is_row_doubtful(self.node, &choice.id);
-        if !is_bound && !is_doubtful {
+        let depends_on_start = is_bound || self.call.may_be_taken_up();
+        let row_state = worker_start::row_state(self.node, &choice.id);
+        let is_doubtful = row_state == RowState::Doubtful;
+        if !depends_on_start || row_state == RowState::Certain || !is_bound && !is_doubtful {
             return Ok((connection, Start::AsListed));
         }
         let rank = self.call.rank;
--- a/crates/cranereach-gateway/src/worker_start.rs
+++ b/crates/cranereach-gateway/src/worker_start.rs
@@ -43,9 +43,21 @@
     Unanswered,
 }
 
-/// Whether the row of a worker may describe an earlier start: the list is older than its bound, or
-/// this instance saw an end of the worker since.
-pub fn is_row_doubtful(node: &Node, worker: &str) -> bool {
+/// Whether the row of a worker describes the start of the process that answers at its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowState {
+    /// It does, since the row names no start: workers that don't tell their starts have another
+    /// identity after each.
+    Certain,
+    /// It does as far as known.
+    Current,
+    /// It may describe an earlier start: the list is older than its bound, or this instance saw an end
+    /// of the worker since.
+    Doubtful,
+}
+
+/// Returns what is known about the row of a worker.
+pub fn row_state(node: &Node, worker: &str) -> RowState {
     let now_ms = node.now_ms();
     let (age_ms, as_of_ms) = {
         let list = lock(&node.list);
@@ -53,8 +65,11 @@
     };
     let is_old = age_ms.is_none_or(|age_ms| age_ms > node.settings.bounds.drain_ms);
     let roster = node.roster();
-    let known = roster.get(worker);
-    is_old || known.is_some_and(|known| known.row_doubt.is_doubtful(as_of_ms))
+    match roster.get(worker) {
+        Some(known) if known.record.started_unix_ms == 0 => RowState::Certain,
+        Some(known) if is_old || known.row_doubt.is_doubtful(as_of_ms) => RowState::Doubtful,
+        Some(_) | None => RowState::Current,
+    }
 }
 
 /// Records that a connection to a worker broke or was refused.
