A part that ends workers as answers begin is told from parts whose requests write on

Cause: only a whole answer cleared a part. With three workers and answers of 8 s no answer is ever whole between two ends, so that the parts of sound requests had the same ends as the poison part. The verdict refused requests that have all of the tied parts, and none has.

A part that ends its worker when an answer begins has all its ends under requests that had just begun. Ends are now counted apart by that, and a request that has written for a second clears its parts under that count as of its beginning. A part that ends workers later is held by the other count, from four ends on. A tie that still lasts at four ends refuses requests that have any of its parts, and a probe 2 s later tells them apart.

--- a/crates/cranereach-fleet/src/quarantine.rs
+++ b/crates/cranereach-fleet/src/quarantine.rs
@@ -10,6 +10,10 @@
 //!
 //! - Ends of different workers count, and those of one worker that was restarted in between.
 //! - One complete response proves the suspect harmless; earlier ends no longer count.
+//! - A part that ends workers does so when an answer on it begins, or later. Ends under requests that
+//!   had just begun are counted apart from those under requests that had written for [`PROGRESS_MS`]
+//!   ([`RunPhase`]). A request that has written for that long proves its parts harmless as far as
+//!   the former go, whether or not its own answer will be complete.
 //! - From [`END_MAX_COUNT`] ends in a row on, the suspect is quarantined, if at least one of them
 //!   came under an attempt whose sender knew of an earlier end. If many workers are lost at the
 //!   same moment, requests running on several of them are thus not taken for one request that was
@@ -42,7 +46,9 @@
 pub use self::gossip::GossipedEnd;
 pub use self::gossip::SuspectUpdate;
 pub use self::key::KnownEnds;
+pub use self::key::PROGRESS_MS;
 pub use self::key::RequestKeys;
+pub use self::key::RunPhase;
 pub use self::key::SuspectKey;
 pub use self::local::LocalObservations;
 pub use self::local::SuspectReport;
@@ -104,7 +110,8 @@
     /// Returns whether any part of prompts is known; if not, fingerprints of parts need not be
     /// computed.
     pub fn knows_parts(&self) -> bool {
-        self.has_key_like(SuspectKey::part(Fingerprint::default()))
+        let first = SuspectKey::late_part(Fingerprint::default());
+        self.suspects.range(first..).next().is_some()
     }
 
     /// Returns whether a key of the same kind and size as `first`, the lowest one of these, is
@@ -142,29 +149,32 @@
             judgement.known_ends.note_content();
         }
         for (index, part) in keys.parts.iter().enumerate() {
-            let key = SuspectKey::part(*part);
-            if self.suspicion(key).end_count > 0 {
-                judgement.known_ends.note_part(index);
+            for phase in [RunPhase::Beginning, RunPhase::Writing] {
+                let key = SuspectKey::part_in(phase, *part);
+                if self.suspicion(key).end_count > 0 {
+                    judgement.known_ends.note_part(phase, index);
+                }
             }
         }
         judgement
     }
 
-    /// Records the end of a worker under a request, as observed by this instance. `known_ends` tells
-    /// for which keys earlier ends were known here when the request was sent. Returns the keys for
-    /// which the end is new.
+    /// Records the end of a worker under a request that was in a phase, as observed by this instance.
+    /// `known_ends` tells for which keys earlier ends were known here when the request was sent.
+    /// Returns the keys for which the end is new.
     pub fn request_ended(
         &mut self,
         now_ms: i64,
         keys: &RequestKeys<'_>,
         worker: u64,
         known_ends: KnownEnds,
+        phase: RunPhase,
     ) -> Vec<SuspectKey> {
         let content = keys.content.map(|key| (key, known_ends.knew_content()));
         let parts = keys.parts.iter().enumerate();
         let parts = parts.map(|(index, part)| {
-            let knew_of_others = known_ends.knew_part(index);
-            (SuspectKey::part(*part), knew_of_others)
+            let knew_of_others = known_ends.knew_part(phase, index);
+            (SuspectKey::part_in(phase, *part), knew_of_others)
         });
         let mut new_keys = Vec::new();
         for (key, knew_of_others) in content.into_iter().chain(parts) {
@@ -227,16 +237,31 @@
     /// Records a complete response under a suspect, or its release by an operator. Returns the
     /// evidence that was held against it, if there was any.
     pub fn clear(&mut self, now_ms: i64, key: SuspectKey) -> Option<Suspicion> {
+        self.clear_as_of(now_ms, key, now_ms)
+    }
+
+    /// Records that a suspect was harmless at a time, in milliseconds: ends until then no longer
+    /// count, and of two suspects that are equal otherwise, the other one is the more likely cause of
+    /// those since. Returns the evidence that was held against it, if that changes it.
+    pub fn clear_as_of(
+        &mut self,
+        now_ms: i64,
+        key: SuspectKey,
+        as_of_ms: i64,
+    ) -> Option<Suspicion> {
         let before = self.suspicion(key);
         if before.end_count == 0 {
             return None;
         }
-        self.change(now_ms, key, |suspect| {
-            suspect.clear(now_ms);
-            suspect.changed_at_ms = now_ms;
+        let is_news = self.change(now_ms, key, |suspect| {
+            let is_news = suspect.clear(as_of_ms);
+            if is_news {
+                suspect.changed_at_ms = now_ms;
+            }
+            is_news
         });
         self.verdicts.settle(&self.suspects);
-        Some(before)
+        is_news.then_some(before)
     }
 
     /// Returns whether a suspect was proved harmless or released by an operator, and nothing is
@@ -264,7 +289,7 @@
 
     /// Counts the parts that are remembered.
     pub fn known_part_count(&self) -> usize {
-        let first = SuspectKey::part(Fingerprint::default());
+        let first = SuspectKey::late_part(Fingerprint::default());
         self.suspects.range(first..).count()
     }
 
--- a/crates/cranereach-fleet/src/quarantine/key.rs
+++ b/crates/cranereach-fleet/src/quarantine/key.rs
@@ -7,8 +7,28 @@
 /// count ends by whole requests alone pass such entries on, and have no request of that size.
 const PART_BODY_BYTES: u32 = u32::MAX;
 
+/// The same for parts of prompts whose requests had written to their answers for some time.
+const LATE_PART_BODY_BYTES: u32 = u32::MAX - 1;
+
+/// Largest size of a body that is told apart.
+const BODY_MAX_BYTES: u32 = u32::MAX - 2;
+
+/// How far a request was when its worker ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// It had not written to its answer for [`PROGRESS_MS`] yet.
+    Beginning,
+    /// It had.
+    Writing,
+}
+
+/// Time for which a request must have written to its answer to show that no part of its prompt ends
+/// workers when an answer on it begins, in milliseconds.
+pub const PROGRESS_MS: u64 = 1_000;
+
 /// Identifies what may cause workers to end: a request by its whole content, or a part of prompts
-/// by its id. The size comes first, so that requests of a size that is not known need no
+/// by its id. A part counts twice: for requests that had just begun when their worker ended, and for
+/// those that had written to their answers for some time. The size comes first, so that requests of a size that is not known need no
 /// fingerprint.
 ///
 /// ```
@@ -29,9 +49,8 @@
 impl SuspectKey {
     /// Returns the key of a request with a body of this size and a content with this fingerprint.
     pub const fn request(body_bytes: u32, fingerprint: Fingerprint) -> Self {
-        let is_reserved = body_bytes == PART_BODY_BYTES;
-        let body_bytes = if is_reserved {
-            PART_BODY_BYTES - 1
+        let body_bytes = if body_bytes > BODY_MAX_BYTES {
+            BODY_MAX_BYTES
         } else {
             body_bytes
         };
@@ -41,7 +60,7 @@
         }
     }
 
-    /// Returns the key of a part of prompts.
+    /// Returns the key of a part of prompts, for requests that had just begun.
     pub const fn part(fingerprint: Fingerprint) -> Self {
         Self {
             body_bytes: PART_BODY_BYTES,
@@ -49,6 +68,22 @@
         }
     }
 
+    /// Returns the key of a part of prompts, for requests that had written for some time.
+    pub const fn late_part(fingerprint: Fingerprint) -> Self {
+        Self {
+            body_bytes: LATE_PART_BODY_BYTES,
+            fingerprint,
+        }
+    }
+
+    /// Returns the key of a part of prompts, for requests that were in a phase.
+    pub const fn part_in(phase: RunPhase, fingerprint: Fingerprint) -> Self {
+        match phase {
+            RunPhase::Beginning => Self::part(fingerprint),
+            RunPhase::Writing => Self::late_part(fingerprint),
+        }
+    }
+
     /// Returns the key that an update names.
     pub(super) const fn from_update(body_bytes: u32, fingerprint: Fingerprint) -> Self {
         Self {
@@ -59,7 +94,12 @@
 
     /// Whether the key is that of a part of prompts.
     pub const fn is_part(&self) -> bool {
-        self.body_bytes == PART_BODY_BYTES
+        self.body_bytes > BODY_MAX_BYTES
+    }
+
+    /// Whether the key is that of a part, for requests that had written for some time.
+    pub const fn is_late_part(&self) -> bool {
+        self.body_bytes == LATE_PART_BODY_BYTES
     }
 
     /// Size of the body in bytes, as in updates.
@@ -81,8 +121,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KnownEnds {
     content: bool,
-    /// A bit for each part of the prompt, in order.
+    /// A bit for each part of the prompt, in order, for ends under requests that had just begun.
     parts: u32,
+    /// The same for ends under requests that had written for some time.
+    late_parts: u32,
 }
 
 const _: () = assert!(PART_MAX_COUNT <= u32::BITS as usize);
@@ -93,14 +135,17 @@
         self.content = true;
     }
 
-    /// Notes that ends were known for the part at `index`.
-    pub(super) fn note_part(&mut self, index: usize) {
-        self.parts |= Self::bit(index);
+    /// Notes that ends were known for the part at `index` under requests in a phase.
+    pub(super) fn note_part(&mut self, phase: RunPhase, index: usize) {
+        match phase {
+            RunPhase::Beginning => self.parts |= Self::bit(index),
+            RunPhase::Writing => self.late_parts |= Self::bit(index),
+        }
     }
 
     /// Whether ends were known for any key.
     pub const fn knew_any(self) -> bool {
-        self.content || self.parts != 0
+        self.content || self.parts | self.late_parts != 0
     }
 
     /// Whether ends were known for the whole content.
@@ -108,9 +153,13 @@
         self.content
     }
 
-    /// Whether ends were known for the part at `index`.
-    pub fn knew_part(self, index: usize) -> bool {
-        self.parts & Self::bit(index) != 0
+    /// Whether ends were known for the part at `index` under requests in a phase.
+    pub fn knew_part(self, phase: RunPhase, index: usize) -> bool {
+        let parts = match phase {
+            RunPhase::Beginning => self.parts,
+            RunPhase::Writing => self.late_parts,
+        };
+        parts & Self::bit(index) != 0
     }
 
     /// Returns the bit of the part at `index`; zero beyond the last that is counted.
--- a/crates/cranereach-fleet/src/quarantine/local.rs
+++ b/crates/cranereach-fleet/src/quarantine/local.rs
@@ -76,12 +76,11 @@
         Some(&suspect.observed)
     }
 
-    /// Finds a suspect by its fingerprint alone.
-    pub fn find(&self, fingerprint: Fingerprint) -> Option<SuspectKey> {
-        self.suspects
-            .keys()
-            .find(|key| key.fingerprint == fingerprint)
-            .copied()
+    /// Finds suspects by their fingerprint alone: a part may be suspected twice.
+    pub fn find(&self, fingerprint: Fingerprint) -> Vec<SuspectKey> {
+        let keys = self.suspects.keys();
+        let keys = keys.filter(|key| key.fingerprint == fingerprint);
+        keys.copied().collect()
     }
 
     /// Lists the suspects with evidence against them.
--- a/crates/cranereach-fleet/src/quarantine/probes.rs
+++ b/crates/cranereach-fleet/src/quarantine/probes.rs
@@ -3,7 +3,8 @@
 //! A part that was blamed wrongly is never proved harmless while it is refused. So one request with
 //! it is let through some time after the last end, and a complete response releases the part. If
 //! another worker ends, the part is probed again after twice that time. A part under which many
-//! workers ended was not blamed by chance; only an operator releases it.
+//! workers ended was not blamed by chance; only an operator releases it. Parts that are tied, so that
+//! requests are refused which have any of them, are probed soon: one probe tells them apart.
 
 use super::Quarantine;
 use super::SuspectKey;
@@ -14,17 +15,23 @@
 /// milliseconds.
 const PROBE_DELAY_MS: i64 = 10_000;
 
+/// The same for a part that is tied with others, for requests with any of them.
+const TIED_PROBE_DELAY_MS: i64 = 2_000;
+
 /// Ends in a row from which on a part is not probed.
 const PROBED_END_MAX_COUNT: usize = 7;
 
 impl Suspect {
     /// Returns when the part may be probed, in milliseconds; `None` if it is not to be probed.
-    fn probe_at_ms(&self) -> Option<i64> {
+    fn probe_at_ms(&self, is_tied: bool) -> Option<i64> {
         let end_count = self.ends.len();
+        let last_ms = self.last_end_ms().max(self.observed.probed_at_ms)?;
+        if is_tied {
+            return Some(last_ms + TIED_PROBE_DELAY_MS);
+        }
         if end_count >= PROBED_END_MAX_COUNT {
             return None;
         }
-        let last_ms = self.last_end_ms().max(self.observed.probed_at_ms)?;
         Some(last_ms + (PROBE_DELAY_MS << end_count.saturating_sub(END_MAX_COUNT)))
     }
 }
@@ -33,7 +40,8 @@
     /// Whether a request with a quarantined part may be sent now as a probe.
     pub fn is_probe_due(&self, now_ms: i64, part: SuspectKey) -> bool {
         let suspect = self.suspects.get(&part);
-        let probe_at_ms = suspect.and_then(Suspect::probe_at_ms);
+        let probe_at_ms =
+            suspect.and_then(|suspect| suspect.probe_at_ms(self.verdicts.is_refused_by_tie(&part)));
         self.verdicts.is_quarantined(&part) && probe_at_ms.is_some_and(|at_ms| now_ms >= at_ms)
     }
 
--- a/crates/cranereach-fleet/src/quarantine/suspect.rs
+++ b/crates/cranereach-fleet/src/quarantine/suspect.rs
@@ -5,6 +5,10 @@
 /// Consecutive ends from which on a suspect is sent to no worker; two may be a coincidence.
 pub const END_MAX_COUNT: usize = 3;
 
+/// Consecutive ends from which on weak evidence counts: a part is blamed for ends under requests that
+/// had written for some time, and requests are refused that have any of several tied parts.
+pub(super) const WEAK_END_MAX_COUNT: usize = END_MAX_COUNT + 1;
+
 /// Consecutive ends from which on a request is not sent to a worker that runs another such request:
 /// the next end then shows which of them caused it. Without this rule, some 50 of 360 callers whose
 /// requests ran next to such requests were quarantined with them.
@@ -133,9 +137,12 @@
             return false;
         }
         self.cleared_at_ms = Some(at_ms);
+        let end_count = self.ends.len();
         self.ends.retain(|end| end.at_ms > at_ms);
-        // It is not known whether the remaining ends came under repeated attempts.
-        self.is_repeated = false;
+        if self.ends.len() < end_count {
+            // It is not known whether the remaining ends came under repeated attempts.
+            self.is_repeated = false;
+        }
         true
     }
 
--- a/crates/cranereach-fleet/tests/quarantine/fleet.rs
+++ b/crates/cranereach-fleet/tests/quarantine/fleet.rs
@@ -19,8 +19,10 @@
 use cranereach_fleet::fingerprint::FingerprintKey;
 use cranereach_fleet::quarantine::END_MAX_COUNT;
 use cranereach_fleet::quarantine::KnownEnds;
+use cranereach_fleet::quarantine::PROGRESS_MS;
 use cranereach_fleet::quarantine::Quarantine;
 use cranereach_fleet::quarantine::RequestKeys;
+use cranereach_fleet::quarantine::RunPhase;
 use cranereach_fleet::quarantine::SuspectKey;
 
 /// Time of one step, in milliseconds.
@@ -66,12 +68,24 @@
     instance: usize,
     known_ends: KnownEnds,
     is_isolated: bool,
+    sent_at_ms: i64,
     ends_at_ms: i64,
     prompt: Prompt,
     /// When it was first received.
     received_ms: i64,
 }
 
+impl Call {
+    /// Returns how far the call is; it writes to its answer from the moment at which it was sent.
+    fn phase(&self, now_ms: i64) -> RunPhase {
+        if now_ms - self.sent_at_ms >= PROGRESS_MS as i64 {
+            RunPhase::Writing
+        } else {
+            RunPhase::Beginning
+        }
+    }
+}
+
 struct Worker {
     start: u64,
     back_at_ms: i64,
@@ -142,6 +156,7 @@
             instance: 0,
             known_ends: KnownEnds::default(),
             is_isolated: false,
+            sent_at_ms: 0,
             ends_at_ms: 0,
             prompt: Prompt::default(),
             received_ms: self.now_ms,
@@ -149,6 +164,7 @@
     }
 
     fn step(&mut self) {
+        self.record_progress();
         self.complete_calls();
         self.stop_random_workers();
         // A call takes one second on average.
@@ -220,7 +236,7 @@
     /// Returns the keys of a call: its content, then the parts of its prompt.
     fn keys(call: &Call) -> Vec<SuspectKey> {
         let parts = call.prompt.parts().iter();
-        let parts = parts.map(|part| SuspectKey::part(*part));
+        let parts = parts.flat_map(|part| [SuspectKey::part(*part), SuspectKey::late_part(*part)]);
         std::iter::once(request_key(call.number))
             .chain(parts)
             .collect()
@@ -271,10 +287,11 @@
         call.attempts += 1;
         call.known_ends = judgement.known_ends;
         let stays_ms = if call.is_fatal {
-            100
+            self.prompts.as_ref().map_or(100, Prompts::ends_after_ms)
         } else {
             self.rng.random_range(100..1_900)
         };
+        call.sent_at_ms = now_ms;
         call.ends_at_ms = now_ms + stays_ms;
         self.workers[worker].open.push(call);
         if call.is_fatal {
@@ -295,6 +312,32 @@
         }
     }
 
+    /// Clears the parts of the calls that have written for long enough.
+    fn record_progress(&mut self) {
+        let now_ms = self.now_ms;
+        let exonerates = self.prompts.as_ref().is_some_and(Prompts::exonerates);
+        let is_due = |call: &&Call| {
+            let written_ms = now_ms - call.sent_at_ms;
+            written_ms > 0 && written_ms % PROGRESS_MS as i64 == 0
+        };
+        let open = self.workers.iter().flat_map(|worker| &worker.open);
+        let due: Vec<Call> = open
+            .filter(is_due)
+            .filter(|_| exonerates)
+            .copied()
+            .collect();
+        for call in due {
+            for part in call.prompt.parts() {
+                let key = SuspectKey::part(*part);
+                let quarantine = &mut self.instances[call.instance];
+                let cleared = quarantine.clear_as_of(now_ms, key, call.sent_at_ms);
+                if cleared.is_some() {
+                    self.report_to_counters(call.instance, key);
+                }
+            }
+        }
+    }
+
     /// Completes the harmless calls that are due, and ends workers whose fatal requests are due.
     fn complete_calls(&mut self) {
         let now_ms = self.now_ms;
@@ -360,7 +403,8 @@
                 parts: call.prompt.parts(),
             };
             let instance = &mut self.instances[call.instance];
-            let new_keys = instance.request_ended(now_ms, &keys, start, call.known_ends);
+            let new_keys =
+                instance.request_ended(now_ms, &keys, start, call.known_ends, call.phase(now_ms));
             for key in new_keys {
                 self.report_to_counters(call.instance, key);
             }
--- a/crates/cranereach-fleet/tests/quarantine/parts.rs
+++ b/crates/cranereach-fleet/tests/quarantine/parts.rs
@@ -11,6 +11,7 @@
 use cranereach_fleet::quarantine::GossipedEnd;
 use cranereach_fleet::quarantine::Quarantine;
 use cranereach_fleet::quarantine::RequestKeys;
+use cranereach_fleet::quarantine::RunPhase;
 use cranereach_fleet::quarantine::SUSPECT_MAX_COUNT;
 use cranereach_fleet::quarantine::SuspectKey;
 use cranereach_fleet::quarantine::SuspectUpdate;
@@ -96,6 +97,78 @@
     assert!(quarantine.judge(&keys).quarantined_part.is_some());
 }
 
+/// Guards against a poison part that is tied with parts of other requests, of which some write on
+/// while no answer is complete.
+#[test]
+fn a_part_is_blamed_before_those_that_requests_wrote_on() {
+    let mut quarantine = Quarantine::default();
+    for worker in 1..=3 {
+        end(&mut quarantine, worker, &["first", "bad"]);
+        end(&mut quarantine, worker, &["first", "other"]);
+        // Requests that began before the first end, at workers that run on.
+        for id in ["first", "other"] {
+            quarantine.clear_as_of(worker as i64 * 1_000 + 500, part(id), 100);
+        }
+    }
+    assert!(is_quarantined(&quarantine, "bad"));
+    assert!(!is_quarantined(&quarantine, "first") && !is_quarantined(&quarantine, "other"));
+}
+
+/// Guards against parts of a tie that stay refused although they are harmless, and against a poison
+/// part that is probed again and again.
+#[test]
+fn a_probe_tells_tied_parts_of_different_requests_apart() {
+    let mut quarantine = Quarantine::default();
+    for worker in 1..=4 {
+        end(&mut quarantine, worker, &["bad"]);
+        end(&mut quarantine, worker, &["other"]);
+    }
+    assert!(is_quarantined(&quarantine, "bad") && is_quarantined(&quarantine, "other"));
+    assert!(!quarantine.clone().begin_probe(5_900, part("other")));
+    assert!(quarantine.begin_probe(6_000, part("other")));
+    let mut released = quarantine.clone();
+    released.clear(7_000, part("other"));
+    assert!(is_quarantined(&released, "bad") && !is_quarantined(&released, "other"));
+    // Or the other one is probed, and ends its worker.
+    assert!(quarantine.begin_probe(6_000, part("bad")));
+    end(&mut quarantine, 7, &["bad"]);
+    assert!(is_quarantined(&quarantine, "bad") && !is_quarantined(&quarantine, "other"));
+    assert!(!quarantine.begin_probe(20_000, part("bad")));
+}
+
+/// Guards against a part whose requests end their workers late, and against one that is refused for
+/// such ends sooner than for those of requests that had just begun.
+#[test]
+fn a_part_is_blamed_for_ends_under_requests_that_had_written() {
+    let mut quarantine = Quarantine::default();
+    let parts = FingerprintKey::new("").parts(b"first,bad,own");
+    let keys = RequestKeys {
+        content: None,
+        parts: &parts,
+    };
+    for worker in 1..=4 {
+        let judgement = quarantine.judge(&keys);
+        assert_eq!(judgement.quarantined_part, None, "{worker}");
+        let now_ms = worker as i64 * 10_000;
+        let known_ends = judgement.known_ends;
+        quarantine.request_ended(now_ms, &keys, worker, known_ends, RunPhase::Writing);
+        // Others write on, or are answered.
+        quarantine.clear(now_ms + 500, part("bad"));
+        quarantine.clear(now_ms + 500, SuspectKey::late_part(parts[0]));
+    }
+    let judgement = quarantine.judge(&keys);
+    assert!(judgement.quarantined_part.is_some());
+    let sound = FingerprintKey::new("").parts(b"first,other,own2");
+    let sound_keys = RequestKeys {
+        content: None,
+        parts: &sound,
+    };
+    assert_eq!(quarantine.judge(&sound_keys).quarantined_part, None);
+    quarantine.clear(50_000, SuspectKey::late_part(parts[1]));
+    quarantine.clear(50_000, SuspectKey::late_part(parts[2]));
+    assert_eq!(quarantine.judge(&keys).quarantined_part, None);
+}
+
 /// Guards against a part that is refused with one request that ends its workers by itself.
 #[test]
 fn the_parts_of_one_poison_request_are_not_blamed() {
--- a/crates/cranereach-fleet/tests/quarantine/prompt_simulations.rs
+++ b/crates/cranereach-fleet/tests/quarantine/prompt_simulations.rs
@@ -24,8 +24,18 @@
 /// Least number of sound requests to judge their service by.
 const JUDGED_MIN_COUNT: usize = 20;
 
+/// Number of seeds unless the environment names another one.
 const SEED_COUNT: u64 = 8;
 
+/// Variable of the environment with the number of seeds, for long runs by hand.
+const SEED_COUNT_VARIABLE: &str = "QUARANTINE_SEEDS";
+
+/// Returns the number of seeds with which each scenario is simulated.
+fn seed_count() -> u64 {
+    let given = std::env::var(SEED_COUNT_VARIABLE);
+    given.map_or(SEED_COUNT, |given| given.parse().unwrap())
+}
+
 /// Names of the two rules.
 const LATE_SENDS: &str = "late sends";
 const SOUND_REQUESTS: &str = "sound requests";
@@ -35,6 +45,7 @@
     poison_count: 1,
     poison_per_s: 2.0,
     crash_ratio: 1.0,
+    ends_after_ms: 100,
     first_count: 3,
     middle_count: 60,
     from_ms: 8_000,
@@ -65,7 +76,7 @@
 
 /// Simulates a scenario with several seeds; returns the outcomes.
 fn simulate_seeds(scenario: Scenario, prompts: PromptScenario) -> Vec<Outcome> {
-    let outcomes = (0..SEED_COUNT).map(|seed| {
+    let outcomes = (0..seed_count()).map(|seed| {
         let scenario = Scenario {
             seed,
             prompts: Some(prompts),
@@ -138,6 +149,20 @@
     }
 }
 
+/// Guards against a poison part whose requests write for some time before they end their workers, so
+/// that each seems to prove it harmless.
+#[test]
+fn a_poison_part_that_ends_workers_late_is_found() {
+    for (ends_after_ms, poison_per_s) in [(1_500, 0.5), (1_500, 2.0), (3_000, 2.0)] {
+        let prompts = PromptScenario {
+            poison_per_s,
+            ends_after_ms,
+            ..BASE_PROMPTS
+        };
+        keeps_rules(BASE, prompts);
+    }
+}
+
 /// Guards against two poison parts that hide behind each other, or behind a part that both share.
 #[test]
 fn two_poison_parts_at_once_are_both_found() {
@@ -197,8 +222,10 @@
 /// Guards against judges that find nothing: each change of the rules breaks one of them.
 #[test]
 fn changed_rules_are_noticed() {
+    // More often than elsewhere, so that what instances forget shows within few seeds.
     let restarts = PromptScenario {
         churn: Churn::Restarts,
+        poison_per_s: 8.0,
         ..BASE_PROMPTS
     };
     let after_two = PromptScenario {
--- a/crates/cranereach-fleet/tests/quarantine/prompts.rs
+++ b/crates/cranereach-fleet/tests/quarantine/prompts.rs
@@ -79,6 +79,8 @@
     pub poison_per_s: f64,
     /// Share of the requests with a poison part that end their worker.
     pub crash_ratio: f64,
+    /// Time after which a request ends its worker, in milliseconds.
+    pub ends_after_ms: i64,
     /// Number of first parts and of middle parts; a third of the middle parts is rare.
     pub first_count: u64,
     pub middle_count: u64,
@@ -281,6 +283,11 @@
         self.scenario.mutant != Mutant::NoExoneration
     }
 
+    /// Returns the time after which a request ends its worker, in milliseconds.
+    pub fn ends_after_ms(&self) -> i64 {
+        self.scenario.ends_after_ms
+    }
+
     /// Returns whether digests tell of a suspect.
     pub fn is_told(&self, update: &SuspectUpdate) -> bool {
         let is_recent = update.ends.iter().any(|end| end.age_ms < FORGOTTEN_AGE_MS);
--- a/crates/cranereach-gateway/src/forward/broken_connection.rs
+++ b/crates/cranereach-gateway/src/forward/broken_connection.rs
@@ -11,15 +11,18 @@
 use crate::worker_ends;
 use crate::worker_ends::ProbeResult;
 use cranereach_fleet::quarantine::KnownEnds;
+use cranereach_fleet::quarantine::RunPhase;
 
 /// Checks in the background what became of the worker whose connection broke during a call. If
 /// the worker has ended, records that against the call. `known_ends` says for which keys of the
-/// call this instance already knew of such ends when it sent the call.
+/// call this instance already knew of such ends when it sent the call; `phase` says how far the call
+/// was.
 pub(super) fn investigate(
     node: &Arc<Node>,
     call: &Arc<Call>,
     worker: &Arc<str>,
     known_ends: KnownEnds,
+    phase: RunPhase,
 ) -> JoinHandle<ProbeResult> {
     let incarnation = node
         .roster()
@@ -36,7 +39,8 @@
             log_end(&node, &call, &worker, found);
             // A worker that was no longer listed when the connection broke ended as planned.
             if let Some(incarnation) = incarnation {
-                quarantine::record_end(&node, &call, (incarnation, &worker), known_ends).await;
+                let worker = (incarnation, &worker);
+                quarantine::record_end(&node, &call, worker, known_ends, phase).await;
             }
         }
         found
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -27,6 +27,7 @@
 use crate::quarantine;
 use crate::worker_ends::ProbeResult;
 use cranereach_core::codes::ResultCode;
+use cranereach_fleet::quarantine::RunPhase;
 use cranereach_fleet::quarantine::SuspectKey;
 use cranereach_fleet::roster::Choice;
 
@@ -224,6 +225,7 @@
                 self.call,
                 &choice.id,
                 self.history.known_ends,
+                RunPhase::Beginning,
             );
             wait_for_worker_check(worker_check).await;
         }
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -36,6 +36,8 @@
 use crate::quarantine;
 use crate::stream_origins;
 use crate::worker_ends::ProbeResult;
+use cranereach_fleet::quarantine::PROGRESS_MS;
+use cranereach_fleet::quarantine::RunPhase;
 use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::events::EventBuffer;
@@ -68,6 +70,7 @@
     software: Option<SoftwareVersion>,
     due: Pin<Box<Sleep>>,
     gaps: ChunkGaps,
+    progress: WritingProgress,
     /// Whether the version at which the stream runs has been noted.
     is_origin_noted: bool,
     /// Splits the stream into events; `None` if the stream may not be resumed on another worker.
@@ -77,6 +80,48 @@
     resumption: Option<StreamResumption>,
 }
 
+/// For how long the current worker has written.
+#[derive(Debug)]
+struct WritingProgress {
+    since: Instant,
+    /// The same by the clock of the node, in milliseconds.
+    since_ms: u64,
+    /// When the progress was last recorded.
+    recorded_at: Option<Instant>,
+}
+
+impl WritingProgress {
+    /// Starts with the first chunk of a worker.
+    fn start(node: &Node) -> Self {
+        Self {
+            since: Instant::now(),
+            since_ms: node.now_ms(),
+            recorded_at: None,
+        }
+    }
+
+    /// Takes a chunk that has arrived. Returns whether the progress is to be recorded now: the worker
+    /// has written for [`PROGRESS_MS`], unless this instance was too slow to know.
+    fn is_due(&mut self, node: &Node) -> bool {
+        let now = Instant::now();
+        let last = self.recorded_at.unwrap_or(self.since);
+        let elapsed_ms = now.duration_since(last).as_millis() as u64;
+        let is_due = elapsed_ms >= PROGRESS_MS && !node.is_own_delay(PROGRESS_MS);
+        if is_due {
+            self.recorded_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Returns how far the worker was.
+    fn phase(&self) -> RunPhase {
+        match self.recorded_at {
+            Some(_) => RunPhase::Writing,
+            None => RunPhase::Beginning,
+        }
+    }
+}
+
 /// Gaps between the chunks of a stream.
 #[derive(Debug)]
 struct ChunkGaps {
@@ -128,6 +173,7 @@
                 last_chunk_at: Instant::now(),
                 longest_ms: 0,
             },
+            progress: WritingProgress::start(node),
             is_origin_noted: false,
             events,
             history,
@@ -170,6 +216,10 @@
                     if let Some(in_flight) = &self.in_flight {
                         in_flight.received(chunk.len());
                     }
+                    if self.progress.is_due(&self.node) {
+                        let since_ms = self.progress.since_ms;
+                        quarantine::record_progress(&self.node, &self.call, since_ms);
+                    }
                     let forwardable = self.take_forwardable(chunk);
                     if forwardable.is_empty() {
                         continue;
@@ -278,7 +328,11 @@
         let worker = self.in_flight.as_ref()?.worker();
         let known_ends = self.history.known_ends;
         Some(broken_connection::investigate(
-            &self.node, &self.call, worker, known_ends,
+            &self.node,
+            &self.call,
+            worker,
+            known_ends,
+            self.progress.phase(),
         ))
     }
 
@@ -301,6 +355,7 @@
         self.connection = Some(started.connection);
         self.in_flight = Some(started.in_flight);
         self.software = started.software;
+        self.progress = WritingProgress::start(&self.node);
         self.history = history;
         // The gap until the resumption does not count against the new worker.
         self.gaps.last_chunk_at = Instant::now();
--- a/crates/cranereach-gateway/src/quarantine.rs
+++ b/crates/cranereach-gateway/src/quarantine.rs
@@ -35,6 +35,7 @@
 use cranereach_fleet::quarantine::KnownEnds;
 use cranereach_fleet::quarantine::Quarantine;
 use cranereach_fleet::quarantine::RequestKeys;
+use cranereach_fleet::quarantine::RunPhase;
 use cranereach_fleet::quarantine::SuspectKey;
 use cranereach_fleet::quarantine::SuspectUpdate;
 use cranereach_fleet::quarantine::Suspicion;
@@ -118,14 +119,15 @@
     node.peers().members().rank(node.now_ms(), ranking_key) == 0
 }
 
-/// Records that a worker ended while it ran a call. `worker` holds the key of its incarnation and
-/// its identity; `known_ends` states for which keys of the call this instance already knew of ends
+/// Records that a worker ended while it ran a call, which was in a phase. `worker` holds the key of
+/// its incarnation and its identity; `known_ends` states for which keys of the call this instance already knew of ends
 /// when it sent the call.
 pub async fn record_end(
     node: &Arc<Node>,
     call: &Call,
     worker: (u64, &Arc<str>),
     known_ends: KnownEnds,
+    phase: RunPhase,
 ) {
     let content = call.suspect_key(node);
     let was_quarantined = lock(&node.quarantine).suspicion(content).is_quarantined;
@@ -135,7 +137,7 @@
         parts: call.part_fingerprints(node),
     };
     let new_keys = change(node, |quarantine| {
-        let new_keys = quarantine.request_ended(now_ms, &keys, worker.0, known_ends);
+        let new_keys = quarantine.request_ended(now_ms, &keys, worker.0, known_ends, phase);
         for key in &new_keys {
             let (route, account) = (&call.route.name, &call.account_label);
             quarantine.record_observation(*key, route, account, Some(worker));
@@ -184,19 +186,48 @@
     });
 }
 
+/// Records that a worker has written to the answer of a call for [`PROGRESS_MS`] or longer, since a
+/// time in milliseconds. It shows that no part of its prompt ended workers at that time when an answer
+/// on it began, whatever becomes of the call.
+pub fn record_progress(node: &Arc<Node>, call: &Call, since_ms: u64) {
+    let known_ends = judge(node, call).known_ends;
+    let proof = Proof {
+        as_of_ms: since_ms as i64,
+        why: "progress",
+    };
+    clear_parts(node, call, known_ends, RunPhase::Beginning, proof);
+}
+
 /// Clears the keys of a call that was answered in full.
 fn clear_call(node: &Arc<Node>, call: &Call, status: StatusCode) {
     let known_ends = judge(node, call).known_ends;
+    let proof = Proof::now(node, "whole answer");
     if known_ends.knew_content() {
-        clear(node, call.suspect_key(node), "whole answer");
+        clear(node, call.suspect_key(node), proof);
     }
     if !status.is_success() {
         // A worker may refuse a request before it has read the prompt.
         return;
     }
+    for phase in [RunPhase::Beginning, RunPhase::Writing] {
+        clear_parts(node, call, known_ends, phase, proof);
+    }
+}
+
+/// Clears the parts of a call's prompt, as far as ends under requests in a phase are known.
+fn clear_parts(
+    node: &Arc<Node>,
+    call: &Call,
+    known_ends: KnownEnds,
+    phase: RunPhase,
+    proof: Proof,
+) {
+    if !known_ends.knew_any() {
+        return;
+    }
     for (index, part) in call.part_fingerprints(node).iter().enumerate() {
-        if known_ends.knew_part(index) {
-            clear(node, SuspectKey::part(*part), "whole answer");
+        if known_ends.knew_part(phase, index) {
+            clear(node, SuspectKey::part_in(phase, *part), proof);
         }
     }
 }
@@ -204,14 +235,36 @@
 /// Releases a suspect from quarantine on behalf of an operator. Returns false if this instance does
 /// not know it.
 pub fn release(node: &Arc<Node>, fingerprint: Fingerprint) -> bool {
-    let key = lock(&node.quarantine).find(fingerprint);
-    key.is_some_and(|key| clear(node, key, "operator"))
+    let keys = lock(&node.quarantine).find(fingerprint);
+    let cleared = keys
+        .into_iter()
+        .map(|key| clear(node, key, Proof::now(node, "operator")));
+    cleared.fold(false, |any, is_cleared| any | is_cleared)
+}
+
+/// Reason why a suspect is taken for harmless.
+#[derive(Clone, Copy, Debug)]
+struct Proof {
+    /// Time as of which it was harmless, in milliseconds.
+    as_of_ms: i64,
+    /// Reason as logged.
+    why: &'static str,
 }
 
-/// Clears the ends of workers recorded for a suspect. Returns false if there are none.
-fn clear(node: &Arc<Node>, key: SuspectKey, why: &str) -> bool {
+impl Proof {
+    /// Creates a proof that holds until now.
+    fn now(node: &Node, why: &'static str) -> Self {
+        let as_of_ms = node.now_ms() as i64;
+        Self { as_of_ms, why }
+    }
+}
+
+/// Clears the ends of workers recorded for a suspect. Returns false if the proof changes nothing.
+fn clear(node: &Arc<Node>, key: SuspectKey, proof: Proof) -> bool {
     let now_ms = node.now_ms() as i64;
-    let cleared = change(node, |quarantine| quarantine.clear(now_ms, key));
+    let cleared = change(node, |quarantine| {
+        quarantine.clear_as_of(now_ms, key, proof.as_of_ms)
+    });
     let Some(before) = cleared else {
         return false;
     };
@@ -221,7 +274,7 @@
         "request cleared"
     };
     info!(node.log, "{}", message; "fingerprint" => key.fingerprint.to_string(),
-        "ends" => before.end_count, "was_quarantined" => before.is_quarantined, "why" => why);
+        "ends" => before.end_count, "was_quarantined" => before.is_quarantined, "why" => proof.why);
     notify_peers(node, key, before);
     update_gauges(node);
     if before.is_quarantined {
