Streams of one version go on after all instances have started anew

Cause: what an instance knows of versions lives in memory. Once all have started anew, none has watched the list for as long as a stream lasts, each answers Started, nobody confirms, and each take-up is refused for the life of a note.

One row in the store now says of each service which version it has alone, or that it has several, and since when by the store's clock. The first in rank writes it when what it knows changes, so that calm costs no call. An instance that has just started, whose peers know no more and whose list has been current for 2.3 s, takes it as proof if it has said so for the life of a note, in the present era of the store, and names the one version that the list shows. The wait is for workers that started again with another version during an outage: their rows come up to some 2 s after it.

Ruled out: rows of workers as proof (those of workers that have gone are lost); a history without the wait (after 'store out, worker back with another version, all killed' list and history name one version, kernel::a_history_counts_once_workers_ are_listed_again); a history that a restored store brings back.

--- a/crates/cranereach-fleet/src/stream_origins.rs
+++ b/crates/cranereach-fleet/src/stream_origins.rs
@@ -6,12 +6,15 @@
 //! notes to two holders, found by hashing the stream's key over the members (see [`holders`]). An
 //! instance that takes a stream up asks these two. In a service with one version nothing is sent:
 //! every stream began at that version. An instance that has just started learns from a peer that
-//! there was one version only.
+//! there was one version only, or, if all have just started, from the history that they keep in the
+//! store ([`VersionHistory`]).
 //!
 //! An origin that nobody knows is not guessed: the stream is refused, and its caller starts anew.
 
+mod history_duty;
 mod holders;
 mod notes;
+mod version_history;
 mod version_watch;
 
 use std::collections::BTreeMap;
@@ -22,11 +25,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::history_duty::HistoryDuty;
 pub use self::holders::HOLDER_COUNT;
 pub use self::holders::Holders;
 pub use self::holders::holders;
 use self::notes::Noted;
 use self::notes::Notes;
+pub use self::version_history::StoreMoment;
+pub use self::version_history::VersionHistory;
+pub use self::version_history::VersionStatement;
 pub use self::version_watch::VersionView;
 use self::version_watch::VersionWatch;
 
@@ -115,6 +122,21 @@
     Unknown,
 }
 
+/// Whether all instances that answered have just started, so that none of them knows more than the one
+/// that asked.
+///
+/// ```
+/// use cranereach_fleet::stream_origins::{OriginAnswer, all_started};
+///
+/// assert!(all_started(&[OriginAnswer::Started(1), OriginAnswer::Started(2)]));
+/// assert!(!all_started(&[OriginAnswer::Started(1), OriginAnswer::Only(1)]));
+/// assert!(!all_started(&[]));
+/// ```
+pub fn all_started(answers: &[OriginAnswer]) -> bool {
+    let has_started = |answer: &OriginAnswer| matches!(answer, OriginAnswer::Started(_));
+    !answers.is_empty() && answers.iter().all(has_started)
+}
+
 /// What may be done with a stream that its caller takes up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -370,6 +392,53 @@
         is_confirmed
     }
 
+    /// Takes the history that is kept in the store, read at a moment of the store. Returns whether it
+    /// proves that a service which has not been watched for as long as its streams last has had the
+    /// one version that this instance sees.
+    pub fn confirm_by_history(
+        &mut self,
+        now_ms: u64,
+        service: u64,
+        (read_at, history): (StoreMoment, &VersionHistory),
+    ) -> bool {
+        let VersionView::Started(version) = self.view(now_ms, service) else {
+            return false;
+        };
+        let Some(watch) = self.watches.get_mut(&service) else {
+            return false;
+        };
+        if !watch.is_ready_for_history(now_ms) {
+            return false;
+        }
+        let proven = history.proven_version(read_at, service, watch.stream_max_ms());
+        let is_confirmed = proven == Some(version);
+        if is_confirmed {
+            watch.confirmed(now_ms);
+        }
+        is_confirmed
+    }
+
+    /// Lists what this instance knows of the versions that services have now, by service. Those of
+    /// which its list of workers is not current are missing.
+    pub fn statements(&self, now_ms: u64) -> Vec<(u64, VersionStatement)> {
+        let watches = self.watches.iter();
+        let stated = watches.filter_map(|(service, watch)| {
+            let statement = watch.statement(now_ms)?;
+            Some((*service, statement))
+        });
+        let mut stated: Vec<(u64, VersionStatement)> = stated.collect();
+        stated.sort_unstable_by_key(|(service, _)| *service);
+        stated
+    }
+
+    /// Lists the services of [`StreamOrigins::unconfirmed_services`] for which the history that is kept
+    /// in the store may be read now.
+    pub fn services_for_history(&self, now_ms: u64) -> Vec<u64> {
+        let watches = self.watches.iter();
+        let ready = watches.filter(|(_, watch)| watch.is_ready_for_history(now_ms));
+        ready.map(|(service, _)| *service).collect()
+    }
+
     /// Lists the services that this instance has not watched for as long as their streams last, in
     /// which it has seen one version: peers may know that there was no other.
     pub fn unconfirmed_services(&self, now_ms: u64) -> Vec<u64> {
--- a/crates/cranereach-fleet/src/stream_origins/version_watch.rs
+++ b/crates/cranereach-fleet/src/stream_origins/version_watch.rs
@@ -1,5 +1,8 @@
 //! The versions of one service that this instance has seen, and since when it has watched them.
 
+use super::version_history::VersionStatement;
+use crate::freshness::OUTAGE_RECOVERY_MS;
+
 /// Maximum number of versions that are remembered; with more than one the service is mixed anyway.
 const VERSION_MAX_COUNT: usize = 8;
 
@@ -32,6 +35,8 @@
     /// When all streams that may have begun before the watch have ended, in milliseconds; none while
     /// the list is not current.
     complete_from_ms: Option<u64>,
+    /// Since when the list has been current, in milliseconds.
+    current_since_ms: u64,
     /// For how long the streams of the service last at most, in milliseconds.
     stream_max_ms: u64,
 }
@@ -54,6 +59,7 @@
             self.complete_from_ms = None;
         } else if self.complete_from_ms.is_none() {
             self.complete_from_ms = Some(now_ms + life_ms);
+            self.current_since_ms = now_ms;
         }
     }
 
@@ -95,6 +101,36 @@
         settled.map(|seen| seen.version)
     }
 
+    /// Whether the history that is kept in the store may complete what was seen. A list that has just
+    /// become current may follow an outage of the store, in which workers started again with another
+    /// version or lapsed; they are listed again some time after it.
+    pub(super) fn is_ready_for_history(&self, now_ms: u64) -> bool {
+        matches!(self.view(now_ms), VersionView::Started(_))
+            && now_ms >= self.current_since_ms + OUTAGE_RECOVERY_MS
+    }
+
+    /// Returns for how long the streams of the service last at most, in milliseconds.
+    pub(super) fn stream_max_ms(&self) -> u64 {
+        self.stream_max_ms
+    }
+
+    /// Returns what is known of the versions that the service has now; none if its list of workers is
+    /// not current or empty.
+    pub(super) fn statement(&self, now_ms: u64) -> Option<VersionStatement> {
+        self.complete_from_ms?;
+        match self.view(now_ms) {
+            VersionView::Only(version) => Some(VersionStatement::Only {
+                version,
+                for_ms: self.stream_max_ms,
+            }),
+            VersionView::Started(version) => Some(VersionStatement::Started(version)),
+            VersionView::Uncertain => {
+                let is_mixed = self.versions(now_ms).count() > 1;
+                is_mixed.then_some(VersionStatement::Several)
+            }
+        }
+    }
+
     /// Whether streams can have begun at one version only.
     pub(super) fn is_single(&self, now_ms: u64) -> bool {
         matches!(self.view(now_ms), VersionView::Only(_))
--- a/crates/cranereach-fleet/tests/stream_origins/kernel.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/kernel.rs
@@ -2,14 +2,18 @@
 
 use std::net::Ipv4Addr;
 
+use cranereach_fleet::freshness::OUTAGE_RECOVERY_MS;
 use cranereach_fleet::stream_origins::Decision;
 use cranereach_fleet::stream_origins::HELD_NOTE_MAX_COUNT;
 use cranereach_fleet::stream_origins::OWN_NOTE_MAX_COUNT;
 use cranereach_fleet::stream_origins::Origin;
 use cranereach_fleet::stream_origins::OriginAnswer;
 use cranereach_fleet::stream_origins::OriginNote;
+use cranereach_fleet::stream_origins::StoreMoment;
 use cranereach_fleet::stream_origins::StreamOrigins;
 use cranereach_fleet::stream_origins::TOLD_MAX_COUNT;
+use cranereach_fleet::stream_origins::VersionHistory;
+use cranereach_fleet::stream_origins::VersionStatement;
 use cranereach_fleet::stream_origins::VersionView;
 use cranereach_fleet::stream_origins::holders;
 use cranereach_fleet::stream_origins::stream_key;
@@ -271,3 +275,29 @@
     let decision = origins.decide(80_000, SERVICE, 99, true);
     assert_eq!(decision, Decision::Ask);
 }
+
+/// Guards against streams of two versions after all instances were killed during an outage of the
+/// store: a worker that started again with another version is listed only some time after the outage,
+/// and what is kept in the store doesn't tell of it.
+#[test]
+fn a_history_counts_once_workers_are_listed_again() {
+    let moment = |at_ms| StoreMoment { era: 0, at_ms };
+    let started = [(SERVICE, VersionStatement::Started(1))];
+    let history = VersionHistory::default().updated(moment(0), &started);
+    let history = history.unwrap();
+    let mut origins = StreamOrigins::default();
+    let read = (moment(100_000), &history);
+    origins.observe(1_000, SERVICE, LIFE_MS, true, &[1]);
+    assert!(!origins.confirm_by_history(1_000, SERVICE, read));
+    assert_eq!(origins.services_for_history(1_000), []);
+    let mut late = origins.clone();
+    let listed_again_ms = 1_000 + OUTAGE_RECOVERY_MS;
+    // The worker is listed with its other version by then.
+    late.observe(listed_again_ms, SERVICE, LIFE_MS, true, &[1, 2]);
+    assert!(!late.confirm_by_history(listed_again_ms, SERVICE, read));
+    origins.observe(listed_again_ms, SERVICE, LIFE_MS, true, &[1]);
+    assert_eq!(origins.services_for_history(listed_again_ms), [SERVICE]);
+    assert!(origins.confirm_by_history(listed_again_ms, SERVICE, read));
+    assert_eq!(origins.view(listed_again_ms, SERVICE), VersionView::Only(1));
+    assert_eq!(origins.services_for_history(listed_again_ms), []);
+}
--- a/crates/cranereach-fleet/tests/stream_origins/releases.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/releases.rs
@@ -14,6 +14,12 @@
 /// Seeds of worlds with ten instances in which such streams are mixed if they begin at any version.
 const HASTY_MIXED_SEEDS: [u64; 5] = [10, 22, 92, 125, 179];
 
+/// Number of seeds of worlds in which all instances are killed.
+const STARTS_SEED_COUNT: u64 = 4;
+
+/// Maximum number of reads of the history in a world in which all instances are killed four times.
+const READ_MAX_COUNT: u64 = 400;
+
 /// Least share of take-ups that go on, as a multiple of that of new streams.
 const SHARE_MIN: f64 = 0.9;
 
@@ -102,6 +108,83 @@
     check_sizes(Plan::side_by_side);
 }
 
+/// A world in which all instances are killed every now and then.
+fn with_starts_of_all(plan: Plan) -> Plan {
+    Plan {
+        keeps_history: true,
+        all_restart_every_ms: 24_000,
+        cuts_per_minute: 0,
+        restarts_per_minute: 0,
+        judged_from_ms: 24_000,
+        duration_ms: 100_000,
+        ..plan
+    }
+}
+
+/// The same, with a store that is restored from a copy each time.
+fn with_restores(plan: Plan) -> Plan {
+    Plan {
+        restores_store: true,
+        ..with_starts_of_all(plan)
+    }
+}
+
+/// Returns the share of take-ups that go on among streams that began before all instances were killed.
+fn old_share(judges: &[Judge]) -> f64 {
+    let old_count = sum(judges, |judge| judge.old_count);
+    assert!(old_count >= 12, "{old_count}");
+    sum(judges, |judge| judge.old_gone_on_count) as f64 / old_count as f64
+}
+
+/// Guards against streams that nobody takes up once all instances were killed, although their service
+/// has had one version all the time; and against store calls that grow with the fleet.
+#[test]
+fn streams_of_one_version_go_on_after_all_instances_were_killed() {
+    for (count, seeds) in [(1, 3), (3, 3), (10, 3), (100, 2), (1_000, 1)] {
+        let plan = with_starts_of_all(Plan::calm(count));
+        let judges = play_seeds(plan, Mutant::None, seeds);
+        assert_eq!(mixed_count(&judges), 0, "{count} instances");
+        let share = old_share(&judges);
+        let reads = sum(&judges, |judge| judge.history_read_count) / seeds;
+        let writes = sum(&judges, |judge| judge.history_write_count) / seeds;
+        println!("{count} instances: share {share:.3}, {reads} reads, {writes} writes");
+        assert!(share >= SHARE_MIN, "{count} instances: {share}");
+        assert!(reads <= READ_MAX_COUNT, "{count} instances: {reads}");
+        assert_eq!(writes, 1, "{count} instances");
+    }
+    let plan = with_starts_of_all(Plan::calm(10));
+    let share = old_share(&play_seeds(plan, Mutant::ReadsNoHistory, 2));
+    assert!(share < SHARE_MIN / 2.0, "{share}");
+}
+
+/// Guards against streams of two versions after all instances were killed, during releases and with
+/// versions side by side, also with a store that is restored from a copy.
+#[test]
+fn starts_of_all_instances_mix_no_stream() {
+    for plan_of in [Plan::release, Plan::swift, Plan::side_by_side] {
+        for count in [3, 10] {
+            for change in [with_starts_of_all, with_restores] {
+                let judges = play_seeds(change(plan_of(count)), Mutant::None, STARTS_SEED_COUNT);
+                assert_eq!(mixed_count(&judges), 0, "{count} instances");
+            }
+        }
+    }
+}
+
+/// Guards against worlds in which a history that proves too little would not show.
+#[test]
+fn a_history_that_proves_too_little_mixes_streams() {
+    let plan = Plan {
+        // Right before the last workers of the version before are replaced.
+        all_restart_every_ms: 27_500,
+        ..with_starts_of_all(Plan::swift(3))
+    };
+    let sound = play_seeds(plan, Mutant::None, 6);
+    assert_eq!(mixed_count(&sound), 0);
+    let judges = play_seeds(plan, Mutant::TrustsYoungHistory, 6);
+    assert!(mixed_count(&judges) > 0);
+}
+
 /// Guards against messages in a service that has had one version for longer than its streams last.
 #[test]
 fn a_service_with_one_version_sends_nothing() {
@@ -223,6 +306,14 @@
         let judges = play_seeds(hasty_release(count), Mutant::None, HASTY_SEED_COUNT);
         assert_eq!(mixed_count(&judges), 0, "{count} instances");
     }
+    for count in [3, 10, 100] {
+        let plan = Plan {
+            keeps_history: true,
+            ..hasty_release(count)
+        };
+        let judges = play_seeds(plan, Mutant::None, HASTY_SEED_COUNT);
+        assert_eq!(mixed_count(&judges), 0, "{count} instances");
+    }
     for seed in HASTY_MIXED_SEEDS {
         let judge = play(hasty_release(10), Mutant::None, seed);
         assert_eq!(judge.mixed_stream_count, 0, "seed {seed}");
--- a/crates/cranereach-fleet/tests/stream_origins/world.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world.rs
@@ -1,5 +1,6 @@
 //! A simulated fleet whose callers take up broken streams at random instances.
 
+mod history;
 mod judge;
 mod list;
 mod members;
@@ -13,12 +14,14 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use self::history::StoredHistory;
 pub use self::judge::Judge;
 use self::list::WorkerList;
 use self::members::Presence;
 pub use self::plan::Mutant;
 pub use self::plan::Plan;
 use self::take_up::CONFIRMATION_INTERVAL_MS;
+use cranereach_fleet::stream_origins::HistoryDuty;
 use cranereach_fleet::stream_origins::Origin;
 use cranereach_fleet::stream_origins::OriginNote;
 use cranereach_fleet::stream_origins::StreamOrigins;
@@ -52,8 +55,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Stream {
     key: u64,
-    /// Version at which it began.
+    /// Version at which it began, and when.
     version: u64,
+    began_ms: u64,
     /// Whether some later try ran at another version.
     is_mixed: bool,
     /// Instance that relays it now, or that broke it off.
@@ -72,6 +76,10 @@
     /// When it next asks whether there was one version only.
     asks_at_ms: u64,
     ask_interval_ms: u64,
+    duty: HistoryDuty,
+    /// Times that it has read the history since its start.
+    history_read_count: u32,
+    next_read_at_ms: u64,
 }
 
 type Told = (usize, Vec<OriginNote>);
@@ -82,12 +90,17 @@
     now_ms: u64,
     instances: Vec<Instance>,
     list: WorkerList,
+    stored: StoredHistory,
+    /// When all instances were last killed.
+    all_killed_at_ms: u64,
     running: BTreeMap<u64, Vec<Stream>>,
     waiting: BTreeMap<u64, Vec<Stream>>,
     in_flight: BTreeMap<u64, Vec<Told>>,
     next_key: u64,
     pub judge: Judge,
     rng: StdRng,
+    /// Draws of what only the history needs, apart so that it changes no other draw.
+    history_rng: StdRng,
 }
 
 pub fn address(number: usize) -> Ipv4Addr {
@@ -133,6 +146,9 @@
             seen_members: 0,
             asks_at_ms: 0,
             ask_interval_ms: CONFIRMATION_INTERVAL_MS,
+            duty: HistoryDuty::default(),
+            history_read_count: 0,
+            next_read_at_ms: 0,
         });
         let instances = instances.collect();
         Self {
@@ -141,12 +157,15 @@
             now_ms,
             instances,
             list: WorkerList::new(now_ms, &plan),
+            stored: StoredHistory::default(),
+            all_killed_at_ms: 0,
             running: BTreeMap::new(),
             waiting: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             next_key: 1,
             judge: Judge::new(plan.instance_count),
             rng,
+            history_rng: StdRng::seed_from_u64(seed),
         }
     }
 
@@ -178,6 +197,7 @@
         if self.rng.random_range(0..minute_steps) < self.plan.restarts_per_minute {
             self.restart_one();
         }
+        self.restart_all_if_due();
         if self.rng.random_range(0..minute_steps) < self.plan.cuts_per_minute {
             let number = self.rng.random_range(0..self.instances.len());
             let until_ms = self.now_ms + self.rng.random_range(2_000..15_000);
@@ -187,16 +207,22 @@
         self.instances[number].list_lag_ms = self.rng.random_range(50..=self.plan.list_lag_max_ms);
     }
 
-    /// Kills one instance, which comes back without its notes.
     fn restart_one(&mut self) {
         self.judge.restart_count += 1;
         let number = self.rng.random_range(0..self.instances.len());
         let until_ms = self.now_ms + self.rng.random_range(500..6_000);
+        self.restart(number, until_ms);
+    }
+
+    /// Kills one instance, which comes back without its notes.
+    fn restart(&mut self, number: usize, until_ms: u64) {
         let instance = &mut self.instances[number];
         instance.origins = StreamOrigins::default();
         instance.seen_members = 0;
         instance.asks_at_ms = 0;
         instance.ask_interval_ms = CONFIRMATION_INTERVAL_MS;
+        instance.duty = HistoryDuty::default();
+        instance.history_read_count = 0;
         instance.presence.kill(self.now_ms, until_ms);
         let running = std::mem::take(&mut self.running);
         for (end_ms, streams) in running {
@@ -254,6 +280,8 @@
             instance.origins.recheck(self.now_ms);
         }
         self.ask_for_confirmation(number);
+        self.read_history(number);
+        self.keep_history(number);
         self.tell(number);
     }
 
@@ -328,6 +356,7 @@
             let stream = Stream {
                 key: self.next_key,
                 version,
+                began_ms: self.now_ms,
                 is_mixed: false,
                 instance: number,
                 worker,
--- a/crates/cranereach-fleet/tests/stream_origins/world/judge.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world/judge.rs
@@ -16,6 +16,12 @@
     pub unknown_count: u64,
     pub version_gone_count: u64,
     pub mixed_stream_count: u64,
+    /// Take-ups of streams that began before all instances were last killed.
+    pub old_count: u64,
+    pub old_gone_on_count: u64,
+    /// Calls to the store.
+    pub history_read_count: u64,
+    pub history_write_count: u64,
     pub restart_count: u64,
     /// Messages sent, by second and by sender.
     pub messages_by_second: BTreeMap<u64, u64>,
--- a/crates/cranereach-fleet/tests/stream_origins/world/plan.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world/plan.rs
@@ -26,6 +26,10 @@
     NewKeyPerTry,
     /// A stream may begin at a version that is not listed everywhere yet.
     BeginsAnywhere,
+    /// Nobody reads the history that is kept in the store.
+    ReadsNoHistory,
+    /// A history counts however short the time is that it proves.
+    TrustsYoungHistory,
 }
 
 /// What happens in a world.
@@ -47,6 +51,12 @@
     pub list_lag_max_ms: u64,
     /// Shortest and longest time that a stream runs.
     pub stream_ms: (u64, u64),
+    /// Whether instances keep the history of versions in the store.
+    pub keeps_history: bool,
+    /// Time between two moments at which all instances are killed; zero for none.
+    pub all_restart_every_ms: u64,
+    /// Whether the store is restored from a copy some seconds old at each of them.
+    pub restores_store: bool,
     /// Share of the streams that break off.
     pub broken_ratio: f64,
     /// From when on take-ups are judged.
@@ -69,6 +79,9 @@
             loss_ratio: 0.05,
             list_lag_max_ms: 800,
             stream_ms: (200, STREAM_MAX_MS),
+            keeps_history: false,
+            all_restart_every_ms: 0,
+            restores_store: false,
             broken_ratio: 0.3,
             judged_from_ms: 25_000,
             duration_ms: 65_000,
--- a/crates/cranereach-fleet/tests/stream_origins/world/take_up.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world/take_up.rs
@@ -13,6 +13,7 @@
 use cranereach_fleet::stream_origins::Decision;
 use cranereach_fleet::stream_origins::Origin;
 use cranereach_fleet::stream_origins::OriginAnswer;
+use cranereach_fleet::stream_origins::all_started;
 use cranereach_fleet::stream_origins::holders;
 
 /// Times that a holder is asked.
@@ -24,6 +25,9 @@
 /// Longest such time.
 const CONFIRMATION_INTERVAL_MAX_MS: u64 = 4_000;
 
+/// The same while the peers asked have just started, too.
+const STARTED_INTERVAL_MAX_MS: u64 = 1_000;
+
 /// Tries of a caller for one stream.
 const TRY_MAX_COUNT: u32 = 6;
 
@@ -86,6 +90,8 @@
         let is_fair = same.count() >= 2 && is_in_touch && is_judged;
         self.judge.taken_up_count += 1;
         self.judge.fair_count += u64::from(is_fair);
+        let is_old = is_fair && stream.began_ms < self.all_killed_at_ms;
+        self.judge.old_count += u64::from(is_old);
         let origin = match self.resolve(number, stream.key) {
             Decision::GoOn(origin) => Some(origin.version),
             _ if self.mutant == Mutant::GuessesUnknown => None,
@@ -100,6 +106,7 @@
         };
         self.judge.gone_on_count += 1;
         self.judge.fair_gone_on_count += u64::from(is_fair);
+        self.judge.old_gone_on_count += u64::from(is_old);
         if version != stream.version && !stream.is_mixed {
             stream.is_mixed = true;
             self.judge.mixed_stream_count += 1;
@@ -150,9 +157,15 @@
             return;
         }
         instance.asks_at_ms = self.now_ms + instance.ask_interval_ms;
-        instance.ask_interval_ms = (instance.ask_interval_ms * 2).min(CONFIRMATION_INTERVAL_MAX_MS);
         let drawn = self.rng.random();
         let answers = self.ask(number, drawn);
+        let instance = &mut self.instances[number];
+        let max_ms = if self.plan.keeps_history && all_started(&answers) {
+            STARTED_INTERVAL_MAX_MS
+        } else {
+            CONFIRMATION_INTERVAL_MAX_MS
+        };
+        instance.ask_interval_ms = (instance.ask_interval_ms * 2).min(max_ms);
         let origins = &mut self.instances[number].origins;
         origins.confirm(self.now_ms, SERVICE, &answers);
     }
--- a/crates/cranereach-gateway/src/adapter.rs
+++ b/crates/cranereach-gateway/src/adapter.rs
@@ -92,6 +92,8 @@
     pub rows: Vec<Row>,
     /// Newest position of the store.
     pub position: StorePosition,
+    /// Time of the store's steady clock, in milliseconds, if it tells it.
+    pub clock_ms: Option<u64>,
     /// Whether more rows follow the last one.
     pub has_more: bool,
 }
--- a/crates/cranereach-gateway/src/run.rs
+++ b/crates/cranereach-gateway/src/run.rs
@@ -163,6 +163,7 @@
         tasks.spawn(overload::run(Arc::clone(&node)));
         tasks.spawn(worker_paths::run(Arc::clone(&node)));
         tasks.spawn(stream_origins::run(Arc::clone(&node)));
+        tasks.spawn(stream_origins::history::run(Arc::clone(&node)));
         let caller_node = Arc::clone(&node);
         let options = ServeOptions {
             header_within_ms: CALLER_KEEP_ALIVE_MS,
--- a/crates/cranereach-gateway/src/store.rs
+++ b/crates/cranereach-gateway/src/store.rs
@@ -106,6 +106,7 @@
             let page = self.parse_rows(&answer)?;
             if all.rows.is_empty() {
                 all.position = page.position;
+                all.clock_ms = page.clock_ms;
             }
             if page.position.era != all.position.era {
                 return Err(StoreError::OtherEra);
--- a/crates/cranereach-gateway/src/stream_origins.rs
+++ b/crates/cranereach-gateway/src/stream_origins.rs
@@ -4,6 +4,7 @@
 //! holders what they lack, [`take_up`] finds the origin of a stream that a request continues, and
 //! [`note_event`] keeps the origin of a stream whose events go to the caller.
 
+pub mod history;
 pub(crate) mod take_up;
 
 use std::net::IpAddr;
@@ -29,6 +30,7 @@
 use cranereach_fleet::stream_origins::OriginNote;
 use cranereach_fleet::stream_origins::StreamOrigins;
 use cranereach_fleet::stream_origins::TOLD_MAX_COUNT;
+use cranereach_fleet::stream_origins::all_started;
 use cranereach_fleet::stream_origins::holders;
 use cranereach_fleet::stream_origins::stream_life_ms;
 use cranereach_fleet::topology::DomainTag;
@@ -47,6 +49,16 @@
 /// Longest such time, in milliseconds.
 const CONFIRMATION_INTERVAL_MAX_MS: u64 = 4_000;
 
+/// The same while the peers that answer have just started, too, in milliseconds.
+const STARTED_INTERVAL_MAX_MS: u64 = 1_000;
+
+/// Time between two of its reads of the versions from the store, in milliseconds.
+const HISTORY_READ_INTERVAL_MS: u64 = 1_000;
+
+/// Maximum number of times that an instance which has just started reads the versions from the store,
+/// in one era of it.
+const HISTORY_READ_MAX_COUNT: u32 = 3;
+
 /// Share of the drain bound up to which the list of workers is as old in calm.
 const LIST_FRESH_SHARE: f64 = 0.75;
 
@@ -77,6 +89,7 @@
     let mut members_changed_at_ms = 0;
     let mut asks_at_ms = 0;
     let mut ask_interval_ms = CONFIRMATION_INTERVAL_MS;
+    let mut reads = HistoryReads::default();
     loop {
         let now_ms = node.now_ms();
         observe(&node);
@@ -91,9 +104,15 @@
             ask_interval_ms = CONFIRMATION_INTERVAL_MS;
         } else if now_ms >= asks_at_ms {
             asks_at_ms = now_ms + ask_interval_ms;
-            ask_interval_ms = (ask_interval_ms * 2).min(CONFIRMATION_INTERVAL_MAX_MS);
-            ask_for_confirmation(&node, &unconfirmed).await;
+            let have_peers_started = ask_for_confirmation(&node, &unconfirmed).await;
+            let interval_max_ms = if have_peers_started {
+                STARTED_INTERVAL_MAX_MS
+            } else {
+                CONFIRMATION_INTERVAL_MAX_MS
+            };
+            ask_interval_ms = (ask_interval_ms * 2).min(interval_max_ms);
         }
+        reads.read_if_needed(&node).await;
         show_counts(&node);
         let has_unchecked = node.origins.known().has_unchecked();
         pause(if has_unchecked {
@@ -105,6 +124,39 @@
     }
 }
 
+/// Reads of the versions that are kept in the store.
+#[derive(Debug, Default)]
+struct HistoryReads {
+    /// Era of the store in which they were made.
+    era: u64,
+    count: u32,
+    /// When the next one may be made, in milliseconds.
+    next_at_ms: u64,
+}
+
+impl HistoryReads {
+    /// Reads the versions from the store if peers did not confirm those that this instance sees.
+    async fn read_if_needed(&mut self, node: &Node) {
+        let era = node.store.eras().newest();
+        if self.era != era {
+            self.era = era;
+            self.count = 0;
+        }
+        let now_ms = node.now_ms();
+        if now_ms < self.next_at_ms || self.count >= HISTORY_READ_MAX_COUNT {
+            return;
+        }
+        let services = node.origins.known().services_for_history(now_ms);
+        if services.is_empty() {
+            return;
+        }
+        self.next_at_ms = now_ms + HISTORY_READ_INTERVAL_MS;
+        if history::is_reader(node) && history::confirm(node, &services).await {
+            self.count += 1;
+        }
+    }
+}
+
 /// Records the versions of the workers of all services whose streams may be resumed.
 fn observe(node: &Node) {
     let Some(configuration) = node.configuration() else {
@@ -200,7 +252,9 @@
 }
 
 /// Asks two peers whether services that this instance has not watched for long had one version only.
-async fn ask_for_confirmation(node: &Arc<Node>, services: &[u64]) {
+/// Returns whether those that answered have just started, too.
+async fn ask_for_confirmation(node: &Arc<Node>, services: &[u64]) -> bool {
+    let mut have_all_started = true;
     // Others each time: some may have started lately, too.
     let chosen = holders(rand::random(), members(node).into_iter());
     for service in services {
@@ -208,7 +262,9 @@
         let answers: Vec<OriginAnswer> = answers.into_iter().map(|(_, answer)| answer).collect();
         let now_ms = node.now_ms();
         node.origins.known().confirm(now_ms, *service, &answers);
+        have_all_started &= all_started(&answers);
     }
+    have_all_started
 }
 
 /// Asks instances where a stream began, and waits for a limited time. Returns the answers received
