Interim responses without end are cut off like any other head

Cause: heads are bounded by the buffer, interim responses are dropped one by one and each begins anew. Everything that is read of a connection from the request to the end of the final head now comes out of one budget of 128 KiB; beyond it the connection fails, which counts against the worker and is repeated where the route allows. It holds for every client of the pool: workers, their reports and orders, and the store.

--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod event_border;
 pub mod events;
 pub mod full_backlog;
+pub mod head_limit;
 pub mod intake;
 pub mod json_text;
 pub mod liveness;
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -24,6 +24,8 @@
 use crate::body_end::ResponseBody;
 use crate::clock::boottime_ms;
 use crate::connector::Connector;
+use crate::head_limit::HeadBudget;
+use crate::head_limit::HeadLimited;
 use crate::liveness;
 use crate::meter::Meter;
 use crate::meter::Metered;
@@ -65,6 +67,7 @@
     /// it may be used for as long as it is open.
     expires_at_ms: Option<u64>,
     told_start_unix_ms: Option<u64>,
+    head_budget: Arc<HeadBudget>,
 }
 
 /// Idle connections, the most recently used at the end.
@@ -99,6 +102,7 @@
     /// Start of the process at the other end, as it told over this connection, in milliseconds of
     /// Unix time.
     told_start_unix_ms: Option<u64>,
+    head_budget: Arc<HeadBudget>,
 }
 
 impl<B> std::fmt::Debug for Connection<B> {
@@ -183,6 +187,7 @@
             is_reused: true,
             via: idle.via,
             told_start_unix_ms: idle.told_start_unix_ms,
+            head_budget: idle.head_budget,
         })
     }
 
@@ -217,6 +222,8 @@
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
         let stream = Metered::new(stream, &self.meter, self.side);
+        let head_budget = Arc::default();
+        let stream = HeadLimited::new(stream, &head_budget);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_MAX_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
@@ -230,6 +237,7 @@
             is_reused: false,
             via,
             told_start_unix_ms: None,
+            head_budget,
         })
     }
 
@@ -292,12 +300,16 @@
         self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the status and headers of its answer.
+    /// Sends a request and waits for the status and headers of its answer. Fails if the upstream
+    /// sends more than [`crate::head_limit::HEAD_MAX_BYTES`] before these are complete.
     pub async fn send(
         &mut self,
         request: Request<B>,
     ) -> Result<Response<ResponseBody>, SendError<B>> {
-        match self.sender.try_send_request(request).await {
+        self.head_budget.begin();
+        let sent = self.sender.try_send_request(request).await;
+        self.head_budget.end();
+        match sent {
             Ok(response) => Ok(ResponseBody::wrap(response)),
             Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendError::Unsent(Box::new(request)),
@@ -337,6 +349,7 @@
                 via: self.via,
                 expires_at_ms,
                 told_start_unix_ms: self.told_start_unix_ms,
+                head_budget: self.head_budget,
             });
         }
     }
