A stream without events, or without end, is broken off

Cause: a stream is passed on as it comes, and nothing compared it with what an answer may be. It is now broken off once 1 MiB came without an event ending, or more than 1 MiB and 4 KiB for each token that the request may produce. That counts against the worker like a broken connection, closes the connection, and the stream goes on elsewhere where it may.

bytes_without_end_are_no_answer fails without it (one connection takes 34 MB of one event until the deadline).

--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -18,6 +18,7 @@
 use super::continuation::Continuation;
 use super::forwarded_headers::forwarded_headers;
 use super::refusal::Refusal;
+use super::worker_body::StreamLimits;
 use crate::node::Node;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::accounts::Account;
@@ -300,6 +301,11 @@
         Some(request)
     }
 
+    /// Returns how large the stream of the call may become.
+    pub(super) fn stream_limits(&self) -> StreamLimits {
+        StreamLimits::for_tokens(self.held_tokens.saturating_sub(self.prompt_tokens))
+    }
+
     /// Whether the response is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -73,7 +73,7 @@
             software,
         } = head;
         let (parts, body) = response.into_parts();
-        let mut body = WorkerBody::new(body, &parts.headers, true);
+        let mut body = WorkerBody::new(body, &parts.headers, Some(call.stream_limits()));
         let first_chunk = match body.next_part().await {
             WorkerPart::Data(first_chunk) => first_chunk,
             // The caller has all events already.
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -323,7 +323,7 @@
             ..
         } = head;
         let (parts, body) = response.into_parts();
-        let body = WorkerBody::new(body, &parts.headers, false);
+        let body = WorkerBody::new(body, &parts.headers, None);
         let remaining_ms = self.call.deadline_at_ms.saturating_sub(self.node.now_ms()) + 1_000;
         let collected = body
             .collect(BUFFERED_RESPONSE_MAX_BYTES, remaining_ms)
--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -4,6 +4,9 @@
 //! the connection ends it, so has a stream without any event, and a JSON text that isn't whole.
 //! Any other body whose end is not declared is complete as far as can be seen: a worker that closes
 //! its connection in order does so after the last byte, or because its process ends.
+//!
+//! A stream that goes on and on without an event, or that is larger than the request may produce, is
+//! no answer: it is broken off ([`StreamLimits`]).
 
 use std::task::Context;
 use std::task::Poll;
@@ -23,6 +26,34 @@
 use cranereach_http::content::Content;
 use cranereach_http::event_border::EventBorder;
 
+/// Largest event of a stream, and most bytes between two events, such as those of comments.
+const EVENT_MAX_BYTES: u64 = 1024 * 1024;
+
+/// Most bytes of a stream for each token that the request may produce: events name more than the text
+/// of a token.
+const BYTES_PER_TOKEN: u64 = 4 * 1024;
+
+/// Most bytes of a stream if the request doesn't say how many tokens it may produce.
+const UNSTATED_MAX_BYTES: u64 = 256 * 1024 * 1024;
+
+/// How large the stream of a request may become.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct StreamLimits {
+    /// Most bytes in all.
+    max_bytes: u64,
+}
+
+impl StreamLimits {
+    /// Returns the limits for a request that may produce this many tokens; zero if it doesn't say.
+    pub(super) fn for_tokens(answer_max_tokens: u32) -> Self {
+        let max_bytes = match u64::from(answer_max_tokens) {
+            0 => UNSTATED_MAX_BYTES,
+            tokens => EVENT_MAX_BYTES + tokens * BYTES_PER_TOKEN,
+        };
+        Self { max_bytes }
+    }
+}
+
 /// Why a body counts as incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(super) enum BreakReason {
@@ -38,6 +69,9 @@
     /// The connection closed inside a JSON text.
     #[error("the response ended inside a JSON text")]
     InsideJson,
+    /// A stream went on without an event, or became larger than the request may produce.
+    #[error("the stream is too large")]
+    TooLarge,
 }
 
 impl BreakReason {
@@ -48,6 +82,7 @@
             Self::InsideEvent => "inside_event",
             Self::NoEvent => "no_event",
             Self::InsideJson => "inside_json",
+            Self::TooLarge => "too_large",
         }
     }
 }
@@ -95,20 +130,27 @@
 struct FollowedBody {
     media_type: Option<HeaderValue>,
     byte_count: u64,
-    /// Whether the caller asked for a stream of events.
-    is_stream: bool,
+    /// Number of bytes up to the end of the last event.
+    event_end_bytes: u64,
+    /// Set if the caller asked for a stream of events.
+    stream_limits: Option<StreamLimits>,
     content: Content,
 }
 
 impl WorkerBody {
-    /// Creates the body of a response with these headers. `is_stream` says whether the caller asked
-    /// for a stream of events; then the body is one also if its head names no media type.
-    pub(super) fn new(body: ResponseBody, headers: &HeaderMap, is_stream: bool) -> Self {
+    /// Creates the body of a response with these headers. The limits are set if the caller asked for a
+    /// stream of events; then the body is one also if its head names no media type.
+    pub(super) fn new(
+        body: ResponseBody,
+        headers: &HeaderMap,
+        stream_limits: Option<StreamLimits>,
+    ) -> Self {
         let followed = FollowedBody {
             media_type: headers.get(CONTENT_TYPE).cloned(),
             byte_count: 0,
-            is_stream,
-            content: Content::of_response(&body, headers, is_stream),
+            event_end_bytes: 0,
+            stream_limits,
+            content: Content::of_response(&body, headers, stream_limits.is_some()),
         };
         Self { body, followed }
     }
@@ -151,6 +193,12 @@
         match part {
             BodyPart::Data(bytes) => {
                 self.followed.follow(&bytes);
+                if self.followed.is_too_large() {
+                    return WorkerPart::End(
+                        self.followed
+                            .end(BodyEnd::Broken, Err(BreakReason::TooLarge)),
+                    );
+                }
                 WorkerPart::Data(bytes)
             }
             BodyPart::End(end) => WorkerPart::End(self.followed.judge(end)),
@@ -161,13 +209,35 @@
 impl FollowedBody {
     /// Follows the next bytes.
     fn follow(&mut self, bytes: &[u8]) {
+        let event_count = self.event_count();
         self.byte_count += bytes.len() as u64;
         self.content.follow(bytes);
+        if self.event_count() > event_count {
+            self.event_end_bytes = self.byte_count;
+        }
+    }
+
+    /// Returns the number of whole events, if the body is a stream of events.
+    fn event_count(&self) -> Option<u64> {
+        match &self.content {
+            Content::Events(border) => Some(border.event_count()),
+            Content::Json(_) | Content::Opaque => None,
+        }
+    }
+
+    /// Whether the body is a stream that exceeds its limits.
+    fn is_too_large(&self) -> bool {
+        let Some(limits) = self.stream_limits else {
+            return false;
+        };
+        let since_event_bytes = self.byte_count - self.event_end_bytes;
+        let lacks_event = self.event_count().is_some() && since_event_bytes > EVENT_MAX_BYTES;
+        lacks_event || self.byte_count > limits.max_bytes
     }
 
     /// Whether the body is a stream that ends before its first event.
     fn lacks_event(&self, border: &EventBorder) -> bool {
-        self.is_stream && border.event_count() == 0 && !border.is_inside_event()
+        self.stream_limits.is_some() && border.event_count() == 0 && !border.is_inside_event()
     }
 
     /// Decides what the end of the body means.
@@ -181,14 +251,15 @@
             (_, Content::Events(_)) => Err(BreakReason::InsideEvent),
             (_, Content::Json(_) | Content::Opaque) => Err(BreakReason::InsideJson),
         };
-        let event_count = match &self.content {
-            Content::Events(border) => Some(border.event_count()),
-            Content::Json(_) | Content::Opaque => None,
-        };
+        self.end(end, result)
+    }
+
+    /// Returns the end with what was received until then.
+    fn end(&self, end: BodyEnd, result: Result<(), BreakReason>) -> JudgedEnd {
         let received = Received {
             media_type: self.media_type.clone(),
             byte_count: self.byte_count,
-            event_count,
+            event_count: self.event_count(),
         };
         JudgedEnd {
             end,
