Answers that are held in full share a part of the memory

200 callers of three workers that sent bodies without end at 512 KiB a second made an instance hold 628 MB (measured by others with a stand-in), where small machines have 160: each answer may have 4 MiB until its deadline, and nothing bounded them together. They now share a fifth of the memory that the instance has for its work; an answer that needs more ends, and is repeated where its route allows. That an instance has no memory left doesn't count against the worker.

--- a/crates/cranereach-entry/src/callers/exchange.rs
+++ b/crates/cranereach-entry/src/callers/exchange.rs
@@ -278,7 +278,7 @@
         let bytes = match collected {
             Ok(collected) => collected.bytes,
             Err(BodyError::TooSlow) => return Err(Event::DeadlinePassed),
-            Err(BodyError::TooLarge) => return Err(Event::Garbled),
+            Err(BodyError::TooLarge | BodyError::NoMemory) => return Err(Event::Garbled),
             Err(BodyError::Broken) => return Err(Event::Broken),
         };
         let is_object = bytes.first() == Some(&b'{')
--- a/crates/cranereach-entry/src/callers/model_call.rs
+++ b/crates/cranereach-entry/src/callers/model_call.rs
@@ -70,7 +70,7 @@
 /// Returns the result code for a request body that could not be read.
 pub(crate) fn body_error_code(error: BodyError) -> ResultCode {
     match error {
-        BodyError::TooLarge => ResultCode::BodyTooLarge,
+        BodyError::TooLarge | BodyError::NoMemory => ResultCode::BodyTooLarge,
         BodyError::TooSlow => ResultCode::RequestTooSlow,
         BodyError::Broken => ResultCode::BadRequest,
     }
--- a/crates/cranereach-gateway/src/forward/request.rs
+++ b/crates/cranereach-gateway/src/forward/request.rs
@@ -321,7 +321,7 @@
 /// Returns the result code of a request whose body can't be read.
 fn body_error_code(error: BodyError) -> ResultCode {
     match error {
-        BodyError::TooLarge => ResultCode::BodyTooLarge,
+        BodyError::TooLarge | BodyError::NoMemory => ResultCode::BodyTooLarge,
         BodyError::TooSlow => ResultCode::RequestTooSlow,
         BodyError::Broken => ResultCode::CallerLeft,
     }
--- a/crates/cranereach-gateway/src/forward/sending.rs
+++ b/crates/cranereach-gateway/src/forward/sending.rs
@@ -35,6 +35,7 @@
 use cranereach_fleet::purpose::Purpose;
 use cranereach_fleet::roster::Choice;
 use cranereach_fleet::software_version::SoftwareVersion;
+use cranereach_http::body::BodyError;
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::pool::SendError;
 
@@ -326,11 +327,23 @@
         let body = WorkerBody::new(body, &parts.headers, None);
         let remaining_ms = self.call.deadline_at_ms.saturating_sub(self.node.now_ms()) + 1_000;
         let collected = body
-            .collect(BUFFERED_RESPONSE_MAX_BYTES, remaining_ms)
+            .collect(
+                BUFFERED_RESPONSE_MAX_BYTES,
+                remaining_ms,
+                &self.node.answer_budget,
+            )
             .await;
-        let Ok((bytes, judged)) = collected else {
-            in_flight.failed();
-            return Err(Failure::Unknown);
+        let (bytes, judged) = match collected {
+            Ok(collected) => collected,
+            Err(error) => {
+                info!(self.node.log, "answer not read"; "request" => self.call.id.clone(),
+                    "worker" => in_flight.worker().as_ref(), "why" => error.to_string());
+                // That this instance has no memory left says nothing about the worker.
+                if error != BodyError::NoMemory {
+                    in_flight.failed();
+                }
+                return Err(Failure::Unknown);
+            }
         };
         telemetry::record_body_end(self.node, self.call, in_flight.worker(), &judged);
         if judged.result.is_err() {
--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -8,6 +8,7 @@
 //! A stream that goes on and on without an event, or that is larger than the request may produce, is
 //! no answer: it is broken off ([`StreamLimits`]).
 
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -23,6 +24,7 @@
 use cranereach_http::body_end::BodyPart;
 use cranereach_http::body_end::CollectedBody;
 use cranereach_http::body_end::ResponseBody;
+use cranereach_http::buffer_budget::BufferBudget;
 use cranereach_http::content::Content;
 use cranereach_http::event_border::EventBorder;
 
@@ -172,20 +174,24 @@
         self.take(part)
     }
 
-    /// Reads the whole body. One that is broken has no bytes.
+    /// Reads the whole body, in memory that `budget` has. One that is broken has no bytes.
     pub(super) async fn collect(
         self,
         max_bytes: usize,
         timeout_ms: u64,
+        budget: &Arc<BufferBudget>,
     ) -> Result<(Bytes, JudgedEnd), BodyError> {
         let Self { body, mut followed } = self;
-        let (bytes, end) = match body.collect(max_bytes, timeout_ms).await {
+        let mut share = budget.share();
+        let may_grow = |byte_count| share.grow(byte_count);
+        let collected = body.collect_while(max_bytes, timeout_ms, may_grow).await;
+        let (bytes, end) = match collected {
             Ok(CollectedBody { bytes, end }) => (bytes, end),
             Err(BodyError::Broken) => (Bytes::new(), BodyEnd::Broken),
-            Err(error @ (BodyError::TooLarge | BodyError::TooSlow)) => return Err(error),
+            Err(error) => return Err(error),
         };
         followed.follow(&bytes);
-        Ok((bytes, followed.judge(end)))
+        Ok((share.bind(bytes), followed.judge(end)))
     }
 
     /// Follows a part, or judges the end.
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -71,10 +71,14 @@
 use cranereach_fleet::topology::Topology;
 use cranereach_fleet::unanswered_queries::UnansweredQueries;
 use cranereach_fleet::ways::RoundTrips;
+use cranereach_http::buffer_budget::BufferBudget;
 use cranereach_http::clock::Clock;
 use cranereach_http::connector::Connector;
 use cranereach_http::intake::Intake;
 
+/// Share of the memory that workers' answers may use while they are held in full.
+const ANSWER_MEMORY_SHARE: f64 = 0.2;
+
 /// Changes that this instance's orders have made at workers, to be gossiped to peers.
 #[derive(Clone, Debug, Default)]
 pub struct AnnouncedChanges {
@@ -101,6 +105,8 @@
     pub metrics: Metrics,
     /// What this instance takes in.
     pub intake: Arc<Intake>,
+    /// Memory for workers' answers that are held in full before they are passed on.
+    pub answer_budget: Arc<BufferBudget>,
     /// Whether this instance is not ready because it turns callers away.
     pub withdrawal: Mutex<Withdrawal>,
     /// Opens connections to workers.
@@ -243,7 +249,9 @@
         let peers = Peers::new(own_ip, &settings.instance.failure_domain, &seeds);
         let metrics = Metrics::new();
         let clock = Clock::start();
-        let intake = Arc::new(Intake::new(settings.resources.resources(), clock));
+        let resources = settings.resources.resources();
+        let intake = Arc::new(Intake::new(resources, clock));
+        let answer_bytes = resources.memory_bytes as f64 * ANSWER_MEMORY_SHARE;
         Some(Self {
             peers: Mutex::new(peers.with_topology(&topology)),
             topology,
@@ -251,6 +259,7 @@
             store: Store::new(&settings.platform.store, adapter, &log, &metrics)
                 .with_meter(intake.meter()),
             intake,
+            answer_budget: Arc::new(BufferBudget::new(answer_bytes as u64)),
             withdrawal: Mutex::default(),
             log,
             metrics,
--- a/crates/cranereach-http/src/body.rs
+++ b/crates/cranereach-http/src/body.rs
@@ -20,6 +20,9 @@
     /// The body is larger than the limit.
     #[error("the body is larger than the limit")]
     TooLarge,
+    /// There is no memory for the body.
+    #[error("there is no memory for the body")]
+    NoMemory,
     /// The body did not arrive in time.
     #[error("the body did not arrive in time")]
     TooSlow,
--- a/crates/cranereach-http/src/body_end.rs
+++ b/crates/cranereach-http/src/body_end.rs
@@ -125,14 +125,30 @@
         max_bytes: usize,
         timeout_ms: u64,
     ) -> Result<CollectedBody, BodyError> {
-        let collecting = self.collect_within(max_bytes);
+        self.collect_while(max_bytes, timeout_ms, |_byte_count| true)
+            .await
+    }
+
+    /// Reads the whole body of at most `max_bytes` within `timeout_ms`, as long as `may_grow` allows
+    /// it to grow by a number of bytes.
+    pub async fn collect_while(
+        self,
+        max_bytes: usize,
+        timeout_ms: u64,
+        may_grow: impl FnMut(usize) -> bool,
+    ) -> Result<CollectedBody, BodyError> {
+        let collecting = self.collect_within(max_bytes, may_grow);
         tokio::time::timeout(Duration::from_millis(timeout_ms), collecting)
             .await
             .map_err(|_elapsed| BodyError::TooSlow)?
     }
 
     /// Reads the whole body of at most `max_bytes`.
-    async fn collect_within(mut self, max_bytes: usize) -> Result<CollectedBody, BodyError> {
+    async fn collect_within(
+        mut self,
+        max_bytes: usize,
+        mut may_grow: impl FnMut(usize) -> bool,
+    ) -> Result<CollectedBody, BodyError> {
         let mut first = Bytes::new();
         let mut collected = BytesMut::new();
         loop {
@@ -151,6 +167,9 @@
             if first.len().max(collected.len()) + bytes.len() > max_bytes {
                 return Err(BodyError::TooLarge);
             }
+            if !may_grow(bytes.len()) {
+                return Err(BodyError::NoMemory);
+            }
             if first.is_empty() {
                 // Most bodies come in one part, which is passed on without a copy.
                 first = bytes;
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod bearer;
 pub mod body;
 pub mod body_end;
+pub mod buffer_budget;
 pub mod client;
 pub mod clock;
 pub mod connector;
