--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -234,22 +234,9 @@
     /// names no start never is. Returns whether that is new.
     ///
     /// ```
-    /// use std::sync::Arc;
-    ///
     /// use cranereach_fleet::roster::Roster;
-    /// use cranereach_fleet::store_position::StorePosition;
-    /// use cranereach_fleet::worker::WorkerRecord;
     ///
-    /// let mut roster = Roster::default();
-    /// let record = WorkerRecord {
-    ///     id: Arc::from("w"),
-    ///     started_unix_ms: 1_000,
-    ///     ..WorkerRecord::default()
-    /// };
-    /// roster.put(StorePosition::new(0, 1), record);
-    /// assert!(!roster.note_start("w", 1_000));
-    /// assert!(roster.note_start("w", 5_000));
-    /// assert!(roster.get("w").is_some_and(|worker| worker.row_doubt.is_outdated()));
+    /// assert!(!Roster::default().note_start("unknown", 5_000));
     /// ```
     pub fn note_start(&mut self, id: &str, started_unix_ms: u64) -> bool {
         let Some(known) = self.workers.get_mut(id) else {
--- a/crates/cranereach-fleet/src/stream_origins.rs
+++ b/crates/cranereach-fleet/src/stream_origins.rs
@@ -11,8 +11,10 @@
 //!
 //! An origin that nobody knows is not guessed: the stream is refused, and its caller starts anew.
 
+mod answers;
 mod history_duty;
 mod holders;
+mod key;
 mod notes;
 mod version_history;
 mod version_watch;
@@ -22,13 +24,16 @@
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+pub use self::answers::Decision;
+pub use self::answers::Origin;
+pub use self::answers::OriginAnswer;
+pub use self::answers::OriginNote;
+pub use self::answers::all_started;
 pub use self::history_duty::HistoryDuty;
 pub use self::holders::HOLDER_COUNT;
 pub use self::holders::Holders;
 pub use self::holders::holders;
+pub use self::key::stream_key;
 use self::notes::Noted;
 use self::notes::Notes;
 pub use self::version_history::StoreMoment;
@@ -64,90 +69,6 @@
         .min(NOTE_MAX_MS)
 }
 
-/// Returns the key of a stream: that of the request that brought its first event, bound to its
-/// route and client account.
-///
-/// ```
-/// use cranereach_fleet::stream_origins::stream_key;
-///
-/// let key = stream_key("/chat", Some("a"), "id-1");
-/// assert_eq!(key, stream_key("/chat", Some("a"), "id-1"));
-/// assert_ne!(key, stream_key("/chat", Some("b"), "id-1"));
-/// assert_ne!(key, stream_key("/chat", None, "id-1"));
-/// ```
-pub fn stream_key(route: &str, account: Option<&str>, request_id: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&[u8::from(account.is_some())]);
-    for field in [route, account.unwrap_or_default(), request_id] {
-        hasher.update(&(field.len() as u64).to_le_bytes());
-        hasher.update(field.as_bytes());
-    }
-    let hash = hasher.finalize();
-    let key = u64::from_le_bytes(hash.as_bytes().first_chunk().copied().unwrap_or_default());
-    key.max(1)
-}
-
-/// Where a stream began.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Origin {
-    /// Key of the service.
-    pub service: u64,
-    /// Key of the version of the worker's software; zero if its row names none.
-    pub version: u64,
-}
-
-/// A note of one stream, as told to its holders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OriginNote {
-    /// Key of the stream.
-    pub key: u64,
-    /// Where it began.
-    pub origin: Origin,
-    /// Time for which the note is of use, in milliseconds.
-    pub expires_in_ms: u32,
-}
-
-/// Answer of a holder.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OriginAnswer {
-    /// The stream began there.
-    Known(Origin),
-    /// The stream is not known, but the service has had this version only for longer than its
-    /// streams last.
-    Only(u64),
-    /// The stream is not known, and the holder, which has not run for that long, has seen only this
-    /// version.
-    Started(u64),
-    /// The stream is not known, and may have begun at more than one version.
-    Unknown,
-}
-
-/// Whether all instances that answered have just started, so that none of them knows more than the one
-/// that asked.
-///
-/// ```
-/// use cranereach_fleet::stream_origins::{OriginAnswer, all_started};
-///
-/// assert!(all_started(&[OriginAnswer::Started(1), OriginAnswer::Started(2)]));
-/// assert!(!all_started(&[OriginAnswer::Started(1), OriginAnswer::Only(1)]));
-/// assert!(!all_started(&[]));
-/// ```
-pub fn all_started(answers: &[OriginAnswer]) -> bool {
-    let has_started = |answer: &OriginAnswer| matches!(answer, OriginAnswer::Started(_));
-    !answers.is_empty() && answers.iter().all(has_started)
-}
-
-/// What may be done with a stream that its caller takes up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// It may continue at this version.
-    GoOn(Origin),
-    /// The holders have to be asked.
-    Ask,
-    /// Its version can't be known.
-    Refuse,
-}
-
 /// What this instance knows of the versions of services and the origins of streams.
 ///
 /// ```
--- a/crates/cranereach-fleet/tests/quarantine/fleet.rs
+++ b/crates/cranereach-fleet/tests/quarantine/fleet.rs
@@ -10,19 +10,17 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::calls::Call;
+use super::calls::request_key;
 use super::prompts::Prompt;
 use super::prompts::Prompts;
 use super::scenario::Outcome;
 use super::scenario::Scenario;
-use cranereach_fleet::fingerprint::Content;
-use cranereach_fleet::fingerprint::Fingerprint;
-use cranereach_fleet::fingerprint::FingerprintKey;
 use cranereach_fleet::quarantine::END_MAX_COUNT;
 use cranereach_fleet::quarantine::KnownEnds;
 use cranereach_fleet::quarantine::PROGRESS_MS;
 use cranereach_fleet::quarantine::Quarantine;
 use cranereach_fleet::quarantine::RequestKeys;
-use cranereach_fleet::quarantine::RunPhase;
 use cranereach_fleet::quarantine::SuspectKey;
 
 /// Time of one step, in milliseconds.
@@ -43,49 +41,6 @@
 /// Maximum number of times that a caller repeats a harmless request that failed.
 const CLIENT_RETRY_MAX_COUNT: u32 = 3;
 
-/// Returns the key of the request with the given number.
-pub fn request_key(number: u64) -> SuspectKey {
-    let content = Content {
-        account: None,
-        method: "POST",
-        host: b"h",
-        target: "/",
-        model: b"",
-        prompt_parts: b"",
-        body: &number.to_le_bytes(),
-    };
-    let fingerprint: Fingerprint = content.fingerprint(&FingerprintKey::new(""));
-    SuspectKey::request(8, fingerprint)
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Call {
-    number: u64,
-    is_fatal: bool,
-    model: usize,
-    client_retries: u32,
-    attempts: u32,
-    instance: usize,
-    known_ends: KnownEnds,
-    is_isolated: bool,
-    sent_at_ms: i64,
-    ends_at_ms: i64,
-    prompt: Prompt,
-    /// When it was first received.
-    received_ms: i64,
-}
-
-impl Call {
-    /// Returns how far the call is; it writes to its answer from the moment at which it was sent.
-    fn phase(&self, now_ms: i64) -> RunPhase {
-        if now_ms - self.sent_at_ms >= PROGRESS_MS as i64 {
-            RunPhase::Writing
-        } else {
-            RunPhase::Beginning
-        }
-    }
-}
-
 struct Worker {
     start: u64,
     back_at_ms: i64,
--- a/crates/cranereach-fleet/tests/quarantine/main.rs
+++ b/crates/cranereach-fleet/tests/quarantine/main.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests under which workers end: which requests are refused, and what is stored
 //! and gossiped.
 
+mod calls;
 mod fleet;
 mod gossip;
 mod merging;
--- a/crates/cranereach-fleet/tests/quarantine/merging.rs
+++ b/crates/cranereach-fleet/tests/quarantine/merging.rs
@@ -7,7 +7,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::fleet::request_key;
+use super::calls::request_key;
 use cranereach_fleet::quarantine::Change;
 use cranereach_fleet::quarantine::END_MAX_COUNT;
 use cranereach_fleet::quarantine::GOSSIPED_MAX_COUNT;
--- a/crates/cranereach-fleet/tests/stream_origins/world.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/world.rs
@@ -1,5 +1,6 @@
 //! A simulated fleet whose callers take up broken streams at random instances.
 
+mod actors;
 mod history;
 mod judge;
 mod list;
@@ -14,6 +15,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use self::actors::Instance;
+use self::actors::Stream;
 use self::history::StoredHistory;
 pub use self::judge::Judge;
 use self::list::WorkerList;
@@ -51,37 +54,6 @@
 /// Key of the service.
 const SERVICE: u64 = 7;
 
-/// A stream that is running, or that waits to be taken up.
-#[derive(Clone, Copy, Debug)]
-struct Stream {
-    key: u64,
-    /// Version at which it began, and when.
-    version: u64,
-    began_ms: u64,
-    /// Whether some later try ran at another version.
-    is_mixed: bool,
-    /// Instance that relays it now, or that broke it off.
-    instance: usize,
-    worker: u64,
-    try_count: u32,
-    will_break: bool,
-}
-
-struct Instance {
-    origins: StreamOrigins,
-    presence: Presence,
-    list_lag_ms: u64,
-    /// Live members at the last look.
-    seen_members: u64,
-    /// When it next asks whether there was one version only.
-    asks_at_ms: u64,
-    ask_interval_ms: u64,
-    duty: HistoryDuty,
-    /// Times that it has read the history since its start.
-    history_read_count: u32,
-    next_read_at_ms: u64,
-}
-
 type Told = (usize, Vec<OriginNote>);
 
 pub struct World {
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -9,7 +9,7 @@
 //! [`version_requirement`] is the version of the workers' software that it is bound to, and
 //! [`workload`] estimates its work. [`response_head`] checks the head of a response,
 //! [`worker_body`] judges how its body ended, [`stream_relay`] relays a stream to the caller, and
-//! [`resumption`] resumes it on another worker. [`telemetry`] counts and logs results, and
+//! [`resumption`] resumes it on another worker, and [`writing_progress`] says how long a worker wrote. [`telemetry`] counts and logs results, and
 //! [`refusal`] makes the response to a call that could not be served.
 //!
 //! The owner of a worker is the instance that keeps count of all requests open at it (see
@@ -34,6 +34,7 @@
 mod version_requirement;
 mod worker_body;
 mod workload;
+mod writing_progress;
 
 use std::pin::Pin;
 use std::sync::Arc;
--- a/crates/cranereach-gateway/src/forward/stream_relay.rs
+++ b/crates/cranereach-gateway/src/forward/stream_relay.rs
@@ -32,12 +32,11 @@
 use super::worker_body::JudgedEnd;
 use super::worker_body::WorkerBody;
 use super::worker_body::WorkerPart;
+use super::writing_progress::WritingProgress;
 use crate::node::Node;
 use crate::quarantine;
 use crate::stream_origins;
 use crate::worker_ends::ProbeResult;
-use cranereach_fleet::quarantine::PROGRESS_MS;
-use cranereach_fleet::quarantine::RunPhase;
 use cranereach_fleet::software_version::SoftwareVersion;
 use cranereach_http::body_end::BodyEnd;
 use cranereach_http::events::EventBuffer;
@@ -80,48 +79,6 @@
     resumption: Option<StreamResumption>,
 }
 
-/// For how long the current worker has written.
-#[derive(Debug)]
-struct WritingProgress {
-    since: Instant,
-    /// The same by the clock of the node, in milliseconds.
-    since_ms: u64,
-    /// When the progress was last recorded.
-    recorded_at: Option<Instant>,
-}
-
-impl WritingProgress {
-    /// Starts with the first chunk of a worker.
-    fn start(node: &Node) -> Self {
-        Self {
-            since: Instant::now(),
-            since_ms: node.now_ms(),
-            recorded_at: None,
-        }
-    }
-
-    /// Takes a chunk that has arrived. Returns whether the progress is to be recorded now: the worker
-    /// has written for [`PROGRESS_MS`], unless this instance was too slow to know.
-    fn is_due(&mut self, node: &Node) -> bool {
-        let now = Instant::now();
-        let last = self.recorded_at.unwrap_or(self.since);
-        let elapsed_ms = now.duration_since(last).as_millis() as u64;
-        let is_due = elapsed_ms >= PROGRESS_MS && !node.is_own_delay(PROGRESS_MS);
-        if is_due {
-            self.recorded_at = Some(now);
-        }
-        is_due
-    }
-
-    /// Returns how far the worker was.
-    fn phase(&self) -> RunPhase {
-        match self.recorded_at {
-            Some(_) => RunPhase::Writing,
-            None => RunPhase::Beginning,
-        }
-    }
-}
-
 /// Gaps between the chunks of a stream.
 #[derive(Debug)]
 struct ChunkGaps {
--- a/crates/cranereach-gateway/src/quarantine.rs
+++ b/crates/cranereach-gateway/src/quarantine.rs
@@ -8,6 +8,7 @@
 //! suspects to operators. The check on the request path first compares the body size with those of
 //! the known requests, and asks whether any part is known; usually there are none.
 
+mod exoneration;
 pub mod listing;
 pub mod persistence;
 
@@ -16,17 +17,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hyper::StatusCode;
 use slog::info;
 use slog::warn;
 
+use self::exoneration::Proof;
+pub use self::exoneration::record_progress;
+pub use self::exoneration::record_whole_response;
 use crate::forward::Call;
 use crate::messages::Message;
 use crate::node::Node;
 use crate::node::lock;
 use crate::recipients::Origin;
-use crate::worker_ends;
-use crate::worker_ends::ProbeResult;
 use cranereach_core::codes::ResultCode;
 use cranereach_fleet::fingerprint::Fingerprint;
 use cranereach_fleet::quarantine::Change;
@@ -39,7 +40,6 @@
 use cranereach_fleet::quarantine::SuspectKey;
 use cranereach_fleet::quarantine::SuspectUpdate;
 use cranereach_fleet::quarantine::Suspicion;
-use cranereach_http::body_end::BodyEnd;
 
 /// Number of instances that are notified of a worker's end directly, in addition to the digests.
 /// More than one, because an instance may be stopping or the datagram may be lost.
@@ -159,79 +159,6 @@
     update_gauges(node);
 }
 
-/// Records the response to a call that looks complete. It shows that neither the content of the
-/// call nor, if it succeeded, a part of its prompt causes workers to end, provided that the worker
-/// still ran when it sent the last byte: it declared the end, or runs still.
-pub fn record_whole_response(
-    node: &Arc<Node>,
-    call: &Arc<Call>,
-    worker: &Arc<str>,
-    status: StatusCode,
-    end: BodyEnd,
-) {
-    if !judge(node, call).known_ends.knew_any() {
-        return;
-    }
-    if end == BodyEnd::Declared {
-        clear_call(node, call, status);
-        return;
-    }
-    let node = Arc::clone(node);
-    let call = Arc::clone(call);
-    let worker = Arc::clone(worker);
-    tokio::spawn(async move {
-        if worker_ends::check(&node, &worker).await == ProbeResult::Alive {
-            clear_call(&node, &call, status);
-        }
-    });
-}
-
-/// Records that a worker has written to the answer of a call for [`PROGRESS_MS`] or longer, since a
-/// time in milliseconds. It shows that no part of its prompt ended workers at that time when an answer
-/// on it began, whatever becomes of the call.
-pub fn record_progress(node: &Arc<Node>, call: &Call, since_ms: u64) {
-    let known_ends = judge(node, call).known_ends;
-    let proof = Proof {
-        as_of_ms: since_ms as i64,
-        why: "progress",
-    };
-    clear_parts(node, call, known_ends, RunPhase::Beginning, proof);
-}
-
-/// Clears the keys of a call that was answered in full.
-fn clear_call(node: &Arc<Node>, call: &Call, status: StatusCode) {
-    let known_ends = judge(node, call).known_ends;
-    let proof = Proof::now(node, "whole answer");
-    if known_ends.knew_content() {
-        clear(node, call.suspect_key(node), proof);
-    }
-    if !status.is_success() {
-        // A worker may refuse a request before it has read the prompt.
-        return;
-    }
-    for phase in [RunPhase::Beginning, RunPhase::Writing] {
-        clear_parts(node, call, known_ends, phase, proof);
-    }
-}
-
-/// Clears the parts of a call's prompt, as far as ends under requests in a phase are known.
-fn clear_parts(
-    node: &Arc<Node>,
-    call: &Call,
-    known_ends: KnownEnds,
-    phase: RunPhase,
-    proof: Proof,
-) {
-    if !known_ends.knew_any() {
-        return;
-    }
-    for (index, part) in call.part_fingerprints(node).iter().enumerate() {
-        if known_ends.knew_part(phase, index) {
-            clear(node, SuspectKey::part_in(phase, *part), proof);
-        }
-    }
-}
-
 /// Releases a suspect from quarantine on behalf of an operator. Returns false if this instance does
 /// not know it.
 pub fn release(node: &Arc<Node>, fingerprint: Fingerprint) -> bool {
@@ -242,23 +169,6 @@
     cleared.fold(false, |any, is_cleared| any | is_cleared)
 }
 
-/// Reason why a suspect is taken for harmless.
-#[derive(Clone, Copy, Debug)]
-struct Proof {
-    /// Time as of which it was harmless, in milliseconds.
-    as_of_ms: i64,
-    /// Reason as logged.
-    why: &'static str,
-}
-
-impl Proof {
-    /// Creates a proof that holds until now.
-    fn now(node: &Node, why: &'static str) -> Self {
-        let as_of_ms = node.now_ms() as i64;
-        Self { as_of_ms, why }
-    }
-}
-
 /// Clears the ends of workers recorded for a suspect. Returns false if the proof changes nothing.
 fn clear(node: &Arc<Node>, key: SuspectKey, proof: Proof) -> bool {
     let now_ms = node.now_ms() as i64;
--- a/crates/cranereach-http/src/head_limit.rs
+++ b/crates/cranereach-http/src/head_limit.rs
@@ -4,16 +4,8 @@
 //! upstream that sends them without end would keep its connection busy until the call's deadline.
 
 use std::io;
-use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
-
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 
 /// Maximum number of bytes that are read until the head of an answer is complete: several times the
 /// largest head and what may follow it in the same read.
@@ -57,6 +49,15 @@
         self.remaining_bytes.store(u64::MAX, Ordering::Release);
     }
 
+    /// Takes bytes that were read; fails if they are too many.
+    pub(crate) fn take_read(&self, byte_count: usize) -> io::Result<()> {
+        if self.take(byte_count as u64) {
+            return Ok(());
+        }
+        let error = "too many bytes before the head of an answer";
+        Err(io::Error::new(io::ErrorKind::InvalidData, error))
+    }
+
     /// Takes bytes that were read. Returns false if they are too many.
     pub fn take(&self, byte_count: u64) -> bool {
         let take = |remaining: u64| match remaining {
@@ -69,68 +70,3 @@
         taken.is_ok()
     }
 }
-
-/// Stream whose reads fail once more was read than its budget allows.
-#[derive(Debug)]
-pub struct HeadLimited<S> {
-    stream: S,
-    budget: Arc<HeadBudget>,
-}
-
-impl<S> HeadLimited<S> {
-    /// Limits a stream by a budget.
-    pub fn new(stream: S, budget: &Arc<HeadBudget>) -> Self {
-        Self {
-            stream,
-            budget: Arc::clone(budget),
-        }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for HeadLimited<S> {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let filled_before = buf.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
-        let read_bytes = (buf.filled().len() - filled_before) as u64;
-        if !this.budget.take(read_bytes) {
-            let error = "too many bytes before the head of an answer";
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
-        }
-        polled
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for HeadLimited<S> {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
-    }
-}
--- a/crates/cranereach-http/src/meter.rs
+++ b/crates/cranereach-http/src/meter.rs
@@ -12,6 +12,8 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use crate::head_limit::HeadBudget;
+
 /// Who is at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -113,6 +115,8 @@
 pub struct Metered<S> {
     stream: S,
     open: OpenConnection,
+    /// Limits what is read, if it is set.
+    head_budget: Option<Arc<HeadBudget>>,
 }
 
 impl<S> Metered<S> {
@@ -121,9 +125,17 @@
         Self {
             stream,
             open: meter.open(side),
+            head_budget: None,
         }
     }
 
+    /// Lets reads fail once more was read than a budget allows.
+    #[must_use]
+    pub fn with_head_budget(mut self, head_budget: &Arc<HeadBudget>) -> Self {
+        self.head_budget = Some(Arc::clone(head_budget));
+        self
+    }
+
     /// Returns the stream.
     pub fn get_ref(&self) -> &S {
         &self.stream
@@ -146,9 +158,11 @@
         let this = self.get_mut();
         let filled_before = buf.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
-        this.open
-            .meter
-            .add_received(buf.filled().len() - filled_before);
+        let read_bytes = buf.filled().len() - filled_before;
+        this.open.meter.add_received(read_bytes);
+        if let Some(head_budget) = &this.head_budget {
+            head_budget.take_read(read_bytes)?;
+        }
         polled
     }
 }
--- a/crates/cranereach-http/src/pool.rs
+++ b/crates/cranereach-http/src/pool.rs
@@ -25,7 +25,6 @@
 use crate::clock::boottime_ms;
 use crate::connector::Connector;
 use crate::head_limit::HeadBudget;
-use crate::head_limit::HeadLimited;
 use crate::liveness;
 use crate::meter::Meter;
 use crate::meter::Metered;
@@ -221,9 +220,8 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let stream = Metered::new(stream, &self.meter, self.side);
         let head_budget = Arc::default();
-        let stream = HeadLimited::new(stream, &head_budget);
+        let stream = Metered::new(stream, &self.meter, self.side).with_head_budget(&head_budget);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_MAX_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
