Proofs of progress that change nothing are sent to nobody

Each request that ran when a worker ended proves its parts harmless as of its own beginning. Only the first proof, and those that clear ends, are news now (proofs_that_change_nothing_are_no_news).

--- a/crates/cranereach-fleet/src/quarantine.rs
+++ b/crates/cranereach-fleet/src/quarantine.rs
@@ -242,7 +242,8 @@
 
     /// Records that a suspect was harmless at a time, in milliseconds: ends until then no longer
     /// count, and of two suspects that are equal otherwise, the other one is the more likely cause of
-    /// those since. Returns the evidence that was held against it, if that changes it.
+    /// those since. Returns the evidence that was held against it if ends no longer count, or if it is the
+    /// first such proof: every request that runs at an end may prove the same.
     pub fn clear_as_of(
         &mut self,
         now_ms: i64,
@@ -254,7 +255,10 @@
             return None;
         }
         let is_news = self.change(now_ms, key, |suspect| {
-            let is_news = suspect.clear(as_of_ms);
+            let end_count = suspect.ends.len();
+            let is_first = suspect.cleared_at_ms.is_none();
+            suspect.clear(as_of_ms);
+            let is_news = is_first || suspect.ends.len() < end_count;
             if is_news {
                 suspect.changed_at_ms = now_ms;
             }
--- a/crates/cranereach-fleet/tests/quarantine/parts.rs
+++ b/crates/cranereach-fleet/tests/quarantine/parts.rs
@@ -114,6 +114,25 @@
     assert!(!is_quarantined(&quarantine, "first") && !is_quarantined(&quarantine, "other"));
 }
 
+/// Guards against messages for each of the requests that run when a worker ends.
+#[test]
+fn proofs_that_change_nothing_are_no_news() {
+    let mut quarantine = Quarantine::default();
+    end(&mut quarantine, 2, &["first"]);
+    assert!(quarantine.clear_as_of(3_000, part("first"), 100).is_some());
+    for began_ms in 101..200 {
+        let cleared = quarantine.clear_as_of(3_000, part("first"), began_ms);
+        assert!(cleared.is_none());
+    }
+    assert_eq!(quarantine.suspicion(part("first")).end_count, 1);
+    assert!(
+        quarantine
+            .clear_as_of(4_000, part("first"), 2_500)
+            .is_some()
+    );
+    assert_eq!(quarantine.suspicion(part("first")).end_count, 0);
+}
+
 /// Guards against parts of a tie that stay refused although they are harmless, and against a poison
 /// part that is probed again and again.
 #[test]
