--- a/crates/cranereach-fleet/src/quarantine.rs
+++ b/crates/cranereach-fleet/src/quarantine.rs
@@ -10,10 +10,10 @@
 //!
 //! - Ends of different workers count, and those of one worker that was restarted in between.
 //! - One complete response proves the suspect harmless; earlier ends no longer count.
-//! - A part that ends workers does so when an answer on it begins, or later. Ends under requests that
-//!   had just begun are counted apart from those under requests that had written for [`PROGRESS_MS`]
-//!   ([`RunPhase`]). A request that has written for that long proves its parts harmless as far as
-//!   the former go, whether or not its own answer will be complete.
+//! - A part that ends workers does so when an answer on it begins, or later. Ends under requests
+//!   that had just begun are counted apart from those under requests that had written for
+//!   [`PROGRESS_MS`] ([`RunPhase`]). A request that has written for that long proves its parts
+//!   harmless as far as the former go, whether or not its own answer will be complete.
 //! - From [`END_MAX_COUNT`] ends in a row on, the suspect is quarantined, if at least one of them
 //!   came under an attempt whose sender knew of an earlier end. If many workers are lost at the
 //!   same moment, requests running on several of them are thus not taken for one request that was
@@ -159,9 +159,9 @@
         judgement
     }
 
-    /// Records the end of a worker under a request that was in a phase, as observed by this instance.
-    /// `known_ends` tells for which keys earlier ends were known here when the request was sent.
-    /// Returns the keys for which the end is new.
+    /// Records the end of a worker under a request that was in a phase, as observed by this
+    /// instance. `known_ends` tells for which keys earlier ends were known here when the request
+    /// was sent. Returns the keys for which the end is new.
     pub fn request_ended(
         &mut self,
         now_ms: i64,
@@ -241,9 +241,9 @@
     }
 
     /// Records that a suspect was harmless at a time, in milliseconds: ends until then no longer
-    /// count, and of two suspects that are equal otherwise, the other one is the more likely cause of
-    /// those since. Returns the evidence that was held against it if ends no longer count, or if it is the
-    /// first such proof: every request that runs at an end may prove the same.
+    /// count, and of two suspects that are equal otherwise, the other one is the more likely cause
+    /// of those since. Returns the evidence that was held against it if ends no longer count, or if
+    /// it is the first such proof: every request that runs at an end may prove the same.
     pub fn clear_as_of(
         &mut self,
         now_ms: i64,
--- a/crates/cranereach-fleet/src/quarantine/key.rs
+++ b/crates/cranereach-fleet/src/quarantine/key.rs
@@ -27,9 +27,9 @@
 pub const PROGRESS_MS: u64 = 1_000;
 
 /// Identifies what may cause workers to end: a request by its whole content, or a part of prompts
-/// by its id. A part counts twice: for requests that had just begun when their worker ended, and for
-/// those that had written to their answers for some time. The size comes first, so that requests of a size that is not known need no
-/// fingerprint.
+/// by its id. A part counts twice: for requests that had just begun when their worker ended, and
+/// for those that had written to their answers for some time. The size comes first, so that
+/// requests of a size that is not known need no fingerprint.
 ///
 /// ```
 /// use cranereach_fleet::fingerprint::Fingerprint;
--- a/crates/cranereach-fleet/src/quarantine/probes.rs
+++ b/crates/cranereach-fleet/src/quarantine/probes.rs
@@ -3,8 +3,8 @@
 //! A part that was blamed wrongly is never proved harmless while it is refused. So one request with
 //! it is let through some time after the last end, and a complete response releases the part. If
 //! another worker ends, the part is probed again after twice that time. A part under which many
-//! workers ended was not blamed by chance; only an operator releases it. Parts that are tied, so that
-//! requests are refused which have any of them, are probed soon: one probe tells them apart.
+//! workers ended was not blamed by chance; only an operator releases it. Parts that are tied, so
+//! that requests are refused which have any of them, are probed soon: one probe tells them apart.
 
 use super::Quarantine;
 use super::SuspectKey;
--- a/crates/cranereach-fleet/src/quarantine/suspect.rs
+++ b/crates/cranereach-fleet/src/quarantine/suspect.rs
@@ -5,8 +5,8 @@
 /// Consecutive ends from which on a suspect is sent to no worker; two may be a coincidence.
 pub const END_MAX_COUNT: usize = 3;
 
-/// Consecutive ends from which on weak evidence counts: a part is blamed for ends under requests that
-/// had written for some time, and requests are refused that have any of several tied parts.
+/// Consecutive ends from which on weak evidence counts: a part is blamed for ends under requests
+/// that had written for some time, and requests are refused that have any of several tied parts.
 pub(super) const WEAK_END_MAX_COUNT: usize = END_MAX_COUNT + 1;
 
 /// Consecutive ends from which on a request is not sent to a worker that runs another such request:
--- a/crates/cranereach-fleet/src/quarantine/verdicts.rs
+++ b/crates/cranereach-fleet/src/quarantine/verdicts.rs
@@ -6,18 +6,19 @@
 //! part is blamed only for ends that no stronger suspect explains. Suspects are weighed one by
 //! one, in this order:
 //!
-//! - those with the most ends since their last complete response, where ends under requests that had
-//!   written for some time count for one less: the sooner a worker ends, the likelier is the cause,
+//! - those with the most ends since their last complete response, where ends under requests that
+//!   had written for some time count for one less: the sooner a worker ends, the likelier is the
+//!   cause,
 //! - parts are first blamed for ends under requests that had just begun,
 //! - those without a complete response since they were first suspected,
 //! - whole requests before parts: they are the narrower explanation.
 //!
 //! A part is blamed if [`END_MAX_COUNT`] of its ends are left when its turn comes, and its ends
-//! then count for nothing against those that follow; [`WEAK_END_MAX_COUNT`] if the requests had written
-//! for some time. Parts that are tied share the blame: requests are refused that have all of them, and
-//! the next request that has only some tells them apart. If no request has all of them, workers go on
-//! ending. From [`WEAK_END_MAX_COUNT`] ends on, requests are refused that have any of them, until a
-//! probe tells them apart ([`super::probes`]).
+//! then count for nothing against those that follow; [`WEAK_END_MAX_COUNT`] if the requests had
+//! written for some time. Parts that are tied share the blame: requests are refused that have all
+//! of them, and the next request that has only some tells them apart. If no request has all of
+//! them, workers go on ending. From [`WEAK_END_MAX_COUNT`] ends on, requests are refused that have
+//! any of them, until a probe tells them apart ([`super::probes`]).
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -140,8 +141,8 @@
             .find_map(|blamed| blamed.refused_for(parts))
     }
 
-    /// Whether requests are refused for a part although another one may be to blame, which they need
-    /// not have.
+    /// Whether requests are refused for a part although another one may be to blame, which they
+    /// need not have.
     pub(super) fn is_refused_by_tie(&self, part: &SuspectKey) -> bool {
         let mut blamed = self.blamed.iter();
         blamed.any(|blamed| {
--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -229,9 +229,9 @@
         true
     }
 
-    /// Takes the start that a worker told, in milliseconds of Unix time. If it is later than that of
-    /// its row, nothing learned about the worker applies any more, and the row is outdated. A row that
-    /// names no start never is. Returns whether that is new.
+    /// Takes the start that a worker told, in milliseconds of Unix time. If it is later than that
+    /// of its row, nothing learned about the worker applies any more, and the row is outdated. A
+    /// row that names no start never is. Returns whether that is new.
     ///
     /// ```
     /// use cranereach_fleet::roster::Roster;
--- a/crates/cranereach-fleet/src/routing_request.rs
+++ b/crates/cranereach-fleet/src/routing_request.rs
@@ -64,7 +64,8 @@
     }
 
     /// Whether the software of a worker has the version that the request requires, and one that is
-    /// settled. The version of a worker that has started again since its row was written isn't known.
+    /// settled. The version of a worker that has started again since its row was written isn't
+    /// known.
     pub fn accepts_version_of(&self, worker: &Worker) -> bool {
         let is_any = self.settled_version_keys.is_empty() && self.required_version_key.is_none();
         if worker.row_doubt.is_outdated() {
--- a/crates/cranereach-fleet/src/stream_origins.rs
+++ b/crates/cranereach-fleet/src/stream_origins.rs
@@ -132,7 +132,8 @@
         watch.map_or(VersionView::Uncertain, |watch| watch.view(now_ms))
     }
 
-    /// Lists the versions of a service that have been seen while its present streams may have begun.
+    /// Lists the versions of a service that have been seen while its present streams may have
+    /// begun.
     pub fn seen_versions(&self, now_ms: u64, service: u64) -> Vec<u64> {
         let watch = self.watches.get(&service);
         watch.map_or_else(Vec::new, |watch| watch.versions(now_ms).collect())
@@ -239,10 +240,10 @@
         }
     }
 
-    /// Decides by what is known here alone. Key zero stands for a stream
-    /// whose origin is not named; it may continue as long as one version is seen.
-    /// `is_list_fresh` tells whether the list of workers is as new as it is in calm: an older one may
-    /// lack a version that streams have begun at elsewhere.
+    /// Decides by what is known here alone. Key zero stands for a stream whose origin is not named;
+    /// it may continue as long as one version is seen. `is_list_fresh` tells whether the list of
+    /// workers is as new as it is in calm: an older one may lack a version that streams have begun
+    /// at elsewhere.
     pub fn decide(&self, now_ms: u64, service: u64, key: u64, is_list_fresh: bool) -> Decision {
         if key == 0 {
             return match self.seen_versions(now_ms, service)[..] {
@@ -313,9 +314,9 @@
         is_confirmed
     }
 
-    /// Takes the history that is kept in the store, read at a moment of the store. Returns whether it
-    /// proves that a service which has not been watched for as long as its streams last has had the
-    /// one version that this instance sees.
+    /// Takes the history that is kept in the store, read at a moment of the store. Returns whether
+    /// it proves that a service which has not been watched for as long as its streams last has had
+    /// the one version that this instance sees.
     pub fn confirm_by_history(
         &mut self,
         now_ms: u64,
@@ -352,8 +353,8 @@
         stated
     }
 
-    /// Lists the services of [`StreamOrigins::unconfirmed_services`] for which the history that is kept
-    /// in the store may be read now.
+    /// Lists the services of [`StreamOrigins::unconfirmed_services`] for which the history that is
+    /// kept in the store may be read now.
     pub fn services_for_history(&self, now_ms: u64) -> Vec<u64> {
         let watches = self.watches.iter();
         let ready = watches.filter(|(_, watch)| watch.is_ready_for_history(now_ms));
--- a/crates/cranereach-fleet/src/stream_origins/answers.rs
+++ b/crates/cranereach-fleet/src/stream_origins/answers.rs
@@ -38,8 +38,8 @@
     Unknown,
 }
 
-/// Whether all instances that answered have just started, so that none of them knows more than the one
-/// that asked.
+/// Whether all instances that answered have just started, so that none of them knows more than the
+/// one that asked.
 ///
 /// ```
 /// use cranereach_fleet::stream_origins::{OriginAnswer, all_started};
--- a/crates/cranereach-fleet/src/stream_origins/history_duty.rs
+++ b/crates/cranereach-fleet/src/stream_origins/history_duty.rs
@@ -5,8 +5,8 @@
 /// Number of instances that check the history, the first in rank.
 const CHECKING_COUNT: u64 = 3;
 
-/// Time by which each of them waits longer than the one before, in milliseconds. The later ones find
-/// that nothing is left to write, unless the first can't reach the store.
+/// Time by which each of them waits longer than the one before, in milliseconds. The later ones
+/// find that nothing is left to write, unless the first can't reach the store.
 const RANK_DELAY_MS: u64 = 3_000;
 
 /// Whether one instance has to check the history.
--- a/crates/cranereach-fleet/src/stream_origins/version_history.rs
+++ b/crates/cranereach-fleet/src/stream_origins/version_history.rs
@@ -5,8 +5,9 @@
 //! history is written when the set of versions of a service changes, so that it costs nothing in
 //! calm, whatever the size of the fleet.
 //!
-//! Times are those of the store's steady clock. A history that a restored store brings back may lack
-//! what was written since; so it names the era in which it was written, and counts in that one only.
+//! Times are those of the store's steady clock. A history that a restored store brings back may
+//! lack what was written since; so it names the era in which it was written, and counts in that one
+//! only.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,7 +18,8 @@
 /// What an instance knows of the versions that a service has now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionStatement {
-    /// It has had this version only for as long as its streams last, which is given in milliseconds.
+    /// It has had this version only for as long as its streams last, which is given in
+    /// milliseconds.
     Only {
         /// Key of the version.
         version: u64,
--- a/crates/cranereach-fleet/src/stream_origins/version_watch.rs
+++ b/crates/cranereach-fleet/src/stream_origins/version_watch.rs
@@ -32,8 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct VersionWatch {
     seen: Vec<SeenVersion>,
-    /// When all streams that may have begun before the watch have ended, in milliseconds; none while
-    /// the list is not current.
+    /// When all streams that may have begun before the watch have ended, in milliseconds; none
+    /// while the list is not current.
     complete_from_ms: Option<u64>,
     /// Since when the list has been current, in milliseconds.
     current_since_ms: u64,
@@ -79,8 +79,8 @@
         }
     }
 
-    /// Records that a peer has watched the service for as long as its streams last, and has seen the
-    /// same one version.
+    /// Records that a peer has watched the service for as long as its streams last, and has seen
+    /// the same one version.
     pub(super) fn confirmed(&mut self, now_ms: u64) {
         self.complete_from_ms = self.complete_from_ms.map(|from_ms| from_ms.min(now_ms));
     }
@@ -101,9 +101,9 @@
         settled.map(|seen| seen.version)
     }
 
-    /// Whether the history that is kept in the store may complete what was seen. A list that has just
-    /// become current may follow an outage of the store, in which workers started again with another
-    /// version or lapsed; they are listed again some time after it.
+    /// Whether the history that is kept in the store may complete what was seen. A list that has
+    /// just become current may follow an outage of the store, in which workers started again with
+    /// another version or lapsed; they are listed again some time after it.
     pub(super) fn is_ready_for_history(&self, now_ms: u64) -> bool {
         matches!(self.view(now_ms), VersionView::Started(_))
             && now_ms >= self.current_since_ms + OUTAGE_RECOVERY_MS
@@ -114,8 +114,8 @@
         self.stream_max_ms
     }
 
-    /// Returns what is known of the versions that the service has now; none if its list of workers is
-    /// not current or empty.
+    /// Returns what is known of the versions that the service has now; none if its list of workers
+    /// is not current or empty.
     pub(super) fn statement(&self, now_ms: u64) -> Option<VersionStatement> {
         self.complete_from_ms?;
         match self.view(now_ms) {
--- a/crates/cranereach-fleet/src/worker/row_doubt.rs
+++ b/crates/cranereach-fleet/src/worker/row_doubt.rs
@@ -1,9 +1,9 @@
 //! Whether a worker's row may describe an earlier start of the worker.
 //!
-//! A worker that starts again keeps its identity and its address. Until its new row has been written
-//! and read, the known one describes the start before: another version of the software, other
-//! models. Two observations show that before the row does: an end of the worker that this instance
-//! saw, and the time of its start as the worker itself tells it.
+//! A worker that starts again keeps its identity and its address. Until its new row has been
+//! written and read, the known one describes the start before: another version of the software,
+//! other models. Two observations show that before the row does: an end of the worker that this
+//! instance saw, and the time of its start as the worker itself tells it.
 
 use crate::freshness::OUTAGE_RECOVERY_MS;
 
--- a/crates/cranereach-fleet/tests/quarantine/parts.rs
+++ b/crates/cranereach-fleet/tests/quarantine/parts.rs
@@ -52,8 +52,8 @@
     assert!(is_quarantined(&quarantine, "first"));
 }
 
-/// Guards against callers of the first part that are refused since nobody used it without the poison
-/// part yet, so that nothing tells the two apart.
+/// Guards against callers of the first part that are refused since nobody used it without the
+/// poison part yet, so that nothing tells the two apart.
 #[test]
 fn parts_that_are_tied_are_refused_together_until_a_request_has_one_of_them() {
     let judged = |quarantine: &Quarantine, listed: &str| {
@@ -301,7 +301,8 @@
 }
 
 proptest! {
-    /// Guards against instances that blame different parts since they heard of ends in another order.
+    /// Guards against instances that blame different parts since they heard of ends in another
+    /// order.
     #[test]
     fn the_order_of_updates_does_not_matter_for_the_blame(
         updates in any_updates(),
--- a/crates/cranereach-fleet/tests/quarantine/prompt_simulations.rs
+++ b/crates/cranereach-fleet/tests/quarantine/prompt_simulations.rs
@@ -149,8 +149,8 @@
     }
 }
 
-/// Guards against a poison part whose requests write for some time before they end their workers, so
-/// that each seems to prove it harmless.
+/// Guards against a poison part whose requests write for some time before they end their workers,
+/// so that each seems to prove it harmless.
 #[test]
 fn a_poison_part_that_ends_workers_late_is_found() {
     for (ends_after_ms, poison_per_s) in [(1_500, 0.5), (1_500, 2.0), (3_000, 2.0)] {
--- a/crates/cranereach-fleet/tests/stream_origins/kernel.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/kernel.rs
@@ -119,7 +119,8 @@
     assert_eq!(due.keys().collect::<Vec<_>>(), [&second.0]);
 }
 
-/// Guards against the note of a stream that has just begun waiting behind all that are checked again.
+/// Guards against the note of a stream that has just begun waiting behind all that are checked
+/// again.
 #[test]
 fn a_new_note_is_told_before_those_that_are_checked_again() {
     let mut origins = watching(&[1, 2]);
@@ -256,8 +257,8 @@
     }
 }
 
-/// Guards against a shorter timeout making an instance forget a version whose streams began under the
-/// longer one and still run.
+/// Guards against a shorter timeout making an instance forget a version whose streams began under
+/// the longer one and still run.
 #[test]
 fn a_shorter_timeout_does_not_shorten_the_life_of_streams_that_run() {
     let mut origins = StreamOrigins::default();
@@ -277,8 +278,8 @@
 }
 
 /// Guards against streams of two versions after all instances were killed during an outage of the
-/// store: a worker that started again with another version is listed only some time after the outage,
-/// and what is kept in the store doesn't tell of it.
+/// store: a worker that started again with another version is listed only some time after the
+/// outage, and what is kept in the store doesn't tell of it.
 #[test]
 fn a_history_counts_once_workers_are_listed_again() {
     let moment = |at_ms| StoreMoment { era: 0, at_ms };
--- a/crates/cranereach-fleet/tests/stream_origins/releases.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/releases.rs
@@ -129,15 +129,16 @@
     }
 }
 
-/// Returns the share of take-ups that go on among streams that began before all instances were killed.
+/// Returns the share of take-ups that go on among streams that began before all instances were
+/// killed.
 fn old_share(judges: &[Judge]) -> f64 {
     let old_count = sum(judges, |judge| judge.old_count);
     assert!(old_count >= 12, "{old_count}");
     sum(judges, |judge| judge.old_gone_on_count) as f64 / old_count as f64
 }
 
-/// Guards against streams that nobody takes up once all instances were killed, although their service
-/// has had one version all the time; and against store calls that grow with the fleet.
+/// Guards against streams that nobody takes up once all instances were killed, although their
+/// service has had one version all the time; and against store calls that grow with the fleet.
 #[test]
 fn streams_of_one_version_go_on_after_all_instances_were_killed() {
     for (count, seeds) in [(1, 3), (3, 3), (10, 3), (100, 2), (1_000, 1)] {
@@ -298,8 +299,8 @@
     }
 }
 
-/// Guards against streams of two versions where callers take them up at once, while the first worker
-/// of a new version is not yet listed everywhere.
+/// Guards against streams of two versions where callers take them up at once, while the first
+/// worker of a new version is not yet listed everywhere.
 #[test]
 fn hasty_take_ups_mix_no_stream() {
     for count in [3, 10, 100] {
--- a/crates/cranereach-gateway/src/forward/broken_connection.rs
+++ b/crates/cranereach-gateway/src/forward/broken_connection.rs
@@ -13,9 +13,9 @@
 use cranereach_fleet::quarantine::KnownEnds;
 use cranereach_fleet::quarantine::RunPhase;
 
-/// Checks in the background what became of the worker whose connection broke during a call. If
-/// the worker has ended, records that against the call. `known_ends` says for which keys of the
-/// call this instance already knew of such ends when it sent the call; `phase` says how far the call
+/// Checks in the background what became of the worker whose connection broke during a call. If the
+/// worker has ended, records that against the call. `known_ends` says for which keys of the call
+/// this instance already knew of such ends when it sent the call; `phase` says how far the call
 /// was.
 pub(super) fn investigate(
     node: &Arc<Node>,
--- a/crates/cranereach-gateway/src/forward/exchange.rs
+++ b/crates/cranereach-gateway/src/forward/exchange.rs
@@ -290,8 +290,8 @@
         Ok(())
     }
 
-    /// Makes the refusal of a call that must not be sent any more, since workers ended while they ran
-    /// it or requests that share a part with it.
+    /// Makes the refusal of a call that must not be sent any more, since workers ended while they
+    /// ran it or requests that share a part with it.
     fn quarantine_refusal(&self) -> Refusal {
         let judgement = quarantine::judge(self.node, self.call);
         let key = quarantine::quarantined_key(self.node, self.call, &judgement);
--- a/crates/cranereach-gateway/src/forward/mod.rs
+++ b/crates/cranereach-gateway/src/forward/mod.rs
@@ -9,8 +9,9 @@
 //! [`version_requirement`] is the version of the workers' software that it is bound to, and
 //! [`workload`] estimates its work. [`response_head`] checks the head of a response,
 //! [`worker_body`] judges how its body ended, [`stream_relay`] relays a stream to the caller, and
-//! [`resumption`] resumes it on another worker, and [`writing_progress`] says how long a worker wrote. [`telemetry`] counts and logs results, and
-//! [`refusal`] makes the response to a call that could not be served.
+//! [`resumption`] resumes it on another worker, and [`writing_progress`] says how long a worker
+//! wrote. [`telemetry`] counts and logs results, and [`refusal`] makes the response to a call that
+//! could not be served.
 //!
 //! The owner of a worker is the instance that keeps count of all requests open at it (see
 //! [`crate::owners`]). Cold and rate-limited workers are sent a call only with a grant (see
--- a/crates/cranereach-gateway/src/forward/resumption.rs
+++ b/crates/cranereach-gateway/src/forward/resumption.rs
@@ -56,8 +56,8 @@
 
 impl StartedStream {
     /// Waits for the first chunk after the head of a response, which is empty if the stream goes on
-    /// after earlier events and has no further ones. Fails if the call is bound to a version and that
-    /// of the worker is uncertain.
+    /// after earlier events and has no further ones. Fails if the call is bound to a version and
+    /// that of the worker is uncertain.
     pub(super) async fn from_head(
         node: &Node,
         call: &Call,
--- a/crates/cranereach-gateway/src/forward/worker_body.rs
+++ b/crates/cranereach-gateway/src/forward/worker_body.rs
@@ -5,8 +5,8 @@
 //! Any other body whose end is not declared is complete as far as can be seen: a worker that closes
 //! its connection in order does so after the last byte, or because its process ends.
 //!
-//! A stream that goes on and on without an event, or that is larger than the request may produce, is
-//! no answer: it is broken off ([`StreamLimits`]).
+//! A stream that goes on and on without an event, or that is larger than the request may produce,
+//! is no answer: it is broken off ([`StreamLimits`]).
 
 use std::sync::Arc;
 use std::task::Context;
@@ -31,8 +31,8 @@
 /// Largest event of a stream, and most bytes between two events, such as those of comments.
 const EVENT_MAX_BYTES: u64 = 1024 * 1024;
 
-/// Most bytes of a stream for each token that the request may produce: events name more than the text
-/// of a token.
+/// Most bytes of a stream for each token that the request may produce: events name more than the
+/// text of a token.
 const BYTES_PER_TOKEN: u64 = 4 * 1024;
 
 /// Most bytes of a stream if the request doesn't say how many tokens it may produce.
@@ -140,8 +140,8 @@
 }
 
 impl WorkerBody {
-    /// Creates the body of a response with these headers. The limits are set if the caller asked for a
-    /// stream of events; then the body is one also if its head names no media type.
+    /// Creates the body of a response with these headers. The limits are set if the caller asked
+    /// for a stream of events; then the body is one also if its head names no media type.
     pub(super) fn new(
         body: ResponseBody,
         headers: &HeaderMap,
--- a/crates/cranereach-gateway/src/forward/writing_progress.rs
+++ b/crates/cranereach-gateway/src/forward/writing_progress.rs
@@ -26,8 +26,8 @@
         }
     }
 
-    /// Takes a chunk that has arrived. Returns whether the progress is to be recorded now: the worker
-    /// has written for [`PROGRESS_MS`], unless this instance was too slow to know.
+    /// Takes a chunk that has arrived. Returns whether the progress is to be recorded now: the
+    /// worker has written for [`PROGRESS_MS`], unless this instance was too slow to know.
     pub(super) fn is_due(&mut self, node: &Node) -> bool {
         let now = Instant::now();
         let last = self.recorded_at.unwrap_or(self.since);
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -12,20 +12,21 @@
 //!   [`account_limits`] asks the owners of client accounts' limits whether a request may run.
 //! - [`cold`] tracks workers that have just started.
 //!
-//! [`worker_headers`] reads what a worker's answers say about the worker itself:
-//! [`named_limits`] that it limits its request rate, [`brittle_workers`] that it bears few rejections, [`departures`] that it leaves, [`rests`]
-//! that it wants no requests for a while. [`unknown_headers`] counts headers that nothing
-//! recognizes, and [`unavailable_workers`] shows operators which workers leave or rest.
-//! Right before a request is sent to a worker, [`send_permit`] checks whether it may be, and
-//! [`send_grants`] asks the owners of cold or rate-limited workers.
+//! [`worker_headers`] reads what a worker's answers say about the worker itself: [`named_limits`]
+//! that it limits its request rate, [`brittle_workers`] that it bears few rejections,
+//! [`departures`] that it leaves, [`rests`] that it wants no requests for a while.
+//! [`unknown_headers`] counts headers that nothing recognizes, and [`unavailable_workers`] shows
+//! operators which workers leave or rest. Right before a request is sent to a worker,
+//! [`send_permit`] checks whether it may be, and [`send_grants`] asks the owners of cold or
+//! rate-limited workers.
 //!
 //! [`stream_origins`] knows the software versions at which streams began, so that a stream that a
 //! caller takes up again, at any instance, goes on at the same version.
 //!
 //! [`overload`] samples what the instance takes in, and withdraws it while it turns callers away.
 //!
-//! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays while
-//! an instance can't reach a worker itself.
+//! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays
+//! while an instance can't reach a worker itself.
 //!
 //! [`gossip`], [`list_updates`], [`body_transfer`] and [`list_transfer`] send peers what they do
 //! not know yet; [`traffic`] counts the bytes. [`controller`] holds the leases and sends orders to
--- a/crates/cranereach-gateway/src/node.rs
+++ b/crates/cranereach-gateway/src/node.rs
@@ -336,8 +336,8 @@
         self.settings.listen.peers.port()
     }
 
-    /// Returns the current time of this process's clock, in milliseconds. It includes time for which
-    /// the machine was suspended.
+    /// Returns the current time of this process's clock, in milliseconds. It includes time for
+    /// which the machine was suspended.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
     }
--- a/crates/cranereach-gateway/src/quarantine.rs
+++ b/crates/cranereach-gateway/src/quarantine.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Returns whether a call is to probe a quarantined part: the instance that is first in rank for the
-/// part sends one request when it is due.
+/// Returns whether a call is to probe a quarantined part: the instance that is first in rank for
+/// the part sends one request when it is due.
 fn begin_probe(node: &Node, call: &Call, part: SuspectKey) -> bool {
     let now_ms = node.now_ms();
     let is_due = lock(&node.quarantine).is_probe_due(now_ms as i64, part);
@@ -120,8 +120,8 @@
 }
 
 /// Records that a worker ended while it ran a call, which was in a phase. `worker` holds the key of
-/// its incarnation and its identity; `known_ends` states for which keys of the call this instance already knew of ends
-/// when it sent the call.
+/// its incarnation and its identity; `known_ends` states for which keys of the call this instance
+/// already knew of ends when it sent the call.
 pub async fn record_end(
     node: &Arc<Node>,
     call: &Call,
@@ -193,9 +193,9 @@
     true
 }
 
-/// Changes what is known, and logs which parts are quarantined or no longer are. Whether one is also
-/// depends on what is known of others. The instance that is first in rank for the part updates the
-/// store.
+/// Changes what is known, and logs which parts are quarantined or no longer are. Whether one is
+/// also depends on what is known of others. The instance that is first in rank for the part updates
+/// the store.
 fn change<R>(node: &Arc<Node>, change: impl FnOnce(&mut Quarantine) -> R) -> R {
     let mut quarantine = lock(&node.quarantine);
     let before = quarantine.quarantined_parts().clone();
--- a/crates/cranereach-gateway/src/quarantine/exoneration.rs
+++ b/crates/cranereach-gateway/src/quarantine/exoneration.rs
@@ -59,9 +59,10 @@
     });
 }
 
-/// Records that a worker has written to the answer of a call for [`cranereach_fleet::quarantine::PROGRESS_MS`] or longer, since a
-/// time in milliseconds. It shows that no part of its prompt ended workers at that time when an answer
-/// on it began, whatever becomes of the call.
+/// Records that a worker has written to the answer of a call for
+/// [`cranereach_fleet::quarantine::PROGRESS_MS`] or longer, since a time in milliseconds. It shows
+/// that no part of its prompt ended workers at that time when an answer on it began, whatever
+/// becomes of the call.
 pub fn record_progress(node: &Arc<Node>, call: &Call, since_ms: u64) {
     let known_ends = judge(node, call).known_ends;
     let proof = Proof {
--- a/crates/cranereach-gateway/src/stream_origins.rs
+++ b/crates/cranereach-gateway/src/stream_origins.rs
@@ -35,15 +35,15 @@
 use cranereach_fleet::stream_origins::stream_life_ms;
 use cranereach_fleet::topology::DomainTag;
 
-/// Interval at which the versions of the services are looked at, in milliseconds. A take-up looks at
-/// them itself.
+/// Interval at which the versions of the services are looked at, in milliseconds. A take-up looks
+/// at them itself.
 const WATCH_INTERVAL_MS: u64 = 250;
 
 /// The same while notes wait to be told, in milliseconds.
 const TELL_INTERVAL_MS: u64 = 20;
 
-/// Time after which an instance that has just started asks peers again which versions there were, in
-/// milliseconds; it doubles each time.
+/// Time after which an instance that has just started asks peers again which versions there were,
+/// in milliseconds; it doubles each time.
 const CONFIRMATION_INTERVAL_MS: u64 = 250;
 
 /// Longest such time, in milliseconds.
@@ -55,8 +55,8 @@
 /// Time between two of its reads of the versions from the store, in milliseconds.
 const HISTORY_READ_INTERVAL_MS: u64 = 1_000;
 
-/// Maximum number of times that an instance which has just started reads the versions from the store,
-/// in one era of it.
+/// Maximum number of times that an instance which has just started reads the versions from the
+/// store, in one era of it.
 const HISTORY_READ_MAX_COUNT: u32 = 3;
 
 /// Share of the drain bound up to which the list of workers is as old in calm.
@@ -251,8 +251,8 @@
     others.chain([own]).collect()
 }
 
-/// Asks two peers whether services that this instance has not watched for long had one version only.
-/// Returns whether those that answered have just started, too.
+/// Asks two peers whether services that this instance has not watched for long had one version
+/// only. Returns whether those that answered have just started, too.
 async fn ask_for_confirmation(node: &Arc<Node>, services: &[u64]) -> bool {
     let mut have_all_started = true;
     // Others each time: some may have started lately, too.
--- a/crates/cranereach-gateway/src/stream_origins/history.rs
+++ b/crates/cranereach-gateway/src/stream_origins/history.rs
@@ -1,9 +1,9 @@
 //! The versions of the services as kept in the store, for the case that all instances start anew.
 //!
-//! See [`cranereach_fleet::stream_origins::VersionHistory`]. The first instances in rank check the row
-//! when what they know of versions has changed, one after another, and write it if it says otherwise.
-//! An instance that has just started, and whose peers know no more than it does, reads the row; of
-//! many that start at once only some do, and the others ask these.
+//! See [`cranereach_fleet::stream_origins::VersionHistory`]. The first instances in rank check the
+//! row when what they know of versions has changed, one after another, and write it if it says
+//! otherwise. An instance that has just started, and whose peers know no more than it does, reads
+//! the row; of many that start at once only some do, and the others ask these.
 
 use std::sync::Arc;
 
@@ -77,8 +77,8 @@
     rand::random_range(0..=alive_count) < READER_COUNT
 }
 
-/// Reads the row, and takes what it proves of services that this instance has not watched for as long
-/// as their streams last. Returns whether the row was read.
+/// Reads the row, and takes what it proves of services that this instance has not watched for as
+/// long as their streams last. Returns whether the row was read.
 pub(super) async fn confirm(node: &Node, services: &[u64]) -> bool {
     let stored = match read(node).await {
         Ok(Some(stored)) => stored,
--- a/crates/cranereach-gateway/src/worker_start.rs
+++ b/crates/cranereach-gateway/src/worker_start.rs
@@ -51,8 +51,8 @@
     Certain,
     /// It does as far as known.
     Current,
-    /// It may describe an earlier start: the list is older than its bound, or this instance saw an end
-    /// of the worker since.
+    /// It may describe an earlier start: the list is older than its bound, or this instance saw an
+    /// end of the worker since.
     Doubtful,
 }
 
--- a/crates/cranereach-http/src/body_end.rs
+++ b/crates/cranereach-http/src/body_end.rs
@@ -129,8 +129,8 @@
             .await
     }
 
-    /// Reads the whole body of at most `max_bytes` within `timeout_ms`, as long as `may_grow` allows
-    /// it to grow by a number of bytes.
+    /// Reads the whole body of at most `max_bytes` within `timeout_ms`, as long as `may_grow`
+    /// allows it to grow by a number of bytes.
     pub async fn collect_while(
         self,
         max_bytes: usize,
--- a/crates/cranereach-http/src/buffer_budget.rs
+++ b/crates/cranereach-http/src/buffer_budget.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 
-/// Size up to which a body is held whatever others use, in bytes. Small answers don't wait for large
-/// ones to be sent.
+/// Size up to which a body is held whatever others use, in bytes. Small answers don't wait for
+/// large ones to be sent.
 const UNSHARED_MAX_BYTES: u64 = 16 * 1024;
 
 /// Memory for bodies that are held in full.
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -1,8 +1,8 @@
 //! HTTP building blocks over `hyper` that instances, command-line tools and stand-ins share.
 //!
 //! - [`server`] accepts connections and shuts down gracefully.
-//! - [`intake`] decides which connections of callers are taken, and [`meter`] counts connections and
-//!   their bytes.
+//! - [`intake`] decides which connections of callers are taken, and [`meter`] counts connections
+//!   and their bytes.
 //! - [`pool`] keeps connections to one upstream and reports whether any byte of a failed
 //!   request may have been sent.
 //! - [`connector`] opens the TCP connections of a pool.
