--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -26,7 +26,8 @@
 //! [`overload`] samples what the instance takes in, and withdraws it while it turns callers away.
 //!
 //! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays
-//! while an instance can't reach a worker itself.
+//! while an instance can't reach a worker itself. [`worker_start`] finds out which start of a worker
+//! a connection leads to.
 //!
 //! [`gossip`], [`list_updates`], [`body_transfer`] and [`list_transfer`] send peers what they do
 //! not know yet; [`traffic`] counts the bytes. [`controller`] holds the leases and sends orders to
--- a/crates/cranereach-http/src/lib.rs
+++ b/crates/cranereach-http/src/lib.rs
@@ -1,6 +1,8 @@
 //! HTTP building blocks over `hyper` that instances, command-line tools and stand-ins share.
 //!
 //! - [`server`] accepts connections and shuts down gracefully.
+//! - [`head_limit`] bounds what precedes the head of an answer, and [`buffer_budget`] the memory of
+//!   answers that are held in full.
 //! - [`intake`] decides which connections of callers are taken, and [`meter`] counts connections
 //!   and their bytes.
 //! - [`pool`] keeps connections to one upstream and reports whether any byte of a failed
