A start that a worker tells replaces the one before as its row would

Callers could have been sent to a worker that had been replaced, or kept at the version of one, after the worker had told a later start than its row named. Found by reading; three tests fail without this.

Cause: the row of a start that had been told was taken as news of the same start. So the start before was not remembered as replaced, and a restored store that lists it again was believed; a report that it was leaving was lost; and the row of a start in between ended the doubt, although the worker had told a later one.

Both ways now go through one function that replaces what is known of a start, and the doubt stays as long as the row is of an earlier start than was told.

Ruled out: taking the told start into the row's record itself, since its version and models aren't known.

--- a/crates/cranereach-fleet/src/roster.rs
+++ b/crates/cranereach-fleet/src/roster.rs
@@ -133,29 +133,21 @@
             self.lapsing.remove(&record.id);
             self.holders.change(&known.record, &record);
             self.versions.change(&known.record, &record);
-            let told_start_unix_ms = known.row_doubt.told_start_unix_ms();
-            if told_start_unix_ms == Some(record.started_unix_ms) {
-                // What has been learned since the worker told its start is about this one.
-                known.row_doubt = RowDoubt::default();
-            } else if known.record.started_unix_ms != record.started_unix_ms {
-                if let Some(departure) = known.departure {
-                    self.unlisted_departures
-                        .keep(known.record.incarnation_key(), departure);
-                }
+            if known.record.started_unix_ms != record.started_unix_ms {
                 if known.position.era == position.era {
                     let (incarnation, next) =
                         (known.record.incarnation_key(), record.incarnation_key());
                     eras::note_superseded(&mut self.superseded, incarnation, next);
                 }
-                // A new incarnation starts empty: nothing learned about the one before applies to
-                // it.
-                let leaves_at = known.leaves_at;
-                *known = Worker::new(position, record);
-                known.leaves_at = leaves_at;
-                known.departure = self
-                    .unlisted_departures
-                    .take(|| known.record.incarnation_key());
-                return true;
+                let row_doubt = known.row_doubt.after_row_of(record.started_unix_ms);
+                if known.row_doubt.is_told(record.started_unix_ms) {
+                    // What has been learned since the worker told its start is about this one.
+                    known.row_doubt = row_doubt;
+                } else {
+                    replace(&mut self.unlisted_departures, known, position, record);
+                    known.row_doubt = row_doubt;
+                    return true;
+                }
             }
             let has_changed = known.record != record;
             if has_changed && known.position.era == position.era {
@@ -247,9 +239,13 @@
         if known_unix_ms == 0 || started_unix_ms <= known_unix_ms {
             return false;
         }
-        let leaves_at = known.leaves_at;
-        *known = Worker::new(known.position, known.record.clone());
-        known.leaves_at = leaves_at;
+        let (position, record) = (known.position, known.record.clone());
+        replace(&mut self.unlisted_departures, known, position, record);
+        // It is about the start of the row, which is over.
+        if let Some(departure) = known.departure.take() {
+            let incarnation = known.record.incarnation_key();
+            self.unlisted_departures.keep(incarnation, departure);
+        }
         known.row_doubt = RowDoubt::of_later_start(started_unix_ms);
         true
     }
@@ -361,3 +357,20 @@
             .collect()
     }
 }
+
+/// Replaces what is known of a worker by another start. It begins empty: nothing learned about the
+/// one before applies to it, but a report that either is leaving is kept for its incarnation.
+fn replace(
+    unlisted_departures: &mut UnlistedDepartures,
+    known: &mut Worker,
+    position: StorePosition,
+    record: WorkerRecord,
+) {
+    if let Some(departure) = known.departure {
+        unlisted_departures.keep(known.record.incarnation_key(), departure);
+    }
+    let leaves_at = known.leaves_at;
+    *known = Worker::new(position, record);
+    known.leaves_at = leaves_at;
+    known.departure = unlisted_departures.take(|| known.record.incarnation_key());
+}
--- a/crates/cranereach-fleet/src/worker/row_doubt.rs
+++ b/crates/cranereach-fleet/src/worker/row_doubt.rs
@@ -48,6 +48,22 @@
         self.told_start_unix_ms
     }
 
+    /// Whether the worker told a start, in milliseconds of Unix time, before its row came.
+    pub(crate) fn is_told(&self, started_unix_ms: u64) -> bool {
+        self.told_start_unix_ms == Some(started_unix_ms)
+    }
+
+    /// Returns what is left of the doubt once the row of another start is known, in milliseconds of
+    /// Unix time: that of an earlier one than the worker told is outdated, too.
+    pub(crate) fn after_row_of(self, started_unix_ms: u64) -> Self {
+        Self {
+            ended_at_ms: None,
+            told_start_unix_ms: self
+                .told_start_unix_ms
+                .filter(|told_unix_ms| *told_unix_ms > started_unix_ms),
+        }
+    }
+
     /// Whether the row is known to describe an earlier start than the current one.
     pub fn is_outdated(&self) -> bool {
         self.told_start_unix_ms.is_some()
--- a/crates/cranereach-fleet/tests/roster/starts.rs
+++ b/crates/cranereach-fleet/tests/roster/starts.rs
@@ -5,10 +5,13 @@
 use super::workers::record;
 use super::workers::routing_request;
 use cranereach_fleet::brittle::BrittleNotice;
+use cranereach_fleet::departure::Departure;
+use cranereach_fleet::departure::DepartureSource;
 use cranereach_fleet::no_worker::NoWorker;
 use cranereach_fleet::roster::Roster;
 use cranereach_fleet::routing_request::RoutingRequest;
 use cranereach_fleet::software_version::SoftwareVersion;
+use cranereach_fleet::store_position::StorePosition;
 use cranereach_fleet::worker::WorkerRecord;
 
 /// Time of the choices, in milliseconds.
@@ -57,7 +60,12 @@
         Ok("a")
     );
     // The row of a start in between doesn't end that.
-    roster.put(position_at(2), row("a", 5_000));
+    roster.put(position_at(2), row("a", 3_000));
+    assert_eq!(
+        choose(&roster, NOW_MS, &bound()),
+        Err(NoWorker::OtherVersion)
+    );
+    roster.put(position_at(3), row("a", 5_000));
     assert_eq!(choose(&roster, NOW_MS, &bound()).as_deref(), Ok("a"));
 }
 
@@ -93,3 +101,35 @@
     roster.put(position_at(3), row("a", 6_000));
     assert!(!is_brittle(&roster));
 }
+
+/// Guards against the row of a replaced start that a restored store lists again, if the worker had told
+/// the later start before its row came.
+#[test]
+fn a_start_that_was_replaced_stays_excluded() {
+    let mut roster = Roster::default();
+    roster.put(position_at(1), row("a", 1_000));
+    assert!(roster.note_start("a", 5_000));
+    roster.put(position_at(2), row("a", 5_000));
+    roster.enter_era(NOW_MS, 1);
+    roster.put(StorePosition::new(1, 1), row("a", 1_000));
+    assert!(roster.get("a").unwrap().is_leaving());
+}
+
+/// Guards against a report that a start is leaving which is lost once the worker tells a later one.
+#[test]
+fn the_departure_of_a_replaced_start_stays_known() {
+    let mut roster = Roster::default();
+    roster.put(position_at(1), row("a", 1_000));
+    let departure = Departure {
+        since_ms: NOW_MS,
+        reporter: DepartureSource::Row,
+    };
+    roster.get_mut("a").unwrap().departure = Some(departure);
+    assert!(roster.note_start("a", 5_000));
+    assert!(!roster.get("a").unwrap().is_leaving());
+    roster.put(position_at(2), row("a", 5_000));
+    assert!(!roster.get("a").unwrap().is_leaving());
+    // The list of a restored store may name it again.
+    roster.put(StorePosition::new(1, 1), row("a", 1_000));
+    assert!(roster.get("a").unwrap().is_leaving());
+}
