One way to read and write the rows that outlive all instances

The row of versions repeated what the row of quarantined requests had: reading, counting, logging what can't be read, the conditional write.

--- a/crates/cranereach-fleet/tests/stream_origins/kernel.rs
+++ b/crates/cranereach-fleet/tests/stream_origins/kernel.rs
@@ -308,6 +308,24 @@
     assert_eq!(origins.services_for_history(listed_again_ms), []);
 }
 
+/// Guards against a history that proves the version of a service which nobody has watched meanwhile.
+#[test]
+fn services_that_are_not_watched_leave_the_history() {
+    let moment = |at_ms| StoreMoment {
+        era: 0,
+        at_ms,
+        own_ms: 0,
+    };
+    let stated = [SERVICE, SERVICE + 1].map(|service| (service, VersionStatement::Started(1)));
+    let mut history = VersionHistory::default()
+        .updated(moment(0), &stated)
+        .unwrap();
+    let origins = watching(&[1]);
+    history.retain_services(|service| origins.is_watched(service));
+    let proven = |service| history.proven_version(moment(LIFE_MS), service, LIFE_MS);
+    assert_eq!([proven(SERVICE), proven(SERVICE + 1)], [Some(1), None]);
+}
+
 /// Guards against a history that counts after an outage of the store, in which workers may have run
 /// versions that no row ever named.
 #[test]
--- a/crates/cranereach-gateway/src/lib.rs
+++ b/crates/cranereach-gateway/src/lib.rs
@@ -27,7 +27,8 @@
 //!
 //! [`worker_paths`] opens the connections to workers, and [`tunnels`] those that a peer relays
 //! while an instance can't reach a worker itself. [`worker_start`] finds out which start of a worker
-//! a connection leads to.
+//! a connection leads to. [`stored_row`] reads and writes the rows of the store that hold what must
+//! outlive a start of all instances.
 //!
 //! [`gossip`], [`list_updates`], [`body_transfer`] and [`list_transfer`] send peers what they do
 //! not know yet; [`traffic`] counts the bytes. [`controller`] holds the leases and sends orders to
@@ -75,6 +76,7 @@
 pub mod store_backoff;
 pub mod store_era;
 pub mod store_failures;
+pub mod stored_row;
 pub mod stream_origins;
 pub mod traffic;
 pub mod tunnels;
--- a/crates/cranereach-gateway/src/quarantine/persistence.rs
+++ b/crates/cranereach-gateway/src/quarantine/persistence.rs
@@ -15,21 +15,22 @@
 use slog::warn;
 use tokio::sync::OnceCell;
 
-use crate::adapter::RowName;
-use crate::adapter::WriteAnswer;
 use crate::node::Node;
 use crate::node::lock;
 use crate::node::pause;
 use crate::store::StoreError;
-use crate::store_backoff;
+use crate::stored_row;
+use crate::stored_row::RowPlace;
+use crate::stored_row::StoredRow;
 use cranereach_fleet::quarantine::SuspectUpdate;
-use cranereach_fleet::store_position::StorePosition;
 
-/// Table of the row.
-const TABLE: &str = "cranereach_quarantine";
-
-/// Key of the row.
-const KEY: &str = "requests";
+/// The row.
+const PLACE: RowPlace = RowPlace {
+    table: "cranereach_quarantine",
+    key: "requests",
+    read_kind: "quarantine",
+    write_kind: "quarantine_write",
+};
 
 /// Maximum number of requests in the row; the most recently requested ones are kept.
 const STORED_MAX_COUNT: usize = 64;
@@ -49,12 +50,6 @@
     retry_at_ms: AtomicU64,
 }
 
-/// Content of the row as read from the store.
-struct Row {
-    position: StorePosition,
-    requests: Vec<SuspectUpdate>,
-}
-
 /// Loads the row unless it has been loaded since the start.
 pub async fn load_once(node: &Arc<Node>) {
     let persistence = &node.persistence;
@@ -65,17 +60,17 @@
         return;
     }
     let loading = persistence.is_loaded.get_or_try_init(async || {
-        let row = read(node).await?;
+        let row: StoredRow<Vec<SuspectUpdate>> = stored_row::read(node, PLACE).await?;
         let now_ms = node.now_ms() as i64;
         super::change(node, |quarantine| {
-            for news in row.requests.iter().take(STORED_MAX_COUNT) {
+            for news in row.content.iter().take(STORED_MAX_COUNT) {
                 // Skips suspects that have been cleared in the meantime.
                 if !quarantine.is_cleared(news.key()) {
                     quarantine.apply_update(now_ms, news);
                 }
             }
         });
-        info!(node.log, "quarantined requests loaded from store"; "requests" => row.requests.len());
+        info!(node.log, "quarantined requests loaded from store"; "requests" => row.content.len());
         Ok::<(), StoreError>(())
     });
     if let Err(error) = loading.await {
@@ -108,52 +103,23 @@
     }
 }
 
-/// Reads the row from the store.
-async fn read(node: &Node) -> Result<Row, StoreError> {
-    let rows = node.store.read(TABLE).await;
-    store_backoff::count_read(node, "quarantine", &rows);
-    let rows = rows?;
-    let row = rows.rows.iter().find(|row| row.key == KEY);
-    let requests = row.and_then(|row| {
-        let parsed = serde_json::from_slice(&row.value);
-        parsed
-            .inspect_err(|error| {
-                let counter = &node.metrics.bad_input_total;
-                counter.with_label_values(&["quarantine"]).inc();
-                warn!(node.log, "cannot parse quarantined requests from store"; "error" => error.to_string());
-            })
-            .ok()
-    });
-    Ok(Row {
-        position: rows.position_of(KEY),
-        requests: requests.unwrap_or_default(),
-    })
-}
-
 /// Writes the row once, unless it is up to date. Returns false if another instance changed it
 /// concurrently.
 async fn write(node: &Node) -> Result<bool, StoreError> {
-    let row = read(node).await?;
+    let row: StoredRow<Vec<SuspectUpdate>> = stored_row::read(node, PLACE).await?;
     let requests = lock(&node.quarantine).select_for_storage(
         node.now_ms() as i64,
-        &row.requests,
+        &row.content,
         STORED_MAX_COUNT,
     );
-    let is_unchanged = requests.len() == row.requests.len()
+    let is_unchanged = requests.len() == row.content.len()
         && requests.iter().all(|request| {
-            row.requests
+            row.content
                 .iter()
                 .any(|stored| stored.key() == request.key())
         });
     if is_unchanged {
         return Ok(true);
     }
-    let name = RowName {
-        table: TABLE,
-        key: KEY.to_owned(),
-    };
-    let value = serde_json::to_vec(&requests).unwrap_or_default();
-    let written = node.store.write(&name, row.position, &value).await;
-    store_backoff::count_write(node, "quarantine_write", &written);
-    Ok(matches!(written?, WriteAnswer::Done(_)))
+    stored_row::write(node, PLACE, row.position, &requests).await
 }
