Review: streams go on at another version after a worker started again unseen

Cause: an instance that had nothing open at a worker when it ended takes the row of the start before for that of the new one until its list is read again. A stream that begins meanwhile counts as one of the old version.

One of eight workers of a service without models goes down and up by turns and starts with another version, and many callers come 0.1 s later.

--- a/review/stand-ins-2/base.rs
+++ b/review/stand-ins-2/base.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 // ---------------------------------------------------------------- JSON
 
@@ -606,6 +606,11 @@
     }
 }
 
+/// Returns the time of day in Unix milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64)
+}
+
 /// Whether the disruption is played.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod base;
 mod memory;
+mod versions;
 
 use std::path::Path;
 
@@ -11,6 +12,7 @@
     let folder = Path::new(arguments.get(2).map_or(".", String::as_str));
     let code = match case {
         "memory" => memory::run(folder),
+        "versions" => versions::run(folder),
         _ => 2,
     };
     std::process::exit(code);
