Review: a request that crashes workers isn't recognised by its path and body

Cause: the fingerprint of a request takes in the whole list of prompt parts. The last part belongs to the request, so that each try of the same path, caller and body is another request to the quarantine.

One such request comes every 1.5 s, beside sound ones that share its path, its caller and the first parts of its prompt.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,7 +1,9 @@
 //! Stand-ins and checks of the second review. The first argument names the case, the second its folder.
 
 mod base;
+mod engine;
 mod memory;
+mod repeated;
 mod versions;
 
 use std::path::Path;
@@ -12,6 +14,7 @@
     let folder = Path::new(arguments.get(2).map_or(".", String::as_str));
     let code = match case {
         "memory" => memory::run(folder),
+        "repeated" => repeated::run(folder),
         "versions" => versions::run(folder),
         _ => 2,
     };
