--- a/review/stand-ins-2/versions.rs
+++ b/review/stand-ins-2/versions.rs
@@ -19,13 +19,13 @@
 use crate::base::*;
 
 const ZONES: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
-const WORKERS: usize = 8;
+const WORKERS: usize = 10;
 const HOST: &str = "notes.example";
 /// Streams that begin at once when many users come.
 const BURST_COUNT: usize = 48;
 const EVENT_COUNT: usize = 15;
 const EVENT_PAUSE_MS: u64 = 100;
-/// Workers that go down and up by turns, one after another: one of eight at a time.
+/// Workers that go down and up by turns, one after another: one of ten at a time, a share of 0.1.
 const FLAPPING: usize = 3;
 /// Time from a worker's start until many callers come.
 const BURST_AFTER_MS: u64 = 100;
